Add authenticated framed links between processes

Cause: proxies and control hosts need links that a stranger or a replayed recording cannot use. Ruled out: one link for both directions (a cut of one direction would look like a cut of both); TLS between our processes (no certificates to hand out per host; the MAC under a key per link covers replay and change). Change: handshake by challenge and response, frames with sequence number and MAC, bounded backlog, redial with backoff.

--- /dev/null
+++ b/src/transport/peer_network.cpp
@@ -0,0 +1,137 @@
+// The set of links of one process.
+#include "transport/peer_network.h"
+
+#include "transport/peer_link.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace mangoquay::transport {
+namespace {
+
+constexpr int listen_backlog = 1024;
+
+core::result<std::uint16_t> bound_port(int socket) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    if (getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) < 0) {
+        return core::result<std::uint16_t>::failure(std::strerror(errno));
+    }
+    return ntohs(address.sin_port);
+}
+
+} // namespace
+
+peer_network::peer_network(event_loop& loop, core::entry_host_id self, std::string cluster_key)
+    : m_loop(loop), m_self(std::move(self)), m_cluster_key(std::move(cluster_key)) {}
+
+peer_network::~peer_network() {
+    // Links report their end to handlers whose owners may be gone already.
+    m_on_peer_lost = nullptr;
+    m_outgoing.clear();
+    m_incoming.clear();
+    if (m_listener >= 0) {
+        m_loop.unwatch(m_listener);
+        ::close(m_listener);
+    }
+}
+
+core::result<std::uint16_t> peer_network::listen(const control::socket_address& address) {
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_port = htons(address.m_port);
+    if (inet_pton(AF_INET, address.m_host.c_str(), &bound.sin_addr) != 1) {
+        return core::result<std::uint16_t>::failure("not an IP number: " + address.m_host);
+    }
+    m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&bound), sizeof bound) < 0 ||
+        ::listen(m_listener, listen_backlog) < 0) {
+        return core::result<std::uint16_t>::failure(address.m_host + ":" + std::to_string(address.m_port) +
+                                                    ": " + std::strerror(errno));
+    }
+    m_loop.watch(m_listener, EPOLLIN, [this](std::uint32_t) { accept_ready(); });
+    return bound_port(m_listener);
+}
+
+void peer_network::on_frame(frame_handler handler) {
+    m_on_frame = std::move(handler);
+}
+
+void peer_network::on_peer_lost(peer_lost_handler handler) {
+    m_on_peer_lost = std::move(handler);
+}
+
+void peer_network::set_address(const core::entry_host_id& peer, const control::socket_address& address) {
+    auto& link = m_outgoing[peer];
+    if (!link) {
+        link = std::make_unique<outgoing_link>(*this, peer, address);
+        return;
+    }
+    link->set_address(address);
+}
+
+bool peer_network::send(const core::entry_host_id& to, std::vector<std::uint8_t> body) {
+    const auto found = m_outgoing.find(to);
+    if (found == m_outgoing.end() || body.size() > largest_frame_bytes) {
+        return false;
+    }
+    if (m_blocked.contains(to)) {
+        return true;
+    }
+    return found->second->send(std::move(body));
+}
+
+void peer_network::set_blocked(std::set<core::entry_host_id> peers) {
+    m_blocked = std::move(peers);
+}
+
+void peer_network::accept_ready() {
+    for (;;) {
+        const int socket = ::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0) {
+            return;
+        }
+        m_incoming.push_back(std::make_unique<incoming_link>(*this, socket));
+    }
+}
+
+void peer_network::deliver(const core::entry_host_id& from, frame body) {
+    if (m_on_frame && !m_blocked.contains(from)) {
+        m_on_frame(from, body);
+    }
+}
+
+void peer_network::incoming_closed(const incoming_link* link) {
+    const auto found = std::find_if(m_incoming.begin(), m_incoming.end(),
+                                    [&](const auto& kept) { return kept.get() == link; });
+    if (found == m_incoming.end()) {
+        return;
+    }
+    const core::entry_host_id peer = (*found)->peer();
+    m_incoming.erase(found);
+    const bool others = std::any_of(m_incoming.begin(), m_incoming.end(),
+                                    [&](const auto& kept) { return kept->peer() == peer; });
+    if (!peer.value().empty() && !others) {
+        report_lost(peer);
+    }
+}
+
+void peer_network::report_lost(const core::entry_host_id& peer) {
+    // Posted, because a link may end inside a call of the handler's owner.
+    m_loop.post([this, peer] {
+        if (m_on_peer_lost) {
+            m_on_peer_lost(peer);
+        }
+    });
+}
+
+} // namespace mangoquay::transport
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -9,6 +9,7 @@
 #include "core/ids.h"
 #include "core/result.h"
 #include "transport/event_loop.h"
+#include "transport/frame_codec.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,7 +23,6 @@
 
 namespace mangoquay::transport {
 
-inline constexpr std::size_t largest_frame_bytes = 16U * 1024U * 1024U;
 // A peer that does not read gets no more frames past this many unsent bytes.
 inline constexpr std::size_t largest_backlog_bytes = 32U * 1024U * 1024U;
 
@@ -46,7 +46,7 @@
     core::result<std::uint16_t> listen(const control::socket_address& address);
 
     void on_frame(frame_handler handler);
-    // Called when the last incoming link of a peer closed.
+    // Called, soon after, when the last incoming link of a peer closed or the outgoing link to it failed.
     void on_peer_lost(peer_lost_handler handler);
 
     // Where to dial a peer. A changed address closes the present link.
@@ -66,6 +66,7 @@
     void accept_ready();
     void deliver(const core::entry_host_id& from, frame body);
     void incoming_closed(const incoming_link* link);
+    void report_lost(const core::entry_host_id& peer);
 
     event_loop& m_loop;
     core::entry_host_id m_self;
--- /dev/null
+++ b/test/correctness/peer_links.cpp
@@ -0,0 +1,67 @@
+// Guards against frames lost or reordered on a healthy link, and against peers that do not know the cluster
+// key.
+#include "transport/peer_network.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace mangoquay;
+using namespace std::chrono_literals;
+using core::entry_host_id;
+
+namespace {
+
+const entry_host_id sender_id{"sender"};
+const entry_host_id receiver_id{"receiver"};
+
+struct pair_of_peers {
+    transport::event_loop m_loop;
+    transport::peer_network m_sender;
+    transport::peer_network m_receiver;
+
+    pair_of_peers(const std::string& sender_key, const std::string& receiver_key)
+        : m_sender(m_loop, sender_id, sender_key), m_receiver(m_loop, receiver_id, receiver_key) {
+        const auto port = m_receiver.listen({"127.0.0.1", 0});
+        CPPUNIT_ASSERT(static_cast<bool>(port));
+        m_sender.set_address(receiver_id, {"127.0.0.1", *port});
+    }
+};
+
+} // namespace
+
+class peer_links : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(peer_links);
+    CPPUNIT_TEST(frames_arrive_whole_and_in_order);
+    CPPUNIT_TEST(peer_without_the_cluster_key_gets_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void frames_arrive_whole_and_in_order() {
+        constexpr int frames = 200;
+        pair_of_peers peers("key", "key");
+        int received = 0;
+        peers.m_receiver.on_frame([&](const entry_host_id& from, transport::frame body) {
+            CPPUNIT_ASSERT(from == sender_id);
+            CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(received) * 500 + 1, body.size());
+            if (++received == frames) {
+                peers.m_loop.stop();
+            }
+        });
+        for (int index = 0; index < frames; ++index) {
+            CPPUNIT_ASSERT(peers.m_sender.send(receiver_id, std::vector<std::uint8_t>(index * 500 + 1, 7)));
+        }
+        peers.m_loop.run();
+        CPPUNIT_ASSERT_EQUAL(frames, received);
+    }
+
+    void peer_without_the_cluster_key_gets_nothing() {
+        pair_of_peers peers("guessed", "key");
+        bool received = false;
+        peers.m_receiver.on_frame([&](const entry_host_id&, transport::frame) { received = true; });
+        peers.m_sender.on_peer_lost([&](const entry_host_id&) { peers.m_loop.stop(); });
+        peers.m_sender.send(receiver_id, {1, 2, 3});
+        peers.m_loop.run();
+        CPPUNIT_ASSERT(!received);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(peer_links);
--- /dev/null
+++ b/test/error/damaged_frames.cpp
@@ -0,0 +1,90 @@
+// Guards against accepting frames that were changed, replayed, reordered, oversized or taken from another
+// link.
+#include "transport/frame_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace mangoquay::transport;
+
+namespace {
+
+const link_key key = derive_key("secret", {});
+
+std::vector<std::uint8_t> sealed(std::initializer_list<std::vector<std::uint8_t>> bodies) {
+    frame_sealer sealer(key);
+    std::vector<std::uint8_t> stream;
+    for (const auto& body : bodies) {
+        sealer.seal(body, stream);
+    }
+    return stream;
+}
+
+int frames_opened(const std::vector<std::uint8_t>& stream, bool& damaged) {
+    frame_opener opener(key);
+    opener.feed(stream);
+    int count = 0;
+    while (opener.next()) {
+        ++count;
+    }
+    damaged = opener.damaged();
+    return count;
+}
+
+} // namespace
+
+class damaged_frames : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(damaged_frames);
+    CPPUNIT_TEST(any_changed_byte_is_never_delivered);
+    CPPUNIT_TEST(replayed_frame_is_rejected);
+    CPPUNIT_TEST(any_split_of_the_stream_gives_the_same_frames);
+    CPPUNIT_TEST(random_bytes_are_never_delivered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void any_changed_byte_is_never_delivered() {
+        const auto stream = sealed({{1, 2, 3, 4}});
+        for (std::size_t index = 0; index < stream.size(); ++index) {
+            auto changed = stream;
+            changed[index] ^= 0x10;
+            bool damaged = false;
+            CPPUNIT_ASSERT_EQUAL(0, frames_opened(changed, damaged));
+        }
+    }
+
+    void replayed_frame_is_rejected() {
+        auto stream = sealed({{1, 2, 3, 4}});
+        const auto copy = stream;
+        stream.insert(stream.end(), copy.begin(), copy.end());
+        bool damaged = false;
+        CPPUNIT_ASSERT_EQUAL(1, frames_opened(stream, damaged));
+        CPPUNIT_ASSERT(damaged);
+    }
+
+    void any_split_of_the_stream_gives_the_same_frames() {
+        CPPUNIT_ASSERT(rc::check("split streams", [](const std::vector<std::uint8_t>& body) {
+            const auto stream = sealed({body, {}, body});
+            const auto cut = *rc::gen::inRange<std::size_t>(0, stream.size() + 1);
+            frame_opener opener(key);
+            opener.feed(std::span(stream).first(cut));
+            int count = 0;
+            while (opener.next()) {
+                ++count;
+            }
+            opener.feed(std::span(stream).subspan(cut));
+            while (opener.next()) {
+                ++count;
+            }
+            RC_ASSERT(count == 3 && !opener.damaged());
+        }));
+    }
+
+    void random_bytes_are_never_delivered() {
+        CPPUNIT_ASSERT(rc::check("random streams", [](const std::vector<std::uint8_t>& stream) {
+            bool damaged = false;
+            RC_ASSERT(frames_opened(stream, damaged) == 0);
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(damaged_frames);
