--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -49,6 +49,18 @@
     core::owner_epoch m_epoch;
 };
 
+// Starts a planned hand-over. Refused unless m_primary is the group's primary and no promotion is in
+// progress.
+struct hold_writes {
+    core::group_id m_group;
+    core::endpoint_id m_primary;
+};
+
+// Gives a planned hand-over up; the primary stays.
+struct release_writes {
+    core::group_id m_group;
+};
+
 // The old term gets no more acknowledgements from any process that has applied this.
 struct begin_promotion {
     core::group_id m_group;
@@ -95,7 +107,7 @@
 };
 
 using command = std::variant<register_proxy, retire_proxy, announce_endpoint, expire_endpoint, drain_endpoint,
-                             assign_owner, begin_promotion, finish_promotion, put_service, put_preset,
-                             select_preset, close_day, settle_day>;
+                             assign_owner, hold_writes, release_writes, begin_promotion, finish_promotion,
+                             put_service, put_preset, select_preset, close_day, settle_day>;
 
 } // namespace mangoquay::control
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -56,6 +56,10 @@
     core::endpoint_id m_primary; // empty while a promotion is in progress or before the first announcement
     bool m_promotion_in_progress = false;
     core::endpoint_id m_old_primary; // while a promotion is in progress
+    // A planned hand-over is being prepared: the owner starts no further write and finishes those in flight.
+    // They are still acknowledged. Ends with begin_promotion or release_writes.
+    bool m_writes_held = false;
+    core::revision m_held_at;
     // Databases of the group that count for its quorum, alive or not. An endpoint that expired stays a
     // member, so that a quorum is never formed from a minority that happens to be in sight.
     std::set<core::endpoint_id> m_members;
