Add membership core: leases, expiry and choice of owners

Cause: the control leader must know which proxies may still acknowledge writes and give each endpoint one owner. Ruled out: granting a lapsed proxy a new lease at once (it may not have applied a revision that was found in force without it); plain rendezvous hashing (uneven at 3 endpoints per zone); retiring proxies right after a pause of the leader (their heartbeats are still unread). A lapsed proxy gets a lease again only after it has applied all that the leader had applied when a revision was last found in force.

--- a/src/membership/lease_table.h
+++ b/src/membership/lease_table.h
@@ -11,6 +11,7 @@
 
 #include <compare>
 #include <map>
+#include <vector>
 
 namespace mangoquay::membership {
 
@@ -27,6 +28,9 @@
     // full period.
     void elected(core::time_point now, const control::control_state& state);
 
+    // Starts to watch proxies that the state lists and forgets those it no longer lists; part of each tick.
+    void track(core::time_point now, const control::control_state& state);
+
     // False: the lease is not extended. The shell passes may_grant: its own leader lease is valid.
     bool heartbeat(core::time_point now, const control::control_state& state, const heartbeat& beat,
                    bool may_grant);
@@ -56,14 +60,15 @@
     };
     struct lease_entry {
         core::deadline m_counts_until;
-        bool m_granted_here = false; // by this leader; before that the proxy must reach m_floor
+        core::deadline m_first_heartbeat_due; // a proxy that registered and is never heard lapses then
+        bool m_granted_here = false;          // by this leader; before that the proxy must reach m_floor
         bool m_heard = false;
         core::revision m_applied;
         core::revision m_target; // committed when it was last found up to date
         core::time_point m_target_set;
     };
 
-    bool up_to_date(core::time_point now, const control::control_state& state, lease_entry& entry) const;
+    static bool up_to_date(core::time_point now, const control::control_state& state, lease_entry& entry);
 
     std::map<lease_key, lease_entry> m_leases;
     core::revision m_floor; // a proxy without a lease must have applied this to get one
--- /dev/null
+++ b/src/membership/membership_core.cpp
@@ -0,0 +1,217 @@
+// The control leader's registry of proxies and endpoints.
+#include "membership/membership_core.h"
+
+#include <algorithm>
+
+namespace mangoquay::membership {
+namespace {
+
+// Proposals of which nothing is heard for this long are forgotten; bounds the memory of the table.
+constexpr std::size_t proposals_before_cleanup = 4096;
+
+bool under_promotion(const control::control_state& state, const control::endpoint_record& endpoint) {
+    const auto group = state.m_groups.find(endpoint.m_group);
+    return group != state.m_groups.end() &&
+           (group->second.m_promotion_in_progress || group->second.m_writes_held);
+}
+
+bool is_primary(const control::control_state& state, const core::endpoint_id& id,
+                const control::endpoint_record& endpoint) {
+    const auto group = state.m_groups.find(endpoint.m_group);
+    return group != state.m_groups.end() && group->second.m_primary == id;
+}
+
+} // namespace
+
+void membership_core::elected(core::time_point now, const control::control_state& state) {
+    m_leases.elected(now, state);
+    m_endpoints.clear();
+    m_proposed.clear();
+    m_last_beats.clear();
+    m_last_tick = now;
+    m_settling = core::deadline_after(now, counted_lease_length);
+}
+
+actions membership_core::on_heartbeat(core::time_point now, const control::control_state& state,
+                                      const heartbeat& beat, bool may_grant) {
+    actions out;
+    const bool accepted = m_leases.heartbeat(now, state, beat, may_grant);
+    out.emplace_back(grant_lease{beat.m_host, beat.m_incarnation, beat.m_number, accepted, state.m_revision});
+    const auto proxy = state.m_proxies.find(beat.m_host);
+    if (proxy == state.m_proxies.end() || proxy->second.m_incarnation != beat.m_incarnation ||
+        !newest(beat)) {
+        return out;
+    }
+    note_health(now, state, beat);
+    for (const core::endpoint_id& endpoint : beat.m_renewed) {
+        on_endpoint_renewed(now, endpoint);
+    }
+    if (beat.m_leaving != proxy->second.m_leaving && may_propose(now, "leaving " + beat.m_host.value())) {
+        control::proxy_record record = proxy->second;
+        record.m_leaving = beat.m_leaving;
+        out.emplace_back(propose{control::register_proxy{beat.m_host, record}});
+    }
+    return out;
+}
+
+bool membership_core::newest(const heartbeat& beat) {
+    last_beat& last = m_last_beats[beat.m_host];
+    if (last.m_incarnation == beat.m_incarnation && beat.m_number <= last.m_number) {
+        return false;
+    }
+    last = {beat.m_incarnation, beat.m_number};
+    return true;
+}
+
+void membership_core::on_endpoint_renewed(core::time_point now, const core::endpoint_id& endpoint) {
+    m_endpoints[endpoint].m_expires = core::deadline_after(now, endpoint_lifetime);
+}
+
+void membership_core::on_probe_result(core::time_point now, const probe_result& result) {
+    const auto view = m_endpoints.find(result.m_endpoint);
+    if (view == m_endpoints.end()) {
+        return;
+    }
+    if (result.m_reachable) {
+        view->second.m_reached_by = result.m_host;
+        view->second.m_reach_valid = core::deadline_after(now, probe_result_lifetime);
+    } else if (view->second.m_reached_by == result.m_host) {
+        view->second.m_reach_valid = core::deadline{};
+    }
+}
+
+actions membership_core::tick(core::time_point now, const control::control_state& state) {
+    if (now - m_last_tick > longest_tick_gap) {
+        m_settling = core::deadline_after(now, counted_lease_length);
+    }
+    m_last_tick = now;
+    m_leases.track(now, state);
+    std::erase_if(m_endpoints, [&](const auto& view) { return !state.m_endpoints.contains(view.first); });
+    for (const auto& [id, endpoint] : state.m_endpoints) {
+        const auto [view, is_new] = m_endpoints.try_emplace(id);
+        if (is_new || !m_settling.passed(now)) {
+            view->second.m_expires =
+                std::max(view->second.m_expires, core::deadline_after(now, endpoint_lifetime));
+        }
+    }
+    actions out;
+    if (!m_settling.passed(now)) {
+        return out;
+    }
+    retire_lapsed(now, state, out);
+    expire_endpoints(now, state, out);
+    assign_owners(now, state, out);
+    probe_unreachable(now, state, out);
+    return out;
+}
+
+void membership_core::note_health(core::time_point now, const control::control_state& state,
+                                  const heartbeat& beat) {
+    for (const endpoint_report& report : beat.m_health) {
+        const auto endpoint = state.m_endpoints.find(report.m_endpoint);
+        if (endpoint == state.m_endpoints.end() || endpoint->second.m_owner != beat.m_host) {
+            continue;
+        }
+        const auto [position, is_new] = m_endpoints.try_emplace(report.m_endpoint);
+        endpoint_view& view = position->second;
+        if (is_new) {
+            view.m_expires = core::deadline_after(now, endpoint_lifetime);
+        }
+        if (!report.m_reachable && (view.m_reachable || view.m_said_by != beat.m_host)) {
+            view.m_unreachable_since = now;
+        }
+        view.m_reachable = report.m_reachable;
+        view.m_said_by = beat.m_host;
+    }
+}
+
+void membership_core::retire_lapsed(core::time_point now, const control::control_state& state, actions& out) {
+    for (const core::entry_host_id& host : m_leases.lapsed(now, state)) {
+        if (may_propose(now, "retire " + host.value())) {
+            out.emplace_back(propose{control::retire_proxy{host, state.m_proxies.at(host).m_incarnation}});
+        }
+    }
+}
+
+void membership_core::expire_endpoints(core::time_point now, const control::control_state& state,
+                                       actions& out) {
+    for (const auto& [id, endpoint] : state.m_endpoints) {
+        // A silent primary is a matter of failover, which needs its address; apply() refuses it as well.
+        const bool kept = is_primary(state, id, endpoint) || under_promotion(state, endpoint);
+        if (!kept && m_endpoints.at(id).m_expires.passed(now) && may_propose(now, "expire " + id.value())) {
+            out.emplace_back(propose{control::expire_endpoint{id}});
+        }
+    }
+}
+
+owner_inputs membership_core::present_inputs(core::time_point now,
+                                             const control::control_state& state) const {
+    owner_inputs inputs;
+    for (const auto& [host, proxy] : state.m_proxies) {
+        if (m_leases.lease_counts(now, host)) {
+            inputs.m_leased.insert(host);
+        }
+        if (!proxy.m_leaving && m_leases.live(now, state, host)) {
+            inputs.m_candidates.insert(host);
+        }
+    }
+    for (const auto& [id, endpoint] : state.m_endpoints) {
+        const endpoint_view& view = m_endpoints.at(id);
+        if (under_promotion(state, endpoint) || !view.m_stays_until.passed(now)) {
+            inputs.m_fixed.insert(id);
+        }
+        const bool long_unreachable = !view.m_reachable && view.m_said_by == endpoint.m_owner &&
+                                      now - view.m_unreachable_since >= unreachable_before_move;
+        if (long_unreachable && !view.m_reach_valid.passed(now)) {
+            inputs.m_better_reach[id] = view.m_reached_by;
+        }
+    }
+    return inputs;
+}
+
+void membership_core::assign_owners(core::time_point now, const control::control_state& state, actions& out) {
+    const owner_inputs inputs = present_inputs(now, state);
+    for (const control::assign_owner& assignment : choose_owners(state, inputs)) {
+        if (may_propose(now, "owner " + assignment.m_endpoint.value())) {
+            if (inputs.m_better_reach.contains(assignment.m_endpoint)) {
+                m_endpoints.at(assignment.m_endpoint).m_stays_until =
+                    core::deadline_after(now, stay_after_move);
+            }
+            out.emplace_back(propose{assignment});
+        }
+    }
+}
+
+void membership_core::probe_unreachable(core::time_point now, const control::control_state& state,
+                                        actions& out) {
+    const owner_inputs inputs = present_inputs(now, state);
+    for (const auto& [id, endpoint] : state.m_endpoints) {
+        endpoint_view& view = m_endpoints.at(id);
+        if (view.m_reachable || view.m_said_by != endpoint.m_owner || !view.m_next_probe.passed(now)) {
+            continue;
+        }
+        std::vector<core::entry_host_id> hosts(inputs.m_candidates.begin(), inputs.m_candidates.end());
+        std::erase(hosts, endpoint.m_owner);
+        std::sort(hosts.begin(), hosts.end(), [&, &id = id](const auto& left, const auto& right) {
+            return rendezvous_score(left, id) > rendezvous_score(right, id);
+        });
+        for (std::size_t asked = 0; asked < std::min(proxies_probed_at_once, hosts.size()); ++asked) {
+            out.emplace_back(send_probe{hosts[view.m_next_prober++ % hosts.size()], id});
+        }
+        view.m_next_probe = core::deadline_after(now, probe_period);
+    }
+}
+
+bool membership_core::may_propose(core::time_point now, const std::string& subject) {
+    if (m_proposed.size() > proposals_before_cleanup) {
+        std::erase_if(m_proposed, [&](const auto& proposal) { return proposal.second.passed(now); });
+    }
+    core::deadline& blocked_until = m_proposed[subject];
+    if (!blocked_until.passed(now)) {
+        return false;
+    }
+    blocked_until = core::deadline_after(now, proposal_retry);
+    return true;
+}
+
+} // namespace mangoquay::membership
--- a/src/membership/membership_core.h
+++ b/src/membership/membership_core.h
@@ -11,6 +11,7 @@
 #include "membership/reports.h"
 
 #include <map>
+#include <string>
 
 namespace mangoquay::membership {
 
@@ -19,11 +20,18 @@
 // Longer than a reconnect (12 ms) and the loss of a few heartbeats; shorter than the failover target of 3 s.
 inline constexpr core::milliseconds unreachable_before_move{1000};
 inline constexpr core::milliseconds probe_period{500};
+// After such a move the endpoint stays: returning it to its zone at once would repeat the outage every second
+// while the fault lasts.
+inline constexpr core::milliseconds stay_after_move{30000};
 // A result of another proxy older than this no longer speaks for a move.
 inline constexpr core::milliseconds probe_result_lifetime{1000};
 // A proposal that did not show in the state is repeated: it may have been lost or refused.
 inline constexpr core::milliseconds proposal_retry{500};
 inline constexpr std::size_t proxies_probed_at_once = 2;
+// Ticks further apart mean that the leader was frozen. Heartbeats that came in meanwhile are still to be
+// read, so nobody is retired and nothing expires for one lease period; otherwise a pause of the leader would
+// take the endpoints of the whole fleet from their owners.
+inline constexpr core::milliseconds longest_tick_gap{500};
 
 class membership_core {
 public:
@@ -49,6 +57,12 @@
         core::deadline m_next_probe;
         core::entry_host_id m_reached_by; // another proxy that reached it
         core::deadline m_reach_valid;
+        core::deadline m_stays_until;  // after a move for better reach; not moved for balance before
+        std::size_t m_next_prober = 0; // rotates over the candidates
+    };
+    struct last_beat {
+        core::incarnation m_incarnation;
+        std::uint64_t m_number = 0;
     };
 
     void note_health(core::time_point now, const control::control_state& state, const heartbeat& beat);
@@ -56,12 +70,19 @@
     void expire_endpoints(core::time_point now, const control::control_state& state, actions& out);
     void assign_owners(core::time_point now, const control::control_state& state, actions& out);
     void probe_unreachable(core::time_point now, const control::control_state& state, actions& out);
+    [[nodiscard]] owner_inputs present_inputs(core::time_point now,
+                                              const control::control_state& state) const;
+    // False: the heartbeat is older than one already seen.
+    bool newest(const heartbeat& beat);
     // False while the same proposal was made less than proposal_retry ago.
     bool may_propose(core::time_point now, const std::string& subject);
 
     lease_table m_leases;
     std::map<core::endpoint_id, endpoint_view> m_endpoints;
     std::map<std::string, core::deadline> m_proposed;
+    std::map<core::entry_host_id, last_beat> m_last_beats;
+    core::time_point m_last_tick;
+    core::deadline m_settling; // until then nobody is retired and nothing expires
 };
 
 } // namespace mangoquay::membership
--- /dev/null
+++ b/src/membership/owner_choice.cpp
@@ -0,0 +1,198 @@
+// Choice of the owner proxy of each endpoint.
+#include "membership/owner_choice.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace mangoquay::membership {
+namespace {
+
+using core::endpoint_id;
+using core::entry_host_id;
+using host_set = std::set<entry_host_id>;
+
+constexpr std::uint64_t fnv_offset = 14695981039346656037ULL;
+constexpr std::uint64_t fnv_prime = 1099511628211ULL;
+
+std::uint64_t mixed(std::uint64_t hash, const std::string& text) {
+    for (const char character : text) {
+        hash = (hash ^ static_cast<unsigned char>(character)) * fnv_prime;
+    }
+    return (hash ^ 0xffU) * fnv_prime; // ends the name, so that "a" + "bc" differs from "ab" + "c"
+}
+
+// FNV alone leaves the high bits of similar names close together; this finaliser spreads them.
+std::uint64_t spread(std::uint64_t hash) {
+    hash = (hash ^ (hash >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    hash = (hash ^ (hash >> 27U)) * 0x94d049bb133111ebULL;
+    return hash ^ (hash >> 31U);
+}
+
+class chooser {
+public:
+    chooser(const control::control_state& state, const owner_inputs& inputs)
+        : m_state(state), m_inputs(inputs) {
+        for (const entry_host_id& host : inputs.m_candidates) {
+            m_by_zone[state.m_proxies.at(host).m_zone].insert(host);
+            m_load[host] = 0;
+        }
+        for (const auto& [id, endpoint] : state.m_endpoints) {
+            ++m_endpoints_of_zone[endpoint.m_zone];
+            if (owned(endpoint)) {
+                ++m_load[endpoint.m_owner];
+            }
+        }
+    }
+
+    std::vector<control::assign_owner> run() {
+        // Endpoints without an owner come before those that are merely better off elsewhere.
+        assign_where([this](const auto&, const auto& endpoint) { return !owned(endpoint); });
+        assign_better_reach();
+        assign_where([this](const auto& id, const auto& endpoint) {
+            return owned(endpoint) && !m_inputs.m_fixed.contains(id) &&
+                   !m_inputs.m_candidates.contains(endpoint.m_owner);
+        });
+        if (m_chosen.empty()) {
+            balance();
+        }
+        return std::move(m_chosen);
+    }
+
+private:
+    [[nodiscard]] bool owned(const control::endpoint_record& endpoint) const {
+        return m_inputs.m_leased.contains(endpoint.m_owner);
+    }
+
+    [[nodiscard]] bool full() const { return m_chosen.size() >= most_assignments_per_tick; }
+
+    void assign(const endpoint_id& id, const control::endpoint_record& endpoint, const entry_host_id& owner) {
+        const auto last = m_state.m_last_epochs.find(id);
+        const core::owner_epoch known =
+            last == m_state.m_last_epochs.end() ? core::owner_epoch{} : last->second;
+        const std::uint64_t epoch = std::max(known, endpoint.m_owner_epoch).value() + 1;
+        m_chosen.push_back({id, owner, core::owner_epoch{epoch}});
+        if (owned(endpoint)) {
+            --m_load[endpoint.m_owner];
+        }
+        ++m_load[owner];
+    }
+
+    template <class Condition>
+    void assign_where(Condition condition) {
+        for (const auto& [id, endpoint] : m_state.m_endpoints) {
+            if (full()) {
+                return;
+            }
+            if (!condition(id, endpoint)) {
+                continue;
+            }
+            const auto owner = best_owner(id, endpoint);
+            if (owner) {
+                assign(id, endpoint, *owner);
+            }
+        }
+    }
+
+    void assign_better_reach() {
+        for (const auto& [id, host] : m_inputs.m_better_reach) {
+            const auto endpoint = m_state.m_endpoints.find(id);
+            if (full() || endpoint == m_state.m_endpoints.end() || !owned(endpoint->second) ||
+                endpoint->second.m_owner == host || !m_inputs.m_candidates.contains(host)) {
+                continue;
+            }
+            assign(id, endpoint->second, host);
+        }
+    }
+
+    // The highest score among those below the average load; when all are at it, the least loaded one.
+    [[nodiscard]] std::optional<entry_host_id> best_owner(const endpoint_id& id,
+                                                          const control::endpoint_record& endpoint) const {
+        const auto zone = m_by_zone.find(endpoint.m_zone);
+        const bool in_zone = zone != m_by_zone.end();
+        const host_set& hosts = in_zone ? zone->second : m_inputs.m_candidates;
+        if (hosts.empty()) {
+            return std::nullopt;
+        }
+        const std::size_t endpoints =
+            in_zone ? m_endpoints_of_zone.at(endpoint.m_zone) : m_state.m_endpoints.size();
+        const std::size_t bound = (endpoints + hosts.size() - 1) / hosts.size();
+        return *std::max_element(hosts.begin(), hosts.end(), [&](const auto& left, const auto& right) {
+            return preference(left, id, bound) < preference(right, id, bound);
+        });
+    }
+
+    // Ordered by: load below the bound first, then less load beyond the bound, then the score.
+    [[nodiscard]] std::pair<std::int64_t, std::uint64_t>
+    preference(const entry_host_id& host, const endpoint_id& id, std::size_t bound) const {
+        const std::size_t load = m_load.at(host);
+        const std::int64_t excess = load < bound ? 0 : static_cast<std::int64_t>(load - bound) + 1;
+        return {-excess, rendezvous_score(host, id)};
+    }
+
+    void balance() {
+        for (const auto& [zone, hosts] : m_by_zone) {
+            if (m_chosen.size() >= most_balance_moves_per_tick) {
+                return;
+            }
+            if (!return_to_zone(zone)) {
+                level(zone, hosts);
+            }
+        }
+    }
+
+    bool return_to_zone(const core::availability_zone& zone) {
+        for (const auto& [id, endpoint] : m_state.m_endpoints) {
+            if (endpoint.m_zone == zone && !m_inputs.m_fixed.contains(id) &&
+                m_state.m_proxies.at(endpoint.m_owner).m_zone != zone &&
+                !m_inputs.m_better_reach.contains(id)) {
+                assign(id, endpoint, *best_owner(id, endpoint));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // One endpoint from the most to the least loaded proxy when they differ by two or more. Of the endpoints
+    // that could move, the one that the target scores highest stays put longest afterwards.
+    void level(const core::availability_zone& zone, const host_set& hosts) {
+        const auto by_load = [&](const auto& left, const auto& right) {
+            return m_load.at(left) < m_load.at(right);
+        };
+        const auto [least, most] = std::minmax_element(hosts.begin(), hosts.end(), by_load);
+        if (m_load.at(*most) < m_load.at(*least) + 2) {
+            return;
+        }
+        const std::pair<const endpoint_id, control::endpoint_record>* best = nullptr;
+        for (const auto& entry : m_state.m_endpoints) {
+            const bool movable = entry.second.m_zone == zone && entry.second.m_owner == *most &&
+                                 !m_inputs.m_fixed.contains(entry.first);
+            if (movable && (best == nullptr ||
+                            rendezvous_score(*least, entry.first) > rendezvous_score(*least, best->first))) {
+                best = &entry;
+            }
+        }
+        if (best != nullptr) {
+            assign(best->first, best->second, *least);
+        }
+    }
+
+    const control::control_state& m_state;
+    const owner_inputs& m_inputs;
+    std::map<core::availability_zone, host_set> m_by_zone;
+    std::map<core::availability_zone, std::size_t> m_endpoints_of_zone;
+    std::map<entry_host_id, std::size_t> m_load;
+    std::vector<control::assign_owner> m_chosen;
+};
+
+} // namespace
+
+std::uint64_t rendezvous_score(const entry_host_id& host, const endpoint_id& endpoint) {
+    return spread(mixed(mixed(fnv_offset, host.value()), endpoint.value()));
+}
+
+std::vector<control::assign_owner> choose_owners(const control::control_state& state,
+                                                 const owner_inputs& inputs) {
+    return chooser(state, inputs).run();
+}
+
+} // namespace mangoquay::membership
