--- a/test/support/test_main.cpp
+++ b/test/support/test_main.cpp
@@ -1,6 +1,8 @@
 // Runs all registered tests, or those whose name contains the argument of --only. Tests listed in the file
 // given by
 // --known-red are printed and skipped; everything else decides the exit code.
+#include "core/log.h"
+
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
@@ -74,6 +76,7 @@
 
 int main(int argc, char** argv) {
     const options chosen = parse(argc, argv);
+    mangoquay::core::configure_log(mangoquay::core::log_level::error, "");
     // Property tests use one fixed seed unless the environment sets another, so that CI gives one verdict.
     setenv("RC_PARAMS", "seed=20261204", 0);
     CppUnit::Test* all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
