Add the non-blocking libpq session

Cause: the owner runs statements on the event loop's thread and must know for each whether it may have run. Ruled out: PQcancel, which blocks; a timed-out session is closed here and ended at the server by the owner. Conclusion: the owner's paths can be built on it.

--- /dev/null
+++ b/src/database/connection.h
@@ -0,0 +1,103 @@
+// One session at a database through non-blocking libpq: connect, one statement in flight, typed answer.
+//
+// Owns: the libpq connection and its socket. Runs on the event loop's thread. A session whose answer is
+// unread, timed out or uncertain is closed and never used again. No handler is called from inside open() or
+// execute(), nor after close().
+#pragma once
+
+#include "core/clock.h"
+#include "core/statement.h"
+#include "dialect/database_dialect.h"
+#include "transport/event_loop.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+struct pg_conn;
+struct pg_result;
+
+namespace mangoquay::database {
+
+enum class outcome : std::uint8_t {
+    completed, // the whole answer arrived
+    refused,   // the database reported an error and the session is still usable
+    not_sent,  // the session was already closed; nothing was sent
+    lost,      // sent, but the session ended before the whole answer arrived
+    timed_out, // sent, but the deadline passed; the session was closed and may still run at the server
+};
+
+struct database_answer {
+    outcome m_outcome = outcome::completed;
+    std::string m_sqlstate; // of an error
+    std::string m_message;  // of an error
+    std::string m_command_tag;
+    std::vector<std::string> m_columns;
+    std::vector<std::vector<core::cell>> m_rows;
+    std::uint64_t m_rows_affected = 0;
+
+    // The first cell of the first row, or none.
+    [[nodiscard]] std::optional<std::string> first_cell() const;
+};
+
+enum class transaction_state : std::uint8_t { none, open, failed, unknown };
+
+using statement_handler = std::function<void(database_answer)>;
+// Gets whether the session is open, else the reason of the driver.
+using open_handler = std::function<void(bool opened, const std::string& reason)>;
+
+class connection : public std::enable_shared_from_this<connection> {
+public:
+    connection(transport::event_loop& loop, std::vector<dialect::connection_parameter> parameters);
+    ~connection();
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+    connection(connection&&) = delete;
+    connection& operator=(connection&&) = delete;
+
+    void open(core::deadline by, open_handler handler);
+    // Only on a usable() session.
+    void execute(const std::string& sql, const std::vector<core::cell>& parameters, core::deadline by,
+                 statement_handler handler);
+    // Called when the server ends the session while no statement is in flight.
+    void on_idle_end(std::function<void()> handler) { m_on_idle_end = std::move(handler); }
+    // Ends the session without calling any handler.
+    void close();
+
+    [[nodiscard]] bool usable() const { return m_phase == phase::idle; }
+    // As of the last answer.
+    [[nodiscard]] transaction_state transaction() const;
+    // Process id of the session at the server; 0 before it is open.
+    [[nodiscard]] int server_process() const { return m_server_process; }
+
+private:
+    enum class phase : std::uint8_t { fresh, connecting, idle, busy, closed };
+
+    void continue_connecting();
+    void connecting_ended(bool opened, const std::string& reason);
+    void on_socket(std::uint32_t events);
+    void flush();
+    void read_answer();
+    void answer_complete();
+    void fail(outcome how, const std::string& reason);
+    void set_timer(core::deadline by);
+    void watch(std::uint32_t events);
+    [[nodiscard]] std::string driver_reason() const;
+
+    transport::event_loop& m_loop;
+    std::vector<dialect::connection_parameter> m_parameters;
+    pg_conn* m_driver = nullptr;
+    int m_socket = -1;
+    int m_server_process = 0;
+    phase m_phase = phase::fresh;
+    std::optional<transport::timer_id> m_timer;
+    open_handler m_on_open;
+    statement_handler m_on_answer;
+    std::function<void()> m_on_idle_end;
+    database_answer m_answer; // being received
+};
+
+} // namespace mangoquay::database
