Add the slot queue of an endpoint

Cause: a few slow statements must not hold up short ones, and no caller may crowd out the others. Ruled out: a first-in-first-out queue (head-of-line blocking); classing by declaration alone (most callers declare nothing), so a run that passes the threshold is reclassified while it still runs. Change: admission/slot_queue with learned run times per statement text, reserved short slots, ageing, decayed use per caller, deadline check before dispatch and early shedding with a retry hint.

--- /dev/null
+++ b/src/admission/run_time_model.cpp
@@ -0,0 +1,100 @@
+// Averages per statement text.
+#include "admission/run_time_model.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace mangoquay::admission {
+namespace {
+
+constexpr std::size_t largest_model = 4096;
+constexpr core::duration first_guess_short = core::milliseconds(10);
+constexpr core::duration first_guess_long = core::milliseconds(500);
+// Weight of a new run in the averages: 1/4 per text, 1/32 over all texts.
+constexpr int text_weight = 4;
+constexpr int typical_weight = 32;
+
+core::duration blend(core::duration average, core::duration run, int weight) {
+    return average + (run - average) / weight;
+}
+
+// FNV-1a, which needs no table and is stable across hosts.
+constexpr std::uint64_t hash_start = 14695981039346656037U;
+constexpr std::uint64_t hash_factor = 1099511628211U;
+
+} // namespace
+
+fingerprint fingerprint_of(std::string_view sql) {
+    std::uint64_t hash = hash_start;
+    const auto add = [&hash](char character) {
+        hash = (hash ^ static_cast<unsigned char>(character)) * hash_factor;
+    };
+    for (std::size_t at = 0; at < sql.size(); ++at) {
+        const auto character = static_cast<unsigned char>(sql[at]);
+        if (character == '\'') {
+            at = std::min(sql.find('\'', at + 1), sql.size());
+            add('?');
+        } else if (std::isdigit(character) != 0) {
+            while (at + 1 < sql.size() && std::isdigit(static_cast<unsigned char>(sql[at + 1])) != 0) {
+                ++at;
+            }
+            add('?');
+        } else if (std::isspace(character) == 0) {
+            add(static_cast<char>(std::tolower(character)));
+        }
+    }
+    return fingerprint{hash};
+}
+
+core::duration run_time_model::expected(fingerprint text, core::work_class declared) const {
+    const auto found = m_entries.find(static_cast<std::uint64_t>(text));
+    if (found != m_entries.end()) {
+        return found->second.m_average;
+    }
+    if (declared == core::work_class::long_work) {
+        return first_guess_long;
+    }
+    return m_typical > core::duration{} ? m_typical : first_guess_short;
+}
+
+bool run_time_model::is_long(fingerprint text, core::work_class declared) const {
+    return declared == core::work_class::long_work || expected(text, declared) >= long_threshold();
+}
+
+core::duration run_time_model::long_threshold() const {
+    return std::max(least_long_run, m_typical * long_factor);
+}
+
+void run_time_model::observe(fingerprint text, core::duration run) {
+    // Runs beyond the threshold do not raise the typical run time, or many stragglers would soon count as
+    // short.
+    if (m_typical == core::duration{} && run < least_long_run) {
+        m_typical = run;
+    } else if (run < long_threshold()) {
+        m_typical = blend(m_typical, run, typical_weight);
+    }
+    entry& known = touch(text, run);
+    known.m_average = blend(known.m_average, run, text_weight);
+}
+
+void run_time_model::observe_at_least(fingerprint text, core::duration run) {
+    entry& known = touch(text, run);
+    known.m_average = std::max(known.m_average, run);
+}
+
+run_time_model::entry& run_time_model::touch(fingerprint text, core::duration first) {
+    const auto key = static_cast<std::uint64_t>(text);
+    const auto found = m_entries.find(key);
+    if (found != m_entries.end()) {
+        m_recency.splice(m_recency.begin(), m_recency, found->second.m_recency);
+        return found->second;
+    }
+    if (m_entries.size() >= largest_model) {
+        m_entries.erase(m_recency.back());
+        m_recency.pop_back();
+    }
+    m_recency.push_front(key);
+    return m_entries.emplace(key, entry{first, m_recency.begin()}).first->second;
+}
+
+} // namespace mangoquay::admission
--- /dev/null
+++ b/src/admission/slot_queue.h
@@ -0,0 +1,143 @@
+// The queue of one endpoint: decides which waiting work gets a slot, and which is refused at once.
+//
+// Owns: waiting and running work, learned run times, callers' use. Deterministic: time is passed in. The
+// shell offers work, calls advance() after every offer and finish and at next_event(), and acts on the
+// result.
+//
+// Invariants: running work never exceeds the slots; long work known as such never takes a reserved slot; work
+// that was refused, expired or withdrawn is never dispatched; no work is dispatched at or past its deadline.
+#pragma once
+
+#include "admission/caller_usage.h"
+#include "admission/run_time_model.h"
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/statement.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace mangoquay::admission {
+
+enum class work_number : std::uint64_t {};
+
+struct queue_policy {
+    std::size_t m_slots = 1;
+    std::size_t m_reserved_short_slots = 1; // at least one slot stays open to long work
+    std::size_t m_bound_per_slot = 40;
+    core::duration m_shed_wait = core::milliseconds(2000);
+};
+
+// All on in the program. A test switches one off to show that its property notices.
+struct queue_rules {
+    bool m_count_slots = true;
+    bool m_keep_reserve = true;
+    bool m_age_long_work = true;
+    bool m_check_deadline = true;
+    bool m_share_fairly = true;
+    bool m_shed = true;
+};
+
+struct queued_work {
+    work_number m_number{};
+    core::caller_id m_caller;
+    fingerprint m_fingerprint{};
+    core::work_class m_declared = core::work_class::undeclared;
+    core::deadline m_deadline;
+};
+
+struct offer_outcome {
+    bool m_accepted = false;
+    core::reason m_reason = core::reason::none;
+    std::optional<core::milliseconds> m_retry_after;
+    core::duration m_expected_wait{};
+};
+
+struct queue_actions {
+    std::vector<work_number> m_dispatched;
+    std::vector<work_number> m_expired; // their deadline passed while they waited
+};
+
+class slot_queue {
+public:
+    explicit slot_queue(const queue_policy& policy, const queue_rules& rules = {});
+
+    // Lower limits take effect as running work finishes.
+    void set_policy(const queue_policy& policy) { m_policy = policy; }
+    offer_outcome offer(const queued_work& work, core::time_point now);
+    queue_actions advance(core::time_point now);
+    // Frees the slot. `learn` is false when the time in the slot says nothing about the statement.
+    void finish(work_number number, core::time_point now, bool learn);
+    // False when it is not waiting.
+    bool withdraw(work_number number);
+    std::vector<work_number> withdraw_all();
+
+    // The next moment at which advance() has something to do without an offer or a finish.
+    [[nodiscard]] std::optional<core::time_point> next_event() const;
+    [[nodiscard]] std::size_t waiting() const { return m_deadlines.size(); }
+    [[nodiscard]] std::size_t running() const { return m_running.size(); }
+    [[nodiscard]] std::size_t running_long() const { return m_running_long; }
+    [[nodiscard]] core::duration average_wait(bool long_work) const {
+        return m_average_wait.at(long_work ? 1 : 0);
+    }
+    // How many slots long work may take.
+    [[nodiscard]] std::size_t long_limit() const;
+
+private:
+    using sequence = std::uint64_t; // order of arrival
+
+    struct waiting_work {
+        queued_work m_work;
+        caller_use* m_use = nullptr;
+        core::time_point m_offered_at{};
+        core::duration m_expected{};
+    };
+    struct running_work {
+        queued_work m_work;
+        caller_use* m_use = nullptr;
+        core::time_point m_started_at{};
+        core::duration m_expected{};
+        bool m_long = false;
+    };
+    using waiting_list = std::map<sequence, waiting_work>;
+    struct place {
+        std::size_t m_class = 0;
+        sequence m_sequence = 0;
+    };
+
+    [[nodiscard]] core::duration expected_wait(bool long_work, core::time_point now) const;
+    [[nodiscard]] bool is_long(const queued_work& work) const;
+    void expire(core::time_point now, queue_actions& actions);
+    // Running work that turns out to be long counts as long from then on.
+    void reclassify_running(core::time_point now);
+    std::optional<place> choose(core::time_point now);
+    std::optional<sequence> choose_in_class(std::size_t which, core::time_point now);
+    [[nodiscard]] sequence fairest(const waiting_list& list, core::time_point now) const;
+    void dispatch(const place& chosen, core::time_point now, queue_actions& actions);
+    waiting_work remove(const place& where);
+    void insert(std::size_t which, sequence order, waiting_work entry);
+
+    queue_policy m_policy;
+    queue_rules m_rules;
+    run_time_model m_model;
+    caller_usage m_usage;
+    sequence m_next_sequence = 0;
+    std::array<waiting_list, 2> m_waiting; // short, long
+    std::array<core::duration, 2> m_waiting_run_time{};
+    std::array<core::duration, 2> m_average_wait{};
+    std::unordered_map<std::uint64_t, place> m_places; // by work number
+    std::set<std::pair<core::time_point, work_number>> m_deadlines;
+    std::unordered_map<std::uint64_t, running_work> m_running;
+    std::size_t m_running_long = 0;
+    bool m_aged_long_was_last =
+        false; // aged long work takes at most every second slot, so short work goes on too
+};
+
+} // namespace mangoquay::admission
--- /dev/null
+++ b/test/correctness/slot_queue_rules.cpp
@@ -0,0 +1,165 @@
+// Guards against exceeding an endpoint's slots, long work blocking short work or starving, one caller
+// crowding out the others, and dispatching what was refused. Each property is shown to notice the fault that
+// it is for.
+#include "support/queue_simulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace mangoquay;
+using namespace std::chrono_literals;
+using admission::queue_rules;
+using test::queue_load;
+using test::queue_simulation;
+
+namespace {
+
+queue_load random_load(std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    queue_load load;
+    load.m_seed = seed;
+    load.m_policy.m_slots = 1 + random() % 5;
+    load.m_policy.m_reserved_short_slots = random() % 3;
+    load.m_policy.m_bound_per_slot = 4 + random() % 40;
+    load.m_policy.m_shed_wait = core::milliseconds(100 + random() % 2000);
+    load.m_deadline = core::milliseconds(20 + random() % 2000);
+    load.m_arrivals_per_step = static_cast<int>(1 + random() % 3);
+    return load;
+}
+
+std::string violation(std::uint64_t seed, const queue_rules& rules) {
+    return queue_simulation(random_load(seed), rules).run();
+}
+
+bool some_seed_breaks(const queue_rules& rules) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        if (!violation(seed, rules).empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// More short work than the slots can serve, and some long work.
+queue_load saturating_load() {
+    queue_load load;
+    load.m_policy = {3, 1, 40, 2000ms};
+    load.m_steps = 2000;
+    load.m_arrivals_per_step = 4;
+    load.m_long_percent = 1;
+    load.m_deadline = 60s;
+    load.m_withdraw_percent = 0;
+    return load;
+}
+
+} // namespace
+
+class slot_queue_rules : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(slot_queue_rules);
+    CPPUNIT_TEST(invariants_hold_under_any_load);
+    CPPUNIT_TEST(planted_faults_are_noticed);
+    CPPUNIT_TEST(long_work_is_not_starved);
+    CPPUNIT_TEST(light_callers_are_served_beside_a_heavy_one);
+    CPPUNIT_TEST(straggler_is_learned_while_it_still_runs);
+    CPPUNIT_TEST(hopeless_work_is_refused_at_once_with_a_hint);
+    CPPUNIT_TEST(fingerprint_ignores_literals);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void invariants_hold_under_any_load() {
+        CPPUNIT_ASSERT(rc::check("slot queue invariants", [](std::uint64_t seed) {
+            const std::string broken = violation(seed, {});
+            if (!broken.empty()) {
+                RC_FAIL(broken);
+            }
+        }));
+    }
+
+    void planted_faults_are_noticed() {
+        queue_rules no_slots;
+        no_slots.m_count_slots = false;
+        CPPUNIT_ASSERT(some_seed_breaks(no_slots));
+        queue_rules no_reserve;
+        no_reserve.m_keep_reserve = false;
+        CPPUNIT_ASSERT(some_seed_breaks(no_reserve));
+        queue_rules no_deadline;
+        no_deadline.m_check_deadline = false;
+        CPPUNIT_ASSERT(some_seed_breaks(no_deadline));
+        queue_rules no_shed;
+        no_shed.m_shed = false;
+        CPPUNIT_ASSERT(some_seed_breaks(no_shed));
+    }
+
+    void long_work_is_not_starved() {
+        const auto dispatched_long = [](const queue_rules& rules) {
+            queue_simulation simulation(saturating_load(), rules);
+            CPPUNIT_ASSERT_EQUAL(std::string(), simulation.run());
+            return simulation.dispatched_long();
+        };
+        queue_rules no_ageing;
+        no_ageing.m_age_long_work = false;
+        CPPUNIT_ASSERT(dispatched_long({}) >= 10);
+        CPPUNIT_ASSERT(dispatched_long(no_ageing) < 10);
+    }
+
+    void light_callers_are_served_beside_a_heavy_one() {
+        const auto longest_wait = [](const queue_rules& rules) {
+            queue_load load = saturating_load();
+            load.m_long_percent = 0;
+            load.m_heavy_caller_percent = 90;
+            queue_simulation simulation(load, rules);
+            CPPUNIT_ASSERT_EQUAL(std::string(), simulation.run());
+            return simulation.longest_light_wait();
+        };
+        queue_rules unfair;
+        unfair.m_share_fairly = false;
+        CPPUNIT_ASSERT(longest_wait({}) * 2 < longest_wait(unfair));
+    }
+
+    void straggler_is_learned_while_it_still_runs() {
+        admission::slot_queue queue({2, 1, 40, 2000ms});
+        core::time_point now{1s};
+        const auto offer = [&](std::uint64_t number, std::uint64_t text) {
+            queue.offer({admission::work_number{number}, core::caller_id("a"), admission::fingerprint{text},
+                         core::work_class::undeclared, core::deadline_after(now, 10s)},
+                        now);
+            return queue.advance(now).m_dispatched.size();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, offer(1, 7));
+        now += 100ms;
+        // The same text is now long and must leave the reserved slot to short work.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, offer(2, 7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, offer(3, 8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.running_long());
+    }
+
+    void hopeless_work_is_refused_at_once_with_a_hint() {
+        admission::slot_queue queue({1, 0, 40, 2000ms});
+        const core::time_point now{1s};
+        const auto offer = [&](std::uint64_t number, core::duration left, core::work_class declared) {
+            const auto outcome =
+                queue.offer({admission::work_number{number}, core::caller_id("a"),
+                             admission::fingerprint{number}, declared, core::deadline_after(now, left)},
+                            now);
+            queue.advance(now);
+            return outcome;
+        };
+        CPPUNIT_ASSERT(offer(1, 10s, core::work_class::long_work).m_accepted);
+        CPPUNIT_ASSERT(offer(2, 10s, core::work_class::long_work).m_accepted);
+        const auto too_late = offer(3, 100ms, core::work_class::long_work);
+        CPPUNIT_ASSERT(!too_late.m_accepted && too_late.m_reason == core::reason::overloaded);
+        CPPUNIT_ASSERT(too_late.m_retry_after >= 100ms);
+        const auto expired = offer(4, 0s, core::work_class::undeclared);
+        CPPUNIT_ASSERT(!expired.m_accepted && expired.m_reason == core::reason::deadline_exceeded);
+    }
+
+    void fingerprint_ignores_literals() {
+        using admission::fingerprint_of;
+        CPPUNIT_ASSERT(fingerprint_of("SELECT * FROM t WHERE id = 7 AND name = 'x'") ==
+                       fingerprint_of("select * from t where id=1234 and name='longer'"));
+        CPPUNIT_ASSERT(fingerprint_of("SELECT a FROM t") != fingerprint_of("SELECT b FROM t"));
+        CPPUNIT_ASSERT(fingerprint_of("SELECT 'unterminated") == fingerprint_of("SELECT 'open"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(slot_queue_rules);
--- /dev/null
+++ b/test/support/queue_simulation.h
@@ -0,0 +1,158 @@
+// Drives a slot_queue with generated load and checks its invariants with its own bookkeeping.
+#pragma once
+
+#include "admission/slot_queue.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+namespace mangoquay::test {
+
+struct queue_load {
+    std::uint64_t m_seed = 1;
+    admission::queue_policy m_policy;
+    int m_steps = 400;
+    int m_arrivals_per_step = 2;
+    int m_long_percent = 10;
+    core::milliseconds m_short_run{5};
+    core::milliseconds m_long_run{300};
+    core::milliseconds m_deadline{3000};
+    int m_withdraw_percent = 10;     // of the steps withdraw the oldest waiting work
+    int m_heavy_caller_percent = 50; // of the arrivals come from one caller
+};
+
+class queue_simulation {
+public:
+    queue_simulation(const queue_load& load, const admission::queue_rules& rules)
+        : m_load(load), m_random(load.m_seed), m_queue(load.m_policy, rules) {}
+
+    // Empty, or the first broken invariant.
+    std::string run() {
+        for (int step = 0; step < m_load.m_steps && m_violation.empty(); ++step) {
+            m_now += core::milliseconds(1 + pick(4));
+            finish_ended();
+            for (int arrival = 0; arrival < m_load.m_arrivals_per_step; ++arrival) {
+                offer();
+            }
+            if (pick(100) < m_load.m_withdraw_percent) {
+                withdraw_one();
+            }
+            act(m_queue.advance(m_now));
+        }
+        return m_violation;
+    }
+
+    [[nodiscard]] int dispatched_long() const { return m_dispatched_long; }
+    [[nodiscard]] int shed() const { return m_shed; }
+    // Dispatched work of the light callers, in percent of what they offered.
+    [[nodiscard]] int light_share() const {
+        return m_light_offered == 0 ? 100 : 100 * m_light_dispatched / m_light_offered;
+    }
+    [[nodiscard]] core::duration longest_light_wait() const { return m_longest_light_wait; }
+
+private:
+    struct item {
+        admission::queued_work m_work;
+        bool m_long = false;
+        bool m_light = false;
+        core::time_point m_offered_at;
+        core::time_point m_ends_at;
+    };
+
+    int pick(int bound) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(bound)); }
+    void expect(bool holds, const char* what) {
+        if (!holds && m_violation.empty()) {
+            m_violation = what;
+        }
+    }
+
+    void offer() {
+        item next;
+        next.m_long = pick(100) < m_load.m_long_percent;
+        next.m_light = pick(100) >= m_load.m_heavy_caller_percent;
+        next.m_offered_at = m_now;
+        next.m_work.m_number = admission::work_number{++m_next};
+        next.m_work.m_caller = core::caller_id(next.m_light ? "light" + std::to_string(pick(5)) : "heavy");
+        next.m_work.m_fingerprint = admission::fingerprint{next.m_long ? 1U : 2U};
+        next.m_work.m_declared = next.m_long ? core::work_class::long_work : core::work_class::undeclared;
+        next.m_work.m_deadline = core::deadline_after(m_now, m_load.m_deadline);
+        m_light_offered += next.m_light ? 1 : 0;
+        if (m_queue.offer(next.m_work, m_now).m_accepted) {
+            m_waiting.emplace(m_next, next);
+        } else {
+            ++m_shed;
+        }
+    }
+
+    void act(const admission::queue_actions& actions) {
+        for (const auto number : actions.m_expired) {
+            expect(m_waiting.erase(static_cast<std::uint64_t>(number)) == 1, "expired work was not waiting");
+        }
+        for (const auto number : actions.m_dispatched) {
+            const auto found = m_waiting.find(static_cast<std::uint64_t>(number));
+            if (found == m_waiting.end()) {
+                expect(false, "work was dispatched after it was refused, expired or withdrawn");
+                return;
+            }
+            item started = found->second;
+            m_waiting.erase(found);
+            expect(!started.m_work.m_deadline.passed(m_now), "work was dispatched past its deadline");
+            count(started);
+            const auto run = started.m_long ? m_load.m_long_run : m_load.m_short_run;
+            started.m_ends_at = m_now + run;
+            m_running.emplace(static_cast<std::uint64_t>(number), started);
+        }
+        expect(m_running.size() <= m_load.m_policy.m_slots, "more work runs than there are slots");
+        const auto long_running = static_cast<std::size_t>(
+            std::ranges::count_if(m_running, [](const auto& entry) { return entry.second.m_long; }));
+        const auto slots = m_load.m_policy.m_slots;
+        expect(long_running <= slots - std::min(m_load.m_policy.m_reserved_short_slots, slots - 1),
+               "long work runs in a reserved slot");
+        expect(m_waiting.size() <= slots * m_load.m_policy.m_bound_per_slot, "the queue is over its bound");
+    }
+
+    void count(const item& started) {
+        m_dispatched_long += started.m_long ? 1 : 0;
+        if (started.m_light) {
+            ++m_light_dispatched;
+            m_longest_light_wait = std::max(m_longest_light_wait, m_now - started.m_offered_at);
+        }
+    }
+
+    void finish_ended() {
+        std::erase_if(m_running, [this](const auto& entry) {
+            if (entry.second.m_ends_at > m_now) {
+                return false;
+            }
+            m_queue.finish(admission::work_number{entry.first}, m_now, true);
+            return true;
+        });
+    }
+
+    void withdraw_one() {
+        if (!m_waiting.empty()) {
+            expect(m_queue.withdraw(admission::work_number{m_waiting.begin()->first}),
+                   "waiting work is unknown");
+            m_waiting.erase(m_waiting.begin());
+        }
+    }
+
+    queue_load m_load;
+    std::mt19937_64 m_random;
+    admission::slot_queue m_queue;
+    core::time_point m_now{core::milliseconds(1000)};
+    std::uint64_t m_next = 0;
+    std::map<std::uint64_t, item> m_waiting;
+    std::map<std::uint64_t, item> m_running;
+    std::string m_violation;
+    int m_dispatched_long = 0;
+    int m_shed = 0;
+    int m_light_offered = 0;
+    int m_light_dispatched = 0;
+    core::duration m_longest_light_wait{};
+};
+
+} // namespace mangoquay::test
