Add the connection pool core

Cause: opening a connection takes about 12 ms, which a surge must not pay; endpoints allow few connections. Change: pooling/connection_pool: lend, return, linger, end, total limit, forecast from peak and rise, freeing of idle ones, growing delay after a failed attempt.

--- /dev/null
+++ b/src/pooling/connection_pool.cpp
@@ -0,0 +1,147 @@
+// Lending, forecast and freeing of pooled connections.
+#include "pooling/connection_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangoquay::pooling {
+namespace {
+
+// The recent peak halves in this time, so that a second surge soon after a first one finds its connections.
+constexpr std::chrono::duration<double> peak_half_life(10.0);
+// Time constant of the smoothed rise; shorter than a surge, longer than the gap between two statements.
+constexpr std::chrono::duration<double> rise_window(0.05);
+// The forecast looks ahead this many connect times: one to connect, one to notice.
+constexpr double forecast_connect_times = 2;
+constexpr core::milliseconds first_open_delay{50};
+constexpr std::uint32_t largest_delay_doublings = 5;
+
+} // namespace
+
+connection_pool::connection_pool(const pool_policy& policy, const pool_rules& rules)
+    : m_policy(policy), m_rules(rules) {}
+
+void connection_pool::note_demand(std::size_t users, core::time_point now) {
+    const std::chrono::duration<double> passed = now - m_demand_at;
+    const auto level = static_cast<double>(users);
+    const double weight = std::min(1.0, passed / rise_window);
+    if (passed.count() > 0) {
+        m_rise_per_second *= 1 - weight;
+        m_rise_per_second += (level - m_level) / std::max(passed, rise_window).count();
+        m_peak *= std::exp2(-(passed / peak_half_life));
+    }
+    m_peak = std::max(m_peak, level);
+    m_level = level;
+    m_demand_at = now;
+}
+
+std::size_t connection_pool::target() const {
+    double wanted = m_level;
+    if (m_rules.m_forecast) {
+        const double ahead =
+            std::chrono::duration<double>(m_policy.m_connect_time).count() * forecast_connect_times;
+        wanted = std::max(m_peak, m_level + std::max(0.0, m_rise_per_second) * ahead);
+    }
+    const double most = static_cast<double>(m_policy.m_limit);
+    const auto forecast = static_cast<std::size_t>(std::min(most, std::ceil(wanted - 0.5)));
+    return std::min(m_policy.m_limit, std::max(m_policy.m_warm, forecast));
+}
+
+pool_plan connection_pool::plan(core::time_point now) {
+    pool_plan plan;
+    close_surplus(now, plan);
+    if (now < m_open_not_before) {
+        return plan;
+    }
+    const std::size_t wanted = target();
+    // After a failure one attempt at a time is enough to see whether the endpoint is back.
+    const std::size_t most_opening = m_failures > 0 ? 1 : wanted;
+    while (count(state::opening) < most_opening && total() - count(state::lingering) < wanted &&
+           (!m_rules.m_keep_limit || total() < m_policy.m_limit)) {
+        const connection_number number{m_next++};
+        m_connections.emplace(number, entry{});
+        plan.m_open.push_back(number);
+    }
+    return plan;
+}
+
+void connection_pool::close_surplus(core::time_point now, pool_plan& plan) {
+    while (!m_idle.empty()) {
+        const connection_number oldest = m_idle.front();
+        const bool over_limit = total() > m_policy.m_limit;
+        const bool unused = now - m_connections.at(oldest).m_idle_since >= m_policy.m_idle_time;
+        if (!over_limit && !(unused && total() > target())) {
+            return;
+        }
+        plan.m_close.push_back(oldest);
+        m_idle.erase(m_idle.begin());
+        m_connections.erase(oldest);
+    }
+}
+
+void connection_pool::opened(connection_number number, core::time_point now) {
+    m_failures = 0;
+    m_open_not_before = {};
+    give_back(number, now);
+}
+
+void connection_pool::open_failed(connection_number number, core::time_point now) {
+    m_connections.erase(number);
+    const auto doublings = std::min(m_failures, largest_delay_doublings);
+    m_open_not_before = now + first_open_delay * (1U << doublings);
+    ++m_failures;
+}
+
+std::optional<connection_number> connection_pool::lend() {
+    if (m_idle.empty()) {
+        return std::nullopt;
+    }
+    const connection_number number = m_idle.back();
+    m_idle.pop_back();
+    m_connections.at(number).m_state = state::lent;
+    return number;
+}
+
+void connection_pool::give_back(connection_number number, core::time_point now) {
+    const auto found = m_connections.find(number);
+    if (found == m_connections.end() || found->second.m_state == state::idle ||
+        found->second.m_state == state::lingering) {
+        return;
+    }
+    found->second = entry{state::idle, now};
+    m_idle.push_back(number);
+}
+
+void connection_pool::linger(connection_number number) {
+    const auto found = m_connections.find(number);
+    if (found != m_connections.end()) {
+        found->second.m_state = state::lingering;
+        std::erase(m_idle, number);
+    }
+}
+
+void connection_pool::ended(connection_number number) {
+    m_connections.erase(number);
+    if (m_rules.m_forget_discarded) {
+        std::erase(m_idle, number);
+    }
+}
+
+std::optional<core::time_point> connection_pool::next_event() const {
+    std::optional<core::time_point> next;
+    if (total() < target() && m_failures > 0) {
+        next = m_open_not_before;
+    }
+    if (!m_idle.empty() && total() > m_policy.m_warm) {
+        const auto due = m_connections.at(m_idle.front()).m_idle_since + m_policy.m_idle_time;
+        next = next ? std::min(*next, due) : due;
+    }
+    return next;
+}
+
+std::size_t connection_pool::count(state wanted) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_connections, [wanted](const auto& item) { return item.second.m_state == wanted; }));
+}
+
+} // namespace mangoquay::pooling
