--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -1,18 +1,126 @@
 // Parses the command line and starts the command.
 #include "cli/command_line.h"
 
+#include "cli/control_client.h"
+#include "process/process.h"
+#include "settings/settings.h"
+
+#include <getopt.h>
+
 #include <cstdio>
-#include <cstring>
+#include <string>
+#include <string_view>
 
 namespace mangoquay::cli {
+namespace {
+
+constexpr const char* help = R"(usage:
+  mangoquay run --config FILE      run this host's roles until SIGTERM
+  mangoquay check-config FILE      check a settings file
+  mangoquay ctl COMMAND ...        operate a running system; see mangoquay ctl --help
+  mangoquay --help | --version
+
+Every command accepts --help and --version.
+
+exit codes:
+  0  success
+  1  the operation was refused or failed and had no effect
+  2  wrong command line or wrong settings
+  3  the outcome is unknown: the server was not reached, or its answer was lost
+)";
+
+enum : int { option_help = 'h', option_version = 'V', option_config = 'c' };
+
+const option long_options[] = {{"help", no_argument, nullptr, option_help},
+                               {"version", no_argument, nullptr, option_version},
+                               {"config", required_argument, nullptr, option_config},
+                               {nullptr, 0, nullptr, 0}};
+
+int usage_error(const std::string& what) {
+    std::fprintf(stderr, "mangoquay: %s\n%s", what.c_str(), help);
+    return exit_code::wrong_use;
+}
+
+struct parsed_options {
+    bool m_finished = false; // --help, --version or a wrong option was dealt with
+    int m_exit = exit_code::success;
+    std::string m_config;
+    std::string m_file; // the one positional argument
+    int m_positional = 0;
+};
+
+parsed_options parse_options(int argc, char** argv) {
+    parsed_options parsed;
+    optind = 0; // GNU: starts over, as another command line may have been parsed before
+    for (int code = 0; (code = getopt_long(argc, argv, "", long_options, nullptr)) != -1;) {
+        if (code == option_help) {
+            std::fputs(help, stdout);
+            parsed.m_finished = true;
+            return parsed;
+        }
+        if (code == option_version) {
+            std::printf("mangoquay %s\n", version);
+            parsed.m_finished = true;
+            return parsed;
+        }
+        if (code != option_config) {
+            parsed.m_finished = true;
+            parsed.m_exit = exit_code::wrong_use;
+            return parsed;
+        }
+        parsed.m_config = optarg;
+    }
+    parsed.m_positional = argc - optind;
+    parsed.m_file = parsed.m_positional > 0 ? argv[optind] : "";
+    return parsed;
+}
+
+int check_config(const std::string& file) {
+    const core::result<settings::settings> loaded = settings::load_settings(file);
+    if (!loaded) {
+        std::fprintf(stderr, "%s\n", loaded.reason().c_str());
+        return exit_code::wrong_use;
+    }
+    std::printf("%s: valid\n", file.c_str());
+    return exit_code::success;
+}
+
+int run_with(const std::string& file) {
+    const core::result<settings::settings> loaded = settings::load_settings(file);
+    if (!loaded) {
+        std::fprintf(stderr, "%s\n", loaded.reason().c_str());
+        return exit_code::wrong_use;
+    }
+    core::configure_log(loaded->m_log_level, loaded->m_log_file);
+    return process::run_process(*loaded);
+}
+
+} // namespace
 
 int run(int argc, char** argv) {
-    if (argc > 1 && std::strcmp(argv[1], "--version") == 0) {
-        std::puts("mangoquay 0.1.0");
-        return 0;
+    if (argc < 2) {
+        return usage_error("a command is missing");
+    }
+    const std::string command = argv[1];
+    if (command == "ctl") {
+        return run_control_client(argc - 1, argv + 1);
+    }
+    const bool is_option = command.starts_with("--");
+    const parsed_options parsed = is_option ? parse_options(argc, argv) : parse_options(argc - 1, argv + 1);
+    if (parsed.m_finished) {
+        return parsed.m_exit;
+    }
+    if (command == "run") {
+        return parsed.m_config.empty() || parsed.m_positional != 0
+                   ? usage_error("run needs --config FILE only")
+                   : run_with(parsed.m_config);
+    }
+    if (command == "check-config") {
+        return parsed.m_positional != 1 || !parsed.m_config.empty()
+                   ? usage_error("check-config needs one FILE")
+                   : check_config(parsed.m_file);
     }
-    std::puts("usage: mangoquay run --config FILE | check-config FILE | ctl COMMAND");
-    return argc > 1 && std::strcmp(argv[1], "--help") == 0 ? 0 : 2;
+    return usage_error("unknown command " + command);
 }
 
 } // namespace mangoquay::cli
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -3,7 +3,16 @@
 
 namespace mangoquay::cli {
 
-// Exit codes: 0 success, 1 the operation failed, 2 wrong use or wrong settings.
+inline constexpr const char* version = "0.1.0";
+
+// Exit codes, the same for every command.
+enum exit_code : int {
+    success = 0,
+    operation_failed = 1, // refused or failed; it had no effect
+    wrong_use = 2,        // command line or settings
+    outcome_unknown = 3,  // ctl: the server was not reached or its answer was lost; resend with the same id
+};
+
 int run(int argc, char** argv);
 
 } // namespace mangoquay::cli
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,327 @@
+// Reads a settings file; every error is collected before the file is refused.
+#include "settings/settings.h"
+
+#include "core/digest.h"
+#include "core/json_reader.h"
+#include "settings/socket_address_text.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iterator>
+
+namespace mangoquay::settings {
+namespace {
+
+using core::json_error;
+using core::json_reader;
+
+constexpr std::size_t shortest_key_bytes = 16;
+constexpr std::uint32_t most_connections = 100000;
+
+struct file_reader {
+    std::filesystem::path m_folder;
+    std::vector<json_error>& m_errors;
+
+    [[nodiscard]] std::filesystem::path resolve(const std::string& name) const {
+        return std::filesystem::path(name).is_absolute() ? std::filesystem::path(name) : m_folder / name;
+    }
+};
+
+std::optional<std::string> first_line(const std::filesystem::path& path) {
+    std::ifstream file(path);
+    std::string line;
+    if (!std::getline(file, line)) {
+        return std::nullopt;
+    }
+    return line;
+}
+
+// A secret is either in the member `name` or in the first line of the file named by `name`_file.
+std::optional<std::string> read_secret(json_reader& reader, const file_reader& files, const char* name,
+                                       std::size_t shortest) {
+    const std::string file_member = std::string(name) + "_file";
+    const std::optional<std::string> file = reader.text(file_member.c_str());
+    std::optional<std::string> value = reader.secret(name, shortest);
+    if (reader.has(name) && reader.has(file_member.c_str())) {
+        reader.error(file_member.c_str(), std::string("either ") + name + " or " + file_member);
+        return std::nullopt;
+    }
+    if (!file) {
+        return value;
+    }
+    value = first_line(files.resolve(*file));
+    if (!value || value->size() < shortest) {
+        reader.error(file_member.c_str(),
+                     "a readable file whose first line has at least " + std::to_string(shortest) + " bytes");
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::optional<control::socket_address> read_address(json_reader& reader, const char* name) {
+    const std::optional<std::string> text = reader.text(name);
+    if (!text) {
+        return std::nullopt;
+    }
+    std::optional<control::socket_address> address = parse_socket_address(*text);
+    if (!address) {
+        reader.error(name, address_allowed);
+    }
+    return address;
+}
+
+void read_roles(json_reader& reader, settings& into) {
+    reader.required("roles", "an array with \"proxy\", \"control\" or both");
+    const std::optional<std::vector<std::string>> roles = reader.identifiers("roles");
+    if (!roles) {
+        return;
+    }
+    for (const std::string& role : *roles) {
+        into.m_proxy = into.m_proxy || role == "proxy";
+        into.m_control = into.m_control || role == "control";
+        if (role != "proxy" && role != "control") {
+            reader.error("roles", "\"proxy\" and \"control\"");
+        }
+    }
+    if (roles->empty()) {
+        reader.error("roles", "\"proxy\", \"control\" or both");
+    }
+}
+
+void read_control_hosts(json_reader& reader, std::vector<json_error>& errors, settings& into) {
+    reader.required("control_hosts", "an array of 1, 3 or 5 objects with host and peer_address");
+    std::set<core::entry_host_id> hosts;
+    const bool present =
+        reader.array("control_hosts", [&](const nlohmann::json& element, const std::string& pointer) {
+            json_reader member(element, pointer, errors);
+            control_host host;
+            member.required("host", "the id of a control host");
+            member.required("peer_address", address_allowed);
+            host.m_host = core::entry_host_id(member.identifier("host").value_or(""));
+            host.m_peer_address = read_address(member, "peer_address").value_or(control::socket_address{});
+            if (!hosts.insert(host.m_host).second) {
+                member.error("host", "no host twice");
+            }
+            member.finish();
+            into.m_control_hosts.push_back(std::move(host));
+        });
+    const std::size_t count = into.m_control_hosts.size();
+    if (present && count != 1 && count != 3 && count != 5) {
+        reader.error("control_hosts", "1, 3 or 5 hosts");
+    }
+}
+
+void read_session_keys(json_reader& reader, const file_reader& files, settings& into) {
+    std::set<std::uint8_t> ids;
+    reader.array("session_keys", [&](const nlohmann::json& element, const std::string& pointer) {
+        json_reader member(element, pointer, files.m_errors);
+        member.required("id", "an integer from 0 to 255");
+        signing_key key;
+        key.m_id = static_cast<std::uint8_t>(member.integer("id", 0, 255).value_or(0));
+        if (!member.has("key_file")) {
+            member.required("key", "key or key_file");
+        }
+        key.m_key = read_secret(member, files, "key", shortest_key_bytes).value_or("");
+        if (!ids.insert(key.m_id).second) {
+            member.error("id", "no id twice");
+        }
+        member.finish();
+        into.m_session_keys.push_back(std::move(key));
+    });
+}
+
+// The digest of the key, given as such or computed.
+std::string read_key_digest(json_reader& member, const file_reader& files) {
+    const std::optional<std::string> digest_text = member.text("sha256");
+    if (digest_text) {
+        std::optional<std::string> digest = core::from_hex(*digest_text);
+        if (!digest || digest->size() != core::sha256_bytes) {
+            member.error("sha256", "64 hexadecimal digits");
+            return {};
+        }
+        if (member.has("key") || member.has("key_file")) {
+            member.error("sha256", "only one of key, key_file and sha256");
+        }
+        return *digest;
+    }
+    if (!member.has("key_file")) {
+        member.required("key", "key, key_file or sha256");
+    }
+    const std::optional<std::string> key = read_secret(member, files, "key", shortest_key_bytes);
+    return key ? core::sha256(*key) : std::string{};
+}
+
+void read_callers(json_reader& reader, const file_reader& files, settings& into) {
+    std::set<std::string> digests;
+    reader.array("callers", [&](const nlohmann::json& element, const std::string& pointer) {
+        json_reader member(element, pointer, files.m_errors);
+        caller_key caller;
+        member.required("id", "the id of the caller");
+        caller.m_caller = core::caller_id(member.identifier("id").value_or(""));
+        caller.m_sha256 = read_key_digest(member, files);
+        caller.m_operator = member.boolean("operator").value_or(false);
+        for (const std::string& service :
+             member.identifiers("services", true).value_or(std::vector<std::string>{})) {
+            caller.m_all_services = caller.m_all_services || service == "*";
+            caller.m_services.insert(core::service_name(service));
+        }
+        if (!caller.m_sha256.empty() && !digests.insert(caller.m_sha256).second) {
+            member.error("id", "no key twice, as it would name two callers");
+        }
+        member.finish();
+        into.m_callers.push_back(std::move(caller));
+    });
+}
+
+void read_tls(json_reader& reader, const file_reader& files, settings& into) {
+    reader.object("tls", [&](const nlohmann::json& element, const std::string& pointer) {
+        json_reader member(element, pointer, files.m_errors);
+        tls_files tls;
+        for (auto [name, field] : {std::pair{"certificate_file", &tls_files::m_certificate},
+                                   std::pair{"key_file", &tls_files::m_key}}) {
+            member.required(name, "the name of a PEM file");
+            const std::optional<std::string> file = member.text(name);
+            if (!file) {
+                continue;
+            }
+            tls.*field = files.resolve(*file);
+            if (!first_line(tls.*field)) {
+                member.error(name, "the name of a readable PEM file");
+            }
+        }
+        member.finish();
+        into.m_tls = std::move(tls);
+    });
+}
+
+void read_database(json_reader& reader, const file_reader& files, settings& into) {
+    reader.object("database", [&](const nlohmann::json& element, const std::string& pointer) {
+        static constexpr std::array modes{"disable", "allow",     "prefer",
+                                          "require", "verify-ca", "verify-full"};
+        json_reader member(element, pointer, files.m_errors);
+        member.required("user", "the name of a database user");
+        member.required("database", "the name of a database");
+        into.m_database.m_user = member.text("user").value_or("");
+        into.m_database.m_database = member.text("database").value_or("");
+        into.m_database.m_password = read_secret(member, files, "password", 1).value_or("");
+        const auto mode =
+            member.choice("sslmode", {"disable", "allow", "prefer", "require", "verify-ca", "verify-full"});
+        into.m_database.m_sslmode = modes.at(mode.value_or(2));
+        member.finish();
+    });
+}
+
+void read_log(json_reader& reader, const file_reader& files, settings& into) {
+    reader.object("log", [&](const nlohmann::json& element, const std::string& pointer) {
+        json_reader member(element, pointer, files.m_errors);
+        const auto level = member.choice("level", {"debug", "info", "warning", "error"});
+        into.m_log_level = static_cast<core::log_level>(level.value_or(1));
+        const std::optional<std::string> file = member.text("file");
+        into.m_log_file = file && !file->empty() ? files.resolve(*file).string() : std::string{};
+        member.finish();
+    });
+}
+
+void read_http_limits(json_reader& reader, std::vector<json_error>& errors, settings& into) {
+    reader.object("http_limits", [&](const nlohmann::json& element, const std::string& pointer) {
+        json_reader member(element, pointer, errors);
+        http_limits& limits = into.m_http_limits;
+        const auto read = [&member](const char* name, std::uint32_t& field, std::uint32_t most) {
+            field = static_cast<std::uint32_t>(member.integer(name, 1, most).value_or(field));
+        };
+        read("connections", limits.m_connections, most_connections);
+        read("requests_in_progress", limits.m_requests_in_progress, most_connections);
+        read("requests_per_caller", limits.m_requests_per_caller, most_connections);
+        read("idle_timeout_s", limits.m_idle_timeout_s, 3600);
+        member.finish();
+    });
+}
+
+void check_control_role(json_reader& reader, const settings& read) {
+    reader.required("data_folder", "a folder that survives restarts, as the role is control");
+    const auto same_host = [&read](const control_host& host) { return host.m_host == read.m_host; };
+    const auto self = std::find_if(read.m_control_hosts.begin(), read.m_control_hosts.end(), same_host);
+    if (self == read.m_control_hosts.end()) {
+        // A host that replaces a lost one is not in the original list; it is added by replace-control-host.
+        return;
+    }
+    if (self->m_peer_address != read.m_peer_address) {
+        reader.error("peer_address", "the address listed for this host in /control_hosts");
+    }
+}
+
+void check_proxy_role(json_reader& reader) {
+    reader.required("http_address", address_allowed);
+    reader.required("session_keys", "an array of objects with id and key");
+    reader.required("callers", "an array of objects with id, key and services");
+    reader.required("database", "an object with user, password and database");
+}
+
+void read_basics(json_reader& reader, const file_reader& files, settings& into) {
+    reader.required("host", "the id of this host");
+    reader.required("zone", "the availability zone of this host");
+    reader.required("peer_address", address_allowed);
+    into.m_host = core::entry_host_id(reader.identifier("host").value_or(""));
+    into.m_zone = core::availability_zone(reader.identifier("zone").value_or(""));
+    into.m_peer_address = read_address(reader, "peer_address").value_or(control::socket_address{});
+    into.m_http_address = read_address(reader, "http_address");
+    const std::optional<std::string> folder = reader.text("data_folder");
+    into.m_data_folder = folder ? files.resolve(*folder) : std::filesystem::path{};
+    if (!reader.has("cluster_key_file")) {
+        reader.required("cluster_key", "cluster_key or cluster_key_file");
+    }
+    into.m_cluster_key = read_secret(reader, files, "cluster_key", shortest_key_bytes).value_or("");
+    into.m_fault_injection = reader.boolean("fault_injection").value_or(false);
+}
+
+settings read_document(const nlohmann::json& document, const file_reader& files) {
+    settings read;
+    json_reader reader(document, "", files.m_errors);
+    read_basics(reader, files, read);
+    read_roles(reader, read);
+    read_control_hosts(reader, files.m_errors, read);
+    read_session_keys(reader, files, read);
+    read_tls(reader, files, read);
+    read_callers(reader, files, read);
+    read_database(reader, files, read);
+    read_log(reader, files, read);
+    read_http_limits(reader, files.m_errors, read);
+    if (read.m_control) {
+        check_control_role(reader, read);
+    }
+    if (read.m_proxy) {
+        check_proxy_role(reader);
+        if (read.m_session_keys.empty() && reader.has("session_keys")) {
+            reader.error("session_keys", "at least one key");
+        }
+    }
+    reader.finish();
+    return read;
+}
+
+} // namespace
+
+core::result<settings> load_settings(const std::filesystem::path& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return core::result<settings>::failure(path.string() + ": cannot be read");
+    }
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    std::vector<json_error> errors;
+    settings read;
+    const std::optional<nlohmann::json> document = core::parse_json(text, errors);
+    if (document) {
+        read = read_document(*document, file_reader{path.parent_path(), errors});
+    }
+    if (errors.empty()) {
+        return read;
+    }
+    std::string reason;
+    for (const json_error& error : errors) {
+        reason += (reason.empty() ? "" : "\n") + path.string() + ": " + to_string(error);
+    }
+    return core::result<settings>::failure(reason);
+}
+
+} // namespace mangoquay::settings
--- /dev/null
+++ b/src/settings/socket_address_text.cpp
@@ -0,0 +1,47 @@
+// Parses and prints socket addresses.
+#include "settings/socket_address_text.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace mangoquay::settings {
+namespace {
+
+bool is_ip_number(int family, const std::string& host) {
+    in6_addr buffer{}; // large enough for both families
+    return inet_pton(family, host.c_str(), &buffer) == 1;
+}
+
+} // namespace
+
+std::optional<control::socket_address> parse_socket_address(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    control::socket_address address;
+    const std::string_view port = text.substr(colon + 1);
+    const auto [end, failure] = std::from_chars(port.data(), port.data() + port.size(), address.m_port);
+    if (failure != std::errc{} || end != port.data() + port.size() || address.m_port == 0) {
+        return std::nullopt;
+    }
+    std::string host(text.substr(0, colon));
+    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed) {
+        host = host.substr(1, host.size() - 2);
+    }
+    if (!is_ip_number(bracketed ? AF_INET6 : AF_INET, host)) {
+        return std::nullopt;
+    }
+    address.m_host = host;
+    return address;
+}
+
+std::string to_text(const control::socket_address& address) {
+    const bool needs_brackets = address.m_host.find(':') != std::string::npos;
+    const std::string host = needs_brackets ? "[" + address.m_host + "]" : address.m_host;
+    return host + ":" + std::to_string(address.m_port);
+}
+
+} // namespace mangoquay::settings
