--- a/src/sessions/session_token.h
+++ b/src/sessions/session_token.h
@@ -21,7 +21,7 @@
 
 namespace mangoquay::sessions {
 
-// By group. A session that touched more groups than fit forgets none: see merge().
+// By group.
 using session_positions = std::map<core::group_id, core::history_position>;
 
 // HTTP headers of 4 KiB pass through common balancers; a token must fit with room for other headers.
