Add the PostgreSQL stand-in

Ruled out: a fake below libpq, which would leave the driver and its pipeline mode untested. Change: test/standin holds all databases of some groups in one process and speaks protocol 3.0: start-up, simple and extended queries, pipelines, cancel. Transactions, row locks, terms, positions, replication with lag, promotion, divergence and rewind follow PostgreSQL; statements are those of dialect/postgres_sql.h and a few on table entries. Conclusion: usable by the driver, the owner shell and the scripts.

--- a/src/core/result.h
+++ b/src/core/result.h
@@ -13,6 +13,7 @@
     // NOLINTNEXTLINE(google-explicit-constructor): `return value;` is the usual way to succeed.
     result(Value value) : m_value(std::move(value)) {}
 
+    // NOLINTNEXTLINE(performance-unnecessary-value-param): it is moved; the check misses this in templates.
     static result failure(std::string reason) {
         result failed;
         failed.m_reason = std::move(reason);
--- /dev/null
+++ b/test/standin/announcer.cpp
@@ -0,0 +1,80 @@
+// Sends PUT /v1/endpoints/{id} through ulfius's HTTP client.
+#include "announcer.h"
+
+#include "core/log.h"
+
+#include <nlohmann/json.hpp>
+#include <ulfius.h>
+
+namespace mangoquay::standin {
+namespace {
+
+constexpr unsigned long answer_timeout_s = 1;
+
+std::string body_of(const endpoint_report& report) {
+    return nlohmann::json{{"group", report.m_layout.m_group},
+                          {"availability_zone", report.m_layout.m_zone},
+                          {"host", report.m_layout.m_host},
+                          {"port", report.m_layout.m_port},
+                          {"role", report.m_primary ? "primary" : "replica"},
+                          {"term", report.m_term},
+                          {"slots", report.m_layout.m_slots},
+                          {"connections", report.m_layout.m_connections}}
+        .dump();
+}
+
+bool put(const std::string& url, const std::string& key, const std::string& body) {
+    _u_request request{};
+    _u_response response{};
+    ulfius_init_request(&request);
+    ulfius_init_response(&response);
+    request.timeout = answer_timeout_s;
+    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "PUT", U_OPT_HTTP_URL, url.c_str(),
+                                  U_OPT_HEADER_PARAMETER, "Authorization", ("Bearer " + key).c_str(),
+                                  U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
+                                  U_OPT_STRING_BODY, body.c_str(), U_OPT_NONE);
+    constexpr long first_refusal = 300;
+    const bool accepted =
+        ulfius_send_http_request(&request, &response) == U_OK && response.status < first_refusal;
+    ulfius_clean_request(&request);
+    ulfius_clean_response(&response);
+    return accepted;
+}
+
+} // namespace
+
+announcer::announcer(postgres_standin& standin, announce_layout wanted)
+    : m_standin(standin), m_wanted(std::move(wanted)), m_thread([this] { run(); }) {}
+
+announcer::~announcer() {
+    m_stopped = true;
+    m_thread.join();
+}
+
+void announcer::run() {
+    while (!m_stopped) {
+        const auto next = std::chrono::steady_clock::now() + m_wanted.m_interval;
+        for (const endpoint_report& report : m_standin.report()) {
+            if (!report.m_faults.m_crashed) {
+                announce(report);
+            }
+        }
+        while (!m_stopped && std::chrono::steady_clock::now() < next) {
+            std::this_thread::sleep_for(core::milliseconds(20));
+        }
+    }
+}
+
+void announcer::announce(const endpoint_report& report) {
+    for (std::size_t tried = 0; tried < m_wanted.m_to.size() && !m_stopped; ++tried) {
+        const std::string& base = m_wanted.m_to[m_accepting];
+        if (put(base + "/v1/endpoints/" + report.m_layout.m_id, m_wanted.m_key, body_of(report))) {
+            return;
+        }
+        m_accepting = (m_accepting + 1) % m_wanted.m_to.size();
+    }
+    core::log_line(core::log_level::warning, "standin",
+                   "no address accepted the announcement endpoint=" + report.m_layout.m_id);
+}
+
+} // namespace mangoquay::standin
--- /dev/null
+++ b/test/standin/postgres_standin.cpp
@@ -0,0 +1,251 @@
+// Listeners, sessions and replication of the stand-in.
+#include "postgres_standin.h"
+
+#include "faults.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <future>
+
+namespace mangoquay::standin {
+namespace {
+
+constexpr int listen_backlog = 512;
+// A replica that cannot stream now is looked at again after this long.
+constexpr core::milliseconds replication_retry{10};
+
+sockaddr_in make_address(const std::string& host, std::uint16_t port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+    return address;
+}
+
+} // namespace
+
+std::string conninfo_for(const endpoint_layout& upstream, const std::string& replica) {
+    return "host=" + upstream.m_host + " port=" + std::to_string(upstream.m_port) +
+           " user=mangoquay application_name=" + replica;
+}
+
+postgres_standin::postgres_standin(layout wanted)
+    : m_wanted(std::move(wanted)), m_host{m_loop,
+                                          m_wanted.m_password,
+                                          [this](const database& replica) { return upstream_of(replica); },
+                                          [this](const database& primary) { return streaming_from(primary); },
+                                          [this] { replicate(); },
+                                          [this](std::int32_t pid, std::int32_t secret) {
+                                              const auto found = m_sessions.find(pid);
+                                              if (found != m_sessions.end()) {
+                                                  found->second->cancel(secret);
+                                              }
+                                          },
+                                          [this](session& ended) {
+                                              // Deferred: the session is still on the call stack.
+                                              m_loop.after(
+                                                  {}, [this, pid = ended.m_pid] { m_sessions.erase(pid); });
+                                          }} {
+    for (const endpoint_layout& endpoint : m_wanted.m_endpoints) {
+        m_endpoints.emplace(endpoint.m_id, std::make_unique<served>(endpoint));
+    }
+}
+
+postgres_standin::~postgres_standin() {
+    if (m_thread.joinable()) {
+        m_loop.stop();
+        m_thread.join();
+    }
+    m_sessions.clear();
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint->m_listener >= 0) {
+            ::close(endpoint->m_listener);
+        }
+    }
+}
+
+template <class Result>
+Result postgres_standin::on_loop(std::function<Result()> work) {
+    std::promise<Result> promise;
+    auto answer = promise.get_future();
+    m_loop.post([&] { promise.set_value(work()); });
+    return answer.get();
+}
+
+core::result<bool> postgres_standin::start() {
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (auto listening = listen(*endpoint); !listening) {
+            return listening;
+        }
+    }
+    for (const auto& [id, endpoint] : m_endpoints) {
+        for (const auto& [other_id, other] : m_endpoints) {
+            if (endpoint->m_database.m_in_recovery && other->m_database.m_layout.m_primary &&
+                other->m_database.m_layout.m_group == endpoint->m_database.m_layout.m_group) {
+                endpoint->m_database.m_primary_conninfo = conninfo_for(other->m_database.m_layout, id);
+            }
+        }
+    }
+    m_thread = std::thread([this] { m_loop.run(); });
+    return true;
+}
+
+core::result<bool> postgres_standin::listen(served& endpoint) {
+    endpoint_layout& described = endpoint.m_database.m_layout;
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address = make_address(described.m_host, described.m_port);
+    socklen_t size = sizeof address;
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    if (::bind(socket, generic, size) < 0 || ::listen(socket, listen_backlog) < 0) {
+        const std::string reason = std::strerror(errno);
+        ::close(socket);
+        return core::result<bool>::failure(described.m_id + ": " + described.m_host + ":" +
+                                           std::to_string(described.m_port) + ": " + reason);
+    }
+    getsockname(socket, generic, &size);
+    described.m_port = ntohs(address.sin_port);
+    endpoint.m_listener = socket;
+    m_loop.watch(socket, EPOLLIN, [this, &endpoint](std::uint32_t) { accept(endpoint); });
+    return true;
+}
+
+void postgres_standin::accept(served& endpoint) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    const int socket = ::accept4(endpoint.m_listener, reinterpret_cast<sockaddr*>(&address), &size,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) {
+        return;
+    }
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    std::array<char, INET_ADDRSTRLEN> source{};
+    inet_ntop(AF_INET, &address.sin_addr, source.data(), source.size());
+    const std::int32_t pid = m_next_pid++;
+    const auto opened = std::make_shared<session>(m_host, endpoint.m_database, socket, source.data(), pid);
+    m_sessions.emplace(pid, opened);
+    opened->start();
+}
+
+void postgres_standin::close_sessions(const database& of) {
+    const auto sessions = m_sessions;
+    for (const auto& [pid, open] : sessions) {
+        if (&open->served() == &of) {
+            open->end();
+        }
+    }
+}
+
+void postgres_standin::watch_sessions(const database& of) {
+    for (const auto& [pid, open] : m_sessions) {
+        if (&open->served() == &of) {
+            open->watch();
+        }
+    }
+}
+
+void postgres_standin::resume_sessions(const database& of) {
+    const auto sessions = m_sessions;
+    for (const auto& [pid, open] : sessions) {
+        if (&open->served() == &of) {
+            open->resume();
+        }
+    }
+}
+
+const database* postgres_standin::upstream_of(const database& replica) const {
+    const std::string& conninfo = replica.m_primary_conninfo;
+    const auto known = m_upstreams.find(conninfo);
+    if (known != m_upstreams.end()) {
+        return known->second;
+    }
+    const std::string host = conninfo_value(conninfo, "host");
+    const std::string port = conninfo_value(conninfo, "port");
+    for (const auto& [id, endpoint] : m_endpoints) {
+        const endpoint_layout& described = endpoint->m_database.m_layout;
+        if (described.m_host == host && std::to_string(described.m_port) == port) {
+            m_upstreams.emplace(conninfo, &endpoint->m_database);
+            return &endpoint->m_database;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<const database*> postgres_standin::streaming_from(const database& primary) const {
+    std::vector<const database*> replicas;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        const database& replica = endpoint->m_database;
+        if (upstream_of(replica) == &primary && replica.streams_from(&primary)) {
+            replicas.push_back(&replica);
+        }
+    }
+    return replicas;
+}
+
+void postgres_standin::replicate() {
+    const core::time_point now = transport::event_loop::now();
+    std::optional<core::time_point> next;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        const auto due = endpoint->m_database.advance(upstream_of(endpoint->m_database), now);
+        if (due) {
+            next = next ? std::min(*next, *due) : *due;
+        }
+    }
+    if (m_replication_timer) {
+        m_loop.cancel(*m_replication_timer);
+    }
+    // Also without a due record: a database may start to follow, or become reachable, at any time.
+    m_replication_timer = m_loop.at(next ? std::min(*next, now + replication_retry) : now + replication_retry,
+                                    [this] { replicate(); });
+}
+
+endpoint_report postgres_standin::report_of(const served& endpoint) const {
+    const database& source = endpoint.m_database;
+    const database* upstream = upstream_of(source);
+    endpoint_report made;
+    made.m_layout = source.m_layout;
+    made.m_primary = !source.m_in_recovery;
+    made.m_term = source.durable_term();
+    made.m_applied = source.applied_position();
+    made.m_durable = source.durable_position();
+    made.m_rows = source.m_tables.at("entries").size();
+    made.m_open_connections = source.m_backends.size();
+    made.m_streaming = source.streams_from(upstream);
+    made.m_follows = upstream == nullptr || !source.m_in_recovery ? "" : upstream->m_layout.m_id;
+    made.m_faults = source.m_faults;
+    made.m_usage = source.m_usage;
+    return made;
+}
+
+std::vector<endpoint_report> postgres_standin::report() {
+    return on_loop<std::vector<endpoint_report>>([this] {
+        std::vector<endpoint_report> all;
+        for (const auto& [id, endpoint] : m_endpoints) {
+            all.push_back(report_of(*endpoint));
+        }
+        return all;
+    });
+}
+
+core::result<bool> postgres_standin::act(const std::string& endpoint, const std::string& action,
+                                         const action_parameters& parameters) {
+    return on_loop<core::result<bool>>([&]() -> core::result<bool> {
+        const auto found = m_endpoints.find(endpoint);
+        if (found == m_endpoints.end()) {
+            return core::result<bool>::failure("unknown endpoint " + endpoint);
+        }
+        auto done = fault_actions::run(*this, *found->second, action, parameters);
+        replicate();
+        return done;
+    });
+}
+
+} // namespace mangoquay::standin
--- /dev/null
+++ b/test/standin/session.cpp
@@ -0,0 +1,332 @@
+// Socket, start-up and message dispatch of a session. Statements are in session_statements.cpp.
+#include "session.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace mangoquay::standin {
+namespace {
+
+constexpr std::size_t read_bytes = 65536;
+constexpr std::int32_t secret_mask = 0x5bd1e995;
+
+} // namespace
+
+session::session(session_host& host, database& served, int socket, std::string source, std::int32_t pid)
+    : m_host(host), m_database(served), m_socket(socket), m_secret(pid ^ secret_mask) {
+    m_pid = pid;
+    m_source = std::move(source);
+}
+
+session::~session() {
+    if (m_socket >= 0) {
+        m_host.m_loop.unwatch(m_socket);
+        ::close(m_socket);
+    }
+}
+
+void session::start() {
+    watch();
+}
+
+// A held session is not watched at all: its socket stays open and silent.
+void session::watch() {
+    if (m_phase == phase::ended || held() || m_peer_closed) {
+        m_host.m_loop.unwatch(m_socket);
+        return;
+    }
+    const std::uint32_t output = m_flushable > 0 ? EPOLLOUT : 0U;
+    m_host.m_loop.watch(m_socket, EPOLLIN | output, [weak = weak_from_this()](std::uint32_t events) {
+        if (const auto self = weak.lock()) {
+            self->on_ready(events);
+        }
+    });
+}
+
+void session::on_ready(std::uint32_t events) {
+    if (held()) {
+        watch();
+        return;
+    }
+    if ((events & EPOLLOUT) != 0) {
+        flush();
+    }
+    if (m_phase != phase::ended && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
+        read_input();
+        process();
+    }
+}
+
+void session::read_input() {
+    std::array<char, read_bytes> part{};
+    const ssize_t count = ::recv(m_socket, part.data(), part.size(), MSG_DONTWAIT);
+    if (count > 0) {
+        m_in.append(part.data(), static_cast<std::size_t>(count));
+    } else if (count == 0 || (errno != EAGAIN && errno != EINTR)) {
+        m_peer_closed = true;
+        watch();
+    }
+}
+
+void session::process() {
+    while (!m_busy && m_phase != phase::ended && !held()) {
+        const auto received = take_message(m_in, m_phase == phase::startup);
+        if (!received) {
+            if (m_peer_closed) {
+                end();
+            }
+            return;
+        }
+        if (m_phase == phase::startup) {
+            handle_startup(*received);
+        } else {
+            handle(*received);
+        }
+    }
+}
+
+void session::resume() {
+    if (m_phase == phase::ended || held()) {
+        return;
+    }
+    watch();
+    if (const auto step = std::exchange(m_held_step, nullptr)) {
+        (this->*step)();
+    }
+    flush();
+    process();
+}
+
+// A frozen database does not go on with anything; a cut one does, and only the client cannot see it.
+void session::after(core::duration delay, void (session::*step)()) {
+    m_host.m_loop.after(delay, [weak = weak_from_this(), step, number = m_statement_number] {
+        const auto self = weak.lock();
+        const bool current = self && self->m_statement_number == number;
+        if (!current || self->m_phase == phase::ended || self->m_close_after_flush) {
+            return;
+        }
+        if (self->m_database.m_faults.m_frozen) {
+            self->m_held_step = step;
+            return;
+        }
+        ((*self).*step)();
+    });
+}
+
+void session::handle_startup(const message& received) {
+    field_reader body(received.m_body);
+    const std::int32_t code = body.int32();
+    if (code == ssl_request || code == gss_request) {
+        m_out += 'N';
+        flush();
+        return;
+    }
+    if (code == cancel_request) {
+        const std::int32_t pid = body.int32();
+        m_host.m_cancel(pid, body.int32());
+        end();
+        return;
+    }
+    if (code != protocol_3_0) {
+        fatal("0A000", "unsupported frontend protocol");
+        return;
+    }
+    while (!body.at_end()) {
+        const std::string name = body.text();
+        const std::string value = body.text();
+        if (name == "application_name") {
+            m_application_name = value;
+        }
+    }
+    if (m_host.m_password.empty()) {
+        begin_connect();
+        return;
+    }
+    m_phase = phase::password;
+    m_out += message_writer('R').int32(3).finish(); // AuthenticationCleartextPassword
+    flush();
+}
+
+void session::begin_connect() {
+    m_phase = phase::connecting;
+    m_busy = true;
+    usage& use = m_database.m_usage;
+    if (m_database.m_backends.size() >= m_database.m_layout.m_connections) {
+        ++use.m_connections_refused;
+    } else {
+        m_database.m_backends[m_pid] = this;
+        ++use.m_connections_total;
+        use.m_highest_connections =
+            std::max(use.m_highest_connections, static_cast<std::uint32_t>(m_database.m_backends.size()));
+    }
+    if (held()) {
+        watch(); // a client that is cut by name gets no answer
+    }
+    after(m_database.m_layout.m_timing.m_connect, &session::finish_connect);
+}
+
+void session::finish_connect() {
+    m_busy = false;
+    if (!m_database.m_backends.contains(m_pid)) {
+        fatal("53300", "sorry, too many clients already");
+        return;
+    }
+    m_phase = phase::ready;
+    m_out += message_writer('R').int32(0).finish(); // AuthenticationOk
+    const std::vector<std::pair<const char*, const char*>> parameters = {
+        {"server_version", "15.20"},           {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+        {"standard_conforming_strings", "on"}, {"integer_datetimes", "on"}, {"DateStyle", "ISO, MDY"}};
+    for (const auto& [name, value] : parameters) {
+        m_out += message_writer('S').text(name).text(value).finish();
+    }
+    m_out += message_writer('K').int32(m_pid).int32(m_secret).finish();
+    write_ready();
+    process();
+}
+
+void session::handle(const message& received) {
+    field_reader body(received.m_body);
+    if (m_phase == phase::password) {
+        if (received.m_type != 'p' || body.text() != m_host.m_password) {
+            fatal("28P01", "password authentication failed");
+            return;
+        }
+        begin_connect();
+        return;
+    }
+    if (received.m_type == 'X') {
+        end();
+    } else if (received.m_type == 'S') {
+        handle_sync();
+    } else if (m_skip_to_sync) {
+        return;
+    } else if (received.m_type == 'Q') {
+        const std::string sql = trimmed(body.text());
+        begin_statement(statement{sql, {}, describe(sql), true, false});
+    } else if (received.m_type == 'P') {
+        handle_parse(body);
+    } else if (received.m_type == 'B') {
+        handle_bind(body);
+    } else if (received.m_type == 'D') {
+        handle_describe(body);
+    } else if (received.m_type == 'E') {
+        begin_statement(m_portals[body.text()]);
+    } else if (received.m_type == 'C') {
+        m_out += message_writer('3').finish();
+    } else if (received.m_type == 'H') {
+        flush();
+    } else {
+        fatal("08P01", "unknown message type");
+    }
+}
+
+void session::handle_parse(field_reader body) {
+    const std::string name = body.text();
+    const std::string sql = trimmed(body.text());
+    if (!describe(sql).m_known) {
+        write_error("42601", "the stand-in does not know this statement: " + sql);
+        return;
+    }
+    m_prepared[name] = sql;
+    m_out += message_writer('1').finish();
+}
+
+void session::handle_bind(field_reader body) {
+    const std::string portal = body.text();
+    statement bound;
+    bound.m_sql = m_prepared[body.text()];
+    bound.m_facts = describe(bound.m_sql);
+    for (int formats = body.int16(); formats > 0; --formats) {
+        body.int16();
+    }
+    for (int count = body.int16(); count > 0; --count) {
+        const std::int32_t length = body.int32();
+        bound.m_parameters.push_back(length < 0 ? core::cell{}
+                                                : core::cell(body.bytes(static_cast<std::size_t>(length))));
+    }
+    if (bound.m_parameters.size() != bound.m_facts.m_parameters) {
+        write_error("08P01", "bind message supplies a wrong number of parameters");
+        return;
+    }
+    m_portals[portal] = std::move(bound);
+    m_out += message_writer('2').finish();
+}
+
+void session::handle_describe(field_reader body) {
+    const bool of_portal = body.byte() == 'P';
+    const std::string name = body.text();
+    const statement_facts facts = of_portal ? m_portals[name].m_facts : describe(m_prepared[name]);
+    if (!of_portal) {
+        message_writer parameters('t');
+        parameters.int16(static_cast<std::int32_t>(facts.m_parameters));
+        for (std::size_t index = 0; index < facts.m_parameters; ++index) {
+            parameters.int32(0);
+        }
+        m_out += parameters.finish();
+    }
+    m_out += facts.m_columns.empty() ? message_writer('n').finish() : row_description(facts.m_columns);
+}
+
+void session::flush() {
+    m_flushable = m_out.size();
+    if (m_phase == phase::ended || held()) {
+        return;
+    }
+    while (m_flushable > 0) {
+        const ssize_t sent = ::send(m_socket, m_out.data(), m_flushable, MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (sent <= 0) {
+            if (errno != EAGAIN && errno != EINTR) {
+                m_out.clear(); // the client is gone; what it sent is still worked off
+                m_flushable = 0;
+            }
+            break;
+        }
+        m_out.erase(0, static_cast<std::size_t>(sent));
+        m_flushable -= static_cast<std::size_t>(sent);
+    }
+    if (m_close_after_flush && m_flushable == 0) {
+        end();
+        return;
+    }
+    watch();
+}
+
+void session::fatal(const std::string& sqlstate, const std::string& text) {
+    m_out += error_response("FATAL", sqlstate, text);
+    m_close_after_flush = true;
+    m_busy = true; // reads nothing more
+    flush();
+}
+
+void session::terminate() {
+    m_database.roll_back(*this);
+    m_database.m_backends.erase(m_pid);
+    if (m_database.m_owner_lock == this) {
+        m_database.m_owner_lock = nullptr;
+    }
+    end_caller_statement();
+    fatal("57P01", "terminating connection due to administrator command");
+}
+
+void session::end() {
+    if (m_phase == phase::ended) {
+        return;
+    }
+    m_phase = phase::ended;
+    end_caller_statement();
+    if (m_database.m_backends.erase(m_pid) > 0) {
+        m_database.roll_back(*this);
+    }
+    if (m_database.m_owner_lock == this) {
+        m_database.m_owner_lock = nullptr;
+    }
+    m_host.m_loop.unwatch(m_socket);
+    m_host.m_ended(*this);
+}
+
+} // namespace mangoquay::standin
--- /dev/null
+++ b/test/standin/session_statements.cpp
@@ -0,0 +1,213 @@
+// Runs a session's statements: time, locks, transactions, answers and their faults.
+#include "dialect/postgres_sql.h"
+#include "session.h"
+
+#include <cstdlib>
+
+namespace mangoquay::standin {
+namespace {
+
+// PostgreSQL looks for a deadlock after 1 s; the stand-in takes a wait of this length for one.
+constexpr core::milliseconds deadlock_after{5000};
+
+} // namespace
+
+void session::begin_statement(statement next) {
+    m_current = std::move(next);
+    m_busy = true;
+    m_lock_timer_set = false;
+    if (m_current.m_facts.m_of_caller) {
+        usage& use = m_database.m_usage;
+        m_counted = true;
+        ++use.m_caller_statements;
+        ++use.m_callers_running;
+        use.m_highest_callers_running = std::max(use.m_highest_callers_running, use.m_callers_running);
+    }
+    const core::duration time = statement_time();
+    if (time == core::duration{}) {
+        try_statement();
+    } else {
+        after(time, &session::statement_due);
+    }
+}
+
+void session::end_caller_statement() {
+    if (m_counted) {
+        m_counted = false;
+        --m_database.m_usage.m_callers_running;
+    }
+}
+
+core::duration session::statement_time() const {
+    const timing& times = m_database.m_layout.m_timing;
+    if (m_current.m_sql == dialect::postgres_sql::promote) {
+        return times.m_promotion;
+    }
+    if (!m_current.m_facts.m_of_caller) {
+        return {};
+    }
+    if (m_current.m_sql.find("pg_sleep") != std::string::npos && !m_current.m_parameters.empty()) {
+        const double seconds = std::strtod(m_current.m_parameters.front().value_or("0").c_str(), nullptr);
+        return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
+    }
+    const straggler_rule& rule = times.m_stragglers;
+    const bool by_text = !rule.m_text.empty() && m_current.m_sql.find(rule.m_text) != std::string::npos;
+    const bool by_count = rule.m_every > 0 && m_database.m_usage.m_caller_statements % rule.m_every == 0;
+    return times.m_statement * (by_text || by_count ? rule.m_factor : 1);
+}
+
+void session::statement_due() {
+    try_statement();
+    process();
+}
+
+void session::try_statement() {
+    if (m_current.m_cancelled) {
+        outcome cancelled;
+        cancelled.m_sqlstate = "57014";
+        cancelled.m_message = "canceling statement due to user request";
+        finish_statement(cancelled, m_database.durable_position());
+        return;
+    }
+    const std::uint64_t before = m_database.durable_position();
+    statement_context context{m_database,
+                              *this,
+                              m_current.m_parameters,
+                              m_current.m_sql,
+                              transport::event_loop::now(),
+                              m_host.m_upstream_of,
+                              m_host.m_streaming_from};
+    const outcome result = run_statement(context);
+    if (!result.m_wait) {
+        finish_statement(result, before);
+        return;
+    }
+    m_waiting = true;
+    if (!m_lock_timer_set) {
+        m_lock_timer_set = true;
+        after(deadlock_after, &session::lock_timeout);
+    }
+}
+
+void session::lock_released() {
+    if (m_waiting) {
+        m_waiting = false;
+        after({}, &session::statement_due);
+    }
+}
+
+void session::lock_timeout() {
+    if (m_waiting) {
+        m_waiting = false;
+        outcome deadlock;
+        deadlock.m_sqlstate = "40P01";
+        deadlock.m_message = "deadlock detected";
+        finish_statement(deadlock, m_database.durable_position());
+        process();
+    }
+}
+
+void session::cancel(std::int32_t secret) {
+    if (secret != m_secret || !m_busy || m_phase != phase::ready) {
+        return;
+    }
+    m_current.m_cancelled = true;
+    m_waiting = false;
+    after({}, &session::cancel_due);
+}
+
+void session::cancel_due() {
+    try_statement();
+    process();
+}
+
+void session::finish_statement(const outcome& result, std::uint64_t position_before) {
+    end_caller_statement();
+    m_busy = false;
+    ++m_statement_number;
+    if (result.m_sqlstate.empty()) {
+        m_transaction.m_implicit = !m_transaction.m_open;
+        write_result(result);
+    } else {
+        write_error(result.m_sqlstate, result.m_message);
+        m_skip_to_sync = !m_current.m_simple;
+    }
+    if (m_close_after_flush || !after_commit(position_before)) {
+        return;
+    }
+    if (m_current.m_simple && end_implicit()) {
+        write_ready();
+    }
+}
+
+bool session::end_implicit() {
+    if (m_transaction.m_open) {
+        return true;
+    }
+    const std::uint64_t before = m_database.durable_position();
+    m_database.commit(*this, transport::event_loop::now());
+    return after_commit(before);
+}
+
+bool session::after_commit(std::uint64_t position_before) {
+    if (m_database.durable_position() == position_before) {
+        return true;
+    }
+    m_host.m_committed();
+    if (!m_database.m_faults.m_drop_next_answer) {
+        return true;
+    }
+    m_database.m_faults.m_drop_next_answer = false;
+    m_out.clear();
+    end();
+    return false;
+}
+
+void session::handle_sync() {
+    m_skip_to_sync = false;
+    if (end_implicit()) {
+        write_ready();
+    }
+}
+
+void session::write_result(const outcome& result) {
+    std::string answer;
+    if (m_current.m_simple && !m_current.m_facts.m_columns.empty()) {
+        answer += row_description(m_current.m_facts.m_columns);
+    }
+    for (const auto& row : result.m_rows) {
+        answer += data_row(row);
+    }
+    answer += message_writer('C').text(result.m_tag).finish();
+    bool& truncate = m_database.m_faults.m_truncate_next_answer;
+    if (truncate && m_current.m_facts.m_of_caller && !result.m_rows.empty()) {
+        truncate = false;
+        m_out += answer.substr(0, answer.size() / 2);
+        m_close_after_flush = true;
+        m_busy = true;
+        flush();
+        return;
+    }
+    m_out += answer;
+}
+
+void session::write_error(const std::string& sqlstate, const std::string& text) {
+    m_out += error_response("ERROR", sqlstate, text);
+    // An error releases the locks at once; the block stays open, failed, until it is ended.
+    const bool open = m_transaction.m_open;
+    m_database.roll_back(*this);
+    m_transaction.m_open = open;
+    m_transaction.m_failed = open;
+    m_skip_to_sync = true;
+}
+
+void session::write_ready() {
+    char status = 'I';
+    if (m_transaction.m_open) {
+        status = m_transaction.m_failed ? 'E' : 'T';
+    }
+    m_out += message_writer('Z').byte(status).finish();
+    flush();
+}
+
+} // namespace mangoquay::standin
