--- /dev/null
+++ b/src/consensus/raft_driver.h
@@ -0,0 +1,134 @@
+// Ties the Raft core, the data folder and the event loop together.
+//
+// Owns: the core, the storage thread, callbacks of proposals in progress. Runs on the event loop's thread; a
+// second thread writes and syncs, so that a slow disk does not stop heartbeats. Proposals that arrive while a
+// sync is running share the next one.
+#pragma once
+
+#include "consensus/raft_message.h"
+#include "consensus/raft_node.h"
+#include "consensus/storage_worker.h"
+#include "transport/event_loop.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangoquay::consensus {
+
+struct driver_settings {
+    core::entry_host_id m_self;
+    std::string m_data_folder;
+    // All control hosts of a new cell, this one included. Read only while the data folder is empty.
+    std::set<core::entry_host_id> m_initial_hosts;
+    raft_timing m_timing;
+    std::uint64_t m_seed = 1;                 // of the election timeouts; should differ between hosts
+    std::uint64_t m_snapshot_interval = 4096; // entries applied between two snapshots
+};
+
+struct committed_entry {
+    core::revision m_revision;
+    std::string m_payload; // empty for entries of the consensus slice itself
+};
+
+using message_sender = std::function<void(const core::entry_host_id& to, const raft_message& message)>;
+// Empty: not known to be committed. The proposal may still be committed by a later leader, so a caller must
+// be able to recognise a resend.
+using propose_callback = std::function<void(std::optional<core::revision>)>;
+// Called for every index in order, so that revisions have no gaps; the payload is empty for entries of the
+// consensus slice itself (a new leader's first entry, changes of members).
+using commit_handler = std::function<void(core::revision index, const std::string& payload)>;
+// Returns the encoded state of the state machine, all commits up to the last one delivered included.
+using snapshot_source = std::function<std::string()>;
+// Replaces the state machine by an encoded state: at start and when this host is too far behind.
+using snapshot_installer = std::function<void(core::revision index, const std::string& state)>;
+using leadership_handler = std::function<void(bool leading)>;
+using failure_handler = std::function<void(const std::string& reason)>;
+
+class raft_driver {
+public:
+    raft_driver(transport::event_loop& loop, driver_settings settings, message_sender sender);
+    ~raft_driver();
+    raft_driver(const raft_driver&) = delete;
+    raft_driver& operator=(const raft_driver&) = delete;
+    raft_driver(raft_driver&&) = delete;
+    raft_driver& operator=(raft_driver&&) = delete;
+
+    // Handlers are set before start().
+    void on_commit(commit_handler handler) { m_on_commit = std::move(handler); }
+    void on_snapshot_needed(snapshot_source source) { m_snapshot_source = std::move(source); }
+    void on_install(snapshot_installer installer) { m_on_install = std::move(installer); }
+    void on_leadership(leadership_handler handler) { m_on_leadership = std::move(handler); }
+    // Called when the disk fails; the default logs and aborts, because nothing may be acknowledged after
+    // that.
+    void on_storage_failure(failure_handler handler) { m_on_failure = std::move(handler); }
+
+    // Opens the data folder and starts the timers. Fails with the reason when the folder is in use or
+    // damaged.
+    status start();
+
+    void receive(const core::entry_host_id& from, const raft_message& message);
+    // The payload must not be empty. On a host that is not the leader the callback gets an empty index.
+    void propose(std::string payload, propose_callback done);
+    // Takes `lost` out of the members and admits `replacement`, as a learner until it has caught up. Only the
+    // leader does this; fails with the reason otherwise. Success means that the change was started.
+    status replace_host(const core::entry_host_id& lost, const core::entry_host_id& replacement);
+
+    [[nodiscard]] bool is_leader() const;
+    // While true no other leader has committed anything, and the state machine here has every commit.
+    [[nodiscard]] bool holds_lease(core::time_point now) const;
+    [[nodiscard]] std::optional<core::entry_host_id> leader() const;
+    [[nodiscard]] const membership& members() const;
+    [[nodiscard]] core::revision committed() const; // last index delivered to on_commit or on_install
+    // Committed entries after a revision, at most `limit`; empty when the log does not reach back that far
+    // and the reader needs the whole state instead.
+    [[nodiscard]] std::optional<std::vector<committed_entry>> entries_after(core::revision after,
+                                                                            std::size_t limit = 1024) const;
+    [[nodiscard]] disk_id disk() const;
+
+private:
+    struct pending_proposal {
+        log_index m_index = 0;
+        raft_term m_term;
+        propose_callback m_done;
+    };
+
+    void schedule_tick();
+    void schedule_flush();
+    void flush_proposals();
+    void step(const raft_event& event);
+    void perform(std::vector<raft_action> actions);
+    void deliver(const log_entry& entry);
+    void finish_proposals(const proposals_accepted& accepted);
+    void fail_all_proposals();
+    void take_snapshot_if_due();
+    void storage_done(std::uint64_t sequence);
+    void storage_failed(const std::string& reason);
+
+    transport::event_loop& m_loop;
+    driver_settings m_settings;
+    message_sender m_sender;
+    commit_handler m_on_commit;
+    snapshot_source m_snapshot_source;
+    snapshot_installer m_on_install;
+    leadership_handler m_on_leadership;
+    failure_handler m_on_failure;
+
+    std::unique_ptr<raft_node> m_node;
+    std::unique_ptr<storage_worker> m_storage;
+    std::optional<transport::timer_id> m_tick_timer;
+    std::vector<std::string> m_queued_payloads; // wait for the next flush
+    std::vector<propose_callback> m_queued_callbacks;
+    bool m_flush_scheduled = false;
+    std::deque<pending_proposal> m_pending; // by index
+    log_index m_delivered = 0;
+    log_index m_last_snapshot = 0;
+    // Tasks posted to the loop hold a weak reference and do nothing once the driver is gone.
+    std::shared_ptr<raft_driver*> m_alive;
+};
+
+} // namespace mangoquay::consensus
--- /dev/null
+++ b/src/consensus/raft_node.h
@@ -0,0 +1,303 @@
+// The Raft core of one control host: elections, replication, members, leases. Deterministic: the shell passes
+// in events with the time of its own monotonic clock and carries out the returned actions in order.
+//
+// Messages that promise something (votes, acknowledgements of entries) are returned only after the storage
+// actions that they rest on have been reported as synced.
+//
+// Invariants:
+// - term and vote never go back; m_commit <= min(last index, m_durable) on a leader, and never goes back;
+// - m_applied <= min(m_commit, m_durable): only entries synced here are handed to the state machine;
+// - a leader is a voter of its newest membership and has at most one uncommitted membership entry.
+#pragma once
+
+#include "consensus/raft_log.h"
+#include "consensus/raft_message.h"
+#include "core/clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mangoquay::consensus {
+
+struct raft_timing {
+    core::milliseconds m_heartbeat{100};
+    core::milliseconds m_least_election{400};
+    core::milliseconds m_largest_election{800};
+    // Clock rates may be off by 10 % in either direction: while a slow leader measures 300 ms, at most
+    // 300 * 1.1 / 0.9 = 367 ms pass on the fastest follower, which votes for nobody for 400 ms.
+    core::milliseconds m_lease{300};
+};
+
+struct raft_limits {
+    std::size_t m_append_bytes = 1U << 20U;   // payload of one append message
+    std::size_t m_snapshot_bytes = 1U << 20U; // of one snapshot message
+    std::uint64_t m_unacknowledged = 4096;    // entries sent to one follower ahead of its acknowledgement
+    std::uint64_t m_kept_entries = 4096;      // entries kept before the end of a snapshot
+};
+
+// Rules that a planted-fault check switches off; all off in the program.
+struct raft_faults {
+    bool m_count_unsynced = false;
+    bool m_skip_log_check = false;
+    bool m_count_learners = false;
+    bool m_ignore_heard_leader = false;
+    bool m_skip_restart_wait = false;
+    bool m_vote_twice = false;
+    bool m_overlapping_changes = false;
+    bool m_ignore_disk = false;
+    bool m_keep_lease_margin_zero = false;
+};
+
+struct raft_settings {
+    member m_self;
+    std::set<core::entry_host_id> m_initial_hosts;
+    raft_timing m_timing;
+    raft_limits m_limits;
+    std::uint64_t m_seed = 1;
+    raft_faults m_faults;
+};
+
+// Events.
+struct message_received {
+    core::entry_host_id m_from;
+    raft_message m_message;
+};
+struct tick {};
+struct propose_batch {
+    std::vector<std::string> m_payloads;
+};
+// Every storage action up to this sequence number is durable.
+struct storage_synced {
+    std::uint64_t m_sequence = 0;
+};
+// The state machine's state at the last applied index.
+struct snapshot_taken {
+    std::string m_state;
+};
+struct replace_host {
+    core::entry_host_id m_lost;
+    core::entry_host_id m_replacement;
+};
+using raft_event =
+    std::variant<message_received, tick, propose_batch, storage_synced, snapshot_taken, replace_host>;
+
+// Actions.
+struct send_message {
+    core::entry_host_id m_to;
+    raft_message m_message;
+};
+// Storage actions take effect in the order of their sequence numbers.
+struct save_hard_state {
+    std::uint64_t m_sequence = 0;
+    hard_state m_state;
+};
+// Replaces whatever is stored at and after the first entry's index.
+struct append_entries {
+    std::uint64_t m_sequence = 0;
+    std::vector<log_entry> m_entries;
+};
+// Own snapshot: entries before m_first_kept may go.
+struct save_snapshot {
+    std::uint64_t m_sequence = 0;
+    snapshot m_snapshot;
+    log_index m_first_kept = 0;
+};
+// A leader's snapshot replaces snapshot and log.
+struct install_snapshot {
+    std::uint64_t m_sequence = 0;
+    snapshot m_snapshot;
+};
+// For the state machine: replace its state. Comes after the storage action is synced.
+struct restore_state {
+    log_index m_index = 0;
+    std::string m_state;
+};
+struct apply_entries {
+    std::vector<log_entry> m_entries;
+};
+struct proposals_accepted {
+    log_index m_first = 0;
+    std::uint64_t m_count = 0;
+    raft_term m_term;
+};
+struct proposals_refused {
+    std::uint64_t m_count = 0;
+};
+struct became_leader {};
+struct stepped_down {};
+// Outcome of replace_host; an empty reason means that the change is in the log.
+struct replace_outcome {
+    std::string m_reason;
+};
+using raft_action = std::variant<send_message, save_hard_state, append_entries, save_snapshot,
+                                 install_snapshot, restore_state, apply_entries, proposals_accepted,
+                                 proposals_refused, became_leader, stepped_down, replace_outcome>;
+
+enum class raft_role : std::uint8_t { follower, pre_candidate, candidate, leader };
+
+class raft_node {
+public:
+    raft_node(raft_settings settings, recovered_state recovered, core::time_point now);
+
+    std::vector<raft_action> step(const raft_event& event, core::time_point now);
+    // When the next tick is due at the latest.
+    [[nodiscard]] core::time_point next_tick() const;
+
+    [[nodiscard]] raft_role role() const { return m_role; }
+    [[nodiscard]] raft_term current_term() const { return m_hard.m_term; }
+    [[nodiscard]] bool is_leader() const { return m_role == raft_role::leader; }
+    // True on a leader that has applied an entry of its own term and that a quorum has promised not to
+    // replace.
+    [[nodiscard]] bool holds_lease(core::time_point now) const;
+    [[nodiscard]] const std::optional<member>& leader() const { return m_leader; }
+    [[nodiscard]] const member& self() const { return m_settings.m_self; }
+    [[nodiscard]] const membership& members() const { return m_log.members(); }
+    [[nodiscard]] const raft_log& log() const { return m_log; }
+    [[nodiscard]] log_index commit_index() const { return m_commit; }
+    [[nodiscard]] log_index applied_index() const { return m_applied; }
+
+private:
+    struct progress {
+        log_index m_match = 0;        // known to be synced there
+        log_index m_next = 1;         // to send next
+        core::time_point m_contact{}; // when the newest answered round was sent
+        bool m_contacted = false;
+        std::uint64_t m_snapshot_offset = 0; // next byte to send while it receives a snapshot
+        log_index m_snapshot_index = 0;      // 0: receives entries
+    };
+    struct held_action {
+        std::uint64_t m_sequence = 0;
+        raft_action m_action;
+    };
+    struct pending_append {
+        std::uint64_t m_sequence = 0;
+        log_index m_last = 0;
+    };
+    struct incoming_snapshot {
+        member m_from;
+        log_index m_index = 0;
+        raft_term m_term;
+        std::string m_bytes;
+    };
+    struct sent_round {
+        std::uint64_t m_round = 0;
+        core::time_point m_sent{};
+    };
+    struct hello_answer {
+        disk_id m_disk;
+        bool m_empty = false;
+        core::time_point m_at{};
+    };
+
+    // raft_node.cpp: events, storage, roles.
+    void on_event(const message_received& event);
+    void on_event(const tick& event);
+    void on_event(const propose_batch& event);
+    void on_event(const storage_synced& event);
+    void on_event(const snapshot_taken& event);
+    void on_event(const replace_host& event);
+    void dispatch(const member& from, const raft_message& message);
+    void become_follower(raft_term term);
+    void become_leader();
+    void set_hard_state(hard_state state);
+    void store(std::vector<log_entry> entries);
+    log_index append_own(entry_kind kind, std::string payload);
+    void apply_committed();
+    void set_commit(log_index index);
+    void act(raft_action action) { m_actions.push_back(std::move(action)); }
+    void act_after(std::uint64_t sequence, raft_action action);
+    void send(const member& to, raft_message message);
+    void send_after(std::uint64_t sequence, const member& to, raft_message message);
+    [[nodiscard]] raft_message make(message_kind kind) const;
+    [[nodiscard]] std::size_t count_quorum(const std::set<member>& granted) const;
+
+    // raft_election.cpp
+    void reset_election_timer();
+    void start_pre_vote();
+    void start_vote();
+    void request_votes(message_kind kind);
+    void count_votes();
+    [[nodiscard]] bool heard_from_leader() const;
+    [[nodiscard]] bool may_vote_for(const member& from, const raft_message& request) const;
+    void on_pre_vote(const member& from, const raft_message& message);
+    void on_vote(const member& from, const raft_message& message);
+    void on_vote_reply(const member& from, const raft_message& message);
+
+    // raft_replication.cpp
+    void broadcast();
+    void send_append(const member& to, bool even_if_empty);
+    void send_heartbeat_only(const member& to);
+    void send_snapshot_chunk(const member& to);
+    void on_append(const member& from, const raft_message& message);
+    void on_append_reply(const member& from, const raft_message& message);
+    void on_snapshot(const member& from, const raft_message& message);
+    void on_snapshot_reply(const member& from, const raft_message& message);
+    void install(const raft_message& message);
+    log_index merge(const raft_message& message);
+    void reject_append(const member& from, const raft_message& message);
+    void record_contact(progress& follower, std::uint64_t round);
+    void advance_commit();
+    void accept_leader(const member& from, raft_term term);
+    [[nodiscard]] core::time_point quorum_contact() const;
+
+    // raft_members.cpp
+    void send_hellos();
+    void on_hello(const member& from, const raft_message& message);
+    void on_hello_reply(const member& from, const raft_message& message);
+    void bootstrap_if_all_empty();
+    void maintain_members();
+    bool replace_returned_disk();
+    bool promote_learner();
+    void change_members(membership next);
+    void sync_progress();
+    [[nodiscard]] bool may_change_members() const;
+    [[nodiscard]] membership listed_hosts() const;
+
+    raft_settings m_settings;
+    core::time_point m_now;
+    std::mt19937_64 m_random;
+    std::vector<raft_action> m_actions; // of the event being handled
+
+    hard_state m_hard;
+    raft_log m_log;
+    raft_role m_role = raft_role::follower;
+    std::optional<member> m_leader;
+    log_index m_commit = 0;
+    log_index m_applied = 0;
+    bool m_restoring = false; // a received snapshot is being stored: nothing is applied until then
+
+    std::uint64_t m_issued = 0;        // last storage sequence number handed out
+    std::uint64_t m_confirmed = 0;     // last one known to be durable
+    std::uint64_t m_hard_sequence = 0; // of the last save_hard_state
+    log_index m_durable = 0;           // entries up to this index are durable
+    std::deque<pending_append> m_pending_appends;
+    std::deque<held_action> m_held;
+
+    core::deadline m_election;
+    core::time_point m_heard{}; // from a leader; the start of the process counts as such
+    std::set<member> m_granted;
+
+    // Leader only.
+    std::map<member, progress> m_progress; // all members but this one
+    std::uint64_t m_round = 0;
+    std::deque<sent_round> m_rounds;
+    core::deadline m_next_heartbeat;
+    core::time_point m_leader_since{};
+    log_index m_first_of_term = 0;
+    std::map<core::entry_host_id, disk_id> m_returned; // known hosts seen under another disk
+
+    std::optional<incoming_snapshot> m_incoming;
+    std::map<core::entry_host_id, hello_answer> m_hello_answers; // while the folder is empty
+    core::deadline m_next_hello;
+    raft_term m_hello_term; // of the leader that answered last
+    std::uint64_t m_hello_round = 0;
+};
+
+} // namespace mangoquay::consensus
--- /dev/null
+++ b/src/consensus/raft_types.h
@@ -0,0 +1,92 @@
+// The values that the parts of the consensus slice share: members, log entries, snapshots, persistent state.
+#pragma once
+
+#include "core/ids.h"
+#include "core/result.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace mangoquay::consensus {
+
+// Rises with each election.
+using raft_term = core::strong_value<struct raft_term_tag, std::uint64_t>;
+// Drawn at random when a data folder is created, so that a host whose disk was lost is a different member.
+using disk_id = core::strong_value<struct disk_id_tag, std::string>;
+// Position in the log; the first entry has index 1. A plain number, because the core calculates with it.
+using log_index = std::uint64_t;
+
+// Success, or the reason of a failure.
+using status = core::result<std::monostate>;
+
+// An empty disk id stands for a host whose disk is not known yet; such a member never acknowledges anything.
+struct member {
+    core::entry_host_id m_host;
+    disk_id m_disk;
+
+    friend auto operator<=>(const member&, const member&) = default;
+};
+
+struct membership {
+    std::set<member> m_voters;
+    std::set<member> m_learners; // receive the log and count toward no quorum
+
+    [[nodiscard]] bool is_voter(const member& candidate) const { return m_voters.contains(candidate); }
+    [[nodiscard]] bool contains(const member& candidate) const {
+        return m_voters.contains(candidate) || m_learners.contains(candidate);
+    }
+    [[nodiscard]] bool contains_host(const core::entry_host_id& host) const;
+    [[nodiscard]] std::size_t quorum() const { return m_voters.size() / 2 + 1; }
+    // Whether two memberships differ by at most one voter, the condition for changing from one to the other.
+    [[nodiscard]] bool is_single_change(const membership& next) const;
+
+    friend bool operator==(const membership&, const membership&) = default;
+};
+
+std::string encode_membership(const membership& members);
+core::result<membership> decode_membership(std::string_view bytes);
+
+enum class entry_kind : std::uint8_t {
+    command, // payload belongs to the state machine
+    none,    // appended by a new leader; empty payload
+    members, // payload is an encoded membership
+};
+
+struct log_entry {
+    raft_term m_term;
+    log_index m_index = 0;
+    entry_kind m_kind = entry_kind::command;
+    std::string m_payload;
+
+    friend bool operator==(const log_entry&, const log_entry&) = default;
+};
+
+struct snapshot {
+    log_index m_index = 0; // of the last entry whose effect the state contains; 0: no snapshot
+    raft_term m_term;      // of that entry
+    membership m_members;  // as of that entry
+    std::string m_state;
+
+    friend bool operator==(const snapshot&, const snapshot&) = default;
+};
+
+struct hard_state {
+    raft_term m_term;
+    member m_vote; // empty host: no vote in m_term
+
+    friend bool operator==(const hard_state&, const hard_state&) = default;
+};
+
+// What a data folder holds when a process starts.
+struct recovered_state {
+    disk_id m_disk;
+    hard_state m_hard_state;
+    snapshot m_snapshot;
+    std::vector<log_entry> m_entries; // contiguous; may begin before the end of the snapshot
+};
+
+} // namespace mangoquay::consensus
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -32,6 +32,26 @@
 struct raft_entryBuilder;
 struct raft_entryT;
 
+struct raft_member;
+struct raft_memberBuilder;
+struct raft_memberT;
+
+struct raft_members;
+struct raft_membersBuilder;
+struct raft_membersT;
+
+struct raft_record;
+struct raft_recordBuilder;
+struct raft_recordT;
+
+struct raft_hard_state;
+struct raft_hard_stateBuilder;
+struct raft_hard_stateT;
+
+struct raft_snapshot;
+struct raft_snapshotBuilder;
+struct raft_snapshotT;
+
 struct raft_message;
 struct raft_messageBuilder;
 struct raft_messageT;
@@ -640,6 +660,7 @@
   typedef raft_entry TableType;
   uint64_t term = 0;
   std::vector<uint8_t> payload{};
+  uint8_t kind = 0;
 };
 
 struct raft_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -648,7 +669,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TERM = 4,
-    VT_PAYLOAD = 6
+    VT_PAYLOAD = 6,
+    VT_KIND = 8
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -656,11 +678,15 @@
   const flatbuffers::Vector<uint8_t> *payload() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
   }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyOffset(verifier, VT_PAYLOAD) &&
            verifier.VerifyVector(payload()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            verifier.EndTable();
   }
   raft_entryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -678,6 +704,9 @@
   void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
     fbb_.AddOffset(raft_entry::VT_PAYLOAD, payload);
   }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(raft_entry::VT_KIND, kind, 0);
+  }
   explicit raft_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -692,10 +721,12 @@
 inline flatbuffers::Offset<raft_entry> Createraft_entry(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0,
+    uint8_t kind = 0) {
   raft_entryBuilder builder_(_fbb);
   builder_.add_term(term);
   builder_.add_payload(payload);
+  builder_.add_kind(kind);
   return builder_.Finish();
 }
 
@@ -707,16 +738,486 @@
 inline flatbuffers::Offset<raft_entry> Createraft_entryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t term = 0,
-    const std::vector<uint8_t> *payload = nullptr) {
+    const std::vector<uint8_t> *payload = nullptr,
+    uint8_t kind = 0) {
   auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
   return mangoquay::wire::Createraft_entry(
       _fbb,
       term,
-      payload__);
+      payload__,
+      kind);
 }
 
 flatbuffers::Offset<raft_entry> Createraft_entry(flatbuffers::FlatBufferBuilder &_fbb, const raft_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct raft_memberT : public flatbuffers::NativeTable {
+  typedef raft_member TableType;
+  std::string host{};
+  std::string disk{};
+};
+
+struct raft_member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef raft_memberT NativeTableType;
+  typedef raft_memberBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOST = 4,
+    VT_DISK = 6
+  };
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *disk() const {
+    return GetPointer<const flatbuffers::String *>(VT_DISK);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_DISK) &&
+           verifier.VerifyString(disk()) &&
+           verifier.EndTable();
+  }
+  raft_memberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(raft_memberT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<raft_member> Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_memberT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct raft_memberBuilder {
+  typedef raft_member Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(raft_member::VT_HOST, host);
+  }
+  void add_disk(flatbuffers::Offset<flatbuffers::String> disk) {
+    fbb_.AddOffset(raft_member::VT_DISK, disk);
+  }
+  explicit raft_memberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<raft_member> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<raft_member>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<raft_member> Createraft_member(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> disk = 0) {
+  raft_memberBuilder builder_(_fbb);
+  builder_.add_disk(disk);
+  builder_.add_host(host);
+  return builder_.Finish();
+}
+
+struct raft_member::Traits {
+  using type = raft_member;
+  static auto constexpr Create = Createraft_member;
+};
+
+inline flatbuffers::Offset<raft_member> Createraft_memberDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *host = nullptr,
+    const char *disk = nullptr) {
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto disk__ = disk ? _fbb.CreateString(disk) : 0;
+  return mangoquay::wire::Createraft_member(
+      _fbb,
+      host__,
+      disk__);
+}
+
+flatbuffers::Offset<raft_member> Createraft_member(flatbuffers::FlatBufferBuilder &_fbb, const raft_memberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct raft_membersT : public flatbuffers::NativeTable {
+  typedef raft_members TableType;
+  std::vector<std::unique_ptr<mangoquay::wire::raft_memberT>> voters{};
+  std::vector<std::unique_ptr<mangoquay::wire::raft_memberT>> learners{};
+  raft_membersT() = default;
+  raft_membersT(const raft_membersT &o);
+  raft_membersT(raft_membersT&&) FLATBUFFERS_NOEXCEPT = default;
+  raft_membersT &operator=(raft_membersT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct raft_members FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef raft_membersT NativeTableType;
+  typedef raft_membersBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VOTERS = 4,
+    VT_LEARNERS = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::raft_member>> *voters() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::raft_member>> *>(VT_VOTERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::raft_member>> *learners() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::raft_member>> *>(VT_LEARNERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_VOTERS) &&
+           verifier.VerifyVector(voters()) &&
+           verifier.VerifyVectorOfTables(voters()) &&
+           VerifyOffset(verifier, VT_LEARNERS) &&
+           verifier.VerifyVector(learners()) &&
+           verifier.VerifyVectorOfTables(learners()) &&
+           verifier.EndTable();
+  }
+  raft_membersT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(raft_membersT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<raft_members> Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_membersT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct raft_membersBuilder {
+  typedef raft_members Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_voters(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::raft_member>>> voters) {
+    fbb_.AddOffset(raft_members::VT_VOTERS, voters);
+  }
+  void add_learners(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::raft_member>>> learners) {
+    fbb_.AddOffset(raft_members::VT_LEARNERS, learners);
+  }
+  explicit raft_membersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<raft_members> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<raft_members>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<raft_members> Createraft_members(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::raft_member>>> voters = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::raft_member>>> learners = 0) {
+  raft_membersBuilder builder_(_fbb);
+  builder_.add_learners(learners);
+  builder_.add_voters(voters);
+  return builder_.Finish();
+}
+
+struct raft_members::Traits {
+  using type = raft_members;
+  static auto constexpr Create = Createraft_members;
+};
+
+inline flatbuffers::Offset<raft_members> Createraft_membersDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::raft_member>> *voters = nullptr,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::raft_member>> *learners = nullptr) {
+  auto voters__ = voters ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_member>>(*voters) : 0;
+  auto learners__ = learners ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_member>>(*learners) : 0;
+  return mangoquay::wire::Createraft_members(
+      _fbb,
+      voters__,
+      learners__);
+}
+
+flatbuffers::Offset<raft_members> Createraft_members(flatbuffers::FlatBufferBuilder &_fbb, const raft_membersT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct raft_recordT : public flatbuffers::NativeTable {
+  typedef raft_record TableType;
+  uint64_t batch_start = 0;
+  uint64_t index = 0;
+  std::unique_ptr<mangoquay::wire::raft_entryT> entry{};
+  raft_recordT() = default;
+  raft_recordT(const raft_recordT &o);
+  raft_recordT(raft_recordT&&) FLATBUFFERS_NOEXCEPT = default;
+  raft_recordT &operator=(raft_recordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct raft_record FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef raft_recordT NativeTableType;
+  typedef raft_recordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BATCH_START = 4,
+    VT_INDEX = 6,
+    VT_ENTRY = 8
+  };
+  uint64_t batch_start() const {
+    return GetField<uint64_t>(VT_BATCH_START, 0);
+  }
+  uint64_t index() const {
+    return GetField<uint64_t>(VT_INDEX, 0);
+  }
+  const mangoquay::wire::raft_entry *entry() const {
+    return GetPointer<const mangoquay::wire::raft_entry *>(VT_ENTRY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_BATCH_START, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INDEX, 8) &&
+           VerifyOffset(verifier, VT_ENTRY) &&
+           verifier.VerifyTable(entry()) &&
+           verifier.EndTable();
+  }
+  raft_recordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(raft_recordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<raft_record> Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct raft_recordBuilder {
+  typedef raft_record Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_batch_start(uint64_t batch_start) {
+    fbb_.AddElement<uint64_t>(raft_record::VT_BATCH_START, batch_start, 0);
+  }
+  void add_index(uint64_t index) {
+    fbb_.AddElement<uint64_t>(raft_record::VT_INDEX, index, 0);
+  }
+  void add_entry(flatbuffers::Offset<mangoquay::wire::raft_entry> entry) {
+    fbb_.AddOffset(raft_record::VT_ENTRY, entry);
+  }
+  explicit raft_recordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<raft_record> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<raft_record>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<raft_record> Createraft_record(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t batch_start = 0,
+    uint64_t index = 0,
+    flatbuffers::Offset<mangoquay::wire::raft_entry> entry = 0) {
+  raft_recordBuilder builder_(_fbb);
+  builder_.add_index(index);
+  builder_.add_batch_start(batch_start);
+  builder_.add_entry(entry);
+  return builder_.Finish();
+}
+
+struct raft_record::Traits {
+  using type = raft_record;
+  static auto constexpr Create = Createraft_record;
+};
+
+flatbuffers::Offset<raft_record> Createraft_record(flatbuffers::FlatBufferBuilder &_fbb, const raft_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct raft_hard_stateT : public flatbuffers::NativeTable {
+  typedef raft_hard_state TableType;
+  std::string disk{};
+  uint64_t term = 0;
+  std::unique_ptr<mangoquay::wire::raft_memberT> vote{};
+  raft_hard_stateT() = default;
+  raft_hard_stateT(const raft_hard_stateT &o);
+  raft_hard_stateT(raft_hard_stateT&&) FLATBUFFERS_NOEXCEPT = default;
+  raft_hard_stateT &operator=(raft_hard_stateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct raft_hard_state FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef raft_hard_stateT NativeTableType;
+  typedef raft_hard_stateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DISK = 4,
+    VT_TERM = 6,
+    VT_VOTE = 8
+  };
+  const flatbuffers::String *disk() const {
+    return GetPointer<const flatbuffers::String *>(VT_DISK);
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const mangoquay::wire::raft_member *vote() const {
+    return GetPointer<const mangoquay::wire::raft_member *>(VT_VOTE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DISK) &&
+           verifier.VerifyString(disk()) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_VOTE) &&
+           verifier.VerifyTable(vote()) &&
+           verifier.EndTable();
+  }
+  raft_hard_stateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(raft_hard_stateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<raft_hard_state> Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_hard_stateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct raft_hard_stateBuilder {
+  typedef raft_hard_state Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_disk(flatbuffers::Offset<flatbuffers::String> disk) {
+    fbb_.AddOffset(raft_hard_state::VT_DISK, disk);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(raft_hard_state::VT_TERM, term, 0);
+  }
+  void add_vote(flatbuffers::Offset<mangoquay::wire::raft_member> vote) {
+    fbb_.AddOffset(raft_hard_state::VT_VOTE, vote);
+  }
+  explicit raft_hard_stateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<raft_hard_state> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<raft_hard_state>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<raft_hard_state> Createraft_hard_state(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> disk = 0,
+    uint64_t term = 0,
+    flatbuffers::Offset<mangoquay::wire::raft_member> vote = 0) {
+  raft_hard_stateBuilder builder_(_fbb);
+  builder_.add_term(term);
+  builder_.add_vote(vote);
+  builder_.add_disk(disk);
+  return builder_.Finish();
+}
+
+struct raft_hard_state::Traits {
+  using type = raft_hard_state;
+  static auto constexpr Create = Createraft_hard_state;
+};
+
+inline flatbuffers::Offset<raft_hard_state> Createraft_hard_stateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *disk = nullptr,
+    uint64_t term = 0,
+    flatbuffers::Offset<mangoquay::wire::raft_member> vote = 0) {
+  auto disk__ = disk ? _fbb.CreateString(disk) : 0;
+  return mangoquay::wire::Createraft_hard_state(
+      _fbb,
+      disk__,
+      term,
+      vote);
+}
+
+flatbuffers::Offset<raft_hard_state> Createraft_hard_state(flatbuffers::FlatBufferBuilder &_fbb, const raft_hard_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct raft_snapshotT : public flatbuffers::NativeTable {
+  typedef raft_snapshot TableType;
+  uint64_t index = 0;
+  uint64_t term = 0;
+  std::unique_ptr<mangoquay::wire::raft_membersT> members{};
+  std::vector<uint8_t> state{};
+  raft_snapshotT() = default;
+  raft_snapshotT(const raft_snapshotT &o);
+  raft_snapshotT(raft_snapshotT&&) FLATBUFFERS_NOEXCEPT = default;
+  raft_snapshotT &operator=(raft_snapshotT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct raft_snapshot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef raft_snapshotT NativeTableType;
+  typedef raft_snapshotBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INDEX = 4,
+    VT_TERM = 6,
+    VT_MEMBERS = 8,
+    VT_STATE = 10
+  };
+  uint64_t index() const {
+    return GetField<uint64_t>(VT_INDEX, 0);
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const mangoquay::wire::raft_members *members() const {
+    return GetPointer<const mangoquay::wire::raft_members *>(VT_MEMBERS);
+  }
+  const flatbuffers::Vector<uint8_t> *state() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_STATE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyTable(members()) &&
+           VerifyOffset(verifier, VT_STATE) &&
+           verifier.VerifyVector(state()) &&
+           verifier.EndTable();
+  }
+  raft_snapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(raft_snapshotT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<raft_snapshot> Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_snapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct raft_snapshotBuilder {
+  typedef raft_snapshot Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_index(uint64_t index) {
+    fbb_.AddElement<uint64_t>(raft_snapshot::VT_INDEX, index, 0);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(raft_snapshot::VT_TERM, term, 0);
+  }
+  void add_members(flatbuffers::Offset<mangoquay::wire::raft_members> members) {
+    fbb_.AddOffset(raft_snapshot::VT_MEMBERS, members);
+  }
+  void add_state(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state) {
+    fbb_.AddOffset(raft_snapshot::VT_STATE, state);
+  }
+  explicit raft_snapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<raft_snapshot> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<raft_snapshot>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<raft_snapshot> Createraft_snapshot(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t index = 0,
+    uint64_t term = 0,
+    flatbuffers::Offset<mangoquay::wire::raft_members> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state = 0) {
+  raft_snapshotBuilder builder_(_fbb);
+  builder_.add_term(term);
+  builder_.add_index(index);
+  builder_.add_state(state);
+  builder_.add_members(members);
+  return builder_.Finish();
+}
+
+struct raft_snapshot::Traits {
+  using type = raft_snapshot;
+  static auto constexpr Create = Createraft_snapshot;
+};
+
+inline flatbuffers::Offset<raft_snapshot> Createraft_snapshotDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t index = 0,
+    uint64_t term = 0,
+    flatbuffers::Offset<mangoquay::wire::raft_members> members = 0,
+    const std::vector<uint8_t> *state = nullptr) {
+  auto state__ = state ? _fbb.CreateVector<uint8_t>(*state) : 0;
+  return mangoquay::wire::Createraft_snapshot(
+      _fbb,
+      index,
+      term,
+      members,
+      state__);
+}
+
+flatbuffers::Offset<raft_snapshot> Createraft_snapshot(flatbuffers::FlatBufferBuilder &_fbb, const raft_snapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct raft_messageT : public flatbuffers::NativeTable {
   typedef raft_message TableType;
   uint8_t kind = 0;
@@ -731,6 +1232,8 @@
   uint64_t round = 0;
   std::vector<uint8_t> snapshot{};
   std::vector<uint8_t> members{};
+  uint64_t offset = 0;
+  uint64_t total = 0;
   raft_messageT() = default;
   raft_messageT(const raft_messageT &o);
   raft_messageT(raft_messageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -753,7 +1256,9 @@
     VT_GRANTED = 20,
     VT_ROUND = 22,
     VT_SNAPSHOT = 24,
-    VT_MEMBERS = 26
+    VT_MEMBERS = 26,
+    VT_OFFSET = 28,
+    VT_TOTAL = 30
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -791,6 +1296,12 @@
   const flatbuffers::Vector<uint8_t> *members() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_MEMBERS);
   }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  uint64_t total() const {
+    return GetField<uint64_t>(VT_TOTAL, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -811,6 +1322,8 @@
            verifier.VerifyVector(snapshot()) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL, 8) &&
            verifier.EndTable();
   }
   raft_messageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -858,6 +1371,12 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members) {
     fbb_.AddOffset(raft_message::VT_MEMBERS, members);
   }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(raft_message::VT_OFFSET, offset, 0);
+  }
+  void add_total(uint64_t total) {
+    fbb_.AddElement<uint64_t>(raft_message::VT_TOTAL, total, 0);
+  }
   explicit raft_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -882,8 +1401,12 @@
     bool granted = false,
     uint64_t round = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> snapshot = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members = 0,
+    uint64_t offset = 0,
+    uint64_t total = 0) {
   raft_messageBuilder builder_(_fbb);
+  builder_.add_total(total);
+  builder_.add_offset(offset);
   builder_.add_round(round);
   builder_.add_commit(commit);
   builder_.add_log_term(log_term);
@@ -917,7 +1440,9 @@
     bool granted = false,
     uint64_t round = 0,
     const std::vector<uint8_t> *snapshot = nullptr,
-    const std::vector<uint8_t> *members = nullptr) {
+    const std::vector<uint8_t> *members = nullptr,
+    uint64_t offset = 0,
+    uint64_t total = 0) {
   auto from_disk__ = from_disk ? _fbb.CreateString(from_disk) : 0;
   auto to_disk__ = to_disk ? _fbb.CreateString(to_disk) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_entry>>(*entries) : 0;
@@ -936,7 +1461,9 @@
       granted,
       round,
       snapshot__,
-      members__);
+      members__,
+      offset,
+      total);
 }
 
 flatbuffers::Offset<raft_message> Createraft_message(flatbuffers::FlatBufferBuilder &_fbb, const raft_messageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3065,6 +3592,7 @@
   (void)_resolver;
   { auto _e = term(); _o->term = _e; }
   { auto _e = payload(); if (_e) { _o->payload.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->payload.begin()); } }
+  { auto _e = kind(); _o->kind = _e; }
 }
 
 inline flatbuffers::Offset<raft_entry> raft_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3077,10 +3605,223 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _term = _o->term;
   auto _payload = _o->payload.size() ? _fbb.CreateVector(_o->payload) : 0;
+  auto _kind = _o->kind;
   return mangoquay::wire::Createraft_entry(
       _fbb,
       _term,
-      _payload);
+      _payload,
+      _kind);
+}
+
+inline raft_memberT *raft_member::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_memberT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_member::UnPackTo(raft_memberT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = disk(); if (_e) _o->disk = _e->str(); }
+}
+
+inline flatbuffers::Offset<raft_member> raft_member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_memberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_member(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_member> Createraft_member(flatbuffers::FlatBufferBuilder &_fbb, const raft_memberT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_memberT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _disk = _o->disk.empty() ? 0 : _fbb.CreateString(_o->disk);
+  return mangoquay::wire::Createraft_member(
+      _fbb,
+      _host,
+      _disk);
+}
+
+inline raft_membersT::raft_membersT(const raft_membersT &o) {
+  voters.reserve(o.voters.size());
+  for (const auto &voters_ : o.voters) { voters.emplace_back((voters_) ? new mangoquay::wire::raft_memberT(*voters_) : nullptr); }
+  learners.reserve(o.learners.size());
+  for (const auto &learners_ : o.learners) { learners.emplace_back((learners_) ? new mangoquay::wire::raft_memberT(*learners_) : nullptr); }
+}
+
+inline raft_membersT &raft_membersT::operator=(raft_membersT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(voters, o.voters);
+  std::swap(learners, o.learners);
+  return *this;
+}
+
+inline raft_membersT *raft_members::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_membersT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_members::UnPackTo(raft_membersT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = voters(); if (_e) { _o->voters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->voters[_i] = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = learners(); if (_e) { _o->learners.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->learners[_i] = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<raft_members> raft_members::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_membersT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_members(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_members> Createraft_members(flatbuffers::FlatBufferBuilder &_fbb, const raft_membersT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_membersT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _voters = _o->voters.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_member>> (_o->voters.size(), [](size_t i, _VectorArgs *__va) { return Createraft_member(*__va->__fbb, __va->__o->voters[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _learners = _o->learners.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_member>> (_o->learners.size(), [](size_t i, _VectorArgs *__va) { return Createraft_member(*__va->__fbb, __va->__o->learners[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mangoquay::wire::Createraft_members(
+      _fbb,
+      _voters,
+      _learners);
+}
+
+inline raft_recordT::raft_recordT(const raft_recordT &o)
+      : batch_start(o.batch_start),
+        index(o.index),
+        entry((o.entry) ? new mangoquay::wire::raft_entryT(*o.entry) : nullptr) {
+}
+
+inline raft_recordT &raft_recordT::operator=(raft_recordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(batch_start, o.batch_start);
+  std::swap(index, o.index);
+  std::swap(entry, o.entry);
+  return *this;
+}
+
+inline raft_recordT *raft_record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_recordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_record::UnPackTo(raft_recordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = batch_start(); _o->batch_start = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = entry(); if (_e) _o->entry = std::unique_ptr<mangoquay::wire::raft_entryT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<raft_record> raft_record::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_record(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_record> Createraft_record(flatbuffers::FlatBufferBuilder &_fbb, const raft_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_recordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _batch_start = _o->batch_start;
+  auto _index = _o->index;
+  auto _entry = _o->entry ? Createraft_entry(_fbb, _o->entry.get(), _rehasher) : 0;
+  return mangoquay::wire::Createraft_record(
+      _fbb,
+      _batch_start,
+      _index,
+      _entry);
+}
+
+inline raft_hard_stateT::raft_hard_stateT(const raft_hard_stateT &o)
+      : disk(o.disk),
+        term(o.term),
+        vote((o.vote) ? new mangoquay::wire::raft_memberT(*o.vote) : nullptr) {
+}
+
+inline raft_hard_stateT &raft_hard_stateT::operator=(raft_hard_stateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(disk, o.disk);
+  std::swap(term, o.term);
+  std::swap(vote, o.vote);
+  return *this;
+}
+
+inline raft_hard_stateT *raft_hard_state::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_hard_stateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_hard_state::UnPackTo(raft_hard_stateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = disk(); if (_e) _o->disk = _e->str(); }
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = vote(); if (_e) _o->vote = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<raft_hard_state> raft_hard_state::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_hard_stateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_hard_state(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_hard_state> Createraft_hard_state(flatbuffers::FlatBufferBuilder &_fbb, const raft_hard_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_hard_stateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _disk = _o->disk.empty() ? 0 : _fbb.CreateString(_o->disk);
+  auto _term = _o->term;
+  auto _vote = _o->vote ? Createraft_member(_fbb, _o->vote.get(), _rehasher) : 0;
+  return mangoquay::wire::Createraft_hard_state(
+      _fbb,
+      _disk,
+      _term,
+      _vote);
+}
+
+inline raft_snapshotT::raft_snapshotT(const raft_snapshotT &o)
+      : index(o.index),
+        term(o.term),
+        members((o.members) ? new mangoquay::wire::raft_membersT(*o.members) : nullptr),
+        state(o.state) {
+}
+
+inline raft_snapshotT &raft_snapshotT::operator=(raft_snapshotT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(index, o.index);
+  std::swap(term, o.term);
+  std::swap(members, o.members);
+  std::swap(state, o.state);
+  return *this;
+}
+
+inline raft_snapshotT *raft_snapshot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_snapshotT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_snapshot::UnPackTo(raft_snapshotT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = members(); if (_e) _o->members = std::unique_ptr<mangoquay::wire::raft_membersT>(_e->UnPack(_resolver)); }
+  { auto _e = state(); if (_e) { _o->state.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->state.begin()); } }
+}
+
+inline flatbuffers::Offset<raft_snapshot> raft_snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_snapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_snapshot(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_snapshot> Createraft_snapshot(flatbuffers::FlatBufferBuilder &_fbb, const raft_snapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_snapshotT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _index = _o->index;
+  auto _term = _o->term;
+  auto _members = _o->members ? Createraft_members(_fbb, _o->members.get(), _rehasher) : 0;
+  auto _state = _o->state.size() ? _fbb.CreateVector(_o->state) : 0;
+  return mangoquay::wire::Createraft_snapshot(
+      _fbb,
+      _index,
+      _term,
+      _members,
+      _state);
 }
 
 inline raft_messageT::raft_messageT(const raft_messageT &o)
@@ -3094,7 +3835,9 @@
         granted(o.granted),
         round(o.round),
         snapshot(o.snapshot),
-        members(o.members) {
+        members(o.members),
+        offset(o.offset),
+        total(o.total) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new mangoquay::wire::raft_entryT(*entries_) : nullptr); }
 }
@@ -3112,6 +3855,8 @@
   std::swap(round, o.round);
   std::swap(snapshot, o.snapshot);
   std::swap(members, o.members);
+  std::swap(offset, o.offset);
+  std::swap(total, o.total);
   return *this;
 }
 
@@ -3136,6 +3881,8 @@
   { auto _e = round(); _o->round = _e; }
   { auto _e = snapshot(); if (_e) { _o->snapshot.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->snapshot.begin()); } }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->members.begin()); } }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = total(); _o->total = _e; }
 }
 
 inline flatbuffers::Offset<raft_message> raft_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_messageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3158,6 +3905,8 @@
   auto _round = _o->round;
   auto _snapshot = _o->snapshot.size() ? _fbb.CreateVector(_o->snapshot) : 0;
   auto _members = _o->members.size() ? _fbb.CreateVector(_o->members) : 0;
+  auto _offset = _o->offset;
+  auto _total = _o->total;
   return mangoquay::wire::Createraft_message(
       _fbb,
       _kind,
@@ -3171,7 +3920,9 @@
       _granted,
       _round,
       _snapshot,
-      _members);
+      _members,
+      _offset,
+      _total);
 }
 
 inline endpoint_healthT::endpoint_healthT(const endpoint_healthT &o)
