--- /dev/null
+++ b/test/correctness/routing_decisions.cpp
@@ -0,0 +1,204 @@
+// Guards against reads at replicas that lack the caller's writes, against work for endpoints that must get
+// none, and against reads that burden the primary although a replica could serve them.
+#include "routing/choose_endpoint.h"
+#include "support/fleet_state.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace mangoquay;
+using namespace mangoquay::test;
+using routing::request_purpose;
+using routing::route_reason;
+
+class routing_decisions : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(routing_decisions);
+    CPPUNIT_TEST(writes_need_a_current_view_a_lease_and_a_primary);
+    CPPUNIT_TEST(reads_prefer_a_near_replica_at_the_position);
+    CPPUNIT_TEST(reads_wait_for_a_replica_before_they_burden_the_primary);
+    CPPUNIT_TEST(reads_without_trust_go_to_the_primary_or_an_aged_replica);
+    CPPUNIT_TEST(excluded_endpoints_get_nothing);
+    CPPUNIT_TEST(replaced_terms_are_refused);
+    CPPUNIT_TEST(a_view_that_is_not_current_serves_only_proven_reads);
+    CPPUNIT_TEST(exports_read_replicas_at_the_settled_position);
+    CPPUNIT_TEST(load_spreads_over_zones);
+    CPPUNIT_TEST(keys_keep_their_group);
+    CPPUNIT_TEST_SUITE_END();
+
+    control::control_state m_state;
+    routing::position_table m_positions;
+    routing::route_request m_request;
+    core::time_point m_now{std::chrono::hours(1)};
+
+    routing::route_decision decide() const {
+        return routing::choose_endpoint(m_state, m_positions, m_request, m_now);
+    }
+    control::endpoint_record& endpoint(int member) {
+        return m_state.m_endpoints.at(endpoint_name(0, member));
+    }
+    void assert_chosen(int member, route_reason why) const {
+        const routing::route_decision decision = decide();
+        CPPUNIT_ASSERT_EQUAL(endpoint_name(0, member).value(), decision.m_endpoint.value());
+        CPPUNIT_ASSERT_EQUAL(std::string(to_string(why)), std::string(to_string(decision.m_reason)));
+    }
+    void assert_refused(core::reason why) const {
+        CPPUNIT_ASSERT(decide().refused());
+        CPPUNIT_ASSERT_EQUAL(std::string(to_string(why)), std::string(to_string(decide().m_refusal)));
+    }
+
+public:
+    void setUp() override {
+        m_state = fleet_state();
+        m_positions = {};
+        m_request = {};
+        m_request.m_service = service;
+        m_request.m_group = group_name(0);
+        m_request.m_zone = zones[1];
+        m_request.m_view_current = true;
+        m_request.m_lease_valid = true;
+        m_request.m_deadline = core::deadline_after(m_now, std::chrono::seconds(5));
+    }
+
+    void writes_need_a_current_view_a_lease_and_a_primary() {
+        assert_chosen(0, route_reason::write_to_primary);
+        m_request.m_lease_valid = false;
+        assert_refused(core::reason::lease_lapsed);
+        m_request.m_view_current = false;
+        assert_refused(core::reason::control_not_current);
+        m_request.m_lease_valid = m_request.m_view_current = true;
+        m_state.m_groups.at(group_name(0)).m_promotion_in_progress = true;
+        assert_refused(core::reason::no_primary);
+        m_request.m_group = group_name(7);
+        assert_refused(core::reason::unknown_group);
+    }
+
+    void reads_prefer_a_near_replica_at_the_position() {
+        m_request.m_purpose = request_purpose::read;
+        m_request.m_least_position = at(1, 100);
+        m_positions.position_learned(endpoint_name(0, 1), at(1, 100));
+        m_positions.position_learned(endpoint_name(0, 2), at(1, 500));
+        assert_chosen(1, route_reason::position_reached);
+        m_request.m_least_position = at(1, 101);
+        assert_chosen(2, route_reason::position_reached);
+        CPPUNIT_ASSERT(decide().m_least_position == at(1, 101));
+    }
+
+    void reads_wait_for_a_replica_before_they_burden_the_primary() {
+        m_request.m_purpose = request_purpose::read;
+        m_request.m_least_position = at(1, 100);
+        assert_chosen(1, route_reason::position_expected);
+        CPPUNIT_ASSERT(decide().m_position_wait == routing::longest_position_wait);
+        m_positions.fell_behind(endpoint_name(0, 1), m_now);
+        assert_chosen(2, route_reason::position_expected);
+        m_positions.fell_behind(endpoint_name(0, 2), m_now);
+        assert_chosen(0, route_reason::primary_replicas_behind);
+        m_now += routing::behind_pause;
+        assert_chosen(1, route_reason::position_expected);
+    }
+
+    void reads_without_trust_go_to_the_primary_or_an_aged_replica() {
+        m_request.m_purpose = request_purpose::read;
+        assert_chosen(0, route_reason::primary_no_token);
+        m_request.m_max_age = core::milliseconds(500);
+        assert_chosen(1, route_reason::age_allowed);
+        m_request.m_excluded = {endpoint_name(0, 1), endpoint_name(0, 2)};
+        assert_chosen(0, route_reason::primary_no_replica);
+    }
+
+    void excluded_endpoints_get_nothing() {
+        m_request.m_purpose = request_purpose::read;
+        m_request.m_least_position = at(1, 1);
+        const auto exclude_near = [this](const auto& change, const char* what) {
+            setUp();
+            m_request.m_purpose = request_purpose::read;
+            m_request.m_least_position = at(1, 1);
+            change();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, endpoint_name(0, 2).value(), decide().m_endpoint.value());
+        };
+        exclude_near([this] { endpoint(1).m_leaving = true; }, "leaving");
+        exclude_near([this] { endpoint(1).m_role = control::endpoint_role::needs_rewind; }, "needs rewind");
+        exclude_near([this] { endpoint(1).m_owner = {}; }, "no owner");
+        exclude_near([this] { m_state.m_proxies.erase(host_name(1)); }, "owner is gone");
+        exclude_near([this] { m_positions.endpoint_failed(endpoint_name(0, 1), m_now); }, "endpoint failed");
+        exclude_near([this] { m_positions.owner_failed(host_name(1), m_now); }, "owner failed");
+        exclude_near(
+            [this] {
+                auto& preset = m_state.m_presets.at(core::preset_name("ordinary_day"));
+                preset.m_drained_endpoints.insert(endpoint_name(0, 1));
+            },
+            "drained by the preset");
+        m_request.m_purpose = request_purpose::write;
+        endpoint(0).m_leaving = true;
+        assert_refused(core::reason::endpoint_leaving);
+    }
+
+    void replaced_terms_are_refused() {
+        auto& group = m_state.m_groups.at(group_name(0));
+        group.m_term = core::term(2);
+        group.m_fork_positions[core::term(2)] = core::log_position(90);
+        m_request.m_purpose = request_purpose::read;
+        m_request.m_least_position = at(1, 80);
+        m_positions.position_learned(endpoint_name(0, 1), at(1, 200)); // has a discarded tail
+        m_positions.position_learned(endpoint_name(0, 2), at(2, 95));
+        assert_chosen(2, route_reason::position_reached);
+        CPPUNIT_ASSERT(decide().m_least_position == at(2, 90));
+        m_request.m_least_position = at(3, 1); // the session is ahead of this view
+        m_request.m_excluded = {endpoint_name(0, 1), endpoint_name(0, 2)};
+        assert_refused(core::reason::control_not_current);
+    }
+
+    void a_view_that_is_not_current_serves_only_proven_reads() {
+        m_request.m_view_current = false;
+        m_request.m_purpose = request_purpose::read;
+        assert_refused(core::reason::control_not_current);
+        m_request.m_max_age = core::milliseconds(500);
+        assert_chosen(1, route_reason::age_allowed);
+        m_request.m_least_position = at(1, 100);
+        assert_chosen(1, route_reason::position_expected);
+        m_request.m_excluded = {endpoint_name(0, 1), endpoint_name(0, 2)};
+        assert_refused(core::reason::control_not_current);
+    }
+
+    void exports_read_replicas_at_the_settled_position() {
+        m_request.m_purpose = request_purpose::export_read;
+        m_request.m_least_position = at(1, 100);
+        m_positions.position_learned(endpoint_name(0, 2), at(1, 100));
+        assert_chosen(2, route_reason::settled_day);
+    }
+
+    void load_spreads_over_zones() {
+        m_request.m_purpose = request_purpose::read;
+        m_request.m_least_position = at(1, 100);
+        std::map<std::string, int> served;
+        for (int member = 1; member < 3; ++member) {
+            m_positions.position_learned(endpoint_name(0, member), at(1, 100));
+        }
+        for (int request = 0; request < 30; ++request) {
+            m_request.m_random = static_cast<std::uint64_t>(request);
+            const core::endpoint_id chosen = decide().m_endpoint;
+            m_positions.attempt_started(chosen);
+            ++served[chosen.value()];
+        }
+        // Three slots each: the near replica keeps a lead of about one request per slot.
+        CPPUNIT_ASSERT(served.at("g0-b") >= 16 && served.at("g0-c") >= 12);
+    }
+
+    void keys_keep_their_group() {
+        control::service_record record;
+        std::map<std::string, int> counts;
+        record.m_groups = {group_name(0), group_name(1), group_name(2)};
+        // Fixed for ever: another group for a key would lose its rows.
+        std::string groups;
+        for (int key = 0; key < 12; ++key) {
+            groups += routing::group_of_key(record, "key-" + std::to_string(key)).value().substr(1);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("001101221002"), groups);
+        for (int key = 0; key < 3000; ++key) {
+            ++counts[routing::group_of_key(record, "key-" + std::to_string(key)).value()];
+        }
+        for (const auto& [group, count] : counts) {
+            CPPUNIT_ASSERT(count > 900 && count < 1100);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(routing_decisions);
