Add the statement dispatcher, retries, the transaction registry and metrics

Cause: each statement needs exactly one answer although owners refuse, fail, answer late or not at all.

--- /dev/null
+++ b/src/metrics/metrics_registry.cpp
@@ -0,0 +1,210 @@
+// Figures in Boost accumulators, printed in the usual text exposition format.
+#include "metrics/metrics_registry.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <mutex>
+#include <optional>
+
+namespace mangoquay::metrics {
+namespace {
+
+namespace acc = boost::accumulators;
+
+using latency_accumulator = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max, acc::tag::p_square_quantile>>;
+
+constexpr double reported_quantile = 0.99;
+constexpr std::array class_names{"undeclared", "short", "long"};
+constexpr std::size_t reasons = static_cast<std::size_t>(core::reason::internal_fault) + 1;
+
+struct class_latency {
+    latency_accumulator m_milliseconds{acc::quantile_probability = reported_quantile};
+};
+
+struct failover_gap {
+    std::optional<core::time_point> m_blocked_since;
+    core::duration m_last{};
+    core::duration m_worst{};
+    std::uint64_t m_count = 0;
+};
+
+double milliseconds(core::duration length) {
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+class page_writer {
+public:
+    void line(const std::string& name, const std::map<std::string, std::string>& labels, double value) {
+        std::array<char, 32> text{};
+        (void)std::snprintf(text.data(), text.size(), "%.10g", value);
+        m_text += "mangoquay_" + name + label_text(labels) + " " + text.data() + "\n";
+    }
+    std::string take() { return std::move(m_text); }
+
+private:
+    static std::string label_text(const std::map<std::string, std::string>& labels) {
+        std::string text;
+        for (const auto& [name, value] : labels) {
+            text += (text.empty() ? "{" : ",") + name + "=\"";
+            for (const char character : value) {
+                const bool escape = character == '"' || character == '\\';
+                text += escape ? "\\" : "";
+                text += character == '\n' ? std::string("\\n") : std::string(1, character);
+            }
+            text += "\"";
+        }
+        return text.empty() ? text : text + "}";
+    }
+
+    std::string m_text;
+};
+
+} // namespace
+
+struct metrics_registry::figures {
+    mutable std::mutex m_mutex; // guards all below
+    std::array<std::uint64_t, 2> m_reads{};
+    std::array<std::uint64_t, 2> m_eligible_reads{};
+    std::array<class_latency, class_names.size()> m_latency;
+    std::array<std::uint64_t, 3> m_verdicts{};
+    std::array<std::uint64_t, reasons> m_refusals{};
+    std::uint64_t m_retries = 0;
+    std::uint64_t m_dropped = 0;
+    std::map<core::group_id, failover_gap> m_gaps;
+
+    void print_reads(page_writer& page) const;
+    void print_latency(page_writer& page) const;
+    void print_refusals(page_writer& page) const;
+    void print_gaps(page_writer& page) const;
+};
+
+void metrics_registry::figures::print_reads(page_writer& page) const {
+    const auto print = [&page](const std::string& name, const std::array<std::uint64_t, 2>& counts) {
+        const double all = static_cast<double>(counts[0] + counts[1]);
+        page.line(name + "_total", {{"served_by", "replica"}}, static_cast<double>(counts[0]));
+        page.line(name + "_total", {{"served_by", "primary"}}, static_cast<double>(counts[1]));
+        page.line(name + "_replica_share", {}, all == 0 ? 0 : static_cast<double>(counts[0]) / all);
+    };
+    print("reads", m_reads);
+    print("eligible_reads", m_eligible_reads);
+}
+
+void metrics_registry::figures::print_latency(page_writer& page) const {
+    for (std::size_t index = 0; index < class_names.size(); ++index) {
+        const latency_accumulator& latency = m_latency.at(index).m_milliseconds;
+        const std::map<std::string, std::string> labels{{"class", class_names.at(index)}};
+        const bool any = acc::count(latency) > 0;
+        page.line("statements_total", labels, static_cast<double>(acc::count(latency)));
+        page.line("statement_latency_ms_mean", labels, any ? acc::mean(latency) : 0);
+        page.line("statement_latency_ms_p99", labels, any ? acc::p_square_quantile(latency) : 0);
+        page.line("statement_latency_ms_max", labels, any ? acc::max(latency) : 0);
+    }
+}
+
+void metrics_registry::figures::print_refusals(page_writer& page) const {
+    for (std::size_t index = 0; index < m_verdicts.size(); ++index) {
+        const auto verdict = static_cast<core::verdict>(index);
+        page.line("verdicts_total", {{"verdict", std::string(core::to_string(verdict))}},
+                  static_cast<double>(m_verdicts.at(index)));
+    }
+    for (std::size_t index = 0; index < reasons; ++index) {
+        const auto why = static_cast<core::reason>(index);
+        if (m_refusals.at(index) > 0) {
+            page.line("refusals_total", {{"reason", std::string(core::to_string(why))}},
+                      static_cast<double>(m_refusals.at(index)));
+        }
+    }
+}
+
+void metrics_registry::figures::print_gaps(page_writer& page) const {
+    core::duration worst{};
+    for (const auto& [group, gap] : m_gaps) {
+        const std::map<std::string, std::string> labels{{"group", group.value()}};
+        page.line("failover_gaps_total", labels, static_cast<double>(gap.m_count));
+        page.line("failover_gap_ms_last", labels, milliseconds(gap.m_last));
+        page.line("failover_gap_ms_worst", labels, milliseconds(gap.m_worst));
+        page.line("writes_blocked", labels, gap.m_blocked_since.has_value() ? 1 : 0);
+        worst = std::max(worst, gap.m_worst);
+    }
+    page.line("failover_gap_ms_worst", {}, milliseconds(worst));
+}
+
+metrics_registry::metrics_registry() : m_figures(std::make_unique<figures>()) {}
+metrics_registry::~metrics_registry() = default;
+
+void metrics_registry::read_served(read_place place, bool eligible) {
+    const std::lock_guard lock(m_figures->m_mutex);
+    ++m_figures->m_reads.at(static_cast<std::size_t>(place));
+    if (eligible) {
+        ++m_figures->m_eligible_reads.at(static_cast<std::size_t>(place));
+    }
+}
+
+void metrics_registry::statement_finished(const finished_statement& statement) {
+    const std::lock_guard lock(m_figures->m_mutex);
+    ++m_figures->m_verdicts.at(static_cast<std::size_t>(statement.m_verdict));
+    if (statement.m_verdict == core::verdict::ran) {
+        // Refusals are quick and would hide slow work.
+        class_latency& latency = m_figures->m_latency.at(static_cast<std::size_t>(statement.m_class));
+        latency.m_milliseconds(milliseconds(statement.m_latency));
+    } else {
+        ++m_figures->m_refusals.at(static_cast<std::size_t>(statement.m_reason));
+    }
+}
+
+void metrics_registry::retried() {
+    const std::lock_guard lock(m_figures->m_mutex);
+    ++m_figures->m_retries;
+}
+
+void metrics_registry::answer_dropped() {
+    const std::lock_guard lock(m_figures->m_mutex);
+    ++m_figures->m_dropped;
+}
+
+void metrics_registry::write_blocked(const core::group_id& group, core::time_point attempt_started) {
+    const std::lock_guard lock(m_figures->m_mutex);
+    std::optional<core::time_point>& since = m_figures->m_gaps[group].m_blocked_since;
+    since = since.has_value() ? std::min(*since, attempt_started) : attempt_started;
+}
+
+void metrics_registry::write_completed(const core::group_id& group, core::time_point now) {
+    const std::lock_guard lock(m_figures->m_mutex);
+    const auto found = m_figures->m_gaps.find(group);
+    if (found == m_figures->m_gaps.end() || !found->second.m_blocked_since.has_value()) {
+        return;
+    }
+    failover_gap& gap = found->second;
+    gap.m_last = now - *gap.m_blocked_since;
+    gap.m_worst = std::max(gap.m_worst, gap.m_last);
+    gap.m_blocked_since.reset();
+    ++gap.m_count;
+}
+
+std::string metrics_registry::page(const std::vector<gauge>& gauges) const {
+    page_writer page;
+    {
+        const std::lock_guard lock(m_figures->m_mutex);
+        m_figures->print_reads(page);
+        m_figures->print_latency(page);
+        m_figures->print_refusals(page);
+        m_figures->print_gaps(page);
+        page.line("retries_total", {}, static_cast<double>(m_figures->m_retries));
+        page.line("dropped_answers_total", {}, static_cast<double>(m_figures->m_dropped));
+    }
+    for (const gauge& each : gauges) {
+        page.line(each.m_name, each.m_labels, each.m_value);
+    }
+    return page.take();
+}
+
+} // namespace mangoquay::metrics
--- /dev/null
+++ b/src/routing/dispatcher_engine.cpp
@@ -0,0 +1,383 @@
+// Attempts, answers and deadlines of the statement dispatcher.
+#include "routing/dispatcher_engine.h"
+
+#include "core/log.h"
+#include "routing/statement_admission.h"
+
+#include <algorithm>
+#include <array>
+
+namespace mangoquay::routing {
+namespace {
+
+using core::reason;
+using core::statement_kind;
+
+// An owner knows better than this proxy what became of a request, so its answer at the deadline is awaited
+// for this long before the request is given up here.
+constexpr core::milliseconds answer_grace{50};
+// An endpoint that has kept a request for this long without an answer counts as failed.
+constexpr core::milliseconds silent_endpoint{1000};
+constexpr core::milliseconds default_retry_after{200};
+// Never verifies, so the reads of a session that outgrew its token go to the primary.
+constexpr const char* outgrown_token = "outgrown";
+constexpr std::uint64_t prune_interval = 4096;
+
+constexpr std::array blocking_reasons{
+    reason::no_primary,         reason::owner_unreachable, reason::endpoint_unreachable,
+    reason::connection_lost,    reason::term_replaced,     reason::lease_lapsed,
+    reason::quorum_not_reached, reason::owner_changed,     reason::control_not_current,
+};
+
+bool blocks_writes(reason why) {
+    return std::find(blocking_reasons.begin(), blocking_reasons.end(), why) != blocking_reasons.end();
+}
+
+void log_decision(const dispatched_request& request, const route_decision& decision) {
+    const core::statement_request& asked = request.m_statement.m_request;
+    constexpr std::array kinds{"read", "write", "begin", "step", "commit", "rollback"};
+    std::string text = kinds.at(static_cast<std::size_t>(asked.m_kind));
+    text += (decision.refused() ? " refused service=" : " routed service=") + asked.m_service.value();
+    text += " group=" + asked.m_group.value() + " attempt=" + std::to_string(request.m_attempts) + " ";
+    core::log_line(core::log_level::info, "routing", text + describe(decision));
+}
+
+} // namespace
+
+statement_dispatcher::implementation::implementation(dispatcher_settings chosen,
+                                                     dispatcher_environment environment,
+                                                     const control::control_state& state,
+                                                     const sessions::token_codec& tokens,
+                                                     owner_client& owners, metrics::metrics_registry& metrics)
+    : m_transactions(chosen.m_host, chosen.m_incarnation), m_settings(std::move(chosen)),
+      m_environment(std::move(environment)), m_state(state), m_tokens(tokens), m_owners(owners),
+      m_metrics(metrics), m_random(m_settings.m_seed) {}
+
+void statement_dispatcher::implementation::execute(entry_statement statement, entry_callback done) {
+    const std::uint64_t number = m_next_number++;
+    if (number % prune_interval == 0) {
+        m_positions.prune(m_state);
+    }
+    dispatched_request& request = m_requests[number];
+    request.m_statement = std::move(statement);
+    request.m_done = std::move(done);
+    request.m_received = m_environment.m_now();
+    request.m_due = core::time_point::max();
+    std::optional<core::statement_answer> refusal =
+        admit(m_state, m_environment.m_view_status().m_current, request.m_received, request.m_statement);
+    if (m_shutting_down && !request.in_transaction()) {
+        refusal = core::refused(reason::shutting_down, "this entry host is shutting down");
+    }
+    if (request.in_transaction()) {
+        begin_step(number, request);
+        return;
+    }
+    if (refusal.has_value()) {
+        finish(number, std::move(*refusal));
+        return;
+    }
+    const auto positions = m_tokens.verify(request.m_statement.m_session_token);
+    request.m_positions = positions.value_or(sessions::session_positions{});
+    const core::service_name& service = request.m_statement.m_request.m_service;
+    const auto preset = m_state.m_presets.find(m_state.m_services.at(service).m_preset);
+    m_budget.first_try(service,
+                       preset == m_state.m_presets.end() ? 0 : preset->second.m_retry_budget_percent);
+    attempt(number);
+}
+
+void statement_dispatcher::implementation::attempt(std::uint64_t number) {
+    dispatched_request& request = m_requests.at(number);
+    const core::time_point now = m_environment.m_now();
+    if (request.m_statement.m_request.m_deadline.passed(now)) {
+        finish(number,
+               core::refused(reason::deadline_exceeded, "the deadline had passed before it was sent"));
+        return;
+    }
+    const view_status view = m_environment.m_view_status();
+    ++request.m_attempts;
+    request.m_attempt_started = now;
+    route_request routed;
+    fill_position(m_state, request.m_positions, request.m_statement, routed);
+    routed.m_service = request.m_statement.m_request.m_service;
+    routed.m_group = request.m_statement.m_request.m_group;
+    routed.m_max_age = request.m_statement.m_request.m_max_age;
+    routed.m_zone = m_settings.m_zone;
+    routed.m_view_current = view.m_current;
+    routed.m_lease_valid = view.m_lease_valid;
+    routed.m_deadline = request.m_statement.m_request.m_deadline;
+    routed.m_excluded = request.m_excluded;
+    routed.m_random = m_random();
+    request.m_decision = choose_endpoint(m_state, m_positions, routed, now);
+    log_decision(request, request.m_decision);
+    if (request.m_decision.refused()) {
+        settle(number, core::refused(request.m_decision.m_refusal));
+        return;
+    }
+    request.m_statement.m_request.m_least_position = request.m_decision.m_least_position;
+    if (request.kind() == statement_kind::begin) {
+        request.m_statement.m_request.m_transaction = m_transactions.next_id();
+    }
+    send(number, request);
+}
+
+void statement_dispatcher::implementation::send(std::uint64_t number, dispatched_request& request) {
+    const route_decision& decision = request.m_decision;
+    request.m_sent = true;
+    request.m_at_owner = true;
+    request.m_attempt_started = m_environment.m_now();
+    m_positions.attempt_started(decision.m_endpoint);
+    set_due(number, request, request.m_statement.m_request.m_deadline.m_at + answer_grace);
+    const std::uint32_t attempt = request.m_attempts;
+    const bool begins = request.kind() == statement_kind::begin;
+    // The request may be gone when the answer comes, so a begun transaction is described here.
+    const transactions::open_transaction where =
+        begins ? transaction_of(request) : transactions::open_transaction{};
+    const core::transaction_id begun =
+        begins ? request.m_statement.m_request.m_transaction : core::transaction_id{};
+    // The client may answer before it returns and so remove the request: it gets copies.
+    const core::statement_request sent = request.m_statement.m_request;
+    const route_decision to = decision;
+    m_owners.execute(to.m_owner, to.m_endpoint, to.m_epoch, sent, to.m_position_wait,
+                     [this, number, attempt, where, begun](owner_answer answer) {
+                         const auto found = m_requests.find(number);
+                         const bool awaited = found != m_requests.end() && found->second.m_at_owner &&
+                                              found->second.m_attempts == attempt;
+                         if (awaited) {
+                             answered(number, std::move(answer));
+                         } else {
+                             late_answer(where, begun, answer);
+                         }
+                     });
+}
+
+void statement_dispatcher::implementation::answered(std::uint64_t number, owner_answer answer) {
+    dispatched_request& request = m_requests.at(number);
+    const core::endpoint_id& from = answer.m_answer.m_endpoint;
+    if (!from.value().empty() && from != request.m_decision.m_endpoint) {
+        // The answer to another request. This one keeps waiting for its own.
+        core::log_line(core::log_level::error, "routing",
+                       "dropped an answer of another endpoint expected=" +
+                           request.m_decision.m_endpoint.value() + " endpoint=" + from.value());
+        ++m_dropped_answers;
+        m_metrics.answer_dropped();
+        return;
+    }
+    request.m_at_owner = false;
+    m_positions.attempt_ended(request.m_decision.m_endpoint);
+    learn(request, answer);
+    settle(number, std::move(answer.m_answer));
+}
+
+void statement_dispatcher::implementation::learn(const dispatched_request& request,
+                                                 const owner_answer& answer) {
+    const route_decision& decision = request.m_decision;
+    const core::time_point now = m_environment.m_now();
+    if (answer.m_endpoint_position.has_value()) {
+        m_positions.position_learned(decision.m_endpoint, *answer.m_endpoint_position);
+    }
+    switch (answer.m_answer.m_reason) {
+    case reason::owner_unreachable:
+        m_positions.owner_failed(decision.m_owner, now);
+        break;
+    case reason::endpoint_unreachable:
+    case reason::connection_lost:
+        m_positions.endpoint_failed(decision.m_endpoint, now);
+        break;
+    case reason::data_too_old:
+    case reason::no_eligible_endpoint:
+        m_positions.fell_behind(decision.m_endpoint, now);
+        break;
+    default:
+        m_positions.endpoint_succeeded(decision.m_endpoint, decision.m_owner);
+    }
+}
+
+void statement_dispatcher::implementation::settle(std::uint64_t number, core::statement_answer answer) {
+    dispatched_request& request = m_requests.at(number);
+    if (request.in_transaction()) {
+        conclude_step(request, answer);
+        finish(number, std::move(answer));
+        return;
+    }
+    if (answer.m_verdict == core::verdict::ran) {
+        if (request.kind() == statement_kind::begin) {
+            open_transaction(request);
+        }
+        finish(number, std::move(answer));
+        return;
+    }
+    // A write that timed out in a queue is not_run: that is overload, not a lost primary.
+    const bool silent =
+        answer.m_reason == reason::deadline_exceeded && answer.m_verdict == core::verdict::may_have_run;
+    if (!request.is_read() && (silent || blocks_writes(answer.m_reason))) {
+        m_metrics.write_blocked(request.m_statement.m_request.m_group, request.m_attempt_started);
+    }
+    if (!retry(number, request, answer)) {
+        finish(number, std::move(answer));
+    }
+}
+
+bool statement_dispatcher::implementation::retry(std::uint64_t number, dispatched_request& request,
+                                                 const core::statement_answer& answer) {
+    const core::statement_request& asked = request.m_statement.m_request;
+    const core::time_point now = m_environment.m_now();
+    retries::finished_attempt attempt_made;
+    attempt_made.m_verdict = answer.m_verdict;
+    attempt_made.m_reason = answer.m_reason;
+    attempt_made.m_read = request.is_read();
+    attempt_made.m_not_repeatable = asked.m_not_repeatable;
+    attempt_made.m_sent = request.m_sent;
+    attempt_made.m_attempts = request.m_attempts;
+    attempt_made.m_deadline = asked.m_deadline;
+    const retries::retry_decision decision =
+        retries::decide_retry(attempt_made, now, m_random(), m_settings.m_retry_rules);
+    if (!decision.m_retry || (decision.m_charged && !m_budget.take(asked.m_service))) {
+        return false;
+    }
+    m_metrics.retried();
+    request.m_last_refusal = answer;
+    if (decision.m_elsewhere) {
+        request.m_excluded.insert(request.m_decision.m_endpoint);
+    } else {
+        request.m_excluded.clear();
+    }
+    if (decision.m_delay.count() == 0) {
+        attempt(number);
+    } else {
+        set_due(number, request, now + decision.m_delay);
+    }
+    return true;
+}
+
+void statement_dispatcher::implementation::finish(std::uint64_t number, core::statement_answer answer) {
+    const auto found = m_requests.find(number);
+    dispatched_request request = std::move(found->second);
+    m_due.erase({request.m_due, number});
+    m_requests.erase(found);
+    count(request, answer);
+    entry_answer reply;
+    if (answer.m_verdict == core::verdict::ran) {
+        reply.m_session_token = next_token(request, answer);
+        if (request.kind() == statement_kind::begin) {
+            reply.m_transaction = request.m_statement.m_request.m_transaction;
+        }
+    }
+    const bool may_come_back = answer.m_verdict == core::verdict::not_run && !request.in_transaction() &&
+                               blocks_writes(answer.m_reason);
+    if (may_come_back && !answer.m_retry_after.has_value()) {
+        answer.m_retry_after = default_retry_after;
+    }
+    reply.m_answer = std::move(answer);
+    request.m_done(std::move(reply));
+}
+
+std::string statement_dispatcher::implementation::next_token(dispatched_request& request,
+                                                             const core::statement_answer& answer) const {
+    const core::group_id& group = request.m_statement.m_request.m_group;
+    if (request.in_transaction()) {
+        const auto positions = m_tokens.verify(request.m_statement.m_session_token);
+        request.m_positions = positions.value_or(sessions::session_positions{});
+    }
+    if (answer.m_position.has_value()) {
+        sessions::merge(request.m_positions, group, *answer.m_position);
+    } else if (request.kind() == statement_kind::write || request.kind() == statement_kind::commit) {
+        // It is not known what the session must see, so its next read of the group goes to the primary.
+        request.m_positions.erase(group);
+    } else {
+        return {};
+    }
+    return m_tokens.encode(request.m_positions).value_or(outgrown_token);
+}
+
+void statement_dispatcher::implementation::count(const dispatched_request& request,
+                                                 const core::statement_answer& answer) {
+    const core::time_point now = m_environment.m_now();
+    const core::statement_request& asked = request.m_statement.m_request;
+    m_metrics.statement_finished(
+        {asked.m_class, answer.m_verdict, answer.m_reason, now - request.m_received});
+    if (answer.m_verdict != core::verdict::ran) {
+        return;
+    }
+    if (request.is_read()) {
+        m_metrics.read_served(request.m_decision.m_replica ? metrics::read_place::replica
+                                                           : metrics::read_place::primary,
+                              request.m_decision.m_replica_eligible);
+    }
+    if (request.kind() == statement_kind::write || request.kind() == statement_kind::commit) {
+        m_metrics.write_completed(asked.m_group, now);
+    }
+}
+
+void statement_dispatcher::implementation::owner_lost(const core::entry_host_id& owner) {
+    m_positions.owner_failed(owner, m_environment.m_now());
+    std::vector<std::uint64_t> lost;
+    for (const auto& [number, request] : m_requests) {
+        if (request.m_at_owner && request.m_decision.m_owner == owner) {
+            lost.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : lost) {
+        dispatched_request& request = m_requests.at(number);
+        request.m_at_owner = false;
+        m_positions.attempt_ended(request.m_decision.m_endpoint);
+        settle(number,
+               retries::answer_of_lost_owner(request.kind(), request.m_statement.m_request.m_not_repeatable));
+    }
+    m_transactions.owner_lost(owner);
+}
+
+void statement_dispatcher::implementation::set_due(std::uint64_t number, dispatched_request& request,
+                                                   core::time_point when) {
+    m_due.erase({request.m_due, number});
+    request.m_due = when;
+    m_due.insert({when, number});
+    schedule();
+}
+
+void statement_dispatcher::implementation::schedule() {
+    if (m_due.empty() || m_due.begin()->first >= m_scheduled) {
+        return;
+    }
+    m_scheduled = m_due.begin()->first;
+    m_environment.m_at(m_scheduled, [this, when = m_scheduled] { run_due(when); });
+}
+
+void statement_dispatcher::implementation::run_due(core::time_point when) {
+    if (when != m_scheduled) {
+        return; // an earlier deadline came in after this timer was set, and its timer does the work
+    }
+    m_scheduled = core::time_point::max();
+    const core::time_point now = m_environment.m_now();
+    while (!m_due.empty() && m_due.begin()->first <= now) {
+        const std::uint64_t number = m_due.begin()->second;
+        m_due.erase(m_due.begin());
+        if (number == 0) {
+            expire_transactions();
+        } else {
+            due(number);
+        }
+    }
+    schedule();
+}
+
+void statement_dispatcher::implementation::due(std::uint64_t number) {
+    dispatched_request& request = m_requests.at(number);
+    if (!request.m_at_owner) {
+        if (request.m_statement.m_request.m_deadline.passed(m_environment.m_now())) {
+            finish(number, request.m_last_refusal);
+        } else {
+            attempt(number);
+        }
+        return;
+    }
+    request.m_at_owner = false;
+    m_positions.attempt_ended(request.m_decision.m_endpoint);
+    const core::time_point now = m_environment.m_now();
+    if (now - request.m_attempt_started >= silent_endpoint) {
+        m_positions.endpoint_failed(request.m_decision.m_endpoint, now);
+    }
+    settle(number,
+           retries::answer_at_deadline(request.kind(), request.m_statement.m_request.m_not_repeatable));
+}
+
+} // namespace mangoquay::routing
--- /dev/null
+++ b/src/routing/dispatcher_engine.h
@@ -0,0 +1,79 @@
+// The state and the steps of the statement dispatcher; see statement_dispatcher.h.
+//
+// A request goes through: admission, then attempts (route, send, answer), then one final answer. finish() is
+// the only place that answers a caller, and it removes the request first, so no request is answered twice.
+#pragma once
+
+#include "metrics/metrics_registry.h"
+#include "retries/retry_policy.h"
+#include "routing/dispatched_request.h"
+#include "routing/position_table.h"
+#include "routing/statement_dispatcher.h"
+#include "transactions/transaction_registry.h"
+
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace mangoquay::routing {
+
+// How a transaction that a begin opens is described.
+transactions::open_transaction transaction_of(const dispatched_request& request);
+
+class statement_dispatcher::implementation {
+public:
+    implementation(dispatcher_settings chosen, dispatcher_environment environment,
+                   const control::control_state& state, const sessions::token_codec& tokens,
+                   owner_client& owners, metrics::metrics_registry& metrics);
+
+    void execute(entry_statement statement, entry_callback done);
+    void owner_lost(const core::entry_host_id& owner);
+
+    position_table m_positions;
+    transactions::transaction_registry m_transactions;
+    std::unordered_map<std::uint64_t, dispatched_request> m_requests; // by request number
+    std::uint64_t m_dropped_answers = 0;
+    bool m_shutting_down = false;
+
+private:
+    // Attempts.
+    void attempt(std::uint64_t number);
+    void send(std::uint64_t number, dispatched_request& request);
+    void answered(std::uint64_t number, owner_answer answer);
+    void learn(const dispatched_request& request, const owner_answer& answer);
+    void settle(std::uint64_t number, core::statement_answer answer);
+    bool retry(std::uint64_t number, dispatched_request& request, const core::statement_answer& answer);
+    void finish(std::uint64_t number, core::statement_answer answer);
+    std::string next_token(dispatched_request& request, const core::statement_answer& answer) const;
+    void count(const dispatched_request& request, const core::statement_answer& answer);
+
+    // Transactions.
+    void begin_step(std::uint64_t number, dispatched_request& request);
+    void conclude_step(const dispatched_request& request, const core::statement_answer& answer);
+    void open_transaction(const dispatched_request& request);
+    void send_rollback(const core::transaction_id& id, const transactions::open_transaction& transaction);
+    void late_answer(const transactions::open_transaction& where, const core::transaction_id& begun,
+                     const owner_answer& answer);
+    void expire_transactions();
+
+    // Deadlines.
+    void set_due(std::uint64_t number, dispatched_request& request, core::time_point when);
+    void schedule();
+    void run_due(core::time_point when);
+    void due(std::uint64_t number);
+
+    dispatcher_settings m_settings;
+    dispatcher_environment m_environment;
+    const control::control_state& m_state;
+    const sessions::token_codec& m_tokens;
+    owner_client& m_owners;
+    metrics::metrics_registry& m_metrics;
+    retries::retry_budget m_budget;
+    std::mt19937_64 m_random;
+    std::uint64_t m_next_number = 1;
+    std::set<std::pair<core::time_point, std::uint64_t>> m_due; // number 0: transactions
+    core::time_point m_scheduled = core::time_point::max();
+};
+
+} // namespace mangoquay::routing
--- /dev/null
+++ b/src/routing/dispatcher_transactions.cpp
@@ -0,0 +1,120 @@
+// Transactions at the statement dispatcher: steps go to the endpoint of their begin and are never retried.
+#include "routing/dispatcher_engine.h"
+
+#include "core/log.h"
+
+namespace mangoquay::routing {
+namespace {
+
+using core::reason;
+using core::statement_kind;
+
+// Transactions are looked over this often for ones that their callers have left.
+constexpr core::milliseconds expiry_interval{1000};
+constexpr core::milliseconds rollback_deadline{5000};
+
+} // namespace
+
+transactions::open_transaction transaction_of(const dispatched_request& request) {
+    transactions::open_transaction transaction;
+    transaction.m_caller = request.m_statement.m_request.m_caller;
+    transaction.m_service = request.m_statement.m_request.m_service;
+    transaction.m_group = request.m_statement.m_request.m_group;
+    transaction.m_endpoint = request.m_decision.m_endpoint;
+    transaction.m_owner = request.m_decision.m_owner;
+    transaction.m_epoch = request.m_decision.m_epoch;
+    return transaction;
+}
+
+void statement_dispatcher::implementation::begin_step(std::uint64_t number, dispatched_request& request) {
+    core::statement_request& asked = request.m_statement.m_request;
+    const core::transaction_id id = asked.m_transaction;
+    const transactions::step_admission admission =
+        m_transactions.begin_step(id, asked.m_caller, asked.m_service, m_environment.m_now());
+    if (admission.m_transaction == nullptr) {
+        finish(number, core::refused(admission.m_refusal, admission.m_message));
+        return;
+    }
+    const transactions::open_transaction& transaction = *admission.m_transaction;
+    asked.m_group = transaction.m_group;
+    request.m_attempts = 1;
+    request.m_decision.m_endpoint = transaction.m_endpoint;
+    request.m_decision.m_owner = transaction.m_owner;
+    request.m_decision.m_epoch = transaction.m_epoch;
+    const auto endpoint = m_state.m_endpoints.find(transaction.m_endpoint);
+    if (endpoint == m_state.m_endpoints.end() || endpoint->second.m_owner != transaction.m_owner ||
+        endpoint->second.m_owner_epoch != transaction.m_epoch) {
+        // The new owner ends the sessions of earlier ones, so nothing of the transaction remains.
+        settle(number, core::refused(reason::transaction_failed, "the endpoint has another owner now"));
+        return;
+    }
+    send(number, request);
+}
+
+// Anything but success ends the transaction: PostgreSQL answers a commit after a failed step with success,
+// although it rolled back.
+void statement_dispatcher::implementation::conclude_step(const dispatched_request& request,
+                                                         const core::statement_answer& answer) {
+    const core::transaction_id& id = request.m_statement.m_request.m_transaction;
+    if (answer.m_verdict != core::verdict::ran) {
+        const transactions::open_transaction* found = m_transactions.find(id);
+        if (found != nullptr && answer.m_verdict == core::verdict::not_run) {
+            send_rollback(id, *found);
+        }
+        m_transactions.failed(id);
+    } else if (request.kind() == statement_kind::step) {
+        m_transactions.step_succeeded(id, m_environment.m_now());
+    } else {
+        m_transactions.ended(id);
+    }
+}
+
+void statement_dispatcher::implementation::open_transaction(const dispatched_request& request) {
+    const core::time_point now = m_environment.m_now();
+    const bool first = m_transactions.size() == 0;
+    m_transactions.opened(request.m_statement.m_request.m_transaction, transaction_of(request), now);
+    if (first) {
+        m_due.insert({now + expiry_interval, 0});
+        schedule();
+    }
+}
+
+void statement_dispatcher::implementation::send_rollback(const core::transaction_id& id,
+                                                         const transactions::open_transaction& transaction) {
+    core::statement_request rollback;
+    rollback.m_service = transaction.m_service;
+    rollback.m_group = transaction.m_group;
+    rollback.m_caller = transaction.m_caller;
+    rollback.m_kind = statement_kind::rollback;
+    rollback.m_transaction = id;
+    rollback.m_deadline = core::deadline_after(m_environment.m_now(), rollback_deadline);
+    m_owners.execute(transaction.m_owner, transaction.m_endpoint, transaction.m_epoch, rollback,
+                     core::milliseconds{0}, [](const owner_answer&) {});
+}
+
+// A begin whose caller has been answered already: nobody will ever continue it.
+void statement_dispatcher::implementation::late_answer(const transactions::open_transaction& where,
+                                                       const core::transaction_id& begun,
+                                                       const owner_answer& answer) {
+    ++m_dropped_answers;
+    m_metrics.answer_dropped();
+    core::log_line(core::log_level::warning, "routing",
+                   "dropped a late answer endpoint=" + answer.m_answer.m_endpoint.value());
+    if (!begun.value().empty() && answer.m_answer.m_verdict == core::verdict::ran) {
+        send_rollback(begun, where);
+    }
+}
+
+void statement_dispatcher::implementation::expire_transactions() {
+    const core::time_point now = m_environment.m_now();
+    for (const auto& expired : m_transactions.expire(now)) {
+        core::log_line(core::log_level::warning, "transactions",
+                       "rolled back an abandoned transaction id=" + expired.m_id.value());
+        send_rollback(expired.m_id, expired.m_transaction);
+    }
+    if (m_transactions.size() > 0) {
+        m_due.insert({now + expiry_interval, 0});
+    }
+}
+
+} // namespace mangoquay::routing
--- /dev/null
+++ b/src/routing/statement_admission.cpp
@@ -0,0 +1,105 @@
+// Resolution of service, group and business day.
+#include "routing/statement_admission.h"
+
+#include <algorithm>
+
+namespace mangoquay::routing {
+namespace {
+
+using core::reason;
+using core::statement_kind;
+
+const control::day_record* day_of(const control::control_state& state,
+                                  const core::statement_request& request) {
+    const auto found = state.m_days.find({request.m_service, request.m_business_day});
+    return found == state.m_days.end() ? nullptr : &found->second;
+}
+
+std::optional<core::statement_answer> resolve_group(const control::service_record& service, bool view_current,
+                                                    entry_statement& statement) {
+    core::group_id& group = statement.m_request.m_group;
+    const auto& groups = service.m_groups;
+    if (groups.empty()) {
+        return core::refused(reason::unknown_group, "the service has no groups");
+    }
+    if (statement.m_routing_key.has_value()) {
+        group = group_of_key(service, *statement.m_routing_key);
+    } else if (group.value().empty() && groups.size() == 1) {
+        group = groups.front();
+    } else if (group.value().empty()) {
+        return core::refused(reason::malformed_request,
+                             "the service has several groups: group or key is needed");
+    } else if (std::find(groups.begin(), groups.end(), group) == groups.end()) {
+        return core::refused(view_current ? reason::unknown_group : reason::control_not_current,
+                             "the service has no group " + group.value());
+    }
+    return std::nullopt;
+}
+
+std::optional<core::statement_answer> check_day(const control::control_state& state,
+                                                const entry_statement& statement) {
+    const core::statement_request& request = statement.m_request;
+    const control::day_record* day = day_of(state, request);
+    if (statement.m_export) {
+        if (settled_position(state, request).has_value()) {
+            return std::nullopt;
+        }
+        core::statement_answer answer =
+            core::refused(reason::day_not_settled, "the business day is not settled yet");
+        answer.m_retry_after = settlement_retry;
+        return answer;
+    }
+    const bool writes = request.m_kind == statement_kind::write || request.m_kind == statement_kind::begin;
+    if (writes && day != nullptr) {
+        return core::refused(reason::day_closed, "the business day is closed");
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<core::history_position> settled_position(const control::control_state& state,
+                                                       const core::statement_request& request) {
+    const control::day_record* day = day_of(state, request);
+    if (day == nullptr || day->m_phase != control::day_phase::settled) {
+        return std::nullopt;
+    }
+    const auto found = day->m_positions.find(request.m_group);
+    return found == day->m_positions.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<core::statement_answer> admit(const control::control_state& state, bool view_current,
+                                            core::time_point now, entry_statement& statement) {
+    const auto service = state.m_services.find(statement.m_request.m_service);
+    if (service == state.m_services.end()) {
+        return core::refused(view_current ? reason::unknown_service : reason::control_not_current,
+                             "no service " + statement.m_request.m_service.value());
+    }
+    if (statement.m_default_deadline) {
+        const core::milliseconds length(service->second.m_default_deadline_ms);
+        statement.m_request.m_deadline = core::deadline_after(now, length);
+    }
+    const auto preset = state.m_presets.find(service->second.m_preset);
+    if (statement.m_request.m_max_age.has_value() && preset != state.m_presets.end()) {
+        const core::milliseconds largest(preset->second.m_largest_max_age_ms);
+        statement.m_request.m_max_age = std::min(*statement.m_request.m_max_age, largest);
+    }
+    std::optional<core::statement_answer> refusal = resolve_group(service->second, view_current, statement);
+    return refusal.has_value() ? refusal : check_day(state, statement);
+}
+
+void fill_position(const control::control_state& state, const sessions::session_positions& positions,
+                   const entry_statement& statement, route_request& request) {
+    const core::statement_request& asked = statement.m_request;
+    request.m_purpose = statement.m_export                     ? request_purpose::export_read
+                        : asked.m_kind == statement_kind::read ? request_purpose::read
+                                                               : request_purpose::write;
+    // A token without the group proves nothing about it: the caller may have dropped an earlier token.
+    const auto seen = positions.find(asked.m_group);
+    request.m_least_position = seen == positions.end() ? std::nullopt : std::optional(seen->second);
+    if (statement.m_export) {
+        request.m_least_position = std::max(request.m_least_position, settled_position(state, asked));
+    }
+}
+
+} // namespace mangoquay::routing
--- a/src/routing/statement_dispatcher.h
+++ b/src/routing/statement_dispatcher.h
@@ -9,6 +9,7 @@
 #include "control/control_state.h"
 #include "core/clock.h"
 #include "core/statement.h"
+#include "retries/retry_policy.h"
 #include "routing/entry_statement.h"
 #include "sessions/session_token.h"
 
@@ -68,6 +69,7 @@
     core::availability_zone m_zone;
     core::incarnation m_incarnation; // of this process: separates its transaction ids from an earlier one's
     std::uint64_t m_seed = 0;        // of jitter and of the spread over equally good endpoints
+    retries::retry_rules m_retry_rules; // all on; tests switch single ones off
 };
 
 using entry_callback = std::function<void(entry_answer)>;
