--- /dev/null
+++ b/scripts/layout.sh
@@ -0,0 +1,167 @@
+# Starts and ends a layout of mangoquay hosts and the PostgreSQL stand-in on loopback addresses. Sourced by
+# demo.sh and bench.sh.
+#
+# Every layout has addresses of its own (127.x.y.*), so that several can run on one machine. Processes are
+# ended by their ids; all files are in one temporary folder, removed at the end unless KEEP=1 is set.
+
+build="${MANGOQUAY_BUILD:-build}"
+operator_key="layout-operator-key-0001"
+declare -A host_pid=() host_address=()
+standin_pid=""
+work=""
+network=""
+
+layout_begin() {
+    work="$(mktemp -d)"
+    network="127.$((BASHPID / 250 % 250 + 1)).$((BASHPID % 250 + 1))"
+    trap layout_end EXIT
+    trap 'exit 130' INT TERM
+}
+
+layout_end() {
+    local status=$?
+    trap - EXIT
+    local pid
+    for pid in "${host_pid[@]}" $standin_pid; do
+        kill -TERM "$pid" 2>/dev/null || true
+    done
+    for pid in "${host_pid[@]}" $standin_pid; do
+        wait_for_exit "$pid" 10 || kill -KILL "$pid" 2>/dev/null || true
+    done
+    if [ "${KEEP:-0}" = 1 ]; then
+        echo "output is in $work"
+    else
+        rm -rf "$work"
+    fi
+    exit "$status"
+}
+
+# wait_for_exit PID SECONDS
+wait_for_exit() {
+    local tries=$(($2 * 20))
+    while kill -0 "$1" 2>/dev/null; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || return 1
+        sleep 0.05
+    done
+}
+
+# until_true SECONDS COMMAND...: polls until the command succeeds.
+until_true() {
+    local limit=$((SECONDS + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ "$SECONDS" -lt "$limit" ] || return 1
+        sleep 0.1
+    done
+}
+
+# layout_define HOST ZONE ROLES...: the first control hosts defined form the control cell.
+declare -a defined_hosts=() control_hosts=()
+layout_define() {
+    local host="$1" zone="$2"
+    shift 2
+    defined_hosts+=("$host")
+    host_address[$host]="$network.$((10 + ${#defined_hosts[@]}))"
+    [[ " $* " != *" control "* ]] || control_hosts+=("$host")
+    printf '%s\n' "$zone" >"$work/$host.zone"
+    printf '%s\n' "$@" >"$work/$host.roles"
+}
+
+control_hosts_json() {
+    local host
+    for host in "${control_hosts[@]}"; do
+        jq -n --arg host "$host" --arg peer "${host_address[$host]}:7101" '{host: $host, peer_address: $peer}'
+    done | jq -s .
+}
+
+write_settings() {
+    local host="$1" cell
+    cell="$(control_hosts_json)"
+    mkdir -p "$work/$host"
+    jq -n --arg host "$host" --arg zone "$(cat "$work/$host.zone")" --arg address "${host_address[$host]}" \
+        --arg data "$work/$host/data" --arg log "$work/$host/log" --arg key "$operator_key" \
+        --argjson cell "$cell" --argjson roles "$(jq -R . "$work/$host.roles" | jq -s .)" '
+        {host: $host, zone: $zone, peer_address: ($address + ":7101"), http_address: ($address + ":8101"),
+         roles: $roles, control_hosts: $cell, cluster_key: "layout-cluster-key-0001",
+         session_keys: [{id: 1, key: "layout-session-key-0001"}],
+         callers: [{id: "operator", key: $key, operator: true, services: ["*"]}],
+         database: {user: "mangoquay", database: "entries"}, log: {level: "info", file: $log}}
+        + (if $roles | index("control") then {data_folder: $data} else {} end)' >"$work/$host/settings.json"
+}
+
+start_host() {
+    write_settings "$1"
+    mkdir -p "$work/$1/data"
+    "$build/mangoquay" run --config "$work/$1/settings.json" >>"$work/$1/output" 2>&1 &
+    host_pid[$1]=$!
+}
+
+# stop_host HOST SIGNAL: does not wait.
+stop_host() {
+    kill "-$2" "${host_pid[$1]}"
+}
+
+# start_standin LAYOUT: JSON with groups and timing; addresses and announcements are added here.
+start_standin() {
+    local host proxies
+    proxies="$(for host in "${defined_hosts[@]}"; do echo "http://${host_address[$host]}:8101"; done | jq -R . | jq -s .)"
+    jq --arg network "$network" --arg key "$operator_key" --argjson to "$proxies" '
+        .control = {host: ($network + ".100"), port: 8100} | .announce = {to: $to, key: $key}
+        | .groups |= [to_entries[] | .key as $group | .value
+            | .endpoints |= [to_entries[] | .value + {host: ($network + "." + (101 + $group * 10 + .key | tostring)), port: 5432}]]
+        ' "$1" >"$work/standin.json"
+    "$build/postgres_standin" --layout "$work/standin.json" >"$work/standin.output" 2>&1 &
+    standin_pid=$!
+}
+
+# api METHOD HOST PATH [BODY]: prints the body of the answer.
+api() {
+    curl -sS --max-time 20 -X "$1" -H "Authorization: Bearer $operator_key" -H 'Content-Type: application/json' \
+        ${4:+--data "$4"} "http://${host_address[$2]}:8101$3"
+}
+
+# standin ACTION-PATH, for example: standin registos-1-a/crash
+standin() {
+    curl -sS --max-time 10 -X POST "http://$network.100:8100/endpoints/$1"
+}
+
+endpoints() {
+    curl -sS --max-time 10 "http://$network.100:8100/endpoints"
+}
+
+# The primary of GROUP with the highest term that has not crashed.
+primary_of() {
+    endpoints | jq -r --arg group "$1" \
+        '[.[] | select(.group == $group and .role == "primary" and (.crashed | not))] | max_by(.term) | .id'
+}
+
+proxy_options() {
+    local host
+    for host in "$@"; do
+        printf -- '--proxy\nhttp://%s:8101\n' "${host_address[$host]}"
+    done
+}
+
+# load SCENARIO OUTPUT OPTIONS...: runs the load tool; its exit code is that of the history check.
+load() {
+    local scenario="$1" output="$2"
+    shift 2
+    "$build/mangoquay_load" --scenario "tools/load/scenarios/$scenario.json" --key "$operator_key" "$@" >"$output"
+}
+
+ok() {
+    printf '  ok: %s\n' "$1"
+}
+
+fail() {
+    printf '  FAILED: %s\n' "$1" >&2
+    exit 1
+}
+
+# check DESCRIPTION COMMAND...
+check() {
+    local description="$1"
+    shift
+    if "$@"; then ok "$description"; else fail "$description"; fi
+}
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -13,10 +13,9 @@
     // NOLINTNEXTLINE(google-explicit-constructor): `return value;` is the usual way to succeed.
     result(Value value) : m_value(std::move(value)) {}
 
-    // NOLINTNEXTLINE(performance-unnecessary-value-param): it is moved; the check misses this in templates.
-    static result failure(std::string reason) {
+    static result failure(const std::string& reason) {
         result failed;
-        failed.m_reason = std::move(reason);
+        failed.m_reason = reason;
         return failed;
     }
 
--- a/tools/load/driver.cpp
+++ b/tools/load/driver.cpp
@@ -41,8 +41,9 @@
 
 } // namespace
 
-driver::driver(scenario wanted, driver_options options)
-    : m_wanted(std::move(wanted)), m_options(std::move(options)), m_random(m_options.m_seed) {}
+driver::driver(scenario wanted, driver_options options, caller_transport& transport)
+    : m_wanted(std::move(wanted)), m_options(std::move(options)), m_client(transport),
+      m_random(m_options.m_seed) {}
 
 core::result<bool> driver::run() {
     if (auto written = write_setup_rows(); !written) {
@@ -51,7 +52,8 @@
     const core::time_point started = now();
     const core::time_point until = started + seconds(m_wanted.m_duration_s);
     m_measuring = true;
-    m_summary.start(started);
+    m_summary.start(started, started + seconds(m_wanted.m_peak_from_s),
+                    started + seconds(m_wanted.m_peak_to_s));
     start_streams(until);
     work_until(until, false);
     m_summary.end(now());
@@ -178,6 +180,10 @@
         made.m_row = std::to_string(m_random());
         made.m_body = {sleep_sql, {std::to_string(of.m_sleep_s)}, made.m_row, {}, false, {}};
     }
+    if (!m_options.m_only_group.empty()) {
+        made.m_body.m_key.clear();
+        made.m_body.m_group = m_options.m_only_group;
+    }
     if (of.m_idempotency_key && made.m_body.m_write) {
         made.m_body.m_idempotency_key = made.m_row + "/" + std::to_string(made.m_number);
     }
@@ -262,7 +268,7 @@
     }
     if (m_measuring) {
         m_summary.add({sent.m_stream->m_name, sent.m_body.m_write, got.m_verdict, got.m_reason,
-                       got.m_endpoint, sent.m_due, now()});
+                       got.m_endpoint, sent.m_due, now(), core::milliseconds(sent.m_stream->m_deadline_ms)});
     }
 }
 
@@ -279,6 +285,7 @@
     }
     if (ran && !m_measuring) {
         m_setup_rows.push_back(sent.m_row);
+        m_summary.acknowledged_by(got.m_endpoint);
     }
     if (!sent.m_session) {
         return;
--- a/tools/load/driver.h
+++ b/tools/load/driver.h
@@ -22,6 +22,7 @@
     std::vector<std::string> m_proxies; // base addresses
     std::string m_key;
     std::vector<std::string> m_groups; // of the final read
+    std::string m_only_group;          // all statements go there; empty: spread by key
     std::string m_run;                 // prefix of row ids
     std::uint64_t m_seed = 1;
     double m_rate_factor = 1; // of open-loop streams
@@ -29,7 +30,8 @@
 
 class driver {
 public:
-    driver(scenario wanted, driver_options options);
+    // `transport` outlives the driver.
+    driver(scenario wanted, driver_options options, caller_transport& transport);
 
     // Fails when the rows that the streams read could not be written, or the final read did not succeed.
     core::result<bool> run();
@@ -78,7 +80,7 @@
 
     scenario m_wanted;
     driver_options m_options;
-    http_client m_client;
+    caller_transport& m_client;
     history m_history;
     summary m_summary;
     std::mt19937_64 m_random;
--- a/tools/load/http_client.h
+++ b/tools/load/http_client.h
@@ -1,4 +1,5 @@
-// HTTP requests over many keep-alive connections, through libcurl's multi interface on the calling thread.
+// How the load tool sends statements, and the way over HTTP: many keep-alive connections through libcurl's
+// multi interface on the calling thread.
 #pragma once
 
 #include "core/clock.h"
@@ -31,19 +32,33 @@
 
 using answer_handler = std::function<void(const http_answer&)>;
 
-class http_client {
+class caller_transport {
+public:
+    caller_transport() = default;
+    virtual ~caller_transport() = default;
+    caller_transport(const caller_transport&) = delete;
+    caller_transport& operator=(const caller_transport&) = delete;
+    caller_transport(caller_transport&&) = delete;
+    caller_transport& operator=(caller_transport&&) = delete;
+
+    virtual void submit(http_request request, answer_handler handler) = 0;
+    // Sends and receives for at most `longest`; handlers are called from here.
+    virtual void work(core::milliseconds longest) = 0;
+    [[nodiscard]] virtual std::size_t in_flight() const = 0;
+};
+
+class http_client : public caller_transport {
 public:
     http_client();
-    ~http_client();
+    ~http_client() override;
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     http_client(http_client&&) = delete;
     http_client& operator=(http_client&&) = delete;
 
-    void submit(http_request request, answer_handler handler);
-    // Sends and receives for at most `longest`; handlers are called from here.
-    void work(core::milliseconds longest);
-    [[nodiscard]] std::size_t in_flight() const { return m_running.size(); }
+    void submit(http_request request, answer_handler handler) override;
+    void work(core::milliseconds longest) override;
+    [[nodiscard]] std::size_t in_flight() const override { return m_running.size(); }
 
 private:
     struct exchange;
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,5 +1,6 @@
 // Command line of the load tool. Prints one JSON summary; exits 1 on a violation or an unfinished run, 2 on
 // wrong use.
+#include "baseline.h"
 #include "driver.h"
 
 #include <getopt.h>
@@ -8,6 +9,7 @@
 #include <chrono>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <sstream>
 
 namespace {
@@ -16,12 +18,15 @@
 
 constexpr const char* usage =
     "usage: mangoquay_load --scenario FILE --proxy URL... --key KEY [--group ID...] [--duration SECONDS]\n"
-    "       [--service NAME] [--rate-factor F] [--seed N] [--run NAME]\n"
+    "       [--service NAME] [--only-group ID] [--rate-factor F] [--seed N] [--run NAME]\n"
+    "--baseline LAYOUT in place of --proxy: the baseline of docs/design.md 1.2 against the stand-in's "
+    "databases.\n"
     "--group names each group that is read at the end; without it stored rows are not checked.\n";
 
 struct command_line {
     std::string m_scenario;
     std::string m_service;
+    std::string m_baseline; // layout file of the stand-in
     double m_duration_s = 0;
     load::driver_options m_options;
     bool m_wrong = false;
@@ -29,11 +34,12 @@
 
 command_line parse(int argc, char** argv) {
     const option names[] = {
-        {"scenario", required_argument, nullptr, 's'},    {"proxy", required_argument, nullptr, 'p'},
-        {"key", required_argument, nullptr, 'k'},         {"group", required_argument, nullptr, 'g'},
-        {"duration", required_argument, nullptr, 'd'},    {"service", required_argument, nullptr, 'v'},
-        {"rate-factor", required_argument, nullptr, 'f'}, {"seed", required_argument, nullptr, 'n'},
-        {"run", required_argument, nullptr, 'r'},         {nullptr, 0, nullptr, 0}};
+        {"scenario", required_argument, nullptr, 's'}, {"proxy", required_argument, nullptr, 'p'},
+        {"key", required_argument, nullptr, 'k'},      {"only-group", required_argument, nullptr, 'o'},
+        {"group", required_argument, nullptr, 'g'},    {"duration", required_argument, nullptr, 'd'},
+        {"service", required_argument, nullptr, 'v'},  {"rate-factor", required_argument, nullptr, 'f'},
+        {"seed", required_argument, nullptr, 'n'},     {"run", required_argument, nullptr, 'r'},
+        {"baseline", required_argument, nullptr, 'b'}, {nullptr, 0, nullptr, 0}};
     command_line read;
     const auto started = std::chrono::system_clock::now().time_since_epoch();
     read.m_options.m_run =
@@ -43,6 +49,11 @@
         case 's':
             read.m_scenario = optarg;
             break;
+        case 'b':
+            read.m_baseline = optarg;
+            // The baseline has its own proxies; the address is not used.
+            read.m_options.m_proxies = {"baseline"};
+            break;
         case 'p':
             read.m_options.m_proxies.emplace_back(optarg);
             break;
@@ -52,6 +63,9 @@
         case 'g':
             read.m_options.m_groups.emplace_back(optarg);
             break;
+        case 'o':
+            read.m_options.m_only_group = optarg;
+            break;
         case 'd':
             read.m_duration_s = std::strtod(optarg, nullptr);
             break;
@@ -93,7 +107,16 @@
     }
     wanted->m_service = chosen.m_service.empty() ? wanted->m_service : chosen.m_service;
     wanted->m_duration_s = chosen.m_duration_s > 0 ? chosen.m_duration_s : wanted->m_duration_s;
-    load::driver driver(*wanted, chosen.m_options);
+    std::unique_ptr<load::caller_transport> transport;
+    if (chosen.m_baseline.empty()) {
+        transport = std::make_unique<load::http_client>();
+    } else if (auto databases = load::read_databases(chosen.m_baseline)) {
+        transport = std::make_unique<load::baseline>(*databases);
+    } else {
+        std::cerr << databases.reason() << '\n';
+        return 2;
+    }
+    load::driver driver(*wanted, chosen.m_options, *transport);
     const auto finished = driver.run();
     nlohmann::json summary = driver.figures().to_json(driver.violations());
     summary["scenario"] = wanted->m_name;
--- a/tools/load/scenario.cpp
+++ b/tools/load/scenario.cpp
@@ -49,6 +49,8 @@
         read.m_name = from.at("name");
         read.m_service = from.at("service");
         read.m_duration_s = from.value("duration_s", read.m_duration_s);
+        read.m_peak_from_s = from.value("peak_from_s", 0.0);
+        read.m_peak_to_s = from.value("peak_to_s", 0.0);
         read.m_setup_rows = from.value("setup_rows", 0U);
         for (const json& stream : from.at("streams")) {
             read.m_streams.push_back(read_stream(stream));
--- a/tools/load/scenario.h
+++ b/tools/load/scenario.h
@@ -45,6 +45,9 @@
     std::string m_name;
     std::string m_service;
     double m_duration_s = 10;
+    // The part of the run whose goodput is given apart; empty when both are 0.
+    double m_peak_from_s = 0;
+    double m_peak_to_s = 0;
     std::uint32_t m_setup_rows = 0;
     std::vector<stream> m_streams;
 };
--- a/tools/load/summary.cpp
+++ b/tools/load/summary.cpp
@@ -38,12 +38,17 @@
         return;
     }
     figures.m_latencies_ms.push_back(milliseconds(seen.m_ended - seen.m_due));
+    if (seen.m_ended - seen.m_due <= seen.m_deadline) {
+        // Requests of the peak that are answered while the load is let out do not count.
+        m_in_time += seen.m_ended <= m_ended || m_ended == core::time_point{} ? 1 : 0;
+        m_in_time_at_peak += seen.m_ended >= m_peak_from && seen.m_ended < m_peak_to ? 1 : 0;
+    }
     if (seen.m_write) {
         if (m_last_acknowledged) {
             m_longest_gap = std::max(m_longest_gap, seen.m_ended - *m_last_acknowledged);
         }
         m_last_acknowledged = seen.m_ended;
-        m_primaries.insert(seen.m_endpoint);
+        acknowledged_by(seen.m_endpoint);
         return;
     }
     ++m_reads;
@@ -53,9 +58,7 @@
 json summary::to_json(const violation_counts& violations) const {
     const double seconds = milliseconds(m_ended - m_started) / 1000;
     json streams = json::object();
-    std::uint64_t ran = 0;
     for (const auto& [name, figures] : m_streams) {
-        ran += figures.m_latencies_ms.size();
         streams[name] = {{"verdicts", figures.m_by_verdict},
                          {"reasons", figures.m_by_reason},
                          {"ran_per_s", static_cast<double>(figures.m_latencies_ms.size()) / seconds},
@@ -65,7 +68,7 @@
     const core::duration open_gap = m_last_acknowledged ? m_ended - *m_last_acknowledged : core::duration{};
     json made = {{"seconds", seconds},
                  {"requests", m_count},
-                 {"goodput_per_s", static_cast<double>(ran) / seconds},
+                 {"goodput_per_s", static_cast<double>(m_in_time) / seconds},
                  {"streams", streams},
                  {"reads", m_reads},
                  {"longest_write_gap_ms", milliseconds(std::max(m_longest_gap, open_gap))},
@@ -77,6 +80,9 @@
                    {"not_run_ran", violations.m_not_run_ran},
                    {"foreign_answers", violations.m_foreign_answers},
                    {"first", violations.m_first}}}};
+    const double peak_s = milliseconds(m_peak_to - m_peak_from) / 1000;
+    made["peak_goodput_per_s"] =
+        peak_s > 0 ? json(static_cast<double>(m_in_time_at_peak) / peak_s) : json(nullptr);
     made["reads_by_replicas_share"] =
         m_reads == 0 ? json(nullptr)
                      : json(static_cast<double>(m_reads_by_replicas) / static_cast<double>(m_reads));
