--- /dev/null
+++ b/src/consensus/atomic_file.cpp
@@ -0,0 +1,98 @@
+// File access through POSIX calls, because durability needs fsync of files and folders.
+#include "consensus/atomic_file.h"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace mangoquay::consensus {
+namespace {
+
+class file_descriptor {
+public:
+    file_descriptor(const std::string& path, int flags)
+        : m_file(::open(path.c_str(), flags | O_CLOEXEC, 0600)) {}
+    ~file_descriptor() {
+        if (m_file >= 0) {
+            ::close(m_file);
+        }
+    }
+    file_descriptor(const file_descriptor&) = delete;
+    file_descriptor& operator=(const file_descriptor&) = delete;
+    file_descriptor(file_descriptor&&) = delete;
+    file_descriptor& operator=(file_descriptor&&) = delete;
+
+    [[nodiscard]] int get() const { return m_file; }
+
+private:
+    int m_file;
+};
+
+} // namespace
+
+std::string system_error(const std::string& action, const std::string& path) {
+    return "cannot " + action + " " + path + ": " + std::strerror(errno);
+}
+
+core::result<std::optional<std::string>> read_file(const std::string& path) {
+    using outcome = core::result<std::optional<std::string>>;
+    const file_descriptor file(path, O_RDONLY);
+    if (file.get() < 0) {
+        return errno == ENOENT ? outcome(std::nullopt) : outcome::failure(system_error("open", path));
+    }
+    std::string content;
+    std::array<char, 65536> buffer{};
+    while (true) {
+        const ssize_t count = ::read(file.get(), buffer.data(), buffer.size());
+        if (count == 0) {
+            return std::optional(std::move(content));
+        }
+        if (count < 0 && errno != EINTR) {
+            return outcome::failure(system_error("read", path));
+        }
+        content.append(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    }
+}
+
+status write_all(int file, std::string_view bytes, std::uint64_t offset) {
+    while (!bytes.empty()) {
+        const ssize_t count = ::pwrite(file, bytes.data(), bytes.size(), static_cast<off_t>(offset));
+        if (count < 0 && errno != EINTR) {
+            return status::failure(system_error("write", "file"));
+        }
+        const auto written = static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        bytes.remove_prefix(written);
+        offset += written;
+    }
+    return std::monostate{};
+}
+
+status replace_file(const std::string& folder, const std::string& name, std::string_view content) {
+    const std::string target = folder + "/" + name;
+    const std::string temporary = target + ".new";
+    {
+        const file_descriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
+        if (file.get() < 0) {
+            return status::failure(system_error("create", temporary));
+        }
+        if (auto written = write_all(file.get(), content, 0); !written) {
+            return written;
+        }
+        if (::fsync(file.get()) != 0) {
+            return status::failure(system_error("sync", temporary));
+        }
+    }
+    if (::rename(temporary.c_str(), target.c_str()) != 0) {
+        return status::failure(system_error("rename", temporary));
+    }
+    // Without this the rename itself may be lost.
+    const file_descriptor directory(folder, O_RDONLY | O_DIRECTORY);
+    if (directory.get() < 0 || ::fsync(directory.get()) != 0) {
+        return status::failure(system_error("sync", folder));
+    }
+    return std::monostate{};
+}
+
+} // namespace mangoquay::consensus
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -5,10 +5,8 @@
 // only appended to; a record with an index that is already stored replaces everything from that index on. The
 // file is rewritten without old entries after a snapshot.
 //
-// A record is: magic, length, CRC32C (4 bytes each, little endian), body. A body names the file offset at
-// which its batch began; everything before that offset was synced before the batch was written. A damaged
-// record is therefore a torn tail, which is cut off, unless an intact record of a later batch follows: then
-// synced data was damaged and the folder is refused.
+// A damaged record in the log is a torn tail, which is cut off, unless a record after it proves that it had
+// been synced (see log_record.h): then the folder is refused.
 #pragma once
 
 #include "consensus/raft_types.h"
@@ -38,7 +36,8 @@
     status sync();
     // The following are durable when they return.
     status save_hard_state(const hard_state& state);
-    status save_snapshot(const snapshot& taken, log_index first_kept);
+    // The stored log becomes `kept`.
+    status save_snapshot(const snapshot& taken, const std::vector<log_entry>& kept);
     status install_snapshot(const snapshot& received);
 
 private:
@@ -46,11 +45,14 @@
 
     status lock();
     status recover();
+    status create_identity();
     status recover_hard_state();
     status recover_snapshot();
     status recover_log();
     status open_log();
+    status write(const std::string& records);
     status rewrite_log(const std::vector<log_entry>& entries);
+    [[nodiscard]] std::string path(const char* file) const { return m_folder + "/" + file; }
 
     std::string m_folder;
     int m_lock = -1;
@@ -58,7 +60,6 @@
     std::uint64_t m_size = 0;   // of the log file
     std::uint64_t m_synced = 0; // bytes of the log file known to be durable
     disk_id m_disk;
-    std::vector<log_entry> m_entries; // as stored, for rewriting
     recovered_state m_recovered;
 };
 
--- /dev/null
+++ b/src/consensus/raft_driver.cpp
@@ -0,0 +1,283 @@
+// Carries out the actions of the core: storage first, then messages, then the state machine.
+#include "consensus/raft_driver.h"
+
+#include "core/log.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace mangoquay::consensus {
+namespace {
+
+core::revision to_revision(log_index index) {
+    return core::revision(index);
+}
+
+std::string payload_of(const log_entry& entry) {
+    return entry.m_kind == entry_kind::command ? entry.m_payload : std::string{};
+}
+
+} // namespace
+
+raft_driver::raft_driver(transport::event_loop& loop, driver_settings settings, message_sender sender)
+    : m_loop(loop), m_settings(std::move(settings)), m_sender(std::move(sender)),
+      m_on_failure([](const std::string&) { std::abort(); }), m_alive(std::make_shared<raft_driver*>(this)) {}
+
+raft_driver::~raft_driver() {
+    if (m_tick_timer) {
+        m_loop.cancel(*m_tick_timer);
+    }
+    m_alive.reset();
+    m_storage.reset();
+}
+
+status raft_driver::start() {
+    auto opened = durable_log::open(m_settings.m_data_folder);
+    if (!opened) {
+        return status::failure(opened.reason());
+    }
+    recovered_state recovered = (*opened)->take_recovered();
+    raft_settings settings;
+    settings.m_self = {m_settings.m_self, recovered.m_disk};
+    settings.m_initial_hosts = m_settings.m_initial_hosts;
+    settings.m_timing = m_settings.m_timing;
+    settings.m_seed = m_settings.m_seed ^ std::hash<std::string>{}(m_settings.m_self.value());
+    m_last_snapshot = recovered.m_snapshot.m_index;
+    m_node = std::make_unique<raft_node>(std::move(settings), std::move(recovered), m_loop.now());
+    const std::weak_ptr<raft_driver*> alive = m_alive;
+    const auto on_loop = [this, alive](auto work) {
+        m_loop.post([alive, work = std::move(work)] {
+            if (const auto driver = alive.lock()) {
+                work(**driver);
+            }
+        });
+    };
+    m_storage = std::make_unique<storage_worker>(
+        std::move(*opened),
+        [on_loop](std::uint64_t sequence) {
+            on_loop([sequence](raft_driver& driver) { driver.step(storage_synced{sequence}); });
+        },
+        [on_loop](const std::string& reason) {
+            on_loop([reason](raft_driver& driver) { driver.storage_failed(reason); });
+        });
+    core::log_line(core::log_level::info, "consensus",
+                   "started disk=" + disk().value() +
+                       " last_entry=" + std::to_string(m_node->log().last_index()));
+    step(tick{});
+    return std::monostate{};
+}
+
+void raft_driver::receive(const core::entry_host_id& from, const raft_message& message) {
+    if (m_node) {
+        step(message_received{from, message});
+    }
+}
+
+void raft_driver::propose(std::string payload, propose_callback done) {
+    m_queued.m_payloads.push_back(std::move(payload));
+    m_queued.m_callbacks.push_back(std::move(done));
+    if (m_flush_scheduled) {
+        return;
+    }
+    // Everything proposed in one iteration of the loop becomes one append and shares one sync.
+    m_flush_scheduled = true;
+    m_loop.post([alive = std::weak_ptr(m_alive)] {
+        if (const auto driver = alive.lock()) {
+            (*driver)->flush_proposals();
+        }
+    });
+}
+
+void raft_driver::flush_proposals() {
+    m_flush_scheduled = false;
+    auto queued = std::exchange(m_queued, {});
+    propose_batch batch;
+    for (std::size_t place = 0; place < queued.m_payloads.size(); ++place) {
+        std::string& payload = queued.m_payloads[place];
+        if (!m_node || payload.empty() || payload.size() > largest_payload_bytes) {
+            queued.m_callbacks[place](std::nullopt);
+            continue;
+        }
+        batch.m_payloads.push_back(std::move(payload));
+        m_proposing.push_back(std::move(queued.m_callbacks[place]));
+    }
+    if (!batch.m_payloads.empty()) {
+        step(batch);
+    }
+}
+
+status raft_driver::replace_host(const core::entry_host_id& lost, const core::entry_host_id& replacement) {
+    if (!m_node) {
+        return status::failure("not started");
+    }
+    m_replace_reason = "no answer";
+    step(consensus::replace_host{lost, replacement});
+    return m_replace_reason.empty() ? status(std::monostate{}) : status::failure(m_replace_reason);
+}
+
+bool raft_driver::is_leader() const {
+    return m_node && m_node->is_leader();
+}
+
+bool raft_driver::holds_lease(core::time_point now) const {
+    // While commits are being delivered the state machine does not have all of them yet.
+    return m_node && m_delivered >= m_node->applied_index() && m_node->holds_lease(now);
+}
+
+std::optional<core::entry_host_id> raft_driver::leader() const {
+    return m_node && m_node->leader() ? std::optional(m_node->leader()->m_host) : std::nullopt;
+}
+
+const membership& raft_driver::members() const {
+    static const membership none;
+    return m_node ? m_node->members() : none;
+}
+
+core::revision raft_driver::committed() const {
+    return to_revision(m_delivered);
+}
+
+disk_id raft_driver::disk() const {
+    return m_node ? m_node->self().m_disk : disk_id{};
+}
+
+std::optional<std::vector<committed_entry>> raft_driver::entries_after(core::revision after,
+                                                                       std::size_t limit) const {
+    std::vector<committed_entry> entries;
+    if (!m_node || after.value() >= m_delivered) {
+        return entries;
+    }
+    if (after.value() + 1 < m_node->log().first_index()) {
+        return std::nullopt;
+    }
+    for (log_index index = after.value() + 1; index <= m_delivered && entries.size() < limit; ++index) {
+        entries.push_back({to_revision(index), payload_of(m_node->log().at(index))});
+    }
+    return entries;
+}
+
+void raft_driver::schedule_tick() {
+    // One millisecond at least, so that a deadline in the past does not occupy the loop.
+    const auto due = std::max(m_node->next_tick(), m_loop.now() + core::milliseconds(1));
+    if (m_tick_timer && m_tick_at <= due) {
+        return;
+    }
+    if (m_tick_timer) {
+        m_loop.cancel(*m_tick_timer);
+    }
+    m_tick_at = due;
+    m_tick_timer = m_loop.at(due, [this] {
+        m_tick_timer.reset();
+        step(tick{});
+    });
+}
+
+void raft_driver::step(const raft_event& event) {
+    perform(m_node->step(event, m_loop.now()));
+    schedule_tick();
+}
+
+void raft_driver::perform(std::vector<raft_action> actions) {
+    std::vector<storage_action> stored;
+    for (raft_action& action : actions) {
+        std::visit(
+            [&stored]<class Action>(Action& one) {
+                if constexpr (std::is_constructible_v<storage_action, Action>) {
+                    stored.emplace_back(std::move(one));
+                }
+            },
+            action);
+    }
+    if (!stored.empty()) {
+        m_storage->enqueue(std::move(stored));
+    }
+    for (const raft_action& action : actions) {
+        if (const auto* sent = std::get_if<send_message>(&action)) {
+            m_sender(sent->m_to, sent->m_message);
+        }
+    }
+    for (const raft_action& action : actions) {
+        std::visit([this](const auto& one) { carry_out(one); }, action);
+    }
+    take_snapshot_if_due();
+}
+
+void raft_driver::carry_out(const restore_state& action) {
+    m_delivered = action.m_index;
+    m_last_snapshot = action.m_index;
+    if (m_on_install) {
+        m_on_install(to_revision(action.m_index), action.m_state);
+    }
+    settle_proposals(action.m_index, std::nullopt);
+}
+
+void raft_driver::carry_out(const apply_entries& action) {
+    for (const log_entry& entry : action.m_entries) {
+        m_delivered = entry.m_index;
+        if (m_on_commit) {
+            m_on_commit(to_revision(entry.m_index), payload_of(entry));
+        }
+        settle_proposals(entry.m_index, entry.m_term);
+    }
+}
+
+void raft_driver::carry_out(const proposals_accepted& action) {
+    auto callbacks = std::exchange(m_proposing, {});
+    for (std::size_t place = 0; place < callbacks.size(); ++place) {
+        m_pending.push_back({action.m_first + place, action.m_term, std::move(callbacks[place])});
+    }
+}
+
+void raft_driver::carry_out(const proposals_refused&) {
+    for (const propose_callback& done : std::exchange(m_proposing, {})) {
+        done(std::nullopt);
+    }
+}
+
+void raft_driver::carry_out(const became_leader&) {
+    core::log_line(core::log_level::info, "consensus",
+                   "became leader term=" + std::to_string(m_node->current_term().value()));
+    if (m_on_leadership) {
+        m_on_leadership(true);
+    }
+}
+
+void raft_driver::carry_out(const stepped_down&) {
+    core::log_line(core::log_level::info, "consensus",
+                   "stepped down term=" + std::to_string(m_node->current_term().value()));
+    for (pending_proposal& pending : std::exchange(m_pending, {})) {
+        pending.m_done(std::nullopt);
+    }
+    if (m_on_leadership) {
+        m_on_leadership(false);
+    }
+}
+
+void raft_driver::carry_out(const replace_outcome& action) {
+    m_replace_reason = action.m_reason;
+}
+
+// Entry `index` is applied; `term` is empty when a snapshot took its place.
+void raft_driver::settle_proposals(log_index index, std::optional<raft_term> term) {
+    while (!m_pending.empty() && m_pending.front().m_index <= index) {
+        const pending_proposal settled = std::move(m_pending.front());
+        m_pending.pop_front();
+        const bool committed = settled.m_index == index && settled.m_term == term;
+        settled.m_done(committed ? std::optional(to_revision(index)) : std::nullopt);
+    }
+}
+
+void raft_driver::take_snapshot_if_due() {
+    if (!m_snapshot_source || m_delivered < m_last_snapshot + m_settings.m_snapshot_interval) {
+        return;
+    }
+    m_last_snapshot = m_delivered;
+    step(snapshot_taken{m_snapshot_source()});
+}
+
+void raft_driver::storage_failed(const std::string& reason) {
+    core::log_line(core::log_level::error, "consensus", "storage failed: " + reason);
+    m_on_failure(reason);
+}
+
+} // namespace mangoquay::consensus
--- a/src/consensus/raft_driver.h
+++ b/src/consensus/raft_driver.h
@@ -20,6 +20,9 @@
 
 namespace mangoquay::consensus {
 
+// A larger payload is refused, because an entry and its frame must fit into 16 MiB.
+inline constexpr std::size_t largest_payload_bytes = 8U * 1024U * 1024U;
+
 struct driver_settings {
     core::entry_host_id m_self;
     std::string m_data_folder;
@@ -97,16 +100,27 @@
         propose_callback m_done;
     };
 
+    struct queued_proposals {
+        std::vector<std::string> m_payloads;
+        std::vector<propose_callback> m_callbacks;
+    };
+
     void schedule_tick();
-    void schedule_flush();
     void flush_proposals();
     void step(const raft_event& event);
     void perform(std::vector<raft_action> actions);
-    void deliver(const log_entry& entry);
-    void finish_proposals(const proposals_accepted& accepted);
-    void fail_all_proposals();
+    void carry_out(const restore_state& action);
+    void carry_out(const apply_entries& action);
+    void carry_out(const proposals_accepted& action);
+    void carry_out(const proposals_refused& action);
+    void carry_out(const became_leader& action);
+    void carry_out(const stepped_down& action);
+    void carry_out(const replace_outcome& action);
+    // Storage actions and messages are carried out before all others.
+    template <class Action>
+    void carry_out(const Action&) {}
+    void settle_proposals(log_index index, std::optional<raft_term> term);
     void take_snapshot_if_due();
-    void storage_done(std::uint64_t sequence);
     void storage_failed(const std::string& reason);
 
     transport::event_loop& m_loop;
@@ -121,10 +135,12 @@
     std::unique_ptr<raft_node> m_node;
     std::unique_ptr<storage_worker> m_storage;
     std::optional<transport::timer_id> m_tick_timer;
-    std::vector<std::string> m_queued_payloads; // wait for the next flush
-    std::vector<propose_callback> m_queued_callbacks;
+    core::time_point m_tick_at{};
+    queued_proposals m_queued; // wait for the next flush
     bool m_flush_scheduled = false;
-    std::deque<pending_proposal> m_pending; // by index
+    std::vector<propose_callback> m_proposing; // of the batch given to the core
+    std::deque<pending_proposal> m_pending;    // by index
+    std::string m_replace_reason;
     log_index m_delivered = 0;
     log_index m_last_snapshot = 0;
     // Tasks posted to the loop hold a weak reference and do nothing once the driver is gone.
--- a/src/consensus/raft_log.h
+++ b/src/consensus/raft_log.h
@@ -12,6 +12,10 @@
 
 namespace mangoquay::consensus {
 
+// False when a crash between installing a snapshot and rewriting the log left a log that ends before the
+// snapshot or belongs to another history; that log is to be dropped.
+bool continues_snapshot(const snapshot& base, const std::vector<log_entry>& entries);
+
 class raft_log {
 public:
     raft_log() = default;
--- /dev/null
+++ b/src/consensus/raft_members.cpp
@@ -0,0 +1,196 @@
+// First start of a cell, disks that were lost, and changes of members.
+#include "consensus/raft_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoquay::consensus {
+namespace {
+
+void remove_host(membership& members, const core::entry_host_id& host) {
+    const auto is_host = [&host](const member& one) { return one.m_host == host; };
+    std::erase_if(members.m_voters, is_host);
+    std::erase_if(members.m_learners, is_host);
+}
+
+} // namespace
+
+membership raft_node::listed_hosts() const {
+    membership listed;
+    for (const core::entry_host_id& host : m_settings.m_initial_hosts) {
+        listed.m_voters.insert({host, {}});
+    }
+    return listed;
+}
+
+void raft_node::send_hellos() {
+    std::set<core::entry_host_id> hosts = m_settings.m_initial_hosts;
+    hosts.insert(m_known_hosts.begin(), m_known_hosts.end());
+    for (const member& one : members().m_voters) {
+        hosts.insert(one.m_host);
+    }
+    hosts.erase(self().m_host);
+    raft_message hello = make(message_kind::hello);
+    hello.m_granted = is_blank();
+    hello.m_members = listed_hosts();
+    hello.m_term = m_hello_term;
+    hello.m_round = m_hello_round;
+    for (const core::entry_host_id& host : hosts) {
+        send({host, {}}, hello);
+    }
+}
+
+void raft_node::on_hello(const member& from, const raft_message& message) {
+    constexpr std::uint64_t fresh_rounds = 10;
+    raft_message reply = make(message_kind::hello_reply);
+    if (is_leader()) {
+        // The echo shows that the sender is alive now: a late message of an earlier disk changes nothing.
+        const bool fresh = message.m_term == m_hard.m_term && message.m_round != 0 &&
+                           message.m_round + fresh_rounds >= m_round;
+        if (fresh && members().contains_host(from.m_host) && !members().contains(from)) {
+            m_returned[from.m_host] = from.m_disk;
+        }
+    } else {
+        reply.m_round = 0;
+        reply.m_granted = is_blank() && message.m_members == listed_hosts();
+    }
+    reply.m_members = members();
+    send(from, std::move(reply));
+}
+
+void raft_node::on_hello_reply(const member& from, const raft_message& message) {
+    if (is_leader()) {
+        return;
+    }
+    m_hello_answers[from.m_host] = {from.m_disk, message.m_granted, m_now};
+    for (const member& one : message.m_members.m_voters) {
+        m_known_hosts.insert(one.m_host);
+    }
+    if (message.m_round != 0) {
+        m_hello_term = message.m_term;
+        m_hello_round = message.m_round;
+    }
+}
+
+// Only the least of the listed hosts founds the cell, and only when all of them say that they hold nothing. A
+// majority would not do: a host that lost its disk and one that the first commits never reached would found a
+// second cell.
+void raft_node::bootstrap_if_all_empty() {
+    const auto& listed = m_settings.m_initial_hosts;
+    if (!is_blank() || listed.empty() || *listed.begin() != self().m_host) {
+        return;
+    }
+    membership founders;
+    founders.m_voters.insert(self());
+    for (const core::entry_host_id& host : listed) {
+        if (host == self().m_host) {
+            continue;
+        }
+        const auto answer = m_hello_answers.find(host);
+        const bool empty = answer != m_hello_answers.end() && answer->second.m_empty &&
+                           answer->second.m_at + m_settings.m_timing.m_least_election > m_now;
+        if (!empty) {
+            return;
+        }
+        founders.m_voters.insert({host, answer->second.m_disk});
+    }
+    set_hard_state({raft_term(1), {}});
+    append_own(entry_kind::members, encode_membership(founders));
+}
+
+bool raft_node::may_change_members() const {
+    // Before an entry of this term is committed, a membership of an earlier leader might still win.
+    const bool settled = m_commit >= m_first_of_term && m_log.members_index() <= m_commit;
+    return is_leader() && (settled || m_settings.m_faults.m_overlapping_changes);
+}
+
+void raft_node::maintain_members() {
+    if (may_change_members() && !replace_returned_disk()) {
+        promote_learner();
+    }
+}
+
+bool raft_node::replace_returned_disk() {
+    while (!m_returned.empty()) {
+        const member returned{m_returned.begin()->first, m_returned.begin()->second};
+        m_returned.erase(m_returned.begin());
+        if (!members().contains_host(returned.m_host) || members().contains(returned)) {
+            continue;
+        }
+        membership next = members();
+        remove_host(next, returned.m_host);
+        next.m_learners.insert(returned);
+        change_members(next);
+        return true;
+    }
+    return false;
+}
+
+bool raft_node::promote_learner() {
+    for (const member& learner : members().m_learners) {
+        const auto found = m_progress.find(learner);
+        if (found == m_progress.end() || found->second.m_match < m_commit) {
+            continue;
+        }
+        const bool reachable = found->second.m_contact + m_settings.m_timing.m_least_election > m_now;
+        if (reachable) {
+            membership next = members();
+            next.m_learners.erase(learner);
+            next.m_voters.insert(learner);
+            change_members(next);
+            return true;
+        }
+    }
+    return false;
+}
+
+void raft_node::change_members(const membership& next) {
+    append_own(entry_kind::members, encode_membership(next));
+    sync_progress();
+    for (const auto& [follower, state] : m_progress) {
+        send_append(follower, false);
+    }
+}
+
+void raft_node::sync_progress() {
+    std::erase_if(m_progress, [this](const auto& one) { return !members().contains(one.first); });
+    const auto add = [this](const member& one) {
+        if (one != self() && one.m_disk != disk_id{}) {
+            m_progress.try_emplace(one, progress{.m_next = m_log.last_index() + 1});
+        }
+    };
+    std::ranges::for_each(members().m_voters, add);
+    std::ranges::for_each(members().m_learners, add);
+}
+
+std::string raft_node::replace_refusal(const replace_host& change) const {
+    if (!is_leader()) {
+        return "this host is not the leader";
+    }
+    if (change.m_lost == self().m_host) {
+        return "the leader cannot replace itself";
+    }
+    if (!members().contains_host(change.m_lost)) {
+        return "host " + change.m_lost.value() + " is not a control host";
+    }
+    if (members().contains_host(change.m_replacement)) {
+        return "host " + change.m_replacement.value() + " is a control host already";
+    }
+    return may_change_members() ? "" : "another change of members is in progress";
+}
+
+void raft_node::on_event(const replace_host& event) {
+    const bool done =
+        is_leader() && !members().contains_host(event.m_lost) && members().contains_host(event.m_replacement);
+    const std::string refusal = done ? "" : replace_refusal(event);
+    if (refusal.empty() && !done) {
+        membership next = members();
+        remove_host(next, event.m_lost);
+        // Its disk becomes known when it reports for the first time.
+        next.m_learners.insert({event.m_replacement, {}});
+        change_members(next);
+    }
+    act(replace_outcome{refusal});
+}
+
+} // namespace mangoquay::consensus
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -39,7 +39,8 @@
     std::size_t m_append_bytes = 1U << 20U;   // payload of one append message
     std::size_t m_snapshot_bytes = 1U << 20U; // of one snapshot message
     std::uint64_t m_unacknowledged = 4096;    // entries sent to one follower ahead of its acknowledgement
-    std::uint64_t m_kept_entries = 4096;      // entries kept before the end of a snapshot
+    std::uint64_t m_uncommitted = 16384; // proposals are refused while this many entries wait for a quorum
+    std::uint64_t m_kept_entries = 4096; // entries kept before the end of a snapshot
 };
 
 // Rules that a planted-fault check switches off; all off in the program.
@@ -51,8 +52,6 @@
     bool m_skip_restart_wait = false;
     bool m_vote_twice = false;
     bool m_overlapping_changes = false;
-    bool m_ignore_disk = false;
-    bool m_keep_lease_margin_zero = false;
 };
 
 struct raft_settings {
@@ -103,11 +102,11 @@
     std::uint64_t m_sequence = 0;
     std::vector<log_entry> m_entries;
 };
-// Own snapshot: entries before m_first_kept may go.
+// Own snapshot. The stored log becomes m_kept: entries before and after the end of the snapshot.
 struct save_snapshot {
     std::uint64_t m_sequence = 0;
     snapshot m_snapshot;
-    log_index m_first_kept = 0;
+    std::vector<log_entry> m_kept;
 };
 // A leader's snapshot replaces snapshot and log.
 struct install_snapshot {
@@ -165,10 +164,10 @@
 
 private:
     struct progress {
-        log_index m_match = 0;        // known to be synced there
-        log_index m_next = 1;         // to send next
-        core::time_point m_contact{}; // when the newest answered round was sent
-        bool m_contacted = false;
+        log_index m_match = 0; // known to be synced there
+        log_index m_next = 1;  // to send next
+        bool m_probing = true; // m_next is a guess: no entries are sent until the follower confirms it
+        core::time_point m_contact = core::time_point::min(); // when the newest answered round was sent
         std::uint64_t m_snapshot_offset = 0; // next byte to send while it receives a snapshot
         log_index m_snapshot_index = 0;      // 0: receives entries
     };
@@ -204,6 +203,10 @@
     void on_event(const snapshot_taken& event);
     void on_event(const replace_host& event);
     void dispatch(const member& from, const raft_message& message);
+    void dispatch_leader_message(const member& from, const raft_message& message);
+    void dispatch_reply(const member& from, const raft_message& message);
+    void tick_leader();
+    void tick_follower();
     void become_follower(raft_term term);
     void become_leader();
     void set_hard_state(hard_state state);
@@ -216,7 +219,13 @@
     void send(const member& to, raft_message message);
     void send_after(std::uint64_t sequence, const member& to, raft_message message);
     [[nodiscard]] raft_message make(message_kind kind) const;
-    [[nodiscard]] std::size_t count_quorum(const std::set<member>& granted) const;
+    void acknowledge(const member& to, log_index matched, std::uint64_t round, bool immediately);
+    [[nodiscard]] bool has_quorum(const std::set<member>& granted) const;
+    // Members whose acknowledgements count.
+    [[nodiscard]] std::set<member> counted_members() const;
+    [[nodiscard]] log_index durable_index() const;
+    // Nothing was ever stored here, not even a term.
+    [[nodiscard]] bool is_blank() const { return m_log.empty() && m_hard.m_term == raft_term{}; }
 
     // raft_election.cpp
     void reset_election_timer();
@@ -244,8 +253,8 @@
     void reject_append(const member& from, const raft_message& message);
     void record_contact(progress& follower, std::uint64_t round);
     void advance_commit();
-    void accept_leader(const member& from, raft_term term);
-    [[nodiscard]] core::time_point quorum_contact() const;
+    void accept_leader(const member& from);
+    [[nodiscard]] core::time_point quorum_contact(core::time_point now) const;
 
     // raft_members.cpp
     void send_hellos();
@@ -255,10 +264,11 @@
     void maintain_members();
     bool replace_returned_disk();
     bool promote_learner();
-    void change_members(membership next);
+    void change_members(const membership& next);
     void sync_progress();
     [[nodiscard]] bool may_change_members() const;
     [[nodiscard]] membership listed_hosts() const;
+    [[nodiscard]] std::string replace_refusal(const replace_host& change) const;
 
     raft_settings m_settings;
     core::time_point m_now;
@@ -271,7 +281,7 @@
     std::optional<member> m_leader;
     log_index m_commit = 0;
     log_index m_applied = 0;
-    bool m_restoring = false; // a received snapshot is being stored: nothing is applied until then
+    std::uint64_t m_restore_sequence = 0; // not 0: a received snapshot is being stored, nothing is applied
 
     std::uint64_t m_issued = 0;        // last storage sequence number handed out
     std::uint64_t m_confirmed = 0;     // last one known to be durable
@@ -286,7 +296,7 @@
 
     // Leader only.
     std::map<member, progress> m_progress; // all members but this one
-    std::uint64_t m_round = 0;
+    std::uint64_t m_round = 0;             // also numbers this node's requests for votes
     std::deque<sent_round> m_rounds;
     core::deadline m_next_heartbeat;
     core::time_point m_leader_since{};
@@ -298,6 +308,7 @@
     core::deadline m_next_hello;
     raft_term m_hello_term; // of the leader that answered last
     std::uint64_t m_hello_round = 0;
+    std::set<core::entry_host_id> m_known_hosts; // members named by hello_replies
 };
 
 } // namespace mangoquay::consensus
--- /dev/null
+++ b/src/consensus/raft_types.cpp
@@ -0,0 +1,66 @@
+// Membership rules and their encoding.
+#include "consensus/raft_types.h"
+
+#include "wire/mangoquay_generated.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace mangoquay::consensus {
+namespace {
+
+using wire_members = std::vector<std::unique_ptr<wire::raft_memberT>>;
+
+wire_members to_wire_members(const std::set<member>& members) {
+    wire_members encoded;
+    for (const member& one : members) {
+        auto entry = std::make_unique<wire::raft_memberT>();
+        entry->host = one.m_host.value();
+        entry->disk = one.m_disk.value();
+        encoded.push_back(std::move(entry));
+    }
+    return encoded;
+}
+
+std::set<member> from_wire_members(const wire_members& members) {
+    std::set<member> decoded;
+    for (const auto& one : members) {
+        decoded.insert({core::entry_host_id(one->host), disk_id(one->disk)});
+    }
+    return decoded;
+}
+
+} // namespace
+
+bool membership::contains_host(const core::entry_host_id& host) const {
+    const auto is_host = [&host](const member& one) { return one.m_host == host; };
+    return std::ranges::any_of(m_voters, is_host) || std::ranges::any_of(m_learners, is_host);
+}
+
+bool membership::is_single_change(const membership& next) const {
+    std::vector<member> changed;
+    std::ranges::set_symmetric_difference(m_voters, next.m_voters, std::back_inserter(changed));
+    return changed.size() <= 1;
+}
+
+std::string encode_membership(const membership& members) {
+    wire::raft_membersT encoded;
+    encoded.voters = to_wire_members(members.m_voters);
+    encoded.learners = to_wire_members(members.m_learners);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::raft_members::Pack(builder, &encoded));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+core::result<membership> decode_membership(std::string_view bytes) {
+    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!verifier.VerifyBuffer<wire::raft_members>(nullptr)) {
+        return core::result<membership>::failure("members cannot be decoded");
+    }
+    const std::unique_ptr<wire::raft_membersT> decoded(
+        flatbuffers::GetRoot<wire::raft_members>(data)->UnPack());
+    return membership{from_wire_members(decoded->voters), from_wire_members(decoded->learners)};
+}
+
+} // namespace mangoquay::consensus
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -13,9 +13,9 @@
     // NOLINTNEXTLINE(google-explicit-constructor): `return value;` is the usual way to succeed.
     result(Value value) : m_value(std::move(value)) {}
 
-    static result failure(std::string reason) {
+    static result failure(const std::string& reason) {
         result failed;
-        failed.m_reason = std::move(reason);
+        failed.m_reason = reason;
         return failed;
     }
 
--- /dev/null
+++ b/src/transport/event_loop.cpp
@@ -0,0 +1,159 @@
+// The epoll loop: ready sockets, due timers, posted tasks.
+#include "transport/event_loop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <cstdlib>
+#include <utility>
+
+namespace mangoquay::transport {
+namespace {
+
+constexpr int events_per_wait = 64;
+// Upper bound of one wait, so that a lost wake-up could only delay a task.
+constexpr int longest_wait_ms = 1000;
+
+[[noreturn]] void abort_with(const char* what) {
+    std::perror(what);
+    std::abort();
+}
+
+// An event carries the generation of the watch, so that an event for a closed descriptor never reaches the
+// handler of a new one that got the same number.
+epoll_event make_event(std::uint32_t events, std::uint64_t generation, int socket) {
+    epoll_event event{};
+    event.events = events;
+    event.data.u64 = (generation << 32U) | static_cast<std::uint32_t>(socket);
+    return event;
+}
+
+} // namespace
+
+event_loop::event_loop()
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC)), m_wake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+    if (m_epoll < 0 || m_wake < 0) {
+        abort_with("event loop");
+    }
+    watch(m_wake, EPOLLIN, [this](std::uint32_t) {
+        std::uint64_t count = 0;
+        [[maybe_unused]] const auto drained = ::read(m_wake, &count, sizeof count);
+    });
+}
+
+event_loop::~event_loop() {
+    ::close(m_wake);
+    ::close(m_epoll);
+}
+
+void event_loop::run() {
+    while (!m_stopped) {
+        std::array<epoll_event, events_per_wait> ready{};
+        const int count = epoll_wait(m_epoll, ready.data(), events_per_wait, wait_ms());
+        if (count < 0 && errno != EINTR) {
+            abort_with("epoll_wait");
+        }
+        for (int index = 0; index < count; ++index) {
+            const auto& event = ready.at(static_cast<std::size_t>(index));
+            const int socket = static_cast<int>(event.data.u64 & 0xffffffffU);
+            const auto found = m_sockets.find(socket);
+            if (found == m_sockets.end() ||
+                (found->second.m_generation & 0xffffffffU) != event.data.u64 >> 32U) {
+                continue;
+            }
+            // The handler may unwatch its own socket; the copy keeps it alive for the call.
+            const socket_handler handler = found->second.m_handler;
+            handler(event.events);
+        }
+        run_due_timers();
+        run_posted();
+    }
+}
+
+void event_loop::post(task work) {
+    {
+        const std::lock_guard lock(m_posted_mutex);
+        m_posted.push_back(std::move(work));
+    }
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(m_wake, &one, sizeof one);
+}
+
+void event_loop::stop() {
+    post([this] { m_stopped = true; });
+}
+
+timer_id event_loop::at(core::time_point when, task work) {
+    const std::uint64_t number = m_next_timer++;
+    m_timers.emplace(std::pair{when, number}, std::move(work));
+    m_timer_times.emplace(number, when);
+    return timer_id{number};
+}
+
+void event_loop::cancel(timer_id timer) {
+    const auto number = static_cast<std::uint64_t>(timer);
+    const auto found = m_timer_times.find(number);
+    if (found == m_timer_times.end()) {
+        return;
+    }
+    m_timers.erase(std::pair{found->second, number});
+    m_timer_times.erase(found);
+}
+
+void event_loop::watch(int socket, std::uint32_t events, socket_handler handler) {
+    const auto found = m_sockets.find(socket);
+    const int operation = found == m_sockets.end() ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+    const std::uint64_t generation = m_next_generation++;
+    epoll_event event = make_event(events, generation, socket);
+    if (epoll_ctl(m_epoll, operation, socket, &event) < 0) {
+        abort_with("epoll_ctl");
+    }
+    m_sockets[socket] = watched_socket{generation, std::move(handler)};
+}
+
+void event_loop::unwatch(int socket) {
+    if (m_sockets.erase(socket) > 0) {
+        // Fails when the descriptor is already closed, which removed it from the set.
+        epoll_ctl(m_epoll, EPOLL_CTL_DEL, socket, nullptr);
+    }
+}
+
+void event_loop::run_posted() {
+    std::vector<task> posted;
+    {
+        const std::lock_guard lock(m_posted_mutex);
+        posted.swap(m_posted);
+    }
+    for (const task& work : posted) {
+        work();
+    }
+}
+
+void event_loop::run_due_timers() {
+    // Timers added by the tasks run in the next round, so that a zero-delay timer cannot starve the sockets.
+    const core::time_point start = now();
+    while (!m_timers.empty() && m_timers.begin()->first.first <= start) {
+        const auto number = m_timers.begin()->first.second;
+        const task work = std::move(m_timers.begin()->second);
+        m_timers.erase(m_timers.begin());
+        m_timer_times.erase(number);
+        work();
+    }
+}
+
+int event_loop::wait_ms() const {
+    if (m_timers.empty()) {
+        return longest_wait_ms;
+    }
+    const auto left = m_timers.begin()->first.first - now();
+    // Rounded up: waking before the deadline would spin.
+    const auto ms = std::chrono::ceil<core::milliseconds>(left).count();
+    return static_cast<int>(std::clamp<std::int64_t>(ms, 0, longest_wait_ms));
+}
+
+} // namespace mangoquay::transport
--- /dev/null
+++ b/test/support/consensus_world.cpp
@@ -0,0 +1,412 @@
+// See the header. Time advances in steps of five milliseconds; clocks differ in rate by up to 10 %.
+#include "support/consensus_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoquay::consensus {
+namespace {
+
+constexpr std::int64_t step_us = 5000;
+constexpr log_index snapshot_interval = 30;
+
+void store(recovered_state& disk, const raft_action& action) {
+    if (const auto* state = std::get_if<save_hard_state>(&action)) {
+        disk.m_hard_state = state->m_state;
+    } else if (const auto* taken = std::get_if<save_snapshot>(&action)) {
+        disk.m_snapshot = taken->m_snapshot;
+        disk.m_entries = taken->m_kept;
+    } else if (const auto* received = std::get_if<install_snapshot>(&action)) {
+        disk.m_snapshot = received->m_snapshot;
+        disk.m_entries.clear();
+    } else if (const auto* appended = std::get_if<append_entries>(&action)) {
+        const log_index first = appended->m_entries.front().m_index;
+        std::erase_if(disk.m_entries, [first](const log_entry& entry) { return entry.m_index >= first; });
+        disk.m_entries.insert(disk.m_entries.end(), appended->m_entries.begin(), appended->m_entries.end());
+    }
+}
+
+std::uint64_t sequence_of(const raft_action& action) {
+    return std::visit(
+        []<class Action>(const Action& one) -> std::uint64_t {
+            if constexpr (requires { one.m_sequence; }) {
+                return one.m_sequence;
+            } else {
+                return 0;
+            }
+        },
+        action);
+}
+
+std::uint64_t mix(std::uint64_t state, const log_entry& entry) {
+    return state * 1099511628211U + std::hash<std::string>{}(entry.m_payload) + entry.m_term.value();
+}
+
+} // namespace
+
+std::ostream& operator<<(std::ostream& out, const fault_step& step) {
+    return out << static_cast<int>(step.m_kind) << '(' << step.m_target << ',' << step.m_other << ") "
+               << (step.m_load ? "load " : "") << step.m_duration_ms << "ms";
+}
+
+fault_step fault_from(std::uint32_t number, fault_kind last) {
+    const auto take = [&number](unsigned count) { return std::exchange(number, number / count) % count; };
+    const auto kind = static_cast<fault_kind>(take(static_cast<unsigned>(last) + 1));
+    const unsigned target = take(6);
+    const unsigned other = take(6);
+    const bool load = take(2) != 0;
+    return {kind, target, other, load, 10 + take(900)};
+}
+
+consensus_world::consensus_world(world_options options, std::uint64_t seed)
+    : m_options(options), m_random(seed), m_hosts(options.m_hosts + (options.m_spare ? 1U : 0U)) {
+    membership founders;
+    for (std::size_t place = 0; place < m_hosts.size(); ++place) {
+        simulated_host& host = m_hosts[place];
+        host.m_id = core::entry_host_id("host" + std::to_string(place));
+        host.m_disk.m_disk = disk_id(host.m_id.value() + "/1");
+        host.m_clock_rate = 0.9 + 0.01 * static_cast<double>(draw(0, 20));
+        if (place < m_options.m_hosts) {
+            founders.m_voters.insert({host.m_id, host.m_disk.m_disk});
+        }
+    }
+    for (unsigned place = 0; place < m_hosts.size(); ++place) {
+        if (!m_options.m_blank && place < m_options.m_hosts) {
+            recovered_state& disk = m_hosts[place].m_disk;
+            disk.m_hard_state.m_term = raft_term(1);
+            disk.m_entries = {{raft_term(1), 1, entry_kind::members, encode_membership(founders)}};
+        }
+        restart(place);
+    }
+}
+
+std::int64_t consensus_world::draw(std::int64_t least, std::int64_t largest) {
+    return least + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(largest - least + 1));
+}
+
+core::time_point consensus_world::local_time(const simulated_host& host) const {
+    const double local = static_cast<double>(m_now_us) * host.m_clock_rate;
+    return core::time_point{} + core::microseconds(1'000'000'000 + static_cast<std::int64_t>(local));
+}
+
+bool consensus_world::running(const simulated_host& host) const {
+    return host.m_node && host.m_frozen_until <= m_now_us;
+}
+
+void consensus_world::fail(const std::string& text) {
+    if (m_violation.empty()) {
+        m_violation = text;
+    }
+}
+
+void consensus_world::crash(unsigned place) {
+    simulated_host& host = m_hosts.at(place);
+    if (!host.m_node) {
+        return;
+    }
+    // Some of what was on its way to the disk may have reached it.
+    const auto reached = draw(0, static_cast<std::int64_t>(host.m_unsynced.size()));
+    for (std::int64_t count = 0; count < reached; ++count) {
+        store(host.m_disk, host.m_unsynced[static_cast<std::size_t>(count)].m_action);
+    }
+    host.m_unsynced.clear();
+    host.m_node.reset();
+    host.m_frozen_until = 0;
+}
+
+void consensus_world::restart(unsigned place) {
+    simulated_host& host = m_hosts.at(place);
+    if (host.m_node) {
+        return;
+    }
+    raft_settings settings;
+    settings.m_self = {host.m_id, host.m_disk.m_disk};
+    for (unsigned listed = 0; listed < m_options.m_hosts; ++listed) {
+        settings.m_initial_hosts.insert(core::entry_host_id("host" + std::to_string(listed)));
+    }
+    settings.m_timing = m_options.m_timing;
+    settings.m_faults = m_options.m_faults;
+    settings.m_limits = {
+        .m_append_bytes = 200, .m_snapshot_bytes = 8, .m_unacknowledged = 20, .m_kept_entries = 5};
+    settings.m_seed = m_random();
+    host.m_applied = 0;
+    host.m_state = 0;
+    host.m_last_snapshot = host.m_disk.m_snapshot.m_index;
+    host.m_node = std::make_unique<raft_node>(settings, host.m_disk, local_time(host));
+    step(host, tick{});
+}
+
+void consensus_world::lose_disk(unsigned place) {
+    crash(place);
+    simulated_host& host = m_hosts.at(place);
+    const disk_id old = host.m_disk.m_disk;
+    host.m_disk = {};
+    host.m_disk.m_disk =
+        m_options.m_keep_disk_id ? old : disk_id(host.m_id.value() + "/" + std::to_string(++host.m_disks));
+    restart(place);
+}
+
+void consensus_world::replace(unsigned lost, unsigned replacement) {
+    if (simulated_host* host = leading_host()) {
+        step(*host, replace_host{m_hosts.at(lost).m_id, m_hosts.at(replacement).m_id});
+    }
+}
+
+void consensus_world::isolate(unsigned place) {
+    const std::string isolated = m_hosts.at(place).m_id.value();
+    for (const simulated_host& host : m_hosts) {
+        m_cuts.insert({isolated, host.m_id.value()});
+        m_cuts.insert({host.m_id.value(), isolated});
+    }
+}
+
+consensus_world::simulated_host* consensus_world::leading_host() {
+    simulated_host* found = nullptr;
+    for (simulated_host& host : m_hosts) {
+        const bool leads = running(host) && host.m_node->is_leader();
+        if (leads && (!found || host.m_node->current_term() > found->m_node->current_term())) {
+            found = &host;
+        }
+    }
+    return found;
+}
+
+// All voters of the cell have the disks that they count with, and the change that made it so is committed.
+bool consensus_world::members_complete() {
+    const simulated_host* host = leading_host();
+    const raft_node* leading = host ? host->m_node.get() : nullptr;
+    if (!leading || leading->log().members_index() > leading->commit_index() ||
+        leading->members().m_voters.size() != m_options.m_hosts || !leading->holds_lease(local_time(*host))) {
+        return false;
+    }
+    return std::ranges::all_of(leading->members().m_voters, [this](const member& voter) {
+        return std::ranges::any_of(m_hosts, [&voter](const simulated_host& host) {
+            return host.m_id == voter.m_host && host.m_disk.m_disk == voter.m_disk;
+        });
+    });
+}
+
+void consensus_world::apply(const fault_step& fault) {
+    const simulated_host* leading = leading_host();
+    const auto base = leading ? static_cast<unsigned>(leading - m_hosts.data()) : 0U;
+    const auto count = static_cast<unsigned>(m_hosts.size());
+    const unsigned target = (base + fault.m_target) % count;
+    const unsigned other = (base + fault.m_other) % count;
+    m_load = fault.m_load;
+    switch (fault.m_kind) {
+    case fault_kind::none:
+        break;
+    case fault_kind::crash:
+        crash(target);
+        break;
+    case fault_kind::restart:
+        restart(target);
+        break;
+    case fault_kind::freeze:
+        m_hosts[target].m_frozen_until = m_now_us + 1000 * draw(300, 2500);
+        break;
+    case fault_kind::cut_one_way:
+        m_cuts.insert({m_hosts[target].m_id.value(), m_hosts[other].m_id.value()});
+        break;
+    case fault_kind::isolate:
+        isolate(target);
+        break;
+    case fault_kind::heal:
+        m_cuts.clear();
+        break;
+    case fault_kind::slow_disk:
+        m_hosts[target].m_slow_disk = !m_hosts[target].m_slow_disk;
+        break;
+    case fault_kind::lose_disk:
+        if (members_complete()) {
+            lose_disk(target);
+        }
+        break;
+    case fault_kind::replace_host:
+        if (members_complete()) {
+            replace(target, other);
+        }
+        break;
+    }
+}
+
+void consensus_world::play(const std::vector<fault_step>& script) {
+    run_ms(1200);
+    for (const fault_step& fault : script) {
+        apply(fault);
+        run_ms(fault.m_duration_ms);
+    }
+}
+
+void consensus_world::run_ms(std::int64_t length) {
+    const std::int64_t end = m_now_us + length * 1000;
+    while (m_now_us < end && m_violation.empty()) {
+        advance();
+    }
+}
+
+bool consensus_world::recovers() {
+    m_cuts.clear();
+    m_load = true;
+    for (unsigned place = 0; place < m_hosts.size(); ++place) {
+        m_hosts[place].m_frozen_until = 0;
+        m_hosts[place].m_slow_disk = false;
+        restart(place);
+    }
+    const std::size_t before = committed();
+    for (unsigned attempt = 0; attempt < 100 && m_violation.empty(); ++attempt) {
+        run_ms(100);
+        const raft_node* leading = leader();
+        if (leading && committed() > before + 1 && leading->applied_index() == committed() &&
+            members_complete()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void consensus_world::advance() {
+    m_now_us += step_us;
+    // A process that wakes up may look at its timers or at its sockets first.
+    const bool sockets_first = draw(0, 1) == 0;
+    if (sockets_first) {
+        deliver_due();
+    }
+    for (std::size_t place = 0; place < m_hosts.size(); ++place) {
+        advance_host(place);
+    }
+    if (!sockets_first) {
+        deliver_due();
+    }
+    check_leases();
+}
+
+void consensus_world::advance_host(std::size_t place) {
+    simulated_host& host = m_hosts[place];
+    if (!running(host)) {
+        return;
+    }
+    complete_storage(host);
+    if (host.m_node->next_tick() <= local_time(host)) {
+        step(host, tick{});
+    }
+    if (m_load && host.m_node->is_leader() && draw(0, 5) == 0) {
+        step(host, propose_batch{{std::to_string(++m_proposed)}});
+    }
+    if (host.m_applied >= host.m_last_snapshot + snapshot_interval) {
+        host.m_last_snapshot = host.m_applied;
+        step(host, snapshot_taken{std::to_string(host.m_state)});
+    }
+}
+
+void consensus_world::deliver_due() {
+    while (!m_network.empty() && m_network.begin()->first <= m_now_us) {
+        const delivery due = std::move(m_network.begin()->second);
+        m_network.erase(m_network.begin());
+        simulated_host& host = m_hosts[due.m_to];
+        if (running(host)) {
+            step(host, due.m_event);
+        } else if (host.m_node) {
+            m_network.insert({host.m_frozen_until, due}); // waits in the frozen process's socket
+        }
+    }
+}
+
+void consensus_world::complete_storage(simulated_host& host) {
+    std::uint64_t synced = 0;
+    while (!host.m_unsynced.empty() && host.m_unsynced.front().m_due <= m_now_us) {
+        store(host.m_disk, host.m_unsynced.front().m_action);
+        synced = sequence_of(host.m_unsynced.front().m_action);
+        host.m_unsynced.pop_front();
+    }
+    if (synced != 0) {
+        step(host, storage_synced{synced});
+    }
+}
+
+void consensus_world::step(simulated_host& host, const raft_event& event) {
+    for (raft_action& action : host.m_node->step(event, local_time(host))) {
+        handle(host, action);
+    }
+}
+
+void consensus_world::handle(simulated_host& host, raft_action& action) {
+    if (const auto* sent = std::get_if<send_message>(&action)) {
+        transmit(host, *sent);
+    } else if (const auto* applied = std::get_if<apply_entries>(&action)) {
+        for (const log_entry& entry : applied->m_entries) {
+            commit(host, entry);
+        }
+    } else if (const auto* restored = std::get_if<restore_state>(&action)) {
+        restore(host, *restored);
+    } else if (std::holds_alternative<became_leader>(action)) {
+        const auto [known, added] = m_leaders.insert({host.m_node->current_term(), host.m_node->self()});
+        if (!added && known->second != host.m_node->self()) {
+            fail("two leaders in term " + std::to_string(known->first.value()));
+        }
+    } else if (sequence_of(action) != 0) {
+        const std::int64_t latency = host.m_slow_disk ? draw(50, 400) : draw(0, 8);
+        const std::int64_t earliest = host.m_unsynced.empty() ? 0 : host.m_unsynced.back().m_due;
+        host.m_unsynced.push_back({std::max(earliest, m_now_us + latency * 1000), std::move(action)});
+    }
+}
+
+void consensus_world::transmit(const simulated_host& from, const send_message& action) {
+    const auto to = std::ranges::find(m_hosts, action.m_to, &simulated_host::m_id);
+    if (to == m_hosts.end() || m_cuts.contains({from.m_id.value(), action.m_to.value()}) ||
+        draw(0, 49) == 0) {
+        return;
+    }
+    const int copies = draw(0, 29) == 0 ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        const std::int64_t latency = draw(0, 39) == 0 ? draw(50, 2000) : draw(0, 10);
+        const auto place = static_cast<std::size_t>(to - m_hosts.begin());
+        m_network.insert({m_now_us + latency * 1000, {place, {from.m_id, action.m_message}}});
+    }
+}
+
+void consensus_world::commit(simulated_host& host, const log_entry& entry) {
+    if (entry.m_index != host.m_applied + 1 || entry.m_index > m_committed.size() + 1) {
+        fail("gap before entry " + std::to_string(entry.m_index));
+        return;
+    }
+    if (entry.m_index == m_committed.size() + 1) {
+        m_committed.push_back(entry);
+        m_states.push_back(mix(m_states.back(), entry));
+    } else if (m_committed[entry.m_index - 1] != entry) {
+        fail("committed entry " + std::to_string(entry.m_index) + " was changed");
+    }
+    host.m_applied = entry.m_index;
+    host.m_state = mix(host.m_state, entry);
+    if (host.m_node->is_leader() && entry.m_term == host.m_node->current_term()) {
+        m_commit_term = std::max(m_commit_term, entry.m_term);
+    }
+}
+
+void consensus_world::restore(simulated_host& host, const restore_state& action) {
+    const bool known =
+        action.m_index < m_states.size() && action.m_state == std::to_string(m_states[action.m_index]);
+    if (!known) {
+        fail("snapshot at " + std::to_string(action.m_index) + " is not a state that was committed");
+        return;
+    }
+    host.m_applied = action.m_index;
+    host.m_state = m_states[action.m_index];
+    host.m_last_snapshot = action.m_index;
+}
+
+void consensus_world::check_leases() {
+    for (const simulated_host& host : m_hosts) {
+        if (!running(host) || !host.m_node->holds_lease(local_time(host))) {
+            continue;
+        }
+        if (host.m_node->current_term() < m_commit_term) {
+            fail("a later leader committed while " + host.m_id.value() + " held the lease");
+        }
+        if (host.m_applied < m_committed.size()) {
+            fail("the holder of the lease has not applied every commit");
+        }
+    }
+}
+
+} // namespace mangoquay::consensus
--- /dev/null
+++ b/test/support/consensus_world.h
@@ -0,0 +1,134 @@
+// Several Raft cores with a fake network, fake disks and clocks of their own, under faults that a script
+// names. Observes every commit, every election and every leader lease, and keeps the first violation.
+#pragma once
+
+#include "consensus/raft_node.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <ostream>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mangoquay::consensus {
+
+enum class fault_kind : std::uint8_t {
+    none,
+    crash, // loses a part of what was not synced
+    restart,
+    freeze, // longer than any lease
+    cut_one_way,
+    isolate,
+    heal,
+    slow_disk,
+    lose_disk,    // only while the members are complete, so that a quorum keeps its disks
+    replace_host, // the spare host takes the place of a crashed one, or of the target once that has crashed
+    last = replace_host,
+};
+
+// Hosts are counted from the present leader, so that scripts hit leaders often.
+struct fault_step {
+    fault_kind m_kind = fault_kind::none;
+    unsigned m_target = 0;
+    unsigned m_other = 0;
+    bool m_load = false;        // whether the leader gets proposals until the next step
+    unsigned m_duration_ms = 0; // until the next step
+};
+
+// Every number stands for a step; only kinds up to `last` are used.
+fault_step fault_from(std::uint32_t number, fault_kind last);
+
+std::ostream& operator<<(std::ostream& out, const fault_step& step);
+
+struct world_options {
+    unsigned m_hosts = 3;
+    bool m_blank = false; // the hosts found the cell themselves
+    bool m_spare = false; // one more host that is not a member
+    raft_faults m_faults = {};
+    raft_timing m_timing = {};
+    bool m_keep_disk_id = false; // planted fault: a lost disk comes back under the same id
+};
+
+class consensus_world {
+public:
+    consensus_world(world_options options, std::uint64_t seed);
+
+    void play(const std::vector<fault_step>& script);
+    void apply(const fault_step& step);
+    void run_ms(std::int64_t length);
+    // Ends all faults. False when the cell does not commit again, or has lost something.
+    bool recovers();
+
+    [[nodiscard]] const std::string& violation() const { return m_violation; }
+    [[nodiscard]] std::size_t committed() const { return m_committed.size(); }
+    // The node that leads with the highest term; null when there is none.
+    [[nodiscard]] raft_node* leader() {
+        const simulated_host* host = leading_host();
+        return host ? host->m_node.get() : nullptr;
+    }
+    [[nodiscard]] bool members_complete();
+    [[nodiscard]] raft_node* node(unsigned host) { return m_hosts.at(host).m_node.get(); }
+    void lose_disk(unsigned host);
+    void crash(unsigned host);
+    void restart(unsigned host);
+    void replace(unsigned lost, unsigned replacement);
+    void isolate(unsigned host);
+
+private:
+    struct stored_action {
+        std::int64_t m_due = 0;
+        raft_action m_action;
+    };
+    struct simulated_host {
+        core::entry_host_id m_id;
+        recovered_state m_disk;
+        std::deque<stored_action> m_unsynced;
+        std::unique_ptr<raft_node> m_node; // null while crashed
+        double m_clock_rate = 1;
+        std::int64_t m_frozen_until = 0;
+        bool m_slow_disk = false;
+        log_index m_applied = 0;
+        std::uint64_t m_state = 0; // checksum of everything applied
+        log_index m_last_snapshot = 0;
+        unsigned m_disks = 1;
+    };
+    struct delivery {
+        std::size_t m_to = 0;
+        message_received m_event;
+    };
+
+    simulated_host* leading_host();
+    void advance();
+    void advance_host(std::size_t place);
+    void deliver_due();
+    void complete_storage(simulated_host& host);
+    void step(simulated_host& host, const raft_event& event);
+    void handle(simulated_host& host, raft_action& action);
+    void transmit(const simulated_host& from, const send_message& action);
+    void commit(simulated_host& host, const log_entry& entry);
+    void restore(simulated_host& host, const restore_state& action);
+    void check_leases();
+    void fail(const std::string& text);
+    [[nodiscard]] std::int64_t draw(std::int64_t least, std::int64_t largest);
+    [[nodiscard]] core::time_point local_time(const simulated_host& host) const;
+    [[nodiscard]] bool running(const simulated_host& host) const;
+
+    world_options m_options;
+    std::mt19937_64 m_random;
+    std::int64_t m_now_us = 0;
+    std::vector<simulated_host> m_hosts;
+    std::multimap<std::int64_t, delivery> m_network;
+    std::set<std::pair<std::string, std::string>> m_cuts; // from, to
+    std::vector<log_entry> m_committed;                   // what any host applied, by index
+    std::vector<std::uint64_t> m_states{0};               // checksum after each index
+    std::map<raft_term, member> m_leaders;
+    raft_term m_commit_term; // highest term whose leader has committed
+    bool m_load = true;
+    std::uint64_t m_proposed = 0;
+    std::string m_violation;
+};
+
+} // namespace mangoquay::consensus
