--- /dev/null
+++ b/src/control_host/control_host.cpp
@@ -0,0 +1,226 @@
+// Log, commits and submitted commands of a control host; see leader_duties.cpp for what it does while it leads.
+#include "control_host/control_host.h"
+
+#include "control/announcement.h"
+#include "control/apply.h"
+#include "control/codec.h"
+#include "core/log.h"
+#include "wire/positions.h"
+
+#include <functional>
+#include <utility>
+
+namespace mangoquay::control_host {
+namespace {
+
+constexpr core::milliseconds tick_period{50};
+constexpr std::size_t remembered_revisions = 8192;
+
+consensus::driver_settings raft_settings(const settings::settings& chosen) {
+    consensus::driver_settings raft;
+    raft.m_self = chosen.m_host;
+    raft.m_data_folder = (chosen.m_data_folder / "control").string();
+    for (const settings::control_host& host : chosen.m_control_hosts) {
+        raft.m_initial_hosts.insert(host.m_host);
+    }
+    raft.m_seed = std::hash<core::entry_host_id>{}(chosen.m_host);
+    return raft;
+}
+
+dialect::connection_settings database_settings(const settings::settings& chosen) {
+    return {chosen.m_database.m_user, chosen.m_database.m_password, chosen.m_database.m_database, {}, ""};
+}
+
+} // namespace
+
+control_host::control_host(transport::event_loop& loop, transport::message_bus& bus, const settings::settings& chosen,
+                           const dialect::database_dialect& strategy)
+    : m_loop(loop), m_bus(bus), m_self(chosen.m_host),
+      m_raft(std::make_unique<consensus::raft_driver>(
+          loop, raft_settings(chosen),
+          [this](const core::entry_host_id& to, const consensus::raft_message& message) {
+              m_bus.send(to, consensus::to_wire(message));
+          })),
+      m_state(control::initial_state()), m_steps(loop, chosen.m_host, database_settings(chosen), strategy) {
+    install_handlers();
+}
+
+control_host::~control_host() = default;
+
+consensus::status control_host::start() {
+    auto started = m_raft->start();
+    if (started) {
+        tick();
+    }
+    return started;
+}
+
+void control_host::install_handlers() {
+    m_raft->on_commit([this](core::revision at, const std::string& payload) { committed(at, payload); });
+    m_raft->on_install([this](core::revision at, const std::string& state) { installed(at, state); });
+    m_raft->on_snapshot_needed([this] { return control::encode(m_state); });
+    m_raft->on_leadership([this](bool leading) {
+        core::log_line(core::log_level::info, "control", leading ? "leadership gained" : "leadership lost");
+        m_active = false;
+    });
+    m_bus.on<wire::raft_messageT>([this](const auto& from, const auto& message) {
+        const auto decoded = consensus::from_wire(message);
+        if (decoded) {
+            m_raft->receive(from, *decoded);
+        }
+    });
+    m_bus.on<wire::heartbeatT>([this](const auto& from, const auto& beat) { heartbeat_received(from, beat); });
+    m_bus.on<wire::submit_commandT>([this](const auto& from, const auto& submit) { submit_received(from, submit); });
+    m_bus.on<wire::status_queryT>([this](const auto& from, const auto& query) { status_asked(from, query); });
+    m_bus.on<wire::replace_control_hostT>([this](const auto&, const auto& request) { replace_asked(request); });
+    m_bus.on<wire::probe_answerT>([this](const auto& from, const auto& answer) {
+        const membership::probe_result result{from, core::endpoint_id(answer.endpoint), answer.reachable};
+        const auto now = transport::event_loop::now();
+        m_membership.on_probe_result(now, result);
+        m_failover.on_probe_result(now, m_state, result);
+    });
+}
+
+bool control_host::may_decide(core::time_point now) const {
+    return m_active && m_raft->is_leader() && m_raft->holds_lease(now);
+}
+
+void control_host::tick() {
+    m_loop.after(tick_period, [this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired()) {
+            tick();
+        }
+    });
+    const auto now = transport::event_loop::now();
+    if (!m_raft->is_leader() || !m_raft->holds_lease(now)) {
+        return;
+    }
+    if (!m_active) {
+        become_active(now);
+    }
+    if (now - m_last_membership_tick >= 2 * tick_period) {
+        m_last_membership_tick = now;
+        perform(m_membership.tick(now, m_state));
+        perform(m_settlement.tick(now, m_state, m_membership.leases()));
+    }
+    tick_failover(now);
+}
+
+void control_host::become_active(core::time_point now) {
+    m_active = true;
+    m_membership.elected(now, m_state);
+    m_failover.elected(now, m_state);
+    m_settlement.elected();
+    core::log_line(core::log_level::info, "control",
+                   "leader active revision=" + std::to_string(m_state.m_revision.value()));
+}
+
+void control_host::committed(core::revision at, const std::string& payload) {
+    if (payload.empty()) {
+        m_state.m_revision = at;
+    } else {
+        const auto change = control::decode_command(payload);
+        if (!change) {
+            // Another version of the program wrote it; skipping it would let the states of two hosts differ.
+            core::log_line(core::log_level::error, "control", "command not understood reason=" + change.reason());
+            std::abort();
+        }
+        m_outcomes[at] = control::apply(m_state, *change, at);
+        if (m_outcomes.size() > remembered_revisions) {
+            m_outcomes.erase(m_outcomes.begin());
+        }
+        const auto waiting = m_waiting.find(at);
+        if (waiting != m_waiting.end()) {
+            answer_submit(waiting->second, m_outcomes[at]);
+            m_waiting.erase(waiting);
+        }
+    }
+    if (m_raft->is_leader() && !m_feed_due) {
+        m_feed_due = true;
+        m_loop.post([this, alive = std::weak_ptr(m_alive)] {
+            if (alive.expired()) {
+                return;
+            }
+            m_feed_due = false;
+            const auto now = transport::event_loop::now();
+            send_feed(m_feed.committed(now, m_raft->committed()));
+            if (may_decide(now)) {
+                tick_failover(now);
+            }
+        });
+    }
+}
+
+void control_host::installed(core::revision at, const std::string& state) {
+    auto decoded = control::decode_state(state);
+    if (!decoded) {
+        core::log_line(core::log_level::error, "control", "snapshot not understood reason=" + decoded.reason());
+        std::abort();
+    }
+    m_state = std::move(*decoded);
+    m_state.m_revision = at;
+    m_outcomes.clear();
+}
+
+void control_host::propose(const control::command& change) {
+    m_raft->propose(control::encode(change), [](std::optional<core::revision>) {});
+}
+
+void control_host::submit_received(const core::entry_host_id& from, const wire::submit_commandT& message) {
+    const waiting_submit submit{from, message.number};
+    const auto now = transport::event_loop::now();
+    if (!may_decide(now)) {
+        wire::command_outcomeT outcome;
+        outcome.number = message.number;
+        outcome.redirect = m_raft->leader().value_or(core::entry_host_id{}).value();
+        outcome.reason = "not_leader";
+        m_bus.send(from, std::move(outcome));
+        return;
+    }
+    const std::string payload = wire::to_text(message.command);
+    const auto change = control::decode_command(payload);
+    if (!change) {
+        answer_submit(submit, {false, {}, "invalid_change", change.reason()});
+        return;
+    }
+    if (const auto* announcement = std::get_if<control::announce_endpoint>(&*change)) {
+        m_membership.on_endpoint_renewed(now, announcement->m_endpoint);
+        if (control::changes_nothing(m_state, *announcement)) {
+            answer_submit(submit, {true, m_state.m_revision, "", ""});
+            return;
+        }
+    }
+    m_raft->propose(payload, [this, submit](std::optional<core::revision> at) { submit_committed(submit, at); });
+}
+
+void control_host::submit_committed(const waiting_submit& submit, std::optional<core::revision> at) {
+    if (!at) {
+        // Unknown, so no answer: the sender resends to the next leader.
+        return;
+    }
+    const auto outcome = m_outcomes.find(*at);
+    if (outcome != m_outcomes.end()) {
+        answer_submit(submit, outcome->second);
+    } else if (m_state.m_revision < *at) {
+        m_waiting[*at] = submit;
+    }
+}
+
+void control_host::answer_submit(const waiting_submit& submit, const control::command_outcome& outcome) {
+    wire::command_outcomeT message;
+    message.number = submit.m_number;
+    message.accepted = outcome.m_accepted;
+    message.revision = outcome.m_revision.value();
+    message.reason = outcome.m_reason;
+    message.message = outcome.m_message;
+    m_bus.send(submit.m_from, std::move(message));
+}
+
+void control_host::replace_asked(const wire::replace_control_hostT& request) {
+    const auto started = m_raft->replace_host(core::entry_host_id(request.old_host), core::entry_host_id(request.new_host));
+    core::log_line(core::log_level::info, "control",
+                   "replacement of a control host asked old=" + request.old_host + " new=" + request.new_host +
+                       (started ? " started" : " refused reason=" + started.reason()));
+}
+
+} // namespace mangoquay::control_host
--- /dev/null
+++ b/src/control_host/step_runner.cpp
@@ -0,0 +1,220 @@
+// Steps as short sequences of SQL, each ended by a reading of the status.
+#include "control_host/step_runner.h"
+
+#include "core/log.h"
+#include "dialect/postgres_sql.h"
+
+#include <utility>
+
+namespace mangoquay::control_host {
+namespace {
+
+namespace sql = dialect::postgres_sql;
+
+constexpr core::milliseconds poll_interval{10};
+
+std::string quoted(const std::string& text) {
+    std::string out = "'";
+    for (const char character : text) {
+        out += character;
+        if (character == '\'') {
+            out += character;
+        }
+    }
+    return out + "'";
+}
+
+// The replica's own id is its application name, which pg_stat_replication of the primary shows.
+std::string follow_statement(const control::socket_address& primary, const core::endpoint_id& replica,
+                             const std::string& user) {
+    return sql::follow_prefix + quoted("host=" + primary.m_host + " port=" + std::to_string(primary.m_port) +
+                                       " user=" + user + " application_name=" + replica.value());
+}
+
+} // namespace
+
+step_runner::step_runner(transport::event_loop& loop, core::entry_host_id self, dialect::connection_settings settings,
+                         const dialect::database_dialect& strategy)
+    : m_loop(loop), m_self(std::move(self)), m_settings(std::move(settings)), m_strategy(strategy) {}
+
+step_runner::~step_runner() {
+    for (auto& [number, step] : m_steps) {
+        step.m_connection->close();
+    }
+}
+
+void step_runner::run(const control::control_state& state, const failover::read_position& step, step_handler done) {
+    running_step running;
+    running.m_done = std::move(done);
+    start(state, step.m_attempt, step.m_endpoint, std::move(running));
+}
+
+void step_runner::run(const control::control_state& state, const failover::stop_following& step, step_handler done) {
+    running_step running;
+    running.m_sql = {sql::stop_following, sql::reload};
+    running.m_until_zero = sql::receivers_running;
+    running.m_done = std::move(done);
+    start(state, step.m_attempt, step.m_endpoint, std::move(running));
+}
+
+void step_runner::run(const control::control_state& state, const failover::promote& step, step_handler done) {
+    running_step running;
+    running.m_sql = {sql::promote};
+    running.m_wait_for_primary = true;
+    running.m_done = std::move(done);
+    start(state, step.m_attempt, step.m_endpoint, std::move(running));
+}
+
+void step_runner::run(const control::control_state& state, const failover::follow& step, step_handler done) {
+    const auto primary = state.m_endpoints.find(step.m_primary);
+    running_step running;
+    running.m_done = std::move(done);
+    if (primary != state.m_endpoints.end()) {
+        running.m_sql = {follow_statement(primary->second.m_address, step.m_endpoint, m_settings.m_user), sql::reload};
+    }
+    start(state, step.m_attempt, step.m_endpoint, std::move(running));
+}
+
+void step_runner::probe(const control::control_state& state, const core::endpoint_id& endpoint,
+                        std::function<void(bool)> done) {
+    run(state, failover::read_position{0, endpoint},
+        [done = std::move(done)](const failover::step_answer& answer) { done(answer.m_ok); });
+}
+
+void step_runner::start(const control::control_state& state, std::uint64_t attempt, const core::endpoint_id& endpoint,
+                        running_step step) {
+    const std::uint64_t number = ++m_last_number;
+    step.m_answer.m_attempt = attempt;
+    step.m_answer.m_endpoint = endpoint;
+    step.m_deadline = core::deadline_after(transport::event_loop::now(), failover::step_timeout);
+    const auto record = state.m_endpoints.find(endpoint);
+    if (record == state.m_endpoints.end()) {
+        m_loop.post([done = std::move(step.m_done), answer = step.m_answer] { done(answer); });
+        return;
+    }
+    // Not of the form that owners use, so that a change of owner does not end a step.
+    const std::string name = "mangoquay-control/" + m_self.value();
+    step.m_connection = std::make_shared<database::connection>(
+        m_loop, m_strategy.connection_parameters(record->second.m_address, m_settings, name));
+    const auto connection = step.m_connection;
+    const core::deadline deadline = step.m_deadline;
+    m_steps.emplace(number, std::move(step));
+    connection->open(deadline, [this, number](bool opened, const std::string&) {
+        if (opened) {
+            next(number);
+        } else {
+            finish(number, false);
+        }
+    });
+}
+
+step_runner::running_step* step_runner::find(std::uint64_t number) {
+    const auto found = m_steps.find(number);
+    return found == m_steps.end() ? nullptr : &found->second;
+}
+
+void step_runner::next(std::uint64_t number) {
+    running_step* step = find(number);
+    if (step == nullptr) {
+        return;
+    }
+    if (!step->m_sql.empty()) {
+        const std::string statement = step->m_sql.front();
+        step->m_sql.pop_front();
+        step->m_connection->execute(statement, {}, step->m_deadline,
+                                    [this, number](const auto& answer) { sql_answered(number, answer); });
+        return;
+    }
+    if (!step->m_until_zero.empty()) {
+        wait_until_zero(number);
+        return;
+    }
+    read_status(number);
+}
+
+void step_runner::sql_answered(std::uint64_t number, const database::database_answer& answer) {
+    if (answer.m_outcome != database::outcome::completed) {
+        core::log_line(core::log_level::warning, "failover", "step refused reason=" + answer.m_message);
+        finish(number, false);
+        return;
+    }
+    next(number);
+}
+
+void step_runner::wait_until_zero(std::uint64_t number) {
+    running_step* step = find(number);
+    if (step == nullptr) {
+        return;
+    }
+    step->m_connection->execute(step->m_until_zero, {}, step->m_deadline, [this, number](const auto& answer) {
+        running_step* waiting = find(number);
+        if (waiting == nullptr) {
+            return;
+        }
+        if (answer.m_outcome != database::outcome::completed) {
+            finish(number, false);
+        } else if (answer.first_cell() == "0") {
+            waiting->m_until_zero.clear();
+            next(number);
+        } else {
+            m_loop.after(poll_interval, [this, number, alive = std::weak_ptr(m_alive)] {
+                if (!alive.expired()) {
+                    wait_until_zero(number);
+                }
+            });
+        }
+    });
+}
+
+void step_runner::read_status(std::uint64_t number) {
+    running_step* step = find(number);
+    if (step == nullptr) {
+        return;
+    }
+    step->m_connection->execute(sql::status, {}, step->m_deadline,
+                                [this, number](const auto& answer) { status_answered(number, answer); });
+}
+
+void step_runner::status_answered(std::uint64_t number, const database::database_answer& answer) {
+    running_step* step = find(number);
+    if (step == nullptr) {
+        return;
+    }
+    if (answer.m_outcome != database::outcome::completed || answer.m_rows.size() != 1) {
+        finish(number, false);
+        return;
+    }
+    const auto status = m_strategy.parse_status(answer.m_rows.front());
+    if (!status) {
+        core::log_line(core::log_level::error, "failover", "status not understood reason=" + status.reason());
+        finish(number, false);
+        return;
+    }
+    if (step->m_wait_for_primary && status->m_is_replica) {
+        m_loop.after(poll_interval, [this, number, alive = std::weak_ptr(m_alive)] {
+            if (!alive.expired()) {
+                read_status(number);
+            }
+        });
+        return;
+    }
+    failover::endpoint_status& seen = step->m_answer.m_status;
+    seen.m_in_recovery = status->m_is_replica;
+    seen.m_position = status->m_is_replica ? std::max(status->m_durable, status->m_applied) : status->m_durable;
+    seen.m_streaming = status->m_is_replica && !status->m_follows.empty();
+    finish(number, true);
+}
+
+void step_runner::finish(std::uint64_t number, bool ok) {
+    const auto found = m_steps.find(number);
+    if (found == m_steps.end()) {
+        return;
+    }
+    running_step step = std::move(found->second);
+    m_steps.erase(found);
+    step.m_connection->close();
+    step.m_answer.m_ok = ok;
+    step.m_done(step.m_answer);
+}
+
+} // namespace mangoquay::control_host
--- /dev/null
+++ b/src/control_host/step_runner.h
@@ -0,0 +1,72 @@
+// Runs the steps of the failover core at endpoints over libpq and reports what was seen. Decides nothing.
+//
+// Owns: the connections of steps in progress; each step opens one and closes it at its end.
+#pragma once
+
+#include "control/control_state.h"
+#include "database/connection.h"
+#include "dialect/database_dialect.h"
+#include "failover/endpoint_steps.h"
+#include "transport/event_loop.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace mangoquay::control_host {
+
+using step_handler = std::function<void(const failover::step_answer&)>;
+
+class step_runner {
+public:
+    step_runner(transport::event_loop& loop, core::entry_host_id self, dialect::connection_settings settings,
+                const dialect::database_dialect& strategy);
+    ~step_runner();
+    step_runner(const step_runner&) = delete;
+    step_runner& operator=(const step_runner&) = delete;
+    step_runner(step_runner&&) = delete;
+    step_runner& operator=(step_runner&&) = delete;
+
+    // Each handler is called once, never from inside the call.
+    void run(const control::control_state& state, const failover::read_position& step, step_handler done);
+    void run(const control::control_state& state, const failover::stop_following& step, step_handler done);
+    void run(const control::control_state& state, const failover::promote& step, step_handler done);
+    void run(const control::control_state& state, const failover::follow& step, step_handler done);
+    // Whether a connection can be opened and answers.
+    void probe(const control::control_state& state, const core::endpoint_id& endpoint, std::function<void(bool)> done);
+
+private:
+    struct running_step {
+        failover::step_answer m_answer;
+        std::deque<std::string> m_sql;       // still to be run
+        std::string m_until_zero;            // repeated until its first cell is 0; empty: none
+        bool m_wait_for_primary = false;     // the status is read until the endpoint is out of recovery
+        core::deadline m_deadline;
+        std::shared_ptr<database::connection> m_connection;
+        step_handler m_done;
+    };
+
+    void start(const control::control_state& state, std::uint64_t attempt, const core::endpoint_id& endpoint,
+               running_step step);
+    void next(std::uint64_t number);
+    void sql_answered(std::uint64_t number, const database::database_answer& answer);
+    void wait_until_zero(std::uint64_t number);
+    void read_status(std::uint64_t number);
+    void status_answered(std::uint64_t number, const database::database_answer& answer);
+    void finish(std::uint64_t number, bool ok);
+    running_step* find(std::uint64_t number);
+
+    transport::event_loop& m_loop;
+    core::entry_host_id m_self;
+    dialect::connection_settings m_settings;
+    const dialect::database_dialect& m_strategy;
+    std::uint64_t m_last_number = 0;
+    std::map<std::uint64_t, running_step> m_steps;
+    // Posted tasks hold it weakly and do nothing once the runner is gone.
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+} // namespace mangoquay::control_host
--- /dev/null
+++ b/src/proxy/control_follower.cpp
@@ -0,0 +1,270 @@
+// Heartbeats, log batches and submits.
+#include "proxy/control_follower.h"
+
+#include "control/announcement.h"
+#include "control/apply.h"
+#include "control/codec.h"
+#include "core/log.h"
+#include "membership/report_messages.h"
+#include "wire/positions.h"
+
+#include <chrono>
+#include <utility>
+
+namespace mangoquay::proxy {
+namespace {
+
+// Longer than the election of another leader (about 1 s), shorter than operators' patience.
+constexpr core::milliseconds submit_patience{4000};
+constexpr core::milliseconds submit_retry{300};
+constexpr core::milliseconds status_patience{500};
+// Without a grant for this long all control hosts are asked, not only the last known leader.
+constexpr core::milliseconds leader_trust{500};
+
+// Later starts get higher numbers, as long as the host's calendar clock does not go back further than the process was
+// down; register_when_needed() corrects it when it does.
+core::incarnation first_incarnation() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return core::incarnation(
+        static_cast<std::uint64_t>(std::chrono::duration_cast<core::milliseconds>(since_epoch).count()));
+}
+
+} // namespace
+
+control_follower::control_follower(transport::event_loop& loop, transport::message_bus& bus,
+                                   transport::peer_network& network, const settings::settings& chosen)
+    : m_loop(loop), m_bus(bus), m_network(network), m_settings(chosen), m_state(control::initial_state()),
+      m_lease(first_incarnation()) {
+    m_bus.on<wire::lease_grantT>([this](const auto&, const auto& grant) { granted(grant); });
+    m_bus.on<wire::log_batchT>([this](const auto&, const auto& batch) { batch_received(batch); });
+    m_bus.on<wire::state_snapshotT>([this](const auto&, const auto& snapshot) { snapshot_received(snapshot); });
+    m_bus.on<wire::command_outcomeT>([this](const auto&, const auto& outcome) { outcome_received(outcome); });
+    m_bus.on<wire::status_answerT>([this](const auto&, const auto& answer) {
+        const auto query = m_status_queries.find(answer.number);
+        if (query != m_status_queries.end()) {
+            const auto done = std::move(query->second);
+            m_status_queries.erase(query);
+            done(answer.text);
+        }
+    });
+}
+
+void control_follower::start() { beat(); }
+
+void control_follower::beat() {
+    send_heartbeat(transport::event_loop::now());
+    m_loop.after(membership::heartbeat_period, [this] { beat(); });
+}
+
+void control_follower::send_heartbeat(core::time_point now) {
+    membership::heartbeat report;
+    report.m_host = m_settings.m_host;
+    report.m_incarnation = m_lease.present_incarnation();
+    report.m_applied = m_state.m_revision;
+    report.m_leaving = m_leaving;
+    report.m_renewed.assign(m_renewed.begin(), m_renewed.end());
+    m_renewed.clear();
+    if (m_on_report) {
+        m_on_report(report);
+    }
+    report.m_number = m_lease.heartbeat_sent(now);
+    const bool leader_known = !m_leader.value().empty() && !m_leader_trusted.passed(now);
+    for (const settings::control_host& host : m_settings.m_control_hosts) {
+        if (!leader_known || host.m_host == m_leader) {
+            m_bus.send(host.m_host, membership::to_wire(report));
+        }
+    }
+}
+
+bool control_follower::registered() const {
+    const auto record = m_state.m_proxies.find(m_settings.m_host);
+    return record != m_state.m_proxies.end() && record->second.m_incarnation == m_lease.present_incarnation();
+}
+
+void control_follower::register_when_needed() {
+    if (!m_state_heard || m_registering || registered()) {
+        return;
+    }
+    const auto record = m_state.m_proxies.find(m_settings.m_host);
+    if (record != m_state.m_proxies.end() && record->second.m_incarnation > m_lease.present_incarnation()) {
+        m_lease = membership::proxy_lease(core::incarnation(record->second.m_incarnation.value() + 1));
+    }
+    control::register_proxy change;
+    change.m_host = m_settings.m_host;
+    change.m_record.m_zone = m_settings.m_zone;
+    change.m_record.m_peer_address = m_settings.m_peer_address;
+    change.m_record.m_http_address = m_settings.m_http_address.value_or(control::socket_address{});
+    change.m_record.m_incarnation = m_lease.present_incarnation();
+    change.m_record.m_leaving = m_leaving;
+    m_registering = true;
+    core::log_line(core::log_level::info, "membership",
+                   "registering incarnation=" + std::to_string(change.m_record.m_incarnation.value()));
+    submit(change, [this](const gateway::operator_outcome&) {
+        m_registering = false;
+        register_when_needed();
+    });
+}
+
+void control_follower::granted(const wire::lease_grantT& grant) {
+    const auto now = transport::event_loop::now();
+    if (!grant.leader.empty()) {
+        m_leader = core::entry_host_id(grant.leader);
+        m_leader_trusted = core::deadline_after(now, leader_trust);
+    }
+    if (grant.accepted) {
+        m_lease.granted(core::incarnation(grant.incarnation), grant.number);
+    } else if (grant.committed_revision > 0 && m_state.m_revision.value() >= grant.committed_revision) {
+        m_state_heard = true;
+        register_when_needed();
+    }
+}
+
+void control_follower::batch_received(const wire::log_batchT& batch) {
+    std::uint64_t at = batch.first_revision;
+    bool changed = false;
+    for (const auto& entry : batch.entries) {
+        const std::uint64_t revision = at++;
+        if (revision <= m_state.m_revision.value()) {
+            continue;
+        }
+        if (revision != m_state.m_revision.value() + 1) {
+            return; // a gap: the next heartbeat asks for what is missing
+        }
+        changed = true;
+        if (entry->payload.empty()) {
+            m_state.m_revision = core::revision(revision);
+            continue;
+        }
+        const auto change = control::decode_command(wire::to_text(entry->payload));
+        if (!change) {
+            core::log_line(core::log_level::error, "control", "command not understood reason=" + change.reason());
+            std::abort();
+        }
+        control::apply(m_state, *change, core::revision(revision));
+    }
+    if (changed) {
+        view_changed();
+    }
+}
+
+void control_follower::snapshot_received(const wire::state_snapshotT& snapshot) {
+    if (snapshot.revision <= m_state.m_revision.value()) {
+        return;
+    }
+    auto decoded = control::decode_state(wire::to_text(snapshot.state));
+    if (!decoded) {
+        core::log_line(core::log_level::error, "control", "state not understood reason=" + decoded.reason());
+        return;
+    }
+    m_state = std::move(*decoded);
+    m_state.m_revision = core::revision(snapshot.revision);
+    view_changed();
+}
+
+void control_follower::view_changed() {
+    for (const auto& [host, record] : m_state.m_proxies) {
+        if (host != m_settings.m_host) {
+            m_network.set_address(host, record.m_peer_address);
+        }
+    }
+    if (m_on_change) {
+        m_on_change();
+    }
+    register_when_needed();
+}
+
+void control_follower::submit(const control::command& change, submit_handler done) {
+    const std::uint64_t number = ++m_last_number;
+    const auto now = transport::event_loop::now();
+    m_submits[number] = {wire::to_bytes(control::encode(change)), core::deadline_after(now, submit_patience), false,
+                         std::move(done)};
+    send_submit(number);
+}
+
+void control_follower::send_submit(std::uint64_t number) {
+    const auto found = m_submits.find(number);
+    if (found == m_submits.end()) {
+        return;
+    }
+    const auto now = transport::event_loop::now();
+    pending_submit& pending = found->second;
+    if (pending.m_deadline.passed(now)) {
+        gateway::operator_outcome outcome;
+        outcome.m_verdict = pending.m_sent ? core::verdict::may_have_run : core::verdict::not_run;
+        outcome.m_reason = core::reason::control_not_current;
+        outcome.m_outcome.m_message = "no control leader answered";
+        finish_submit(number, std::move(outcome));
+        return;
+    }
+    if (!m_leader.value().empty()) {
+        wire::submit_commandT message;
+        message.number = number;
+        message.command = pending.m_command;
+        // Resending is safe: operator changes carry a request id, the others have the same effect twice.
+        pending.m_sent = m_bus.send(m_leader, std::move(message)) || pending.m_sent;
+    }
+    m_loop.after(submit_retry, [this, number] { send_submit(number); });
+}
+
+void control_follower::outcome_received(const wire::command_outcomeT& outcome) {
+    if (outcome.reason == "not_leader") {
+        if (!outcome.redirect.empty()) {
+            m_leader = core::entry_host_id(outcome.redirect);
+        }
+        return; // the retry timer sends it to the leader
+    }
+    gateway::operator_outcome answer;
+    answer.m_verdict = outcome.accepted ? core::verdict::ran : core::verdict::not_run;
+    answer.m_reason = outcome.accepted
+                          ? core::reason::none
+                          : core::parse_reason(outcome.reason).value_or(core::reason::invalid_change);
+    answer.m_outcome = {outcome.accepted, core::revision(outcome.revision), outcome.reason, outcome.message};
+    finish_submit(outcome.number, std::move(answer));
+}
+
+void control_follower::finish_submit(std::uint64_t number, gateway::operator_outcome outcome) {
+    const auto found = m_submits.find(number);
+    if (found == m_submits.end()) {
+        return;
+    }
+    const submit_handler done = std::move(found->second.m_done);
+    m_submits.erase(found);
+    done(std::move(outcome));
+}
+
+void control_follower::announce(const control::announce_endpoint& announcement, submit_handler done) {
+    if (control::changes_nothing(m_state, announcement) && lease_valid(transport::event_loop::now())) {
+        m_renewed.insert(announcement.m_endpoint);
+        gateway::operator_outcome renewed;
+        renewed.m_verdict = core::verdict::ran;
+        renewed.m_outcome = {true, m_state.m_revision, "", ""};
+        done(std::move(renewed));
+        return;
+    }
+    submit(announcement, std::move(done));
+}
+
+void control_follower::ask_status(std::function<void(std::string)> done) {
+    const std::uint64_t number = ++m_last_number;
+    m_status_queries[number] = std::move(done);
+    wire::status_queryT query;
+    query.number = number;
+    m_bus.send(m_leader, std::move(query));
+    m_loop.after(status_patience, [this, number] {
+        const auto query = m_status_queries.find(number);
+        if (query != m_status_queries.end()) {
+            const auto late = std::move(query->second);
+            m_status_queries.erase(query);
+            late("");
+        }
+    });
+}
+
+bool control_follower::ask_replacement(const core::entry_host_id& old_host, const core::entry_host_id& new_host) {
+    wire::replace_control_hostT request;
+    request.old_host = old_host.value();
+    request.new_host = new_host.value();
+    return m_bus.send(m_leader, std::move(request));
+}
+
+} // namespace mangoquay::proxy
--- /dev/null
+++ b/src/proxy/endpoint_reports.cpp
@@ -0,0 +1,185 @@
+// What owned endpoints tell others: health, positions, probes, figures.
+#include "database/connection.h"
+#include "proxy/owned_endpoints.h"
+#include "wire/positions.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace mangoquay::proxy {
+namespace {
+
+constexpr core::milliseconds position_period{200};
+constexpr core::milliseconds probe_patience{400};
+// Queries older than this are forgotten; their answers would prove an age that is of no use.
+constexpr core::milliseconds position_query_lifetime{5000};
+
+std::string field_of(const std::string& connection_string, const std::string& keyword) {
+    const std::size_t start = connection_string.find(keyword + "=");
+    if (start == std::string::npos) {
+        return "";
+    }
+    const std::size_t value = start + keyword.size() + 1;
+    return connection_string.substr(value, connection_string.find(' ', value) - value);
+}
+
+metrics::gauge endpoint_gauge(const char* name, const core::endpoint_id& endpoint, double value) {
+    return {name, {{"endpoint", endpoint.value()}}, value};
+}
+
+} // namespace
+
+core::endpoint_id owned_endpoints::endpoint_at(const std::string& connection_string) const {
+    const std::string host = field_of(connection_string, "host");
+    const std::string port = field_of(connection_string, "port");
+    for (const auto& [endpoint, record] : m_follower.state().m_endpoints) {
+        if (record.m_address.m_host == host && std::to_string(record.m_address.m_port) == port) {
+            return endpoint;
+        }
+    }
+    return {};
+}
+
+void owned_endpoints::report(membership::heartbeat& beat) const {
+    std::map<control::day_key, std::uint32_t> unsettled;
+    const auto add_unsettled = [&unsettled](const ownership::endpoint_owner& owner) {
+        for (const auto& day : owner.unsettled()) {
+            unsettled[{day.m_service, day.m_day}] += day.m_writes;
+        }
+    };
+    for (const auto& [endpoint, kept] : m_owners) {
+        const ownership::owner_health health = kept.m_owner->health();
+        const ownership::owner_measures measures = kept.m_owner->measures();
+        membership::endpoint_report report;
+        report.m_endpoint = endpoint;
+        report.m_reachable = health.m_reachable;
+        report.m_lock_held = health.m_lock_held;
+        report.m_position = health.m_position.value_or(core::history_position{});
+        report.m_follows = endpoint_at(health.m_follows);
+        report.m_writes_stalled = health.m_writes_stalled;
+        report.m_writes_in_flight = static_cast<std::uint32_t>(measures.m_busy_slots + measures.m_writes_waiting +
+                                                               measures.m_open_transactions);
+        beat.m_health.push_back(std::move(report));
+        add_unsettled(*kept.m_owner);
+    }
+    for (const auto& [number, owner] : m_releasing) {
+        add_unsettled(*owner);
+    }
+    for (const auto& [key, writes] : unsettled) {
+        beat.m_unsettled.push_back({key, writes});
+    }
+}
+
+std::vector<metrics::gauge> owned_endpoints::gauges() const {
+    std::vector<metrics::gauge> gauges;
+    for (const auto& [endpoint, kept] : m_owners) {
+        const ownership::owner_measures measures = kept.m_owner->measures();
+        gauges.push_back(endpoint_gauge("queue_length", endpoint, static_cast<double>(measures.m_queue_length)));
+        gauges.push_back(endpoint_gauge("busy_slots", endpoint, static_cast<double>(measures.m_busy_slots)));
+        gauges.push_back(endpoint_gauge("slots", endpoint, static_cast<double>(measures.m_slots)));
+        gauges.push_back(endpoint_gauge("connections", endpoint, static_cast<double>(measures.m_connections)));
+        gauges.push_back(endpoint_gauge("statements_dispatched", endpoint, static_cast<double>(measures.m_dispatched)));
+        gauges.push_back(endpoint_gauge("statements_shed", endpoint, static_cast<double>(measures.m_shed)));
+    }
+    return gauges;
+}
+
+void owned_endpoints::probe_received(const core::entry_host_id& from, const wire::probeT& message) {
+    const core::endpoint_id endpoint(message.endpoint);
+    const auto answer = [this, from, endpoint](bool reachable) {
+        wire::probe_answerT out;
+        out.endpoint = endpoint.value();
+        out.reachable = reachable;
+        m_bus.send(from, std::move(out));
+    };
+    const auto kept = m_owners.find(endpoint);
+    if (kept != m_owners.end()) {
+        answer(kept->second.m_owner->health().m_reachable);
+        return;
+    }
+    const auto record = m_follower.state().m_endpoints.find(endpoint);
+    if (record == m_follower.state().m_endpoints.end()) {
+        answer(false);
+        return;
+    }
+    const std::uint64_t number = ++m_last_number;
+    const dialect::connection_settings credentials{m_settings.m_database.m_user, m_settings.m_database.m_password,
+                                                   m_settings.m_database.m_database, {}, ""};
+    auto probe = std::make_shared<database::connection>(
+        m_loop, m_strategy.connection_parameters(record->second.m_address, credentials,
+                                                 "mangoquay-probe/" + m_settings.m_host.value()));
+    m_probes[number] = probe;
+    probe->open(core::deadline_after(transport::event_loop::now(), probe_patience),
+                [this, number, answer](bool opened, const std::string&) {
+                    answer(opened);
+                    const auto finished = m_probes.extract(number);
+                    finished.mapped()->close();
+                });
+}
+
+void owned_endpoints::ask_positions() {
+    const auto now = transport::event_loop::now();
+    std::erase_if(m_asked, [&](const auto& entry) { return now - entry.second > position_query_lifetime; });
+    std::set<core::group_id> groups;
+    const control::control_state& state = m_follower.state();
+    for (const auto& [endpoint, kept] : m_owners) {
+        const auto record = state.m_endpoints.find(endpoint);
+        if (record != state.m_endpoints.end() && record->second.m_role == control::endpoint_role::replica) {
+            groups.insert(record->second.m_group);
+        }
+    }
+    for (const core::group_id& group : groups) {
+        const auto record = state.m_groups.find(group);
+        const auto primary = record == state.m_groups.end() ? state.m_endpoints.end()
+                                                            : state.m_endpoints.find(record->second.m_primary);
+        if (primary == state.m_endpoints.end() || primary->second.m_owner.value().empty()) {
+            continue;
+        }
+        wire::position_queryT query;
+        query.number = ++m_last_number;
+        query.group = group.value();
+        query.endpoint = primary->first.value();
+        m_asked[query.number] = now;
+        m_bus.send(primary->second.m_owner, std::move(query));
+    }
+    m_loop.after(position_period, [this] { ask_positions(); });
+}
+
+void owned_endpoints::position_asked(const core::entry_host_id& from, const wire::position_queryT& query) {
+    const auto kept = m_owners.find(core::endpoint_id(query.endpoint));
+    if (kept == m_owners.end()) {
+        return;
+    }
+    kept->second.m_owner->ask_position(
+        [this, from, number = query.number, group = query.group](std::optional<core::history_position> position) {
+            if (!position) {
+                return;
+            }
+            wire::position_answerT answer;
+            answer.number = number;
+            answer.group = group;
+            answer.known = true;
+            answer.position = wire::to_wire(*position);
+            m_bus.send(from, std::move(answer));
+        });
+}
+
+void owned_endpoints::position_answered(const wire::position_answerT& answer) {
+    const auto asked = m_asked.find(answer.number);
+    const auto position = wire::position_from_wire(answer.position.get());
+    if (asked == m_asked.end() || !position) {
+        return;
+    }
+    const core::time_point asked_at = asked->second;
+    m_asked.erase(asked);
+    const control::control_state& state = m_follower.state();
+    for (auto& [endpoint, kept] : m_owners) {
+        const auto record = state.m_endpoints.find(endpoint);
+        if (record != state.m_endpoints.end() && record->second.m_group.value() == answer.group) {
+            kept.m_owner->primary_position_proven(asked_at, *position);
+        }
+    }
+}
+
+} // namespace mangoquay::proxy
--- /dev/null
+++ b/src/proxy/owned_endpoints.cpp
@@ -0,0 +1,180 @@
+// Owners as the shared state says, and statements for them.
+#include "proxy/owned_endpoints.h"
+
+#include "core/log.h"
+#include "ownership/execute_messages.h"
+#include "wire/positions.h"
+
+#include <functional>
+#include <utility>
+
+namespace mangoquay::proxy {
+namespace {
+
+dialect::connection_settings database_settings(const settings::settings& chosen) {
+    return {chosen.m_database.m_user, chosen.m_database.m_password, chosen.m_database.m_database, {}, ""};
+}
+
+} // namespace
+
+owned_endpoints::owned_endpoints(transport::event_loop& loop, transport::message_bus& bus, control_follower& follower,
+                                 const settings::settings& chosen, const dialect::database_dialect& strategy)
+    : m_loop(loop), m_bus(bus), m_follower(follower), m_settings(chosen), m_strategy(strategy) {
+    install_handlers();
+}
+
+owned_endpoints::~owned_endpoints() {
+    for (auto& [number, probe] : m_probes) {
+        probe->close();
+    }
+}
+
+void owned_endpoints::start() { ask_positions(); }
+
+void owned_endpoints::install_handlers() {
+    m_bus.on<wire::executeT>([this](const auto& from, const auto& message) { execute_received(from, message); });
+    m_bus.on<wire::probeT>([this](const auto& from, const auto& message) { probe_received(from, message); });
+    m_bus.on<wire::position_queryT>([this](const auto& from, const auto& query) { position_asked(from, query); });
+    m_bus.on<wire::position_answerT>([this](const auto&, const auto& answer) { position_answered(answer); });
+}
+
+void owned_endpoints::reconcile() {
+    std::vector<core::endpoint_id> lost;
+    for (const auto& [endpoint, kept] : m_owners) {
+        const auto record = m_follower.state().m_endpoints.find(endpoint);
+        const bool mine = record != m_follower.state().m_endpoints.end() &&
+                          record->second.m_owner == m_settings.m_host &&
+                          record->second.m_owner_epoch == kept.m_epoch && record->second.m_address == kept.m_address;
+        if (!mine) {
+            lost.push_back(endpoint);
+        }
+    }
+    for (const core::endpoint_id& endpoint : lost) {
+        release(endpoint);
+    }
+    for (const auto& [endpoint, record] : m_follower.state().m_endpoints) {
+        if (record.m_owner != m_settings.m_host) {
+            continue;
+        }
+        if (!m_owners.contains(endpoint)) {
+            create(endpoint, record);
+        }
+        refresh(endpoint, record);
+    }
+}
+
+void owned_endpoints::create(const core::endpoint_id& endpoint, const control::endpoint_record& record) {
+    core::log_line(core::log_level::info, "ownership",
+                   "owner started endpoint=" + endpoint.value() +
+                       " epoch=" + std::to_string(record.m_owner_epoch.value()));
+    const std::uint64_t seed = std::hash<std::string>{}(m_settings.m_host.value() + endpoint.value());
+    owned fresh{record.m_owner_epoch, record.m_address, nullptr};
+    fresh.m_owner = std::make_unique<ownership::endpoint_owner>(m_loop, endpoint, record, m_settings.m_host, *this,
+                                                                database_settings(m_settings), m_strategy, seed);
+    m_owners.emplace(endpoint, std::move(fresh));
+}
+
+void owned_endpoints::refresh(const core::endpoint_id& endpoint, const control::endpoint_record& record) {
+    ownership::endpoint_owner& owner = *m_owners.at(endpoint).m_owner;
+    const control::control_state& state = m_follower.state();
+    control::endpoint_record effective = record;
+    const control::preset_record* preset = preset_of(record.m_group);
+    if (preset != nullptr) {
+        owner.apply_policy(*preset);
+        effective.m_leaving = record.m_leaving || preset->m_drained_endpoints.contains(endpoint);
+    }
+    const auto group = state.m_groups.find(record.m_group);
+    if (group != state.m_groups.end()) {
+        owner.set_group(group->second);
+    }
+    owner.set_record(effective);
+}
+
+void owned_endpoints::release(const core::endpoint_id& endpoint) {
+    const auto found = m_owners.find(endpoint);
+    core::log_line(core::log_level::info, "ownership", "owner ended endpoint=" + endpoint.value() +
+                                                           " epoch=" + std::to_string(found->second.m_epoch.value()));
+    const std::uint64_t number = ++m_last_number;
+    auto& releasing = m_releasing[number];
+    releasing = std::move(found->second.m_owner);
+    m_owners.erase(found);
+    // Posted, because the owner must not be destroyed inside its own call.
+    releasing->release([this, number] { m_loop.post([this, number] { m_releasing.erase(number); }); });
+}
+
+void owned_endpoints::submit(const core::endpoint_id& endpoint, core::owner_epoch epoch,
+                             core::statement_request request, const core::entry_host_id& origin,
+                             core::milliseconds position_wait, owned_answer_handler done) {
+    const auto found = m_owners.find(endpoint);
+    if (found == m_owners.end() || found->second.m_epoch != epoch) {
+        done(core::refused(core::reason::owner_changed), std::nullopt);
+        return;
+    }
+    const auto wait = core::deadline_after(transport::event_loop::now(), position_wait);
+    found->second.m_owner->submit(std::move(request), origin, wait,
+                                  [this, endpoint, done = std::move(done)](core::statement_answer answer) {
+                                      const auto owner = m_owners.find(endpoint);
+                                      done(std::move(answer), owner == m_owners.end()
+                                                                  ? std::nullopt
+                                                                  : owner->second.m_owner->position());
+                                  });
+}
+
+void owned_endpoints::execute_received(const core::entry_host_id& from, const wire::executeT& message) {
+    const std::uint64_t number = message.request;
+    const auto answer_with = [this, from, number](const core::statement_answer& answer,
+                                                  const std::optional<core::history_position>& position) {
+        wire::execute_answerT out = ownership::to_wire(answer);
+        out.request = number;
+        out.endpoint_position = wire::to_wire(position);
+        m_bus.send(from, std::move(out));
+    };
+    auto request = ownership::from_wire(message, transport::event_loop::now());
+    if (!request) {
+        answer_with(core::refused(core::reason::malformed_request, request.reason()), std::nullopt);
+        return;
+    }
+    const auto wait = std::chrono::duration_cast<core::milliseconds>(core::microseconds(message.wait_us));
+    submit(core::endpoint_id(message.endpoint), core::owner_epoch(message.owner_epoch), std::move(*request), from, wait,
+           answer_with);
+}
+
+void owned_endpoints::origin_lost(const core::entry_host_id& origin) {
+    for (auto& [endpoint, kept] : m_owners) {
+        kept.m_owner->origin_lost(origin);
+    }
+    for (auto& [number, owner] : m_releasing) {
+        owner->origin_lost(origin);
+    }
+}
+
+bool owned_endpoints::may_acknowledge(const core::group_id& group, core::term term, core::time_point now) const {
+    const auto record = m_follower.state().m_groups.find(group);
+    return m_follower.lease_valid(now) && record != m_follower.state().m_groups.end() &&
+           record->second.m_term == term && !record->second.m_promotion_in_progress;
+}
+
+bool owned_endpoints::may_end_earlier_owners(const core::endpoint_id& endpoint, core::owner_epoch epoch,
+                                             core::time_point now) const {
+    const auto record = m_follower.state().m_endpoints.find(endpoint);
+    return m_follower.lease_valid(now) && record != m_follower.state().m_endpoints.end() &&
+           record->second.m_owner == m_settings.m_host && record->second.m_owner_epoch == epoch;
+}
+
+bool owned_endpoints::day_open(const core::service_name& service, const core::business_day& day) const {
+    return !m_follower.state().m_days.contains({service, day});
+}
+
+const control::preset_record* owned_endpoints::preset_of(const core::group_id& group) const {
+    const control::control_state& state = m_follower.state();
+    for (const auto& [name, service] : state.m_services) {
+        if (std::find(service.m_groups.begin(), service.m_groups.end(), group) == service.m_groups.end()) {
+            continue;
+        }
+        const auto preset = state.m_presets.find(service.m_preset);
+        return preset == state.m_presets.end() ? nullptr : &preset->second;
+    }
+    return nullptr;
+}
+
+} // namespace mangoquay::proxy
--- /dev/null
+++ b/src/proxy/owned_endpoints.h
@@ -0,0 +1,84 @@
+// The endpoints that this proxy owns: creates and ends their owners as the shared state says, serves statements from
+// other proxies, answers position queries and probes, and reports health.
+//
+// Owns: one endpoint_owner per owned endpoint. Invariant: an owner object serves exactly the epoch that the state named
+// when it was created.
+#pragma once
+
+#include "database/connection.h"
+#include "dialect/database_dialect.h"
+#include "metrics/metrics_registry.h"
+#include "ownership/endpoint_owner.h"
+#include "proxy/control_follower.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace mangoquay::proxy {
+
+// A statement's answer and the endpoint's position.
+using owned_answer_handler =
+    std::function<void(core::statement_answer, std::optional<core::history_position> endpoint_position)>;
+
+class owned_endpoints : public ownership::owner_rights {
+public:
+    owned_endpoints(transport::event_loop& loop, transport::message_bus& bus, control_follower& follower,
+                    const settings::settings& chosen, const dialect::database_dialect& strategy);
+    ~owned_endpoints() override;
+    owned_endpoints(const owned_endpoints&) = delete;
+    owned_endpoints& operator=(const owned_endpoints&) = delete;
+    owned_endpoints(owned_endpoints&&) = delete;
+    owned_endpoints& operator=(owned_endpoints&&) = delete;
+
+    // Called when the view changed.
+    void reconcile();
+    void start();
+
+    void submit(const core::endpoint_id& endpoint, core::owner_epoch epoch, core::statement_request request,
+                const core::entry_host_id& origin, core::milliseconds position_wait, owned_answer_handler done);
+    void origin_lost(const core::entry_host_id& origin);
+    void report(membership::heartbeat& beat) const;
+    [[nodiscard]] std::vector<metrics::gauge> gauges() const;
+    // Nothing is owned and nothing is being released.
+    [[nodiscard]] bool empty() const { return m_owners.empty() && m_releasing.empty(); }
+
+    [[nodiscard]] bool may_acknowledge(const core::group_id& group, core::term term,
+                                       core::time_point now) const override;
+    [[nodiscard]] bool may_end_earlier_owners(const core::endpoint_id& endpoint, core::owner_epoch epoch,
+                                              core::time_point now) const override;
+    [[nodiscard]] bool day_open(const core::service_name& service, const core::business_day& day) const override;
+
+private:
+    struct owned {
+        core::owner_epoch m_epoch;
+        control::socket_address m_address;
+        std::unique_ptr<ownership::endpoint_owner> m_owner;
+    };
+
+    void install_handlers();
+    void create(const core::endpoint_id& endpoint, const control::endpoint_record& record);
+    void refresh(const core::endpoint_id& endpoint, const control::endpoint_record& record);
+    void release(const core::endpoint_id& endpoint);
+    void execute_received(const core::entry_host_id& from, const wire::executeT& message);
+    void probe_received(const core::entry_host_id& from, const wire::probeT& message);
+    void position_asked(const core::entry_host_id& from, const wire::position_queryT& query);
+    void position_answered(const wire::position_answerT& answer);
+    void ask_positions();
+    [[nodiscard]] const control::preset_record* preset_of(const core::group_id& group) const;
+    [[nodiscard]] core::endpoint_id endpoint_at(const std::string& connection_string) const;
+
+    transport::event_loop& m_loop;
+    transport::message_bus& m_bus;
+    control_follower& m_follower;
+    const settings::settings& m_settings;
+    const dialect::database_dialect& m_strategy;
+    std::map<core::endpoint_id, owned> m_owners;
+    std::map<std::uint64_t, std::unique_ptr<ownership::endpoint_owner>> m_releasing;
+    std::uint64_t m_last_number = 0;
+    std::map<std::uint64_t, core::time_point> m_asked; // position queries without an answer, by number
+    std::map<std::uint64_t, std::shared_ptr<database::connection>> m_probes;
+};
+
+} // namespace mangoquay::proxy
--- /dev/null
+++ b/src/proxy/proxy_node.cpp
@@ -0,0 +1,200 @@
+// Calls of the gateway, and the graceful shutdown.
+#include "proxy/proxy_node.h"
+
+#include "control/codec.h"
+#include "core/log.h"
+
+#include <future>
+#include <memory>
+#include <thread>
+#include <utility>
+
+namespace mangoquay::proxy {
+namespace {
+
+// Long work in flight may take this long to finish; then the process stops all the same.
+constexpr core::milliseconds shutdown_patience{30000};
+constexpr core::milliseconds shutdown_poll{50};
+// Requests that the balancer still sends here are served for this long after the drain began.
+constexpr core::milliseconds drain_grace{500};
+
+gateway::operator_outcome refused_operation(const std::string& message) {
+    gateway::operator_outcome outcome;
+    outcome.m_reason = core::reason::invalid_change;
+    outcome.m_outcome = {false, {}, "invalid_change", message};
+    return outcome;
+}
+
+} // namespace
+
+proxy_node::proxy_node(transport::event_loop& loop, transport::message_bus& bus, transport::peer_network& network,
+                       const settings::settings& chosen, const dialect::database_dialect& strategy)
+    : m_loop(loop), m_network(network), m_settings(chosen), m_tokens(chosen.m_session_keys),
+      m_follower(loop, bus, network, chosen), m_owned(loop, bus, m_follower, chosen, strategy),
+      m_owners(loop, bus, m_owned, chosen.m_host),
+      m_dispatcher(
+          {chosen.m_host, chosen.m_zone, m_follower.present_incarnation(),
+           std::hash<core::entry_host_id>{}(chosen.m_host)},
+          {[] { return transport::event_loop::now(); },
+           [&loop](core::time_point when, std::function<void()> work) { loop.at(when, std::move(work)); },
+           [this] {
+               const bool valid = m_follower.lease_valid(transport::event_loop::now());
+               return routing::view_status{valid, valid};
+           }},
+          m_follower.state(), m_tokens, m_owners, m_metrics),
+      m_gateway(chosen, *this) {
+    m_follower.on_change([this] { m_owned.reconcile(); });
+    m_follower.on_report([this](membership::heartbeat& beat) { m_owned.report(beat); });
+}
+
+proxy_node::~proxy_node() = default;
+
+std::string proxy_node::start() {
+    m_follower.start();
+    m_owned.start();
+    return m_gateway.start();
+}
+
+void proxy_node::peer_lost(const core::entry_host_id& peer) {
+    m_dispatcher.owner_lost(peer);
+    m_owned.origin_lost(peer);
+}
+
+template <class Answer>
+Answer proxy_node::wait_for(std::function<void(std::function<void(Answer)>)> start) {
+    const auto promise = std::make_shared<std::promise<Answer>>();
+    auto answer = promise->get_future();
+    m_loop.post([start = std::move(start), promise] {
+        start([promise](Answer value) { promise->set_value(std::move(value)); });
+    });
+    return answer.get();
+}
+
+routing::entry_answer proxy_node::execute(const routing::entry_statement& statement) {
+    return wait_for<routing::entry_answer>(
+        [this, &statement](const auto& done) { m_dispatcher.execute(statement, done); });
+}
+
+gateway::operator_outcome proxy_node::submit(const control::command& change) {
+    return wait_for<gateway::operator_outcome>(
+        [this, &change](const auto& done) { m_follower.submit(change, done); });
+}
+
+gateway::operator_outcome proxy_node::announce(const control::announce_endpoint& announcement) {
+    return wait_for<gateway::operator_outcome>(
+        [this, &announcement](const auto& done) { m_follower.announce(announcement, done); });
+}
+
+gateway::operator_outcome proxy_node::drain(const control::drain_endpoint& change) { return submit(change); }
+
+// Draining the primary makes the control leader hand its role over to the replica that has caught up.
+gateway::operator_outcome proxy_node::hand_over(const core::group_id& group, const core::endpoint_id& target) {
+    if (!target.value().empty()) {
+        return refused_operation("target: the control leader chooses the most advanced replica; leave it out");
+    }
+    return wait_for<gateway::operator_outcome>([this, &group](const auto& done) {
+        const auto record = m_follower.state().m_groups.find(group);
+        if (record == m_follower.state().m_groups.end() || record->second.m_primary.value().empty()) {
+            done(refused_operation("group: unknown, or without a primary at present"));
+            return;
+        }
+        m_follower.submit(control::drain_endpoint{record->second.m_primary, true}, done);
+    });
+}
+
+gateway::operator_outcome proxy_node::replace_control_host(const core::entry_host_id& old_host,
+                                                           const core::entry_host_id& new_host,
+                                                           const control::socket_address&) {
+    return wait_for<gateway::operator_outcome>([this, &old_host, &new_host](const auto& done) {
+        gateway::operator_outcome outcome;
+        const bool sent = m_follower.ask_replacement(old_host, new_host);
+        outcome.m_verdict = sent ? core::verdict::may_have_run : core::verdict::not_run;
+        outcome.m_reason = core::reason::control_not_current;
+        outcome.m_outcome.m_message = "see control_members in the status for the outcome";
+        done(outcome);
+    });
+}
+
+nlohmann::json proxy_node::local_status() const {
+    const auto now = transport::event_loop::now();
+    const control::control_state& state = m_follower.state();
+    nlohmann::json shared = nlohmann::json::parse(control::encode(state));
+    nlohmann::json proxies = nlohmann::json::object();
+    for (const auto& [host, record] : state.m_proxies) {
+        proxies[host.value()] = {{"revision", nullptr}};
+    }
+    shared["proxies"] = proxies;
+    shared["host"] = m_settings.m_host.value();
+    shared["revision"] = state.m_revision.value();
+    shared["lease_valid"] = m_follower.lease_valid(now);
+    shared["view_current"] = m_follower.lease_valid(now);
+    shared["leader"] = m_follower.leader().value();
+    return shared;
+}
+
+nlohmann::json proxy_node::status() {
+    struct answers {
+        nlohmann::json m_local;
+        std::string m_leader;
+    };
+    const auto both = wait_for<answers>([this](const auto& done) {
+        m_follower.ask_status([this, done](std::string text) { done({local_status(), std::move(text)}); });
+    });
+    nlohmann::json status = both.m_local;
+    status["leader_answered"] = !both.m_leader.empty();
+    if (!both.m_leader.empty()) {
+        status.update(nlohmann::json::parse(both.m_leader));
+    }
+    return status;
+}
+
+std::string proxy_node::metrics_page() {
+    return wait_for<std::string>([this](const auto& done) {
+        auto gauges = m_owned.gauges();
+        const auto now = transport::event_loop::now();
+        gauges.push_back({"lease_valid", {}, m_follower.lease_valid(now) ? 1.0 : 0.0});
+        gauges.push_back({"applied_revision", {}, static_cast<double>(m_follower.state().m_revision.value())});
+        gauges.push_back({"requests_in_progress", {}, static_cast<double>(m_dispatcher.requests_in_progress())});
+        gauges.push_back({"open_transactions", {}, static_cast<double>(m_dispatcher.open_transactions())});
+        done(m_metrics.page(gauges));
+    });
+}
+
+void proxy_node::set_blocked_peers(const std::set<core::entry_host_id>& peers) {
+    m_loop.post([this, peers] { m_network.set_blocked(peers); });
+}
+
+void proxy_node::shut_down(std::function<void()> done) {
+    core::log_line(core::log_level::info, "proxy", "graceful shutdown started");
+    m_follower.begin_leaving();
+    m_gateway.begin_drain();
+    const auto limit = core::deadline_after(transport::event_loop::now(), shutdown_patience);
+    m_loop.after(drain_grace, [this, limit, done = std::move(done)] { continue_shut_down(limit, done); });
+}
+
+void proxy_node::continue_shut_down(core::deadline limit, std::function<void()> done) {
+    const auto now = transport::event_loop::now();
+    // Without a control leader nobody takes the endpoints over, so there is nothing to wait for.
+    const bool handed_over = m_owned.empty() || !m_follower.lease_valid(now);
+    const bool answered = m_dispatcher.requests_in_progress() == 0 && m_dispatcher.open_transactions() == 0;
+    if ((handed_over && answered) || limit.passed(now)) {
+        finish_shut_down(std::move(done));
+        return;
+    }
+    m_loop.after(shutdown_poll, [this, limit, done = std::move(done)] { continue_shut_down(limit, done); });
+}
+
+void proxy_node::finish_shut_down(std::function<void()> done) {
+    m_dispatcher.begin_shutdown();
+    // The gateway's wait blocks, and responses in progress need the loop.
+    std::thread([this, done = std::move(done)] {
+        const auto limit = core::deadline_after(transport::event_loop::now(), core::milliseconds(5000));
+        if (!m_gateway.wait_until_idle(limit)) {
+            core::log_line(core::log_level::warning, "proxy", "responses were cut at the end of the shutdown");
+        }
+        m_gateway.stop();
+        m_loop.post(done);
+    }).detach();
+}
+
+} // namespace mangoquay::proxy
--- /dev/null
+++ b/src/transport/message_bus.h
@@ -0,0 +1,55 @@
+// Typed messages over the peer links: packs and checks envelopes and hands each kind to its handler.
+//
+// Owns: the handlers. A message to this host itself takes the same path without a link. Runs on the event loop's thread.
+#pragma once
+
+#include "transport/peer_network.h"
+#include "wire/mangoquay_generated.h"
+
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace mangoquay::transport {
+
+class message_bus {
+public:
+    message_bus(event_loop& loop, peer_network& network, core::entry_host_id self);
+
+    // At most one handler per kind; a kind without a handler is dropped.
+    template <class Message>
+    void on(std::function<void(const core::entry_host_id& from, const Message& message)> handler) {
+        const wire::message kind = wire::messageUnionTraits<Message>::enum_value;
+        m_handlers[kind] = [handler = std::move(handler)](const core::entry_host_id& from,
+                                                          const wire::messageUnion& body) {
+            handler(from, *static_cast<const Message*>(body.value));
+        };
+    }
+
+    // False: not handed to a link. True promises nothing.
+    template <class Message>
+    bool send(const core::entry_host_id& to, Message message) {
+        wire::envelopeT envelope;
+        envelope.body.Set(std::move(message));
+        return send_envelope(to, envelope);
+    }
+
+private:
+    using body_handler = std::function<void(const core::entry_host_id&, const wire::messageUnion&)>;
+
+    bool send_envelope(const core::entry_host_id& to, const wire::envelopeT& envelope);
+    void receive(const core::entry_host_id& from, frame body);
+
+    event_loop& m_loop;
+    peer_network& m_network;
+    core::entry_host_id m_self;
+    std::map<wire::message, body_handler> m_handlers;
+};
+
+// Encodes an envelope; also for tests and fuzzing.
+std::vector<std::uint8_t> pack_envelope(const wire::envelopeT& envelope);
+// Nothing when the bytes are not a well-formed envelope.
+std::unique_ptr<wire::envelopeT> unpack_envelope(frame body);
+
+} // namespace mangoquay::transport
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -113,6 +113,18 @@
 struct probe_answerBuilder;
 struct probe_answerT;
 
+struct status_query;
+struct status_queryBuilder;
+struct status_queryT;
+
+struct status_answer;
+struct status_answerBuilder;
+struct status_answerT;
+
+struct replace_control_host;
+struct replace_control_hostBuilder;
+struct replace_control_hostT;
+
 struct envelope;
 struct envelopeBuilder;
 struct envelopeT;
@@ -132,11 +144,14 @@
   position_answer = 11,
   probe = 12,
   probe_answer = 13,
+  status_query = 14,
+  status_answer = 15,
+  replace_control_host = 16,
   MIN = NONE,
-  MAX = probe_answer
+  MAX = replace_control_host
 };
 
-inline const message (&EnumValuesmessage())[14] {
+inline const message (&EnumValuesmessage())[17] {
   static const message values[] = {
     message::NONE,
     message::raft_message,
@@ -151,13 +166,16 @@
     message::position_query,
     message::position_answer,
     message::probe,
-    message::probe_answer
+    message::probe_answer,
+    message::status_query,
+    message::status_answer,
+    message::replace_control_host
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[15] = {
+  static const char * const names[18] = {
     "NONE",
     "raft_message",
     "heartbeat",
@@ -172,13 +190,16 @@
     "position_answer",
     "probe",
     "probe_answer",
+    "status_query",
+    "status_answer",
+    "replace_control_host",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::probe_answer)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::replace_control_host)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -239,6 +260,18 @@
   static const message enum_value = message::probe_answer;
 };
 
+template<> struct messageTraits<mangoquay::wire::status_query> {
+  static const message enum_value = message::status_query;
+};
+
+template<> struct messageTraits<mangoquay::wire::status_answer> {
+  static const message enum_value = message::status_answer;
+};
+
+template<> struct messageTraits<mangoquay::wire::replace_control_host> {
+  static const message enum_value = message::replace_control_host;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -295,6 +328,18 @@
   static const message enum_value = message::probe_answer;
 };
 
+template<> struct messageUnionTraits<mangoquay::wire::status_queryT> {
+  static const message enum_value = message::status_query;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::status_answerT> {
+  static const message enum_value = message::status_answer;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::replace_control_hostT> {
+  static const message enum_value = message::replace_control_host;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -429,6 +474,30 @@
     return type == message::probe_answer ?
       reinterpret_cast<const mangoquay::wire::probe_answerT *>(value) : nullptr;
   }
+  mangoquay::wire::status_queryT *Asstatus_query() {
+    return type == message::status_query ?
+      reinterpret_cast<mangoquay::wire::status_queryT *>(value) : nullptr;
+  }
+  const mangoquay::wire::status_queryT *Asstatus_query() const {
+    return type == message::status_query ?
+      reinterpret_cast<const mangoquay::wire::status_queryT *>(value) : nullptr;
+  }
+  mangoquay::wire::status_answerT *Asstatus_answer() {
+    return type == message::status_answer ?
+      reinterpret_cast<mangoquay::wire::status_answerT *>(value) : nullptr;
+  }
+  const mangoquay::wire::status_answerT *Asstatus_answer() const {
+    return type == message::status_answer ?
+      reinterpret_cast<const mangoquay::wire::status_answerT *>(value) : nullptr;
+  }
+  mangoquay::wire::replace_control_hostT *Asreplace_control_host() {
+    return type == message::replace_control_host ?
+      reinterpret_cast<mangoquay::wire::replace_control_hostT *>(value) : nullptr;
+  }
+  const mangoquay::wire::replace_control_hostT *Asreplace_control_host() const {
+    return type == message::replace_control_host ?
+      reinterpret_cast<const mangoquay::wire::replace_control_hostT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -1474,6 +1543,7 @@
   std::unique_ptr<mangoquay::wire::wire_positionT> position{};
   std::string follows{};
   bool writes_stalled = false;
+  uint32_t writes_in_flight = 0;
   endpoint_healthT() = default;
   endpoint_healthT(const endpoint_healthT &o);
   endpoint_healthT(endpoint_healthT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1490,7 +1560,8 @@
     VT_LOCK_HELD = 8,
     VT_POSITION = 10,
     VT_FOLLOWS = 12,
-    VT_WRITES_STALLED = 14
+    VT_WRITES_STALLED = 14,
+    VT_WRITES_IN_FLIGHT = 16
   };
   const flatbuffers::String *endpoint() const {
     return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
@@ -1510,6 +1581,9 @@
   bool writes_stalled() const {
     return GetField<uint8_t>(VT_WRITES_STALLED, 0) != 0;
   }
+  uint32_t writes_in_flight() const {
+    return GetField<uint32_t>(VT_WRITES_IN_FLIGHT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENDPOINT) &&
@@ -1521,6 +1595,7 @@
            VerifyOffset(verifier, VT_FOLLOWS) &&
            verifier.VerifyString(follows()) &&
            VerifyField<uint8_t>(verifier, VT_WRITES_STALLED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_WRITES_IN_FLIGHT, 4) &&
            verifier.EndTable();
   }
   endpoint_healthT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1550,6 +1625,9 @@
   void add_writes_stalled(bool writes_stalled) {
     fbb_.AddElement<uint8_t>(endpoint_health::VT_WRITES_STALLED, static_cast<uint8_t>(writes_stalled), 0);
   }
+  void add_writes_in_flight(uint32_t writes_in_flight) {
+    fbb_.AddElement<uint32_t>(endpoint_health::VT_WRITES_IN_FLIGHT, writes_in_flight, 0);
+  }
   explicit endpoint_healthBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1568,8 +1646,10 @@
     bool lock_held = false,
     flatbuffers::Offset<mangoquay::wire::wire_position> position = 0,
     flatbuffers::Offset<flatbuffers::String> follows = 0,
-    bool writes_stalled = false) {
+    bool writes_stalled = false,
+    uint32_t writes_in_flight = 0) {
   endpoint_healthBuilder builder_(_fbb);
+  builder_.add_writes_in_flight(writes_in_flight);
   builder_.add_follows(follows);
   builder_.add_position(position);
   builder_.add_endpoint(endpoint);
@@ -1591,7 +1671,8 @@
     bool lock_held = false,
     flatbuffers::Offset<mangoquay::wire::wire_position> position = 0,
     const char *follows = nullptr,
-    bool writes_stalled = false) {
+    bool writes_stalled = false,
+    uint32_t writes_in_flight = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto follows__ = follows ? _fbb.CreateString(follows) : 0;
   return mangoquay::wire::Createendpoint_health(
@@ -1601,7 +1682,8 @@
       lock_held,
       position,
       follows__,
-      writes_stalled);
+      writes_stalled,
+      writes_in_flight);
 }
 
 flatbuffers::Offset<endpoint_health> Createendpoint_health(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_healthT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3324,6 +3406,241 @@
 
 flatbuffers::Offset<probe_answer> Createprobe_answer(flatbuffers::FlatBufferBuilder &_fbb, const probe_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct status_queryT : public flatbuffers::NativeTable {
+  typedef status_query TableType;
+  uint64_t number = 0;
+};
+
+struct status_query FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef status_queryT NativeTableType;
+  typedef status_queryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+  status_queryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(status_queryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<status_query> Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_queryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct status_queryBuilder {
+  typedef status_query Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(status_query::VT_NUMBER, number, 0);
+  }
+  explicit status_queryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<status_query> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<status_query>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<status_query> Createstatus_query(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0) {
+  status_queryBuilder builder_(_fbb);
+  builder_.add_number(number);
+  return builder_.Finish();
+}
+
+struct status_query::Traits {
+  using type = status_query;
+  static auto constexpr Create = Createstatus_query;
+};
+
+flatbuffers::Offset<status_query> Createstatus_query(flatbuffers::FlatBufferBuilder &_fbb, const status_queryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct status_answerT : public flatbuffers::NativeTable {
+  typedef status_answer TableType;
+  uint64_t number = 0;
+  std::string text{};
+};
+
+struct status_answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef status_answerT NativeTableType;
+  typedef status_answerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_TEXT = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+  status_answerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(status_answerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<status_answer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct status_answerBuilder {
+  typedef status_answer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(status_answer::VT_NUMBER, number, 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(status_answer::VT_TEXT, text);
+  }
+  explicit status_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<status_answer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<status_answer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<status_answer> Createstatus_answer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  status_answerBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_text(text);
+  return builder_.Finish();
+}
+
+struct status_answer::Traits {
+  using type = status_answer;
+  static auto constexpr Create = Createstatus_answer;
+};
+
+inline flatbuffers::Offset<status_answer> Createstatus_answerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *text = nullptr) {
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return mangoquay::wire::Createstatus_answer(
+      _fbb,
+      number,
+      text__);
+}
+
+flatbuffers::Offset<status_answer> Createstatus_answer(flatbuffers::FlatBufferBuilder &_fbb, const status_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct replace_control_hostT : public flatbuffers::NativeTable {
+  typedef replace_control_host TableType;
+  uint64_t number = 0;
+  std::string old_host{};
+  std::string new_host{};
+};
+
+struct replace_control_host FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef replace_control_hostT NativeTableType;
+  typedef replace_control_hostBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_OLD_HOST = 6,
+    VT_NEW_HOST = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *old_host() const {
+    return GetPointer<const flatbuffers::String *>(VT_OLD_HOST);
+  }
+  const flatbuffers::String *new_host() const {
+    return GetPointer<const flatbuffers::String *>(VT_NEW_HOST);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_OLD_HOST) &&
+           verifier.VerifyString(old_host()) &&
+           VerifyOffset(verifier, VT_NEW_HOST) &&
+           verifier.VerifyString(new_host()) &&
+           verifier.EndTable();
+  }
+  replace_control_hostT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(replace_control_hostT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<replace_control_host> Pack(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct replace_control_hostBuilder {
+  typedef replace_control_host Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(replace_control_host::VT_NUMBER, number, 0);
+  }
+  void add_old_host(flatbuffers::Offset<flatbuffers::String> old_host) {
+    fbb_.AddOffset(replace_control_host::VT_OLD_HOST, old_host);
+  }
+  void add_new_host(flatbuffers::Offset<flatbuffers::String> new_host) {
+    fbb_.AddOffset(replace_control_host::VT_NEW_HOST, new_host);
+  }
+  explicit replace_control_hostBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<replace_control_host> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<replace_control_host>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<replace_control_host> Createreplace_control_host(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> old_host = 0,
+    flatbuffers::Offset<flatbuffers::String> new_host = 0) {
+  replace_control_hostBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_new_host(new_host);
+  builder_.add_old_host(old_host);
+  return builder_.Finish();
+}
+
+struct replace_control_host::Traits {
+  using type = replace_control_host;
+  static auto constexpr Create = Createreplace_control_host;
+};
+
+inline flatbuffers::Offset<replace_control_host> Createreplace_control_hostDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *old_host = nullptr,
+    const char *new_host = nullptr) {
+  auto old_host__ = old_host ? _fbb.CreateString(old_host) : 0;
+  auto new_host__ = new_host ? _fbb.CreateString(new_host) : 0;
+  return mangoquay::wire::Createreplace_control_host(
+      _fbb,
+      number,
+      old_host__,
+      new_host__);
+}
+
+flatbuffers::Offset<replace_control_host> Createreplace_control_host(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct envelopeT : public flatbuffers::NativeTable {
   typedef envelope TableType;
   mangoquay::wire::messageUnion body{};
@@ -3383,6 +3700,15 @@
   const mangoquay::wire::probe_answer *body_as_probe_answer() const {
     return body_type() == mangoquay::wire::message::probe_answer ? static_cast<const mangoquay::wire::probe_answer *>(body()) : nullptr;
   }
+  const mangoquay::wire::status_query *body_as_status_query() const {
+    return body_type() == mangoquay::wire::message::status_query ? static_cast<const mangoquay::wire::status_query *>(body()) : nullptr;
+  }
+  const mangoquay::wire::status_answer *body_as_status_answer() const {
+    return body_type() == mangoquay::wire::message::status_answer ? static_cast<const mangoquay::wire::status_answer *>(body()) : nullptr;
+  }
+  const mangoquay::wire::replace_control_host *body_as_replace_control_host() const {
+    return body_type() == mangoquay::wire::message::replace_control_host ? static_cast<const mangoquay::wire::replace_control_host *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3447,6 +3773,18 @@
   return body_as_probe_answer();
 }
 
+template<> inline const mangoquay::wire::status_query *envelope::body_as<mangoquay::wire::status_query>() const {
+  return body_as_status_query();
+}
+
+template<> inline const mangoquay::wire::status_answer *envelope::body_as<mangoquay::wire::status_answer>() const {
+  return body_as_status_answer();
+}
+
+template<> inline const mangoquay::wire::replace_control_host *envelope::body_as<mangoquay::wire::replace_control_host>() const {
+  return body_as_replace_control_host();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3914,7 +4252,8 @@
         lock_held(o.lock_held),
         position((o.position) ? new mangoquay::wire::wire_positionT(*o.position) : nullptr),
         follows(o.follows),
-        writes_stalled(o.writes_stalled) {
+        writes_stalled(o.writes_stalled),
+        writes_in_flight(o.writes_in_flight) {
 }
 
 inline endpoint_healthT &endpoint_healthT::operator=(endpoint_healthT o) FLATBUFFERS_NOEXCEPT {
@@ -3924,6 +4263,7 @@
   std::swap(position, o.position);
   std::swap(follows, o.follows);
   std::swap(writes_stalled, o.writes_stalled);
+  std::swap(writes_in_flight, o.writes_in_flight);
   return *this;
 }
 
@@ -3942,6 +4282,7 @@
   { auto _e = position(); if (_e) _o->position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
   { auto _e = follows(); if (_e) _o->follows = _e->str(); }
   { auto _e = writes_stalled(); _o->writes_stalled = _e; }
+  { auto _e = writes_in_flight(); _o->writes_in_flight = _e; }
 }
 
 inline flatbuffers::Offset<endpoint_health> endpoint_health::Pack(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_healthT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3958,6 +4299,7 @@
   auto _position = _o->position ? Createwire_position(_fbb, _o->position.get(), _rehasher) : 0;
   auto _follows = _o->follows.empty() ? 0 : _fbb.CreateString(_o->follows);
   auto _writes_stalled = _o->writes_stalled;
+  auto _writes_in_flight = _o->writes_in_flight;
   return mangoquay::wire::Createendpoint_health(
       _fbb,
       _endpoint,
@@ -3965,7 +4307,8 @@
       _lock_held,
       _position,
       _follows,
-      _writes_stalled);
+      _writes_stalled,
+      _writes_in_flight);
 }
 
 inline unsettled_dayT *unsettled_day::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4615,6 +4958,93 @@
       _reachable);
 }
 
+inline status_queryT *status_query::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<status_queryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void status_query::UnPackTo(status_queryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+}
+
+inline flatbuffers::Offset<status_query> status_query::Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_queryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstatus_query(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<status_query> Createstatus_query(flatbuffers::FlatBufferBuilder &_fbb, const status_queryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const status_queryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  return mangoquay::wire::Createstatus_query(
+      _fbb,
+      _number);
+}
+
+inline status_answerT *status_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<status_answerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void status_answer::UnPackTo(status_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+}
+
+inline flatbuffers::Offset<status_answer> status_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstatus_answer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<status_answer> Createstatus_answer(flatbuffers::FlatBufferBuilder &_fbb, const status_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const status_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return mangoquay::wire::Createstatus_answer(
+      _fbb,
+      _number,
+      _text);
+}
+
+inline replace_control_hostT *replace_control_host::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<replace_control_hostT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void replace_control_host::UnPackTo(replace_control_hostT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = old_host(); if (_e) _o->old_host = _e->str(); }
+  { auto _e = new_host(); if (_e) _o->new_host = _e->str(); }
+}
+
+inline flatbuffers::Offset<replace_control_host> replace_control_host::Pack(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createreplace_control_host(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<replace_control_host> Createreplace_control_host(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const replace_control_hostT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _old_host = _o->old_host.empty() ? 0 : _fbb.CreateString(_o->old_host);
+  auto _new_host = _o->new_host.empty() ? 0 : _fbb.CreateString(_o->new_host);
+  return mangoquay::wire::Createreplace_control_host(
+      _fbb,
+      _number,
+      _old_host,
+      _new_host);
+}
+
 inline envelopeT *envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<envelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -4701,6 +5131,18 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::probe_answer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::status_query: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::status_query *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::status_answer: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::status_answer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::replace_control_host: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::replace_control_host *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4772,6 +5214,18 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::probe_answer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::status_query: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::status_query *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::status_answer: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::status_answer *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::replace_control_host: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::replace_control_host *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4831,6 +5285,18 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::probe_answerT *>(value);
       return Createprobe_answer(_fbb, ptr, _rehasher).Union();
     }
+    case message::status_query: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::status_queryT *>(value);
+      return Createstatus_query(_fbb, ptr, _rehasher).Union();
+    }
+    case message::status_answer: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::status_answerT *>(value);
+      return Createstatus_answer(_fbb, ptr, _rehasher).Union();
+    }
+    case message::replace_control_host: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::replace_control_hostT *>(value);
+      return Createreplace_control_host(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4889,6 +5355,18 @@
       value = new mangoquay::wire::probe_answerT(*reinterpret_cast<mangoquay::wire::probe_answerT *>(u.value));
       break;
     }
+    case message::status_query: {
+      value = new mangoquay::wire::status_queryT(*reinterpret_cast<mangoquay::wire::status_queryT *>(u.value));
+      break;
+    }
+    case message::status_answer: {
+      value = new mangoquay::wire::status_answerT(*reinterpret_cast<mangoquay::wire::status_answerT *>(u.value));
+      break;
+    }
+    case message::replace_control_host: {
+      value = new mangoquay::wire::replace_control_hostT(*reinterpret_cast<mangoquay::wire::replace_control_hostT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4961,6 +5439,21 @@
       delete ptr;
       break;
     }
+    case message::status_query: {
+      auto ptr = reinterpret_cast<mangoquay::wire::status_queryT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::status_answer: {
+      auto ptr = reinterpret_cast<mangoquay::wire::status_answerT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::replace_control_host: {
+      auto ptr = reinterpret_cast<mangoquay::wire::replace_control_hostT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
