Add the endpoint owner

Cause: one proxy per endpoint must hold its limits, acknowledge only durable writes and never share a session's state or answer between callers. Ruled out: PQcancel for statements past their deadline (it blocks, and says nothing about when the session ends); freeing the slot at once (the statement may still run at the server, so that slots in total would be exceeded); freeing a transaction's slot between its steps (statements that wait for its row locks could fill all slots). Change: monitor and take-over, dispatch, read, write and transaction paths, stored outcomes, warm connections, open transactions; one new text, end_session, in dialect/postgres_sql.h and the stand-in.

--- a/src/database/connection.cpp
+++ b/src/database/connection.cpp
@@ -157,11 +157,15 @@
                          statement_handler handler) {
     m_answer = {};
     if (m_phase != phase::idle || PQstatus(m_driver) == CONNECTION_BAD) {
-        m_loop.post([handler = std::move(handler)] {
-            database_answer answer;
-            answer.m_outcome = outcome::not_sent;
-            answer.m_message = "the session was closed";
-            handler(std::move(answer));
+        // Kept in the member, so that close() drops it like any other handler.
+        m_on_answer = std::move(handler);
+        m_loop.post([self = shared_from_this()] {
+            if (const statement_handler dropped = std::exchange(self->m_on_answer, nullptr)) {
+                database_answer answer;
+                answer.m_outcome = outcome::not_sent;
+                answer.m_message = "the session was closed";
+                dropped(std::move(answer));
+            }
         });
         return;
     }
--- a/src/dialect/postgres_sql.h
+++ b/src/dialect/postgres_sql.h
@@ -31,6 +31,12 @@
     "SELECT pg_terminate_backend(pid) FROM pg_stat_activity WHERE application_name LIKE 'mangoquay/%' "
     "AND split_part(application_name, '/', 2)::bigint < $1::bigint";
 
+// $1: process id of a session of this owner whose answer was lost. No row: it has ended, and nothing that it
+// was sent can still run.
+inline constexpr const char* end_session =
+    "SELECT pg_terminate_backend(pid) FROM pg_stat_activity WHERE pid = $1::int "
+    "AND application_name LIKE 'mangoquay/%'";
+
 // Held for the life of the owner's monitoring connection. The key is the bytes of "mango".
 inline constexpr const char* try_owner_lock = "SELECT pg_try_advisory_lock(469853695855)";
 
--- a/src/ownership/endpoint_owner.h
+++ b/src/ownership/endpoint_owner.h
@@ -89,8 +89,9 @@
 public:
     // Starts to take the endpoint over. `rights` and `strategy` must outlive the owner.
     endpoint_owner(transport::event_loop& loop, core::endpoint_id endpoint, control::endpoint_record record,
-                   core::entry_host_id self, const owner_rights& rights, connection_settings settings,
-                   const dialect::database_dialect& strategy, std::uint64_t seed);
+                   const core::entry_host_id& self, const owner_rights& rights,
+                   const connection_settings& settings, const dialect::database_dialect& strategy,
+                   std::uint64_t seed);
     // Closes all connections. Requests without an answer get one: not_run, or may_have_run when a write was
     // sent.
     ~endpoint_owner();
@@ -99,8 +100,8 @@
     endpoint_owner(endpoint_owner&&) = delete;
     endpoint_owner& operator=(endpoint_owner&&) = delete;
 
-    // A statement or transaction step. A read whose least position is not reached by `position_wait` is
-    // refused.
+    // A statement or transaction step. `handler` may be called at once, and must not destroy the owner. A
+    // read whose least position is not reached by `position_wait` is refused.
     void submit(core::statement_request request, const core::entry_host_id& origin,
                 core::deadline position_wait, answer_handler handler);
 
--- /dev/null
+++ b/src/ownership/job.h
@@ -0,0 +1,41 @@
+// One submitted request on its way through the owner.
+#pragma once
+
+#include "admission/slot_queue.h"
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/statement.h"
+#include "ownership/endpoint_owner.h"
+#include "pooling/warm_connections.h"
+
+#include <memory>
+#include <set>
+#include <string_view>
+
+namespace mangoquay::ownership {
+
+struct job {
+    admission::work_number m_number{};
+    core::statement_request m_request;
+    core::entry_host_id m_origin;
+    core::deadline m_position_wait;
+    answer_handler m_handler; // empty once answered
+    core::time_point m_submitted_at{};
+
+    bool m_holds_slot = false;
+    bool m_effects_possible =
+        false; // something that may have had an effect was sent and has no definite answer
+    bool m_origin_lost = false;
+    core::term m_term;                     // under which a write was started
+    pooling::lent_connection m_connection; // while it has one
+    std::set<core::business_day> m_days;   // counted as unsettled until the job is done
+
+    [[nodiscard]] bool answered() const { return m_handler == nullptr; }
+    [[nodiscard]] core::statement_kind kind() const { return m_request.m_kind; }
+};
+
+using job_ptr = std::shared_ptr<job>;
+
+std::string_view to_string(core::statement_kind kind);
+
+} // namespace mangoquay::ownership
--- /dev/null
+++ b/src/ownership/monitor.h
@@ -0,0 +1,119 @@
+// The monitoring connection of an owned endpoint: takes the endpoint over, holds the owner lock, and polls
+// status, replicas' positions and sessions that must end.
+//
+// Owns: the monitoring session. One query in flight; each answer serves everyone who waited for it. Takes
+// over again, with a growing delay, whenever the session is lost. Runs on the event loop's thread.
+//
+// Order of a take-over: connect, end the sessions of earlier owners until none is left, take the lock, read
+// the status, and only then report on_taken_over().
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "database/connection.h"
+#include "dialect/database_dialect.h"
+#include "replication/quorum_tracker.h"
+#include "transport/event_loop.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mangoquay::ownership {
+
+class monitor_listener {
+public:
+    monitor_listener() = default;
+    virtual ~monitor_listener() = default;
+    monitor_listener(const monitor_listener&) = delete;
+    monitor_listener& operator=(const monitor_listener&) = delete;
+    monitor_listener(monitor_listener&&) = delete;
+    monitor_listener& operator=(monitor_listener&&) = delete;
+
+    [[nodiscard]] virtual bool may_end_earlier_owners() const = 0;
+    // A status is wanted at once, not only at the next poll.
+    [[nodiscard]] virtual bool status_wanted() const = 0;
+    [[nodiscard]] virtual bool replicas_wanted() const = 0;
+    // Whether a live pooled session has this process id, so that the lingering one of that id must have
+    // ended.
+    [[nodiscard]] virtual bool process_in_use(int server_process) const = 0;
+    virtual void on_taken_over() = 0;
+    virtual void on_lost(const std::string& why) = 0;
+    virtual void on_status(const dialect::endpoint_status& status, core::time_point asked_at) = 0;
+    // True when it ended some wait.
+    virtual bool on_replicas(const replication::replica_report& replicas, core::time_point asked_at) = 0;
+};
+
+class monitor {
+public:
+    monitor(transport::event_loop& loop, monitor_listener& listener,
+            const dialect::database_dialect& strategy, std::vector<dialect::connection_parameter> parameters,
+            core::owner_epoch epoch, std::string name, std::uint64_t seed);
+    ~monitor();
+    monitor(const monitor&) = delete;
+    monitor& operator=(const monitor&) = delete;
+    monitor(monitor&&) = delete;
+    monitor& operator=(monitor&&) = delete;
+
+    void start();
+    // Asks status_wanted() and replicas_wanted() again.
+    void wake();
+    // Ends a session at the server; `ended` is called once it is known to be gone, however long that takes.
+    void end_session(int server_process, std::function<void()> ended);
+    // Closes the session, which frees the lock. Nothing is called any more.
+    void stop();
+
+    [[nodiscard]] bool reachable() const { return m_reachable; }
+    [[nodiscard]] bool lock_held() const { return m_phase == phase::polling; }
+
+private:
+    enum class phase : std::uint8_t { closed, connecting, taking_over, polling, stopped };
+    using step = void (monitor::*)(const database::database_answer&);
+
+    void connect();
+    void send(const char* sql, const std::vector<core::cell>& parameters, step next);
+    void lose(const std::string& why);
+    void retry_step_later(void (monitor::*again)());
+    void end_earlier_owners();
+    void earlier_owners_ended(const database::database_answer& answer);
+    void lock_answered(const database::database_answer& answer);
+    void ask_status();
+    void status_answered(const database::database_answer& answer);
+    void replicas_answered(const database::database_answer& answer);
+    void sessions_answered(const database::database_answer& answer);
+    void repeat_answered(const database::database_answer& answer);
+    void poll_next();
+    bool poll_session(core::time_point now);
+    void set_timer(core::time_point when, void (monitor::*work)());
+    [[nodiscard]] core::duration jittered(core::duration delay);
+
+    transport::event_loop& m_loop;
+    monitor_listener& m_listener;
+    const dialect::database_dialect& m_strategy;
+    std::vector<dialect::connection_parameter> m_parameters;
+    core::owner_epoch m_epoch;
+    std::string m_name; // of the endpoint, for the log
+    std::mt19937_64 m_random;
+    std::shared_ptr<database::connection> m_session;
+    phase m_phase = phase::closed;
+    bool m_reachable = false;
+    bool m_in_flight = false;
+    std::uint32_t m_failures = 0;
+    std::optional<transport::timer_id> m_timer;
+    core::time_point m_asked_at{};
+    core::time_point m_status_due{};
+    core::time_point m_replicas_due{};
+    core::time_point m_sessions_due{};
+    core::time_point m_earlier_owners_due{};
+    core::duration m_replicas_gap{};
+    core::term m_term; // of the last status, while the endpoint is a primary
+    std::map<int, std::vector<std::function<void()>>> m_ending; // by process id
+    int m_asked_process = 0;
+};
+
+} // namespace mangoquay::ownership
--- /dev/null
+++ b/src/ownership/read_path.h
@@ -0,0 +1,10 @@
+// Runs a read in a READ ONLY transaction of its own.
+#pragma once
+
+#include "ownership/owner_engine.h"
+
+namespace mangoquay::ownership {
+
+void run_read(owner_engine& engine, const job_ptr& work);
+
+} // namespace mangoquay::ownership
--- a/src/pooling/connection_pool.cpp
+++ b/src/pooling/connection_pool.cpp
@@ -127,14 +127,16 @@
     }
 }
 
-std::optional<core::time_point> connection_pool::next_event() const {
+std::optional<core::time_point> connection_pool::next_event(core::time_point now) const {
     std::optional<core::time_point> next;
-    if (total() < target() && m_failures > 0) {
+    if (m_open_not_before > now) {
         next = m_open_not_before;
     }
     if (!m_idle.empty() && total() > m_policy.m_warm) {
         const auto due = m_connections.at(m_idle.front()).m_idle_since + m_policy.m_idle_time;
-        next = next ? std::min(*next, due) : due;
+        // One that is due but still wanted is looked at again later.
+        const auto look = due > now ? due : now + m_policy.m_idle_time / 4;
+        next = next ? std::min(*next, look) : look;
     }
     return next;
 }
--- a/src/pooling/connection_pool.h
+++ b/src/pooling/connection_pool.h
@@ -64,7 +64,7 @@
     [[nodiscard]] std::size_t lent() const { return count(state::lent); }
     [[nodiscard]] std::size_t idle() const { return m_idle.size(); }
     // The next moment at which plan() may have something to do without an event.
-    [[nodiscard]] std::optional<core::time_point> next_event() const;
+    [[nodiscard]] std::optional<core::time_point> next_event(core::time_point now) const;
 
 private:
     enum class state : std::uint8_t { opening, idle, lent, lingering };
--- /dev/null
+++ b/src/pooling/warm_connections.cpp
@@ -0,0 +1,205 @@
+// Shell of the connection pool.
+#include "pooling/warm_connections.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoquay::pooling {
+namespace {
+
+// Longer than any connect within a zone; a host that does not answer is found by the monitoring connection
+// too.
+constexpr core::milliseconds connect_limit{2000};
+constexpr int connect_time_weight = 8;
+
+} // namespace
+
+warm_connections::warm_connections(transport::event_loop& loop,
+                                   std::vector<dialect::connection_parameter> parameters,
+                                   const pool_policy& policy)
+    : m_loop(loop), m_parameters(std::move(parameters)), m_policy(policy), m_pool(policy) {}
+
+warm_connections::~warm_connections() {
+    for (const auto& [number, session] : m_sessions) {
+        session->close();
+    }
+    for (const waiter& waiting : m_waiters) {
+        m_loop.cancel(waiting.m_timer);
+    }
+    if (m_plan_timer) {
+        m_loop.cancel(*m_plan_timer);
+    }
+}
+
+void warm_connections::set_policy(const pool_policy& policy) {
+    const core::duration measured = m_policy.m_connect_time;
+    m_policy = policy;
+    m_policy.m_connect_time = measured;
+    m_pool.set_policy(m_policy);
+    follow_plan();
+}
+
+void warm_connections::set_enabled(bool enabled) {
+    if (m_enabled == enabled) {
+        return;
+    }
+    m_enabled = enabled;
+    if (enabled) {
+        follow_plan();
+        return;
+    }
+    while (const auto number = m_pool.lend()) {
+        m_sessions.at(*number)->close();
+        ended(*number);
+    }
+    for (auto refused = std::exchange(m_waiters, {}); const waiter& waiting : refused) {
+        m_loop.cancel(waiting.m_timer);
+        waiting.m_handler({});
+    }
+}
+
+void warm_connections::note_demand(std::size_t users) {
+    m_users = users;
+    m_pool.note_demand(users, transport::event_loop::now());
+    follow_plan();
+}
+
+void warm_connections::acquire(core::deadline by, lent_handler handler) {
+    if (!m_enabled) {
+        handler({});
+        return;
+    }
+    if (m_waiters.empty()) {
+        if (auto lent = lend()) {
+            handler(std::move(*lent));
+            return;
+        }
+    }
+    const std::uint64_t number = ++m_next_waiter;
+    const auto timer = m_loop.at(by.m_at, [this, number] { waiter_expired(number); });
+    m_waiters.push_back({number, std::move(handler), timer});
+    follow_plan();
+}
+
+void warm_connections::give_back(const lent_connection& lent) {
+    if (!m_enabled || !lent.m_connection->usable()) {
+        lent.m_connection->close();
+        ended(lent.m_number);
+        return;
+    }
+    const connection_number number = lent.m_number;
+    lent.m_connection->on_idle_end([this, number] { idle_ended(number); });
+    m_pool.give_back(number, transport::event_loop::now());
+    serve_waiters();
+    follow_plan();
+}
+
+void warm_connections::linger(const lent_connection& lent) {
+    lent.m_connection->close();
+    m_pool.linger(lent.m_number);
+    m_sessions.erase(lent.m_number);
+}
+
+void warm_connections::ended(connection_number number) {
+    m_pool.ended(number);
+    m_sessions.erase(number);
+    follow_plan();
+}
+
+bool warm_connections::has_process(int server_process) const {
+    return std::ranges::any_of(m_sessions, [server_process](const auto& item) {
+        return item.second->server_process() == server_process;
+    });
+}
+
+void warm_connections::follow_plan() {
+    if (m_plan_timer) {
+        m_loop.cancel(*std::exchange(m_plan_timer, std::nullopt));
+    }
+    if (!m_enabled) {
+        return;
+    }
+    const pool_plan plan = m_pool.plan(transport::event_loop::now());
+    for (const connection_number number : plan.m_close) {
+        m_sessions.at(number)->close();
+        m_sessions.erase(number);
+    }
+    for (const connection_number number : plan.m_open) {
+        open(number);
+    }
+    if (const auto next = m_pool.next_event(transport::event_loop::now())) {
+        m_plan_timer = m_loop.at(*next, [this] {
+            m_plan_timer.reset();
+            // Without a note the remembered peak would never decay.
+            note_demand(m_users);
+        });
+    }
+}
+
+void warm_connections::open(connection_number number) {
+    const auto session = std::make_shared<database::connection>(m_loop, m_parameters);
+    m_sessions.emplace(number, session);
+    const core::time_point start = transport::event_loop::now();
+    session->open(core::deadline_after(start, connect_limit), [this, number, start](
+                                                                  bool opened, const std::string& reason) {
+        const core::time_point now = transport::event_loop::now();
+        if (!opened) {
+            core::log_line(core::log_level::warning, "pooling", "connection not opened: " + reason);
+            m_sessions.erase(number);
+            m_pool.open_failed(number, now);
+            follow_plan();
+            return;
+        }
+        m_policy.m_connect_time += (now - start - m_policy.m_connect_time) / connect_time_weight;
+        m_pool.set_policy(m_policy);
+        m_pool.opened(number, now);
+        // A disabled pool keeps nothing open.
+        m_pool.lend();
+        give_back({number, m_sessions.at(number)});
+    });
+}
+
+void warm_connections::serve_waiters() {
+    while (!m_waiters.empty()) {
+        auto lent = lend();
+        if (!lent) {
+            return;
+        }
+        waiter next = std::move(m_waiters.front());
+        m_waiters.pop_front();
+        m_loop.cancel(next.m_timer);
+        next.m_handler(std::move(*lent));
+    }
+}
+
+void warm_connections::waiter_expired(std::uint64_t number) {
+    const auto found = std::ranges::find(m_waiters, number, &waiter::m_number);
+    if (found != m_waiters.end()) {
+        const lent_handler handler = std::move(found->m_handler);
+        m_waiters.erase(found);
+        handler({});
+    }
+}
+
+void warm_connections::idle_ended(connection_number number) {
+    core::log_line(core::log_level::info, "pooling", "an idle session was ended by the server");
+    ended(number);
+}
+
+std::optional<lent_connection> warm_connections::lend() {
+    while (const auto number = m_pool.lend()) {
+        const auto session = m_sessions.at(*number);
+        if (session->usable()) {
+            session->on_idle_end(nullptr);
+            return lent_connection{*number, session};
+        }
+        session->close();
+        m_pool.ended(*number);
+        m_sessions.erase(*number);
+    }
+    return std::nullopt;
+}
+
+} // namespace mangoquay::pooling
--- /dev/null
+++ b/src/pooling/warm_connections.h
@@ -0,0 +1,84 @@
+// The sessions of an endpoint, opened, lent and closed as connection_pool decides.
+//
+// Owns: the pooled sessions and the users that wait for one. Runs on the event loop's thread.
+#pragma once
+
+#include "core/clock.h"
+#include "database/connection.h"
+#include "dialect/database_dialect.h"
+#include "pooling/connection_pool.h"
+#include "transport/event_loop.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace mangoquay::pooling {
+
+struct lent_connection {
+    connection_number m_number{};
+    std::shared_ptr<database::connection> m_connection;
+
+    explicit operator bool() const { return m_connection != nullptr; }
+};
+
+// Gets no connection when the deadline passed or the pool was disabled first.
+using lent_handler = std::function<void(lent_connection)>;
+
+class warm_connections {
+public:
+    warm_connections(transport::event_loop& loop, std::vector<dialect::connection_parameter> parameters,
+                     const pool_policy& policy);
+    ~warm_connections();
+    warm_connections(const warm_connections&) = delete;
+    warm_connections& operator=(const warm_connections&) = delete;
+    warm_connections(warm_connections&&) = delete;
+    warm_connections& operator=(warm_connections&&) = delete;
+
+    void set_policy(const pool_policy& policy);
+    // Only while the owner lock is held are connections opened and lent. Disabling closes the idle ones and
+    // refuses those that wait; lent ones stay until they are given back.
+    void set_enabled(bool enabled);
+    void note_demand(std::size_t users);
+
+    // May call the handler at once.
+    void acquire(core::deadline by, lent_handler handler);
+    void give_back(const lent_connection& lent);
+    // Closes the session here; it counts against the limit until ended().
+    void linger(const lent_connection& lent);
+    void ended(connection_number number);
+    // Whether a live session here has this process id at the server.
+    [[nodiscard]] bool has_process(int server_process) const;
+    [[nodiscard]] std::size_t total() const { return m_pool.total(); }
+
+private:
+    struct waiter {
+        std::uint64_t m_number = 0;
+        lent_handler m_handler;
+        transport::timer_id m_timer{};
+    };
+
+    void follow_plan();
+    void open(connection_number number);
+    void serve_waiters();
+    void waiter_expired(std::uint64_t number);
+    void idle_ended(connection_number number);
+    std::optional<lent_connection> lend();
+
+    transport::event_loop& m_loop;
+    std::vector<dialect::connection_parameter> m_parameters;
+    pool_policy m_policy;
+    connection_pool m_pool;
+    bool m_enabled = false;
+    std::size_t m_users = 0; // as noted last
+    std::uint64_t m_next_waiter = 0;
+    std::deque<waiter> m_waiters;
+    std::map<connection_number, std::shared_ptr<database::connection>> m_sessions;
+    std::optional<transport::timer_id> m_plan_timer;
+};
+
+} // namespace mangoquay::pooling
--- /dev/null
+++ b/src/transactions/open_transactions.cpp
@@ -0,0 +1,77 @@
+// Bookkeeping of open transactions.
+#include "transactions/open_transactions.h"
+
+#include <algorithm>
+
+namespace mangoquay::transactions {
+
+bool open_transactions::open(const core::transaction_id& id, const transaction_owner& owner,
+                             core::time_point now) {
+    entry fresh{owner, core::deadline_after(now, idle_limit), core::deadline_after(now, life_limit)};
+    return m_open.emplace(id, std::move(fresh)).second;
+}
+
+core::reason open_transactions::begin_step(const core::transaction_id& id, const transaction_owner& owner,
+                                           core::time_point now) {
+    const auto found = m_open.find(id);
+    // A foreign caller learns nothing about the transaction, not even that it exists.
+    if (found == m_open.end() || found->second.m_owner != owner || end_of(found->second) <= now) {
+        return core::reason::unknown_transaction;
+    }
+    if (found->second.m_in_flight) {
+        return core::reason::transaction_failed;
+    }
+    found->second.m_in_flight = true;
+    return core::reason::none;
+}
+
+void open_transactions::end_step(const core::transaction_id& id, bool failed, core::time_point now) {
+    const auto found = m_open.find(id);
+    if (found != m_open.end()) {
+        found->second.m_in_flight = false;
+        found->second.m_failed = found->second.m_failed || failed;
+        found->second.m_idle_until = core::deadline_after(now, idle_limit);
+    }
+}
+
+bool open_transactions::failed(const core::transaction_id& id) const {
+    const auto found = m_open.find(id);
+    return found != m_open.end() && found->second.m_failed;
+}
+
+bool open_transactions::step_in_flight(const core::transaction_id& id) const {
+    const auto found = m_open.find(id);
+    return found != m_open.end() && found->second.m_in_flight;
+}
+
+std::vector<core::transaction_id> open_transactions::due(core::time_point now) const {
+    std::vector<core::transaction_id> ids;
+    for (const auto& [id, open] : m_open) {
+        if (end_of(open) <= now) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::vector<core::transaction_id> open_transactions::of_origin(const core::entry_host_id& origin) const {
+    std::vector<core::transaction_id> ids;
+    for (const auto& [id, open] : m_open) {
+        if (open.m_owner.m_origin == origin) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::optional<core::time_point> open_transactions::next_due() const {
+    std::optional<core::time_point> next;
+    for (const auto& [id, open] : m_open) {
+        if (!open.m_in_flight) {
+            next = next ? std::min(*next, end_of(open)) : end_of(open);
+        }
+    }
+    return next;
+}
+
+} // namespace mangoquay::transactions
--- /dev/null
+++ b/src/transactions/open_transactions.h
@@ -0,0 +1,69 @@
+// Which transactions are open at an endpoint, who may continue them, and when they must end.
+//
+// Owns: the table of open transactions. Deterministic. The shell rolls back what due() and of_origin() name.
+//
+// Invariant: at most one step of a transaction is in flight, so that steps never overlap.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/verdict.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace mangoquay::transactions {
+
+struct transaction_owner {
+    core::service_name m_service;
+    core::caller_id m_caller;
+    core::entry_host_id m_origin; // the entry proxy; a step from another one is refused
+
+    friend bool operator==(const transaction_owner&, const transaction_owner&) = default;
+};
+
+class open_transactions {
+public:
+    // A transaction holds a slot and row locks while its caller is silent.
+    static constexpr core::duration idle_limit = core::milliseconds(5000);
+    static constexpr core::duration life_limit = core::milliseconds(60000);
+
+    // False when the id is taken.
+    bool open(const core::transaction_id& id, const transaction_owner& owner, core::time_point now);
+    // none: the step may be sent. Otherwise why it is not.
+    core::reason begin_step(const core::transaction_id& id, const transaction_owner& owner,
+                            core::time_point now);
+    // `failed`: the database refuses further statements of the transaction.
+    void end_step(const core::transaction_id& id, bool failed, core::time_point now);
+    void close(const core::transaction_id& id) { m_open.erase(id); }
+
+    [[nodiscard]] bool contains(const core::transaction_id& id) const { return m_open.contains(id); }
+    [[nodiscard]] bool failed(const core::transaction_id& id) const;
+    [[nodiscard]] bool step_in_flight(const core::transaction_id& id) const;
+    [[nodiscard]] std::vector<core::transaction_id> due(core::time_point now) const;
+    [[nodiscard]] std::vector<core::transaction_id> of_origin(const core::entry_host_id& origin) const;
+    [[nodiscard]] std::optional<core::time_point> next_due() const;
+    [[nodiscard]] std::size_t size() const { return m_open.size(); }
+
+private:
+    struct entry {
+        transaction_owner m_owner;
+        core::deadline m_idle_until;
+        core::deadline m_life_until;
+        bool m_in_flight = false;
+        bool m_failed = false;
+    };
+
+    // A step in flight ends by its own deadline.
+    static core::time_point end_of(const entry& open) {
+        return open.m_in_flight ? core::time_point::max()
+                                : std::min(open.m_idle_until.m_at, open.m_life_until.m_at);
+    }
+
+    std::map<core::transaction_id, entry> m_open;
+};
+
+} // namespace mangoquay::transactions
--- /dev/null
+++ b/test/correctness/open_transaction_rules.cpp
@@ -0,0 +1,51 @@
+// Guards against overlapping steps of one transaction, strangers that continue it, and transactions that are
+// never ended.
+#include "transactions/open_transactions.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace mangoquay;
+using namespace std::chrono_literals;
+using core::reason;
+using transactions::open_transactions;
+
+class open_transaction_rules : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(open_transaction_rules);
+    CPPUNIT_TEST(one_step_at_a_time_by_its_owner);
+    CPPUNIT_TEST(idle_and_old_transactions_are_due);
+    CPPUNIT_TEST_SUITE_END();
+
+    const core::transaction_id m_id{"t"};
+    const transactions::transaction_owner m_owner{core::service_name("s"), core::caller_id("c"),
+                                                  core::entry_host_id("e")};
+    const core::time_point m_start{1s};
+
+public:
+    void one_step_at_a_time_by_its_owner() {
+        open_transactions table;
+        CPPUNIT_ASSERT(table.open(m_id, m_owner, m_start));
+        CPPUNIT_ASSERT(!table.open(m_id, m_owner, m_start));
+        auto stranger = m_owner;
+        stranger.m_caller = core::caller_id("other");
+        CPPUNIT_ASSERT(table.begin_step(m_id, stranger, m_start) == reason::unknown_transaction);
+        CPPUNIT_ASSERT(table.begin_step(m_id, m_owner, m_start) == reason::none);
+        CPPUNIT_ASSERT(table.begin_step(m_id, m_owner, m_start) == reason::transaction_failed);
+        table.end_step(m_id, true, m_start);
+        CPPUNIT_ASSERT(table.failed(m_id) && table.of_origin(core::entry_host_id("e")).size() == 1);
+    }
+
+    void idle_and_old_transactions_are_due() {
+        open_transactions table;
+        table.open(m_id, m_owner, m_start);
+        CPPUNIT_ASSERT(table.next_due() == m_start + open_transactions::idle_limit);
+        core::time_point now = m_start;
+        while (table.begin_step(m_id, m_owner, now) == reason::none) {
+            CPPUNIT_ASSERT(table.due(now).empty() && !table.next_due());
+            table.end_step(m_id, false, now);
+            now += 1s;
+        }
+        CPPUNIT_ASSERT(now == m_start + open_transactions::life_limit && table.due(now).size() == 1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(open_transaction_rules);
--- a/test/standin/statements.cpp
+++ b/test/standin/statements.cpp
@@ -259,6 +259,16 @@
     return rows(std::move(all));
 }
 
+outcome end_session(statement_context& context) {
+    const auto found = context.m_database.m_backends.find(std::atoi(parameter(context, 0).c_str()));
+    if (found == context.m_database.m_backends.end() ||
+        !found->second->m_application_name.starts_with("mangoquay/") || found->second == &context.m_client) {
+        return rows({});
+    }
+    found->second->terminate();
+    return one_value("t");
+}
+
 outcome try_owner_lock(statement_context& context) {
     backend*& holder = context.m_database.m_owner_lock;
     if (holder == nullptr) {
@@ -327,6 +337,7 @@
         {sql::replica_positions, {replica_positions, false, {"application_name", "flush_lsn"}, 0}},
         {sql::current_position, {current_position, false, {"pg_current_wal_insert_lsn"}, 0}},
         {sql::end_earlier_owners, {end_earlier_owners, false, {"pg_terminate_backend"}, 1}},
+        {sql::end_session, {end_session, false, {"pg_terminate_backend"}, 1}},
         {sql::try_owner_lock, {try_owner_lock, false, {"pg_try_advisory_lock"}, 0}},
         {sql::stop_following, {stop_following, false, {}, 0}},
         {sql::reload, {reload, false, {"pg_reload_conf"}, 0}},
