Add failover core and admission of members

Cause: a group whose primary is lost gets a new one from the control leader, without losing acknowledged writes. Ruled out: taking every announced replica as a member at once. Members now join one at a time with admit_member. Conclusion: public headers are in place for the shell.

--- a/src/control/apply_changes.h
+++ b/src/control/apply_changes.h
@@ -17,6 +17,7 @@
 command_outcome apply_change(control_state& state, const expire_endpoint& change, core::revision at);
 command_outcome apply_change(control_state& state, const drain_endpoint& change, core::revision at);
 command_outcome apply_change(control_state& state, const assign_owner& change, core::revision at);
+command_outcome apply_change(control_state& state, const admit_member& change, core::revision at);
 command_outcome apply_change(control_state& state, const hold_writes& change, core::revision at);
 command_outcome apply_change(control_state& state, const release_writes& change, core::revision at);
 command_outcome apply_change(control_state& state, const begin_promotion& change, core::revision at);
--- a/src/control/apply_topology.cpp
+++ b/src/control/apply_topology.cpp
@@ -31,6 +31,10 @@
     if (change.m_connections <= change.m_slots) {
         return "connections: more than slots are needed, one is for monitoring";
     }
+    const auto known = state.m_endpoints.find(change.m_endpoint);
+    if (known != state.m_endpoints.end() && known->second.m_group != change.m_group) {
+        return "the endpoint belongs to another group";
+    }
     const auto moved = std::any_of(state.m_groups.begin(), state.m_groups.end(), [&](const auto& group) {
         return group.first != change.m_group && group.second.m_members.contains(change.m_endpoint);
     });
@@ -121,7 +125,10 @@
         return refused_change(invalid, fault);
     }
     group_record& group = state.m_groups[change.m_group];
-    group.m_members.insert(change.m_endpoint);
+    // Nothing is acknowledged before the group has a primary, so its first members join at once.
+    if (group.m_term == core::term{} && group.m_members.insert(change.m_endpoint).second) {
+        group.m_members_changed_at = at;
+    }
     const auto [position, is_new] = state.m_endpoints.try_emplace(change.m_endpoint);
     endpoint_record& record = position->second;
     if (is_new) {
@@ -178,6 +185,23 @@
     return accepted_change(at);
 }
 
+command_outcome apply_change(control_state& state, const admit_member& change, core::revision at) {
+    const auto found = state.m_groups.find(change.m_group);
+    const auto endpoint = state.m_endpoints.find(change.m_endpoint);
+    if (found == state.m_groups.end() || endpoint == state.m_endpoints.end() ||
+        endpoint->second.m_group != change.m_group) {
+        return refused_change(invalid, "the endpoint is not known in this group");
+    }
+    group_record& group = found->second;
+    if (group.m_members_changed_at != change.m_after || group.m_promotion_in_progress ||
+        group.m_needs_rewind.contains(change.m_endpoint) || group.m_members.contains(change.m_endpoint)) {
+        return refused_change(stale, "the members have changed or the endpoint cannot join now");
+    }
+    group.m_members.insert(change.m_endpoint);
+    group.m_members_changed_at = at;
+    return accepted_change(at);
+}
+
 command_outcome apply_change(control_state& state, const hold_writes& change, core::revision at) {
     const auto found = state.m_groups.find(change.m_group);
     if (found == state.m_groups.end() || change.m_primary.value().empty() ||
@@ -222,8 +246,9 @@
         return refused_change(stale, "this promotion is not in progress");
     }
     const auto endpoint = state.m_endpoints.find(change.m_primary);
-    if (endpoint == state.m_endpoints.end() || endpoint->second.m_group != change.m_group) {
-        return refused_change(invalid, "the new primary is not a known endpoint of the group");
+    if (endpoint == state.m_endpoints.end() || endpoint->second.m_group != change.m_group ||
+        !found->second.m_members.contains(change.m_primary)) {
+        return refused_change(invalid, "the new primary is not a known member of the group");
     }
     group_record& group = found->second;
     group.m_term = change.m_term;
--- a/src/control/codec_members.h
+++ b/src/control/codec_members.h
@@ -44,6 +44,7 @@
     archive("writes_held", v.m_writes_held);
     archive("held_at", v.m_held_at);
     archive("members", v.m_members);
+    archive("members_changed_at", v.m_members_changed_at);
     archive("needs_rewind", v.m_needs_rewind);
     archive("fork_positions", v.m_fork_positions);
 }
@@ -139,6 +140,12 @@
     archive("epoch", v.m_epoch);
 }
 template <class Archive>
+void describe(Archive& archive, admit_member& v) {
+    archive("group", v.m_group);
+    archive("endpoint", v.m_endpoint);
+    archive("after", v.m_after);
+}
+template <class Archive>
 void describe(Archive& archive, hold_writes& v) {
     archive("group", v.m_group);
     archive("primary", v.m_primary);
@@ -193,9 +200,10 @@
 
 // In the order of the alternatives of `command`.
 inline constexpr std::array command_names{
-    "register_proxy", "retire_proxy", "announce_endpoint", "expire_endpoint", "drain_endpoint",
-    "assign_owner",   "hold_writes",  "release_writes",    "begin_promotion", "finish_promotion",
-    "put_service",    "put_preset",   "select_preset",     "close_day",       "settle_day"};
+    "register_proxy", "retire_proxy",    "announce_endpoint", "expire_endpoint",
+    "drain_endpoint", "assign_owner",    "admit_member",      "hold_writes",
+    "release_writes", "begin_promotion", "finish_promotion",  "put_service",
+    "put_preset",     "select_preset",   "close_day",         "settle_day"};
 static_assert(command_names.size() == std::variant_size_v<command>);
 
 inline constexpr std::array role_names{"primary", "replica", "needs_rewind"};
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -49,6 +49,15 @@
     core::owner_epoch m_epoch;
 };
 
+// A replica starts to count for the quorum. Proposed once the previous change of members is in force
+// everywhere and a quorum of the present members holds what the primary held by then: quorums that differ by
+// more than one member need not share one, and an acknowledged write could be missed by a promotion.
+struct admit_member {
+    core::group_id m_group;
+    core::endpoint_id m_endpoint;
+    core::revision m_after; // m_members_changed_at that was seen; refused when it has changed
+};
+
 // Starts a planned hand-over. Refused unless m_primary is the group's primary and no promotion is in
 // progress.
 struct hold_writes {
@@ -107,7 +116,7 @@
 };
 
 using command = std::variant<register_proxy, retire_proxy, announce_endpoint, expire_endpoint, drain_endpoint,
-                             assign_owner, hold_writes, release_writes, begin_promotion, finish_promotion,
-                             put_service, put_preset, select_preset, close_day, settle_day>;
+                             assign_owner, admit_member, hold_writes, release_writes, begin_promotion,
+                             finish_promotion, put_service, put_preset, select_preset, close_day, settle_day>;
 
 } // namespace mangoquay::control
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -61,8 +61,10 @@
     bool m_writes_held = false;
     core::revision m_held_at;
     // Databases of the group that count for its quorum, alive or not. An endpoint that expired stays a
-    // member, so that a quorum is never formed from a minority that happens to be in sight.
+    // member, so that a quorum is never formed from a minority that happens to be in sight. Once the group
+    // has a primary, members join one at a time by admit_member.
     std::set<core::endpoint_id> m_members;
+    core::revision m_members_changed_at;
     // Members whose history may have left the group's. Outlives an expired record; ends when the member
     // announces itself as a replica under the present term.
     std::set<core::endpoint_id> m_needs_rewind;
--- a/src/failover/endpoint_steps.h
+++ b/src/failover/endpoint_steps.h
@@ -1,8 +1,13 @@
-// What the failover core asks its shell to run, and the answers.
+// What the failover core asks its shell to run at endpoints, and the answers.
 //
-// A shell runs each step as it is and decides nothing. All steps are idempotent; the shell gives up on a step
-// after step_timeout and then answers with m_ok = false. Answers echo the attempt, so that late ones are told
-// from those that count.
+// A shell runs each step as it is and decides nothing. Rules for the shell, on which the proof rests:
+// - A step starts only while the leader lease of this process is valid, checked after connecting.
+// - stop_following, promote and follow run on a session named `mangoquay-control/<Raft term>/<attempt>`; the
+// step
+//   first ends the control sessions of lower (Raft term, attempt) at the endpoint. A step of an earlier
+//   leader, or an earlier step of this one, thus never takes effect after a later step has.
+// - A step is given up after its timeout below and answered with m_ok = false. All steps are idempotent.
+// - Answers echo the attempt; the status is read after the step.
 #pragma once
 
 #include "control/commands.h"
@@ -14,19 +19,24 @@
 
 namespace mangoquay::failover {
 
+// A connect takes 12 ms and zones are 1 ms apart; two readings in a row fit into the detection budget of 1 s.
+inline constexpr core::milliseconds read_timeout{300};
+// Reload of the configuration and end of the receiver, or the end of recovery.
+inline constexpr core::milliseconds step_timeout{500};
+
 // The leader connects to the endpoint itself and reads its status.
 struct read_position {
     std::uint64_t m_attempt = 0;
     core::endpoint_id m_endpoint;
 };
 
-// Empty primary_conninfo, reload, wait until no receiver runs.
+// Empty primary_conninfo, reload, wait until no receiver runs. m_ok only when none runs.
 struct stop_following {
     std::uint64_t m_attempt = 0;
     core::endpoint_id m_endpoint;
 };
 
-// pg_promote; m_ok once the endpoint is out of recovery.
+// pg_promote; m_ok only when the status says that the endpoint is out of recovery.
 struct promote {
     std::uint64_t m_attempt = 0;
     core::endpoint_id m_endpoint;
@@ -52,17 +62,18 @@
 using action = std::variant<read_position, stop_following, promote, follow, ask_proxy, propose>;
 using actions = std::vector<action>;
 
-// What an endpoint says of itself. m_position is the durable one: on a replica the larger of what it received
-// and what it replayed (a restarted replica reports no received position); on a primary the flushed one.
-// The term of a replica may be too low, never too high (see postgres_sql::status).
+// What an endpoint says of itself. The term of a replica may be too low, never too high: see
+// postgres_sql::status.
 struct endpoint_status {
     bool m_in_recovery = false;
+    // Durable: on a replica the larger of what it received and what it replayed, because a restarted replica
+    // reports nothing received; on a primary what it flushed.
     core::history_position m_position;
-    // A receiver runs. Of a replica only.
-    bool m_streaming = false;
+    core::log_position m_replayed; // on a replica; at most the durable position
+    bool m_streaming = false;      // on a replica: its receiver runs
 };
 
-// The answer to read_position, stop_following, promote and follow. The status is read after the step.
+// The answer to read_position, stop_following, promote and follow.
 struct step_answer {
     std::uint64_t m_attempt = 0;
     core::endpoint_id m_endpoint;
--- /dev/null
+++ b/src/failover/failover_core.cpp
@@ -0,0 +1,69 @@
+// The failover cores of all groups of this control cell.
+#include "failover/failover_core.h"
+
+#include <iterator>
+
+namespace mangoquay::failover {
+
+void failover_core::elected(core::time_point now, const control::control_state& state) {
+    m_groups.clear();
+    m_drained_at = {};
+    for (const auto& [id, record] : state.m_groups) {
+        m_groups.try_emplace(id, id).first->second.elected(now);
+    }
+}
+
+group_failover* failover_core::core_of(const control::control_state& state,
+                                       const core::endpoint_id& endpoint) {
+    const auto record = state.m_endpoints.find(endpoint);
+    if (record == state.m_endpoints.end()) {
+        return nullptr;
+    }
+    const core::group_id& group = record->second.m_group;
+    return &m_groups.try_emplace(group, group).first->second;
+}
+
+void failover_core::on_heartbeat(core::time_point now, const control::control_state& state,
+                                 const membership::heartbeat& beat) {
+    for (const membership::endpoint_report& report : beat.m_health) {
+        group_failover* const core = core_of(state, report.m_endpoint);
+        if (core != nullptr && state.m_endpoints.at(report.m_endpoint).m_owner == beat.m_host) {
+            core->on_report(now, state, beat, report);
+        }
+    }
+}
+
+void failover_core::on_probe_result(core::time_point now, const control::control_state& state,
+                                    const membership::probe_result& result) {
+    group_failover* const core = core_of(state, result.m_endpoint);
+    if (core != nullptr) {
+        core->on_probe_result(now, result);
+    }
+}
+
+actions failover_core::on_step_answer(core::time_point now, const control::control_state& state,
+                                      membership::lease_table& leases, const step_answer& answer) {
+    group_failover* const core = core_of(state, answer.m_endpoint);
+    return core == nullptr ? actions{} : core->on_step_answer({now, state, leases, drained(state)}, answer);
+}
+
+actions failover_core::tick(core::time_point now, const control::control_state& state,
+                            membership::lease_table& leases) {
+    actions out;
+    for (const auto& [id, record] : state.m_groups) {
+        group_failover& core = m_groups.try_emplace(id, id).first->second;
+        actions wanted = core.tick({now, state, leases, drained(state)});
+        std::move(wanted.begin(), wanted.end(), std::back_inserter(out));
+    }
+    return out;
+}
+
+const std::set<core::endpoint_id>& failover_core::drained(const control::control_state& state) {
+    if (m_drained_at != state.m_revision) {
+        m_drained = drained_endpoints(state);
+        m_drained_at = state.m_revision;
+    }
+    return m_drained;
+}
+
+} // namespace mangoquay::failover
--- /dev/null
+++ b/test/support/group_model.cpp
@@ -0,0 +1,486 @@
+// Model of a database group around the failover core.
+#include "support/group_model.h"
+
+namespace mangoquay::testing {
+
+using core::milliseconds;
+
+group_model::group_model(script& steps, int databases, planted fault) : m_steps(steps), m_planted(fault) {
+    m_databases.resize(static_cast<std::size_t>(databases));
+    for (int index = 0; index < 3; ++index) {
+        model_proxy proxy;
+        proxy.m_host = core::entry_host_id{"p" + std::to_string(index)};
+        commit(control::register_proxy{proxy.m_host, {{}, {}, {}, core::incarnation{1}}});
+        m_proxies.push_back(std::move(proxy));
+    }
+    for (int index = 0; index < databases; ++index) {
+        const auto role = index == 0 ? control::endpoint_role::primary : control::endpoint_role::replica;
+        commit(control::announce_endpoint{id_of(index), m_group, {}, {}, role, core::term{1}, 1, 2});
+        commit(control::assign_owner{id_of(index), m_proxies[index % 3].m_host, core::owner_epoch{1}});
+        m_databases[index].m_follows = index == 0 ? -1 : 0;
+    }
+    m_databases[0].m_in_recovery = false;
+    m_leases.elected(m_now, m_state);
+    m_core.elected(m_now, m_state);
+}
+
+void group_model::commit(const control::command& change) {
+    const auto outcome = control::apply(m_state, change, core::revision{m_state.m_revision.value() + 1});
+    m_committed.push_back(change);
+    m_promotions += outcome.m_accepted && std::holds_alternative<control::finish_promotion>(change) ? 1 : 0;
+}
+
+void group_model::collect(failover::actions wanted) {
+    for (failover::action& one : wanted) {
+        m_actions.push_back({m_leader, std::move(one)});
+    }
+}
+
+void group_model::tick() {
+    const bool ignorant = m_planted == planted::no_wait_in_force && record().m_promotion_in_progress;
+    collect(m_core.tick(m_now, m_state, ignorant ? m_no_leases : m_leases));
+}
+
+std::string group_model::run() {
+    while (!m_steps.finished()) {
+        step();
+        std::string found = violation();
+        if (!found.empty()) {
+            return found;
+        }
+    }
+    return "";
+}
+
+std::string group_model::violation() const {
+    if (!m_bad_acknowledgement.empty()) {
+        return m_bad_acknowledgement;
+    }
+    if (record().m_promotion_in_progress) {
+        return "";
+    }
+    const auto& log = m_databases[index_of(record().m_primary)].m_log;
+    const std::set<int> held(log.begin(), log.end());
+    const bool all = std::includes(held.begin(), held.end(), m_acknowledged.begin(), m_acknowledged.end());
+    return all ? "" : "an acknowledged write is not in the history of the primary";
+}
+
+void group_model::step() {
+    model_proxy& proxy = m_proxies[m_steps.below(3)];
+    switch (m_steps.below(16)) {
+    case 0:
+    case 1:
+        m_now += milliseconds(m_steps.one_in(30) ? 1300 : 10 + m_steps.below(60));
+        tick();
+        break;
+    case 2:
+    case 3:
+        replicate(any_database());
+        break;
+    case 4:
+    case 5:
+        heartbeat(proxy);
+        break;
+    case 6:
+        apply_some(proxy, 1 + m_steps.below(4));
+        break;
+    case 7:
+    case 8:
+        write(proxy);
+        break;
+    case 9:
+        poll(proxy);
+        break;
+    case 10:
+        acknowledge(proxy);
+        break;
+    case 11:
+    case 12:
+        if (!m_actions.empty()) {
+            const auto pending = static_cast<std::uint32_t>(m_actions.size());
+            execute(m_steps.one_in(4) ? m_steps.below(pending) : 0);
+        }
+        break;
+    case 13:
+        deliver_answer();
+        break;
+    case 14:
+        m_steps.one_in(3) ? cause_fault() : fair_round();
+        break;
+    default:
+        m_steps.one_in(4) ? rewind(any_database()) : replicate(any_database());
+    }
+}
+
+void group_model::cause_fault() {
+    database& hit = m_databases[any_database()];
+    const auto primary = record().m_primary;
+    // Most faults hit the primary: only those lead to promotions.
+    database& target = !primary.value().empty() && m_steps.one_in(2) ? m_databases[index_of(primary)] : hit;
+    model_proxy& proxy = m_proxies[m_steps.below(3)];
+    switch (m_steps.below(12)) {
+    case 0:
+        target.m_alive = false;
+        break;
+    case 1:
+        target.m_cut_from_leader = !target.m_cut_from_leader;
+        break;
+    case 2:
+        target.m_cut_from_proxies = !target.m_cut_from_proxies;
+        break;
+    case 3:
+        target.m_far_side = !target.m_far_side;
+        break;
+    case 4:
+        change_leader();
+        break;
+    case 5:
+        hit.m_checkpoint_term = hit.m_term;
+        break;
+    case 6: {
+        const int index = any_database();
+        const auto epoch = m_state.m_endpoints.at(id_of(index)).m_owner_epoch.value() + 1;
+        commit(control::assign_owner{id_of(index), m_proxies[m_steps.below(3)].m_host,
+                                     core::owner_epoch{epoch}});
+        break;
+    }
+    case 7:
+        proxy.m_slow_acks = !proxy.m_slow_acks;
+        break;
+    case 8:
+        proxy.m_paused = !proxy.m_paused;
+        if (!proxy.m_paused) {
+            acknowledge(proxy); // the first thing that runs after the pause
+        }
+        break;
+    default: // repair is as frequent as damage
+        heal(hit);
+    }
+}
+
+void group_model::heal(database& one) {
+    one.m_alive = true;
+    one.m_cut_from_leader = one.m_cut_from_proxies = one.m_far_side = false;
+}
+
+// Proposals of the old leader commit before the new one starts, or never; its steps are still on their way.
+void group_model::change_leader() {
+    std::vector<in_flight<failover::action>> steps;
+    for (auto& pending : m_actions) {
+        if (const auto* proposal = std::get_if<failover::propose>(&pending.m_message)) {
+            if (m_steps.one_in(2)) {
+                commit(proposal->m_command);
+            }
+        } else {
+            steps.push_back(std::move(pending));
+        }
+    }
+    m_actions = std::move(steps);
+    ++m_leader;
+    m_leases.elected(m_now, m_state);
+    m_core.elected(m_now, m_state);
+}
+
+void group_model::replicate(int follower) {
+    database& to = m_databases[follower];
+    to.m_streaming = false;
+    if (to.m_follows < 0 || !to.m_in_recovery || !to.m_alive) {
+        return;
+    }
+    const database& from = m_databases[to.m_follows];
+    if (!from.m_alive || from.m_in_recovery || from.m_far_side != to.m_far_side || from.m_term < to.m_term ||
+        !is_prefix(to.m_log, from.m_log)) {
+        return;
+    }
+    to.m_streaming = true;
+    to.m_term = from.m_term;
+    const std::size_t batch = m_steps.finished() ? from.m_log.size() : m_steps.below(4);
+    const std::size_t more = std::min<std::size_t>(from.m_log.size() - to.m_log.size(), batch);
+    to.m_log.insert(to.m_log.end(), from.m_log.begin() + static_cast<std::ptrdiff_t>(to.m_log.size()),
+                    from.m_log.begin() + static_cast<std::ptrdiff_t>(to.m_log.size() + more));
+}
+
+failover::endpoint_status group_model::status_of(const database& of) const {
+    const bool exact = !of.m_in_recovery || of.m_streaming;
+    const std::uint32_t term = m_planted == planted::terms_overstated ? record().m_term.value()
+                               : exact                                ? of.m_term
+                                                                      : of.m_checkpoint_term;
+    const core::log_position position{of.m_log.size()};
+    return {of.m_in_recovery, {core::term{term}, position}, position, of.m_streaming};
+}
+
+membership::endpoint_report group_model::report_of(model_proxy& proxy, int index) {
+    const database& of = m_databases[index];
+    membership::endpoint_report report;
+    report.m_endpoint = id_of(index);
+    report.m_reachable = of.m_alive && !of.m_cut_from_proxies;
+    if (!report.m_reachable) {
+        return report;
+    }
+    report.m_lock_held = true;
+    const auto status = status_of(of);
+    std::uint32_t& seen = proxy.m_seen_terms[index];
+    seen = std::max(seen, status.m_position.m_term.value());
+    report.m_position = {core::term{seen}, status.m_position.m_position};
+    report.m_follows = of.m_streaming ? id_of(of.m_follows) : core::endpoint_id{};
+    report.m_writes_in_flight = static_cast<std::uint32_t>(proxy.m_waiting.size());
+    report.m_writes_stalled = !proxy.m_waiting.empty();
+    return report;
+}
+
+void group_model::heartbeat(model_proxy& proxy) {
+    if (proxy.m_paused) {
+        return;
+    }
+    membership::heartbeat beat;
+    beat.m_host = proxy.m_host;
+    beat.m_incarnation = core::incarnation{1};
+    beat.m_number = proxy.m_lease.heartbeat_sent(m_now);
+    beat.m_applied = proxy.m_view.m_revision;
+    for (int index = 0; index < static_cast<int>(m_databases.size()); ++index) {
+        const auto endpoint = proxy.m_view.m_endpoints.find(id_of(index));
+        if (endpoint != proxy.m_view.m_endpoints.end() && endpoint->second.m_owner == proxy.m_host) {
+            beat.m_health.push_back(report_of(proxy, index));
+        }
+    }
+    if (m_steps.one_in(6)) {
+        return; // lost
+    }
+    const bool accepted = m_leases.heartbeat(m_now, m_state, beat, true);
+    m_core.on_heartbeat(m_now, m_state, beat);
+    tick();
+    if (accepted && !m_steps.one_in(6)) {
+        proxy.m_lease.granted(core::incarnation{1}, beat.m_number);
+    }
+}
+
+void group_model::apply_some(model_proxy& proxy, std::size_t most) {
+    for (std::size_t count = 0; !proxy.m_paused && count < most && proxy.m_applied < m_committed.size();
+         ++count) {
+        const core::revision at{proxy.m_view.m_revision.value() + 1};
+        control::apply(proxy.m_view, m_committed[proxy.m_applied++], at);
+    }
+}
+
+void group_model::write(model_proxy& proxy) {
+    if (proxy.m_paused) {
+        return;
+    }
+    const auto group = proxy.m_view.m_groups.find(m_group);
+    if (group == proxy.m_view.m_groups.end() || group->second.m_primary.value().empty() ||
+        group->second.m_writes_held) {
+        return;
+    }
+    const auto& endpoint = proxy.m_view.m_endpoints.at(group->second.m_primary);
+    const int index = index_of(group->second.m_primary);
+    database& at = m_databases[index];
+    if (endpoint.m_owner != proxy.m_host || !at.m_alive || at.m_cut_from_proxies || at.m_in_recovery ||
+        endpoint.m_owner_epoch < at.m_session_epoch) {
+        return;
+    }
+    at.m_session_epoch = endpoint.m_owner_epoch;
+    at.m_log.push_back(m_next_entry);
+    proxy.m_waiting.push_back({m_next_entry++, index, at.m_log.size(), at.m_term, false});
+}
+
+void group_model::poll(model_proxy& proxy) {
+    if (proxy.m_paused || proxy.m_waiting.empty()) {
+        return;
+    }
+    const auto& members = proxy.m_view.m_groups.at(m_group).m_members;
+    for (waiting_write& write : proxy.m_waiting) {
+        const database& at = m_databases[write.m_database];
+        std::size_t holding = 1;
+        for (int index = 0; index < static_cast<int>(m_databases.size()); ++index) {
+            const database& other = m_databases[index];
+            const bool counts = other.m_alive && other.m_streaming && other.m_follows == write.m_database &&
+                                members.contains(id_of(index));
+            holding += counts && other.m_log.size() >= write.m_position && is_prefix(other.m_log, at.m_log);
+        }
+        const bool answers = at.m_alive && !at.m_cut_from_proxies && !at.m_in_recovery;
+        const bool enough =
+            holding >= failover::quorum_of(members.size()) || m_planted == planted::acks_without_quorum;
+        write.m_quorum = write.m_quorum || (answers && at.m_term == write.m_term && enough);
+    }
+}
+
+void group_model::acknowledge(model_proxy& proxy) {
+    const auto& group = proxy.m_view.m_groups.find(m_group);
+    if (group == proxy.m_view.m_groups.end() || proxy.m_paused || proxy.m_slow_acks ||
+        (!proxy.m_lease.valid(m_now) && m_planted != planted::acks_without_lease)) {
+        return;
+    }
+    std::erase_if(proxy.m_waiting, [&](const waiting_write& write) {
+        const bool present = group->second.m_term == core::term{write.m_term} &&
+                             group->second.m_primary == id_of(write.m_database);
+        if (!present && m_planted != planted::acks_replaced_term) {
+            return true; // may_have_run
+        }
+        if (write.m_quorum) {
+            m_acknowledged.insert(write.m_entry);
+            if (!record().m_promotion_in_progress && core::term{write.m_term} < record().m_term) {
+                m_bad_acknowledgement = "a write was acknowledged under a replaced term";
+            }
+        }
+        return write.m_quorum;
+    });
+}
+
+void group_model::execute(std::size_t index) {
+    const auto [leader, wanted] = m_actions[index];
+    m_actions.erase(m_actions.begin() + static_cast<std::ptrdiff_t>(index));
+    if (m_steps.one_in(8)) {
+        m_actions.push_back({leader, wanted}); // delayed behind later ones
+        return;
+    }
+    if (const auto* proposal = std::get_if<failover::propose>(&wanted)) {
+        commit(proposal->m_command);
+        tick();
+        return;
+    }
+    if (const auto* ask = std::get_if<failover::ask_proxy>(&wanted)) {
+        answer_proxy_probe(*ask);
+        return;
+    }
+    failover::step_answer answer;
+    std::visit(
+        [&](const auto& typed) {
+            if constexpr (requires { typed.m_attempt; }) {
+                answer.m_attempt = typed.m_attempt;
+                answer.m_endpoint = typed.m_endpoint;
+            }
+        },
+        wanted);
+    database& at = m_databases[index_of(answer.m_endpoint)];
+    const bool reached = at.m_alive && !at.m_cut_from_leader && !m_steps.one_in(10);
+    answer.m_ok = reached && take_effect(wanted, leader, at);
+    answer.m_status = status_of(at);
+    if (!m_steps.one_in(10)) {
+        m_answers.push_back({leader, answer});
+    }
+}
+
+bool group_model::take_effect(const failover::action& wanted, std::uint64_t leader, database& at) {
+    if (std::holds_alternative<failover::read_position>(wanted)) {
+        return true;
+    }
+    const auto fenced = [&](std::uint64_t attempt) {
+        const std::pair mine{leader, attempt};
+        if (mine < at.m_fence && m_planted != planted::steps_not_fenced) {
+            return true;
+        }
+        at.m_fence = std::max(at.m_fence, mine);
+        return false;
+    };
+    if (const auto* stop = std::get_if<failover::stop_following>(&wanted)) {
+        if (fenced(stop->m_attempt)) {
+            return false;
+        }
+        at.m_follows = -1;
+        at.m_streaming = false;
+    } else if (const auto* follow = std::get_if<failover::follow>(&wanted)) {
+        if (fenced(follow->m_attempt)) {
+            return false;
+        }
+        at.m_follows = index_of(follow->m_primary);
+        at.m_streaming = false;
+    } else if (const auto* promotion = std::get_if<failover::promote>(&wanted)) {
+        if (fenced(promotion->m_attempt)) {
+            return false;
+        }
+        if (at.m_in_recovery) {
+            at.m_in_recovery = at.m_streaming = false;
+            at.m_follows = -1;
+            at.m_checkpoint_term = ++at.m_term;
+            at.m_log.push_back(m_next_entry++); // the record that ends recovery
+        }
+    }
+    return true;
+}
+
+void group_model::deliver_answer() {
+    if (m_answers.empty()) {
+        return;
+    }
+    const auto index = m_steps.one_in(4) ? m_steps.below(static_cast<std::uint32_t>(m_answers.size())) : 0;
+    const auto answer = m_answers[index];
+    m_answers.erase(m_answers.begin() + index);
+    if (answer.m_leader == m_leader) {
+        const auto no_leases_known = membership::lease_table{};
+        membership::lease_table ignorant = no_leases_known;
+        collect(m_core.on_step_answer(
+            m_now, m_state, m_planted == planted::no_wait_in_force ? ignorant : m_leases, answer.m_message));
+    }
+}
+
+void group_model::answer_proxy_probe(const failover::ask_proxy& ask) {
+    const database& of = m_databases[index_of(ask.m_endpoint)];
+    const bool reachable = of.m_alive && !of.m_cut_from_proxies;
+    m_core.on_probe_result(m_now, m_state, {ask.m_host, ask.m_endpoint, reachable});
+}
+
+// The platform rebuilds a member that needs it from the present primary.
+void group_model::rewind(int index) {
+    database& of = m_databases[index];
+    const auto primary = record().m_primary;
+    if (!record().m_needs_rewind.contains(id_of(index)) || primary.value().empty() || !of.m_alive) {
+        return;
+    }
+    const database& source = m_databases[index_of(primary)];
+    while (!is_prefix(of.m_log, source.m_log)) {
+        of.m_log.pop_back();
+    }
+    of.m_in_recovery = true;
+    of.m_follows = index_of(primary);
+}
+
+// What a quiet moment of the system does, so that promotions get to their end in a short script.
+void group_model::fair_round() {
+    m_now += milliseconds(50);
+    for (int index = 0; index < static_cast<int>(m_databases.size()); ++index) {
+        replicate(index);
+    }
+    for (model_proxy& proxy : m_proxies) {
+        apply_some(proxy, 2);
+        heartbeat(proxy);
+        poll(proxy);
+        acknowledge(proxy);
+    }
+    tick();
+    for (std::size_t pending = std::min<std::size_t>(m_actions.size(), 8); pending > 0; --pending) {
+        execute(0);
+    }
+    while (!m_answers.empty()) {
+        deliver_answer();
+    }
+}
+
+std::string group_model::heal_and_finish() {
+    for (database& one : m_databases) {
+        heal(one);
+    }
+    for (model_proxy& proxy : m_proxies) {
+        proxy.m_paused = proxy.m_slow_acks = false;
+    }
+    const std::size_t before = m_acknowledged.size();
+    for (int round = 0; round < 400; ++round) {
+        for (int index = 0; index < static_cast<int>(m_databases.size()); ++index) {
+            rewind(index);
+        }
+        for (model_proxy& proxy : m_proxies) {
+            apply_some(proxy, m_committed.size());
+            write(proxy);
+        }
+        fair_round();
+        std::string found = violation();
+        if (!found.empty()) {
+            return found;
+        }
+        if (!record().m_promotion_in_progress && m_acknowledged.size() > before + 20) {
+            return "";
+        }
+    }
+    return "the group did not recover after all faults had healed";
+}
+
+} // namespace mangoquay::testing
--- /dev/null
+++ b/test/support/group_model.h
@@ -0,0 +1,137 @@
+// A database group, three proxies and a control leader, driven by a script: crashes, cuts, pauses, changes of
+// leader and owner, delayed steps and answers. The failover core runs unchanged; everything around it is a
+// model.
+#pragma once
+
+#include "control/apply.h"
+#include "failover/failover_core.h"
+#include "membership/proxy_lease.h"
+#include "support/scripted_property.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mangoquay::testing {
+
+enum class planted {
+    none,
+    no_wait_in_force,    // promotes before the old term has ended everywhere
+    acks_without_lease,  // a proxy does not check its lease when it acknowledges
+    acks_without_quorum, // ... or does not wait for replicas
+    acks_replaced_term,  // ... or does not compare the term with its view
+    terms_overstated,    // replicas report the group's term whatever their history
+    steps_not_fenced,    // a delayed step takes effect after a later one
+};
+
+struct database {
+    bool m_alive = true;
+    bool m_cut_from_leader = false;
+    bool m_cut_from_proxies = false;
+    bool m_far_side = false; // of a cut between databases: replication needs both on the same side
+    bool m_in_recovery = true;
+    bool m_streaming = false;
+    std::uint32_t m_term = 1;
+    std::uint32_t m_checkpoint_term = 1; // what a replica reports while it does not stream
+    int m_follows = -1;
+    std::vector<int> m_log; // entries are unique, so equal entries at an index mean equal history up to it
+    std::pair<std::uint64_t, std::uint64_t> m_fence;
+    core::owner_epoch m_session_epoch;
+};
+
+inline bool is_prefix(const std::vector<int>& part, const std::vector<int>& whole) {
+    return part.size() <= whole.size() && (part.empty() || part.back() == whole[part.size() - 1]);
+}
+
+struct waiting_write {
+    int m_entry = 0;
+    int m_database = 0;
+    std::size_t m_position = 0;
+    std::uint32_t m_term = 0;
+    bool m_quorum = false;
+};
+
+struct model_proxy {
+    core::entry_host_id m_host;
+    control::control_state m_view = control::initial_state();
+    std::size_t m_applied = 0;
+    membership::proxy_lease m_lease{core::incarnation{1}};
+    std::vector<waiting_write> m_waiting;
+    std::map<int, std::uint32_t> m_seen_terms;
+    bool m_paused = false;    // the whole process
+    bool m_slow_acks = false; // only acknowledgements
+};
+
+class group_model {
+public:
+    group_model(script& steps, int databases, planted fault);
+
+    std::string run();
+    // After all faults have healed a promotion that was begun ends and a write can be acknowledged.
+    std::string heal_and_finish();
+
+    [[nodiscard]] int promotions() const { return m_promotions; }
+    [[nodiscard]] std::size_t acknowledged() const { return m_acknowledged.size(); }
+
+private:
+    template <class Message>
+    struct in_flight {
+        std::uint64_t m_leader = 0;
+        Message m_message;
+    };
+
+    static core::endpoint_id id_of(int index) { return core::endpoint_id{"e" + std::to_string(index)}; }
+    static int index_of(const core::endpoint_id& id) { return std::stoi(id.value().substr(1)); }
+    int any_database() {
+        return static_cast<int>(m_steps.below(static_cast<std::uint32_t>(m_databases.size())));
+    }
+    [[nodiscard]] const control::group_record& record() const { return m_state.m_groups.at(m_group); }
+
+    void commit(const control::command& change);
+    void tick();
+    void heal(database& one);
+    void collect(failover::actions wanted);
+    void step();
+    void cause_fault();
+    void change_leader();
+    void replicate(int follower);
+    void heartbeat(model_proxy& proxy);
+    void apply_some(model_proxy& proxy, std::size_t most);
+    void write(model_proxy& proxy);
+    void poll(model_proxy& proxy);
+    void acknowledge(model_proxy& proxy);
+    void execute(std::size_t index);
+    void deliver_answer();
+    void answer_proxy_probe(const failover::ask_proxy& ask);
+    void rewind(int index);
+    void fair_round();
+    [[nodiscard]] membership::endpoint_report report_of(model_proxy& proxy, int index);
+    [[nodiscard]] failover::endpoint_status status_of(const database& of) const;
+    [[nodiscard]] std::string violation() const;
+    // A step's effect; false: refused.
+    bool take_effect(const failover::action& wanted, std::uint64_t leader, database& at);
+
+    script& m_steps;
+    planted m_planted;
+    core::group_id m_group{"g"};
+    core::time_point m_now{std::chrono::hours(1)};
+    control::control_state m_state = control::initial_state();
+    std::vector<control::command> m_committed;
+    std::vector<database> m_databases;
+    std::vector<model_proxy> m_proxies;
+    membership::lease_table m_leases;
+    membership::lease_table m_no_leases; // for planted::no_wait_in_force: everything is in force at once
+    failover::failover_core m_core;
+    std::uint64_t m_leader = 1;
+    std::vector<in_flight<failover::action>> m_actions;
+    std::vector<in_flight<failover::step_answer>> m_answers;
+    std::set<int> m_acknowledged;
+    std::string m_bad_acknowledgement;
+    int m_next_entry = 1;
+    int m_promotions = 0;
+};
+
+} // namespace mangoquay::testing
--- a/test/support/scripted_property.h
+++ b/test/support/scripted_property.h
@@ -43,8 +43,10 @@
 
 inline auto scripted(const scripted_body& body, std::size_t numbers) {
     return [body, numbers] {
-        const auto seed = *rc::gen::noShrink(rc::gen::inRange<std::uint32_t>(0, 1U << 31U));
-        const auto length = *rc::gen::inRange<std::size_t>(numbers / 2, numbers + 1);
+        const auto seed = *rc::gen::noShrink(
+            rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint32_t>(0, 1U << 31U)));
+        const auto length =
+            *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::size_t>(numbers / 2, numbers + 1));
         script steps(seed, length);
         const std::string violation = body(steps);
         if (!violation.empty()) {
