--- a/src/control_host/control_host.cpp
+++ b/src/control_host/control_host.cpp
@@ -1,4 +1,5 @@
-// Log, commits and submitted commands of a control host; see leader_duties.cpp for what it does while it leads.
+// Log, commits and submitted commands of a control host; see leader_duties.cpp for what it does while it
+// leads.
 #include "control_host/control_host.h"
 
 #include "control/announcement.h"
@@ -33,8 +34,8 @@
 
 } // namespace
 
-control_host::control_host(transport::event_loop& loop, transport::message_bus& bus, const settings::settings& chosen,
-                           const dialect::database_dialect& strategy)
+control_host::control_host(transport::event_loop& loop, transport::message_bus& bus,
+                           const settings::settings& chosen, const dialect::database_dialect& strategy)
     : m_loop(loop), m_bus(bus), m_self(chosen.m_host),
       m_raft(std::make_unique<consensus::raft_driver>(
           loop, raft_settings(chosen),
@@ -69,10 +70,13 @@
             m_raft->receive(from, *decoded);
         }
     });
-    m_bus.on<wire::heartbeatT>([this](const auto& from, const auto& beat) { heartbeat_received(from, beat); });
-    m_bus.on<wire::submit_commandT>([this](const auto& from, const auto& submit) { submit_received(from, submit); });
+    m_bus.on<wire::heartbeatT>(
+        [this](const auto& from, const auto& beat) { heartbeat_received(from, beat); });
+    m_bus.on<wire::submit_commandT>(
+        [this](const auto& from, const auto& submit) { submit_received(from, submit); });
     m_bus.on<wire::status_queryT>([this](const auto& from, const auto& query) { status_asked(from, query); });
-    m_bus.on<wire::replace_control_hostT>([this](const auto&, const auto& request) { replace_asked(request); });
+    m_bus.on<wire::replace_control_hostT>(
+        [this](const auto&, const auto& request) { replace_asked(request); });
     m_bus.on<wire::probe_answerT>([this](const auto& from, const auto& answer) {
         const membership::probe_result result{from, core::endpoint_id(answer.endpoint), answer.reachable};
         const auto now = transport::event_loop::now();
@@ -122,7 +126,8 @@
         const auto change = control::decode_command(payload);
         if (!change) {
             // Another version of the program wrote it; skipping it would let the states of two hosts differ.
-            core::log_line(core::log_level::error, "control", "command not understood reason=" + change.reason());
+            core::log_line(core::log_level::error, "control",
+                           "command not understood reason=" + change.reason());
             std::abort();
         }
         m_outcomes[at] = control::apply(m_state, *change, at);
@@ -154,7 +159,8 @@
 void control_host::installed(core::revision at, const std::string& state) {
     auto decoded = control::decode_state(state);
     if (!decoded) {
-        core::log_line(core::log_level::error, "control", "snapshot not understood reason=" + decoded.reason());
+        core::log_line(core::log_level::error, "control",
+                       "snapshot not understood reason=" + decoded.reason());
         std::abort();
     }
     m_state = std::move(*decoded);
@@ -190,7 +196,8 @@
             return;
         }
     }
-    m_raft->propose(payload, [this, submit](std::optional<core::revision> at) { submit_committed(submit, at); });
+    m_raft->propose(payload,
+                    [this, submit](std::optional<core::revision> at) { submit_committed(submit, at); });
 }
 
 void control_host::submit_committed(const waiting_submit& submit, std::optional<core::revision> at) {
@@ -217,10 +224,11 @@
 }
 
 void control_host::replace_asked(const wire::replace_control_hostT& request) {
-    const auto started = m_raft->replace_host(core::entry_host_id(request.old_host), core::entry_host_id(request.new_host));
+    const auto started =
+        m_raft->replace_host(core::entry_host_id(request.old_host), core::entry_host_id(request.new_host));
     core::log_line(core::log_level::info, "control",
-                   "replacement of a control host asked old=" + request.old_host + " new=" + request.new_host +
-                       (started ? " started" : " refused reason=" + started.reason()));
+                   "replacement of a control host asked old=" + request.old_host + " new=" +
+                       request.new_host + (started ? " started" : " refused reason=" + started.reason()));
 }
 
 } // namespace mangoquay::control_host
--- a/src/control_host/control_host.h
+++ b/src/control_host/control_host.h
@@ -1,9 +1,10 @@
-// The shell of a control host: runs the replicated log and, while it leads, the cores of membership, failover and
-// settlement.
+// The shell of a control host: runs the replicated log and, while it leads, the cores of membership, failover
+// and settlement.
 //
-// Owns: the log driver, the replicated state of this host, the leader's volatile cores. Receives heartbeats, submitted
-// commands, Raft messages, probe answers and status queries; sends lease grants, log batches, snapshots, outcomes and
-// probes. Invariant: leases are granted, commands accepted and steps run only while the leader lease is held.
+// Owns: the log driver, the replicated state of this host, the leader's volatile cores. Receives heartbeats,
+// submitted commands, Raft messages, probe answers and status queries; sends lease grants, log batches,
+// snapshots, outcomes and probes. Invariant: leases are granted, commands accepted and steps run only while
+// the leader lease is held.
 #pragma once
 
 #include "consensus/raft_driver.h"
--- a/src/control_host/follower_feed.h
+++ b/src/control_host/follower_feed.h
@@ -1,7 +1,8 @@
 // Sends the committed control log to the proxies that follow it.
 //
-// Decides: which entries, or whether the whole state, to send to which proxy. Owns a cursor per proxy, volatile. A proxy
-// that missed hundreds of changes gets one batch or one snapshot, not a replay message by message.
+// Decides: which entries, or whether the whole state, to send to which proxy. Owns a cursor per proxy,
+// volatile. A proxy that missed hundreds of changes gets one batch or one snapshot, not a replay message by
+// message.
 #pragma once
 
 #include "core/clock.h"
@@ -12,7 +13,8 @@
 
 namespace mangoquay::control_host {
 
-// A proxy that has not applied what was sent this long ago is sent it again; links drop frames when they fail.
+// A proxy that has not applied what was sent this long ago is sent it again; links drop frames when they
+// fail.
 inline constexpr core::milliseconds resend_after{400};
 // Proxies that were not heard for this long are forgotten.
 inline constexpr core::milliseconds follower_lifetime{3000};
@@ -25,8 +27,8 @@
 class follower_feed {
 public:
     // A heartbeat says what the proxy has applied. Returns a request when it lags behind.
-    std::vector<feed_request> heard(core::time_point now, const core::entry_host_id& host, core::revision applied,
-                                    core::revision committed);
+    std::vector<feed_request> heard(core::time_point now, const core::entry_host_id& host,
+                                    core::revision applied, core::revision committed);
     // New entries were committed: requests for all followers.
     std::vector<feed_request> committed(core::time_point now, core::revision committed);
     // The shell sent everything up to `sent`.
--- a/src/control_host/leader_duties.cpp
+++ b/src/control_host/leader_duties.cpp
@@ -149,14 +149,17 @@
         } else if (const auto* read = std::get_if<failover::read_position>(&action)) {
             m_steps.run(m_state, *read, done);
         } else if (const auto* stop = std::get_if<failover::stop_following>(&action)) {
-            core::log_line(core::log_level::info, "failover", "stop following endpoint=" + stop->m_endpoint.value());
+            core::log_line(core::log_level::info, "failover",
+                           "stop following endpoint=" + stop->m_endpoint.value());
             m_steps.run(m_state, *stop, done);
         } else if (const auto* promotion = std::get_if<failover::promote>(&action)) {
-            core::log_line(core::log_level::info, "failover", "promote endpoint=" + promotion->m_endpoint.value());
+            core::log_line(core::log_level::info, "failover",
+                           "promote endpoint=" + promotion->m_endpoint.value());
             m_steps.run(m_state, *promotion, done);
         } else if (const auto* follow = std::get_if<failover::follow>(&action)) {
             core::log_line(core::log_level::info, "failover",
-                           "follow endpoint=" + follow->m_endpoint.value() + " primary=" + follow->m_primary.value());
+                           "follow endpoint=" + follow->m_endpoint.value() +
+                               " primary=" + follow->m_primary.value());
             m_steps.run(m_state, *follow, done);
         }
     }
--- a/src/control_host/step_runner.cpp
+++ b/src/control_host/step_runner.cpp
@@ -33,8 +33,8 @@
 
 } // namespace
 
-step_runner::step_runner(transport::event_loop& loop, core::entry_host_id self, dialect::connection_settings settings,
-                         const dialect::database_dialect& strategy)
+step_runner::step_runner(transport::event_loop& loop, core::entry_host_id self,
+                         dialect::connection_settings settings, const dialect::database_dialect& strategy)
     : m_loop(loop), m_self(std::move(self)), m_settings(std::move(settings)), m_strategy(strategy) {}
 
 step_runner::~step_runner() {
@@ -43,13 +43,15 @@
     }
 }
 
-void step_runner::run(const control::control_state& state, const failover::read_position& step, step_handler done) {
+void step_runner::run(const control::control_state& state, const failover::read_position& step,
+                      step_handler done) {
     running_step running;
     running.m_done = std::move(done);
     start(state, step.m_attempt, step.m_endpoint, std::move(running));
 }
 
-void step_runner::run(const control::control_state& state, const failover::stop_following& step, step_handler done) {
+void step_runner::run(const control::control_state& state, const failover::stop_following& step,
+                      step_handler done) {
     running_step running;
     running.m_sql = {sql::stop_following, sql::reload};
     running.m_until_zero = sql::receivers_running;
@@ -70,7 +72,8 @@
     running_step running;
     running.m_done = std::move(done);
     if (primary != state.m_endpoints.end()) {
-        running.m_sql = {follow_statement(primary->second.m_address, step.m_endpoint, m_settings.m_user), sql::reload};
+        running.m_sql = {follow_statement(primary->second.m_address, step.m_endpoint, m_settings.m_user),
+                         sql::reload};
     }
     start(state, step.m_attempt, step.m_endpoint, std::move(running));
 }
@@ -81,8 +84,8 @@
         [done = std::move(done)](const failover::step_answer& answer) { done(answer.m_ok); });
 }
 
-void step_runner::start(const control::control_state& state, std::uint64_t attempt, const core::endpoint_id& endpoint,
-                        running_step step) {
+void step_runner::start(const control::control_state& state, std::uint64_t attempt,
+                        const core::endpoint_id& endpoint, running_step step) {
     const std::uint64_t number = ++m_last_number;
     step.m_answer.m_attempt = attempt;
     step.m_answer.m_endpoint = endpoint;
@@ -200,7 +203,8 @@
     }
     failover::endpoint_status& seen = step->m_answer.m_status;
     seen.m_in_recovery = status->m_is_replica;
-    seen.m_position = status->m_is_replica ? std::max(status->m_durable, status->m_applied) : status->m_durable;
+    seen.m_position =
+        status->m_is_replica ? std::max(status->m_durable, status->m_applied) : status->m_durable;
     seen.m_streaming = status->m_is_replica && !status->m_follows.empty();
     finish(number, true);
 }
--- a/src/control_host/step_runner.h
+++ b/src/control_host/step_runner.h
@@ -36,14 +36,15 @@
     void run(const control::control_state& state, const failover::promote& step, step_handler done);
     void run(const control::control_state& state, const failover::follow& step, step_handler done);
     // Whether a connection can be opened and answers.
-    void probe(const control::control_state& state, const core::endpoint_id& endpoint, std::function<void(bool)> done);
+    void probe(const control::control_state& state, const core::endpoint_id& endpoint,
+               std::function<void(bool)> done);
 
 private:
     struct running_step {
         failover::step_answer m_answer;
-        std::deque<std::string> m_sql;       // still to be run
-        std::string m_until_zero;            // repeated until its first cell is 0; empty: none
-        bool m_wait_for_primary = false;     // the status is read until the endpoint is out of recovery
+        std::deque<std::string> m_sql;   // still to be run
+        std::string m_until_zero;        // repeated until its first cell is 0; empty: none
+        bool m_wait_for_primary = false; // the status is read until the endpoint is out of recovery
         core::deadline m_deadline;
         std::shared_ptr<database::connection> m_connection;
         step_handler m_done;
--- a/src/membership/report_messages.cpp
+++ b/src/membership/report_messages.cpp
@@ -50,14 +50,16 @@
         report.m_endpoint = core::endpoint_id(health->endpoint);
         report.m_reachable = health->reachable;
         report.m_lock_held = health->lock_held;
-        report.m_position = wire::position_from_wire(health->position.get()).value_or(core::history_position{});
+        report.m_position =
+            wire::position_from_wire(health->position.get()).value_or(core::history_position{});
         report.m_follows = core::endpoint_id(health->follows);
         report.m_writes_stalled = health->writes_stalled;
         report.m_writes_in_flight = health->writes_in_flight;
         beat.m_health.push_back(std::move(report));
     }
     for (const auto& day : message.unsettled) {
-        beat.m_unsettled.push_back({{core::service_name(day->service), core::business_day(day->day)}, day->writes});
+        beat.m_unsettled.push_back(
+            {{core::service_name(day->service), core::business_day(day->day)}, day->writes});
     }
     for (const std::string& endpoint : message.renewed_endpoints) {
         beat.m_renewed.emplace_back(endpoint);
--- a/src/ownership/execute_messages.h
+++ b/src/ownership/execute_messages.h
@@ -1,8 +1,8 @@
 // Statements and answers in their form between an entry proxy and the owner of an endpoint.
 #pragma once
 
-#include "core/statement.h"
 #include "core/result.h"
+#include "core/statement.h"
 #include "wire/mangoquay_generated.h"
 
 namespace mangoquay::ownership {
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -19,8 +19,8 @@
 namespace mangoquay::process {
 namespace {
 
-// A descriptor that becomes readable on SIGTERM and SIGINT. Called before any thread starts, so that all inherit the
-// blocked mask.
+// A descriptor that becomes readable on SIGTERM and SIGINT. Called before any thread starts, so that all
+// inherit the blocked mask.
 int take_stop_signals() {
     sigset_t signals;
     sigemptyset(&signals);
--- a/src/proxy/control_follower.cpp
+++ b/src/proxy/control_follower.cpp
@@ -21,8 +21,8 @@
 // Without a grant for this long all control hosts are asked, not only the last known leader.
 constexpr core::milliseconds leader_trust{500};
 
-// Later starts get higher numbers, as long as the host's calendar clock does not go back further than the process was
-// down; register_when_needed() corrects it when it does.
+// Later starts get higher numbers, as long as the host's calendar clock does not go back further than the
+// process was down; register_when_needed() corrects it when it does.
 core::incarnation first_incarnation() {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
     return core::incarnation(
@@ -37,7 +37,8 @@
       m_lease(first_incarnation()) {
     m_bus.on<wire::lease_grantT>([this](const auto&, const auto& grant) { granted(grant); });
     m_bus.on<wire::log_batchT>([this](const auto&, const auto& batch) { batch_received(batch); });
-    m_bus.on<wire::state_snapshotT>([this](const auto&, const auto& snapshot) { snapshot_received(snapshot); });
+    m_bus.on<wire::state_snapshotT>(
+        [this](const auto&, const auto& snapshot) { snapshot_received(snapshot); });
     m_bus.on<wire::command_outcomeT>([this](const auto&, const auto& outcome) { outcome_received(outcome); });
     m_bus.on<wire::status_answerT>([this](const auto&, const auto& answer) {
         const auto query = m_status_queries.find(answer.number);
@@ -49,7 +50,9 @@
     });
 }
 
-void control_follower::start() { beat(); }
+void control_follower::start() {
+    beat();
+}
 
 void control_follower::beat() {
     send_heartbeat(transport::event_loop::now());
@@ -137,7 +140,8 @@
         }
         const auto change = control::decode_command(wire::to_text(entry->payload));
         if (!change) {
-            core::log_line(core::log_level::error, "control", "command not understood reason=" + change.reason());
+            core::log_line(core::log_level::error, "control",
+                           "command not understood reason=" + change.reason());
             std::abort();
         }
         control::apply(m_state, *change, core::revision(revision));
@@ -176,8 +180,8 @@
 void control_follower::submit(const control::command& change, submit_handler done) {
     const std::uint64_t number = ++m_last_number;
     const auto now = transport::event_loop::now();
-    m_submits[number] = {wire::to_bytes(control::encode(change)), core::deadline_after(now, submit_patience), false,
-                         std::move(done)};
+    m_submits[number] = {wire::to_bytes(control::encode(change)), core::deadline_after(now, submit_patience),
+                         false, std::move(done)};
     send_submit(number);
 }
 
@@ -260,7 +264,8 @@
     });
 }
 
-bool control_follower::ask_replacement(const core::entry_host_id& old_host, const core::entry_host_id& new_host) {
+bool control_follower::ask_replacement(const core::entry_host_id& old_host,
+                                       const core::entry_host_id& new_host) {
     wire::replace_control_hostT request;
     request.old_host = old_host.value();
     request.new_host = new_host.value();
--- a/src/proxy/control_follower.h
+++ b/src/proxy/control_follower.h
@@ -1,8 +1,9 @@
 // Follows the control log: heartbeats, the lease, the view of the shared state, submitted commands.
 //
-// Owns: this process's view of the shared state, its lease, its incarnation, submits in progress. Receives lease grants,
-// log batches, snapshots and command outcomes; sends heartbeats and commands. The view starts empty at each start and is
-// only ever replaced by a later one, so nothing that was remembered is acted on and no revision goes back.
+// Owns: this process's view of the shared state, its lease, its incarnation, submits in progress. Receives
+// lease grants, log batches, snapshots and command outcomes; sends heartbeats and commands. The view starts
+// empty at each start and is only ever replaced by a later one, so nothing that was remembered is acted on
+// and no revision goes back.
 #pragma once
 
 #include "control/commands.h"
@@ -26,8 +27,8 @@
 
 class control_follower {
 public:
-    control_follower(transport::event_loop& loop, transport::message_bus& bus, transport::peer_network& network,
-                     const settings::settings& chosen);
+    control_follower(transport::event_loop& loop, transport::message_bus& bus,
+                     transport::peer_network& network, const settings::settings& chosen);
     ~control_follower() = default;
     control_follower(const control_follower&) = delete;
     control_follower& operator=(const control_follower&) = delete;
--- a/src/proxy/endpoint_reports.cpp
+++ b/src/proxy/endpoint_reports.cpp
@@ -58,8 +58,8 @@
         report.m_position = health.m_position.value_or(core::history_position{});
         report.m_follows = endpoint_at(health.m_follows);
         report.m_writes_stalled = health.m_writes_stalled;
-        report.m_writes_in_flight = static_cast<std::uint32_t>(measures.m_busy_slots + measures.m_writes_waiting +
-                                                               measures.m_open_transactions);
+        report.m_writes_in_flight = static_cast<std::uint32_t>(
+            measures.m_busy_slots + measures.m_writes_waiting + measures.m_open_transactions);
         beat.m_health.push_back(std::move(report));
         add_unsettled(*kept.m_owner);
     }
@@ -75,11 +75,14 @@
     std::vector<metrics::gauge> gauges;
     for (const auto& [endpoint, kept] : m_owners) {
         const ownership::owner_measures measures = kept.m_owner->measures();
-        gauges.push_back(endpoint_gauge("queue_length", endpoint, static_cast<double>(measures.m_queue_length)));
+        gauges.push_back(
+            endpoint_gauge("queue_length", endpoint, static_cast<double>(measures.m_queue_length)));
         gauges.push_back(endpoint_gauge("busy_slots", endpoint, static_cast<double>(measures.m_busy_slots)));
         gauges.push_back(endpoint_gauge("slots", endpoint, static_cast<double>(measures.m_slots)));
-        gauges.push_back(endpoint_gauge("connections", endpoint, static_cast<double>(measures.m_connections)));
-        gauges.push_back(endpoint_gauge("statements_dispatched", endpoint, static_cast<double>(measures.m_dispatched)));
+        gauges.push_back(
+            endpoint_gauge("connections", endpoint, static_cast<double>(measures.m_connections)));
+        gauges.push_back(
+            endpoint_gauge("statements_dispatched", endpoint, static_cast<double>(measures.m_dispatched)));
         gauges.push_back(endpoint_gauge("statements_shed", endpoint, static_cast<double>(measures.m_shed)));
     }
     return gauges;
@@ -104,8 +107,11 @@
         return;
     }
     const std::uint64_t number = ++m_last_number;
-    const dialect::connection_settings credentials{m_settings.m_database.m_user, m_settings.m_database.m_password,
-                                                   m_settings.m_database.m_database, {}, ""};
+    const dialect::connection_settings credentials{m_settings.m_database.m_user,
+                                                   m_settings.m_database.m_password,
+                                                   m_settings.m_database.m_database,
+                                                   {},
+                                                   ""};
     auto probe = std::make_shared<database::connection>(
         m_loop, m_strategy.connection_parameters(record->second.m_address, credentials,
                                                  "mangoquay-probe/" + m_settings.m_host.value()));
@@ -131,8 +137,9 @@
     }
     for (const core::group_id& group : groups) {
         const auto record = state.m_groups.find(group);
-        const auto primary = record == state.m_groups.end() ? state.m_endpoints.end()
-                                                            : state.m_endpoints.find(record->second.m_primary);
+        const auto primary = record == state.m_groups.end()
+                                 ? state.m_endpoints.end()
+                                 : state.m_endpoints.find(record->second.m_primary);
         if (primary == state.m_endpoints.end() || primary->second.m_owner.value().empty()) {
             continue;
         }
@@ -151,18 +158,18 @@
     if (kept == m_owners.end()) {
         return;
     }
-    kept->second.m_owner->ask_position(
-        [this, from, number = query.number, group = query.group](std::optional<core::history_position> position) {
-            if (!position) {
-                return;
-            }
-            wire::position_answerT answer;
-            answer.number = number;
-            answer.group = group;
-            answer.known = true;
-            answer.position = wire::to_wire(*position);
-            m_bus.send(from, std::move(answer));
-        });
+    kept->second.m_owner->ask_position([this, from, number = query.number,
+                                        group = query.group](std::optional<core::history_position> position) {
+        if (!position) {
+            return;
+        }
+        wire::position_answerT answer;
+        answer.number = number;
+        answer.group = group;
+        answer.known = true;
+        answer.position = wire::to_wire(*position);
+        m_bus.send(from, std::move(answer));
+    });
 }
 
 void owned_endpoints::position_answered(const wire::position_answerT& answer) {
--- a/src/proxy/owned_endpoints.cpp
+++ b/src/proxy/owned_endpoints.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-owned_endpoints::owned_endpoints(transport::event_loop& loop, transport::message_bus& bus, control_follower& follower,
-                                 const settings::settings& chosen, const dialect::database_dialect& strategy)
+owned_endpoints::owned_endpoints(transport::event_loop& loop, transport::message_bus& bus,
+                                 control_follower& follower, const settings::settings& chosen,
+                                 const dialect::database_dialect& strategy)
     : m_loop(loop), m_bus(bus), m_follower(follower), m_settings(chosen), m_strategy(strategy) {
     install_handlers();
 }
@@ -29,12 +30,16 @@
     }
 }
 
-void owned_endpoints::start() { ask_positions(); }
+void owned_endpoints::start() {
+    ask_positions();
+}
 
 void owned_endpoints::install_handlers() {
-    m_bus.on<wire::executeT>([this](const auto& from, const auto& message) { execute_received(from, message); });
+    m_bus.on<wire::executeT>(
+        [this](const auto& from, const auto& message) { execute_received(from, message); });
     m_bus.on<wire::probeT>([this](const auto& from, const auto& message) { probe_received(from, message); });
-    m_bus.on<wire::position_queryT>([this](const auto& from, const auto& query) { position_asked(from, query); });
+    m_bus.on<wire::position_queryT>(
+        [this](const auto& from, const auto& query) { position_asked(from, query); });
     m_bus.on<wire::position_answerT>([this](const auto&, const auto& answer) { position_answered(answer); });
 }
 
@@ -42,9 +47,9 @@
     std::vector<core::endpoint_id> lost;
     for (const auto& [endpoint, kept] : m_owners) {
         const auto record = m_follower.state().m_endpoints.find(endpoint);
-        const bool mine = record != m_follower.state().m_endpoints.end() &&
-                          record->second.m_owner == m_settings.m_host &&
-                          record->second.m_owner_epoch == kept.m_epoch && record->second.m_address == kept.m_address;
+        const bool mine =
+            record != m_follower.state().m_endpoints.end() && record->second.m_owner == m_settings.m_host &&
+            record->second.m_owner_epoch == kept.m_epoch && record->second.m_address == kept.m_address;
         if (!mine) {
             lost.push_back(endpoint);
         }
@@ -69,8 +74,8 @@
                        " epoch=" + std::to_string(record.m_owner_epoch.value()));
     const std::uint64_t seed = std::hash<std::string>{}(m_settings.m_host.value() + endpoint.value());
     owned fresh{record.m_owner_epoch, record.m_address, nullptr};
-    fresh.m_owner = std::make_unique<ownership::endpoint_owner>(m_loop, endpoint, record, m_settings.m_host, *this,
-                                                                database_settings(m_settings), m_strategy, seed);
+    fresh.m_owner = std::make_unique<ownership::endpoint_owner>(
+        m_loop, endpoint, record, m_settings.m_host, *this, database_settings(m_settings), m_strategy, seed);
     m_owners.emplace(endpoint, std::move(fresh));
 }
 
@@ -92,8 +97,9 @@
 
 void owned_endpoints::release(const core::endpoint_id& endpoint) {
     const auto found = m_owners.find(endpoint);
-    core::log_line(core::log_level::info, "ownership", "owner ended endpoint=" + endpoint.value() +
-                                                           " epoch=" + std::to_string(found->second.m_epoch.value()));
+    core::log_line(core::log_level::info, "ownership",
+                   "owner ended endpoint=" + endpoint.value() +
+                       " epoch=" + std::to_string(found->second.m_epoch.value()));
     const std::uint64_t number = ++m_last_number;
     auto& releasing = m_releasing[number];
     releasing = std::move(found->second.m_owner);
@@ -135,8 +141,8 @@
         return;
     }
     const auto wait = std::chrono::duration_cast<core::milliseconds>(core::microseconds(message.wait_us));
-    submit(core::endpoint_id(message.endpoint), core::owner_epoch(message.owner_epoch), std::move(*request), from, wait,
-           answer_with);
+    submit(core::endpoint_id(message.endpoint), core::owner_epoch(message.owner_epoch), std::move(*request),
+           from, wait, answer_with);
 }
 
 void owned_endpoints::origin_lost(const core::entry_host_id& origin) {
@@ -148,7 +154,8 @@
     }
 }
 
-bool owned_endpoints::may_acknowledge(const core::group_id& group, core::term term, core::time_point now) const {
+bool owned_endpoints::may_acknowledge(const core::group_id& group, core::term term,
+                                      core::time_point now) const {
     const auto record = m_follower.state().m_groups.find(group);
     return m_follower.lease_valid(now) && record != m_follower.state().m_groups.end() &&
            record->second.m_term == term && !record->second.m_promotion_in_progress;
--- a/src/proxy/owned_endpoints.h
+++ b/src/proxy/owned_endpoints.h
@@ -1,8 +1,8 @@
-// The endpoints that this proxy owns: creates and ends their owners as the shared state says, serves statements from
-// other proxies, answers position queries and probes, and reports health.
+// The endpoints that this proxy owns: creates and ends their owners as the shared state says, serves
+// statements from other proxies, answers position queries and probes, and reports health.
 //
-// Owns: one endpoint_owner per owned endpoint. Invariant: an owner object serves exactly the epoch that the state named
-// when it was created.
+// Owns: one endpoint_owner per owned endpoint. Invariant: an owner object serves exactly the epoch that the
+// state named when it was created.
 #pragma once
 
 #include "database/connection.h"
@@ -37,7 +37,8 @@
     void start();
 
     void submit(const core::endpoint_id& endpoint, core::owner_epoch epoch, core::statement_request request,
-                const core::entry_host_id& origin, core::milliseconds position_wait, owned_answer_handler done);
+                const core::entry_host_id& origin, core::milliseconds position_wait,
+                owned_answer_handler done);
     void origin_lost(const core::entry_host_id& origin);
     void report(membership::heartbeat& beat) const;
     [[nodiscard]] std::vector<metrics::gauge> gauges() const;
@@ -48,7 +49,8 @@
                                        core::time_point now) const override;
     [[nodiscard]] bool may_end_earlier_owners(const core::endpoint_id& endpoint, core::owner_epoch epoch,
                                               core::time_point now) const override;
-    [[nodiscard]] bool day_open(const core::service_name& service, const core::business_day& day) const override;
+    [[nodiscard]] bool day_open(const core::service_name& service,
+                                const core::business_day& day) const override;
 
 private:
     struct owned {
--- a/src/proxy/peer_owner_client.cpp
+++ b/src/proxy/peer_owner_client.cpp
@@ -9,16 +9,18 @@
 namespace mangoquay::proxy {
 namespace {
 
-// The dispatcher answers its caller at the deadline; a later answer is only dropped, so the callback need not stay.
+// The dispatcher answers its caller at the deadline; a later answer is only dropped, so the callback need not
+// stay.
 constexpr core::milliseconds kept_after_deadline{1000};
 constexpr core::milliseconds sweep_period{1000};
 
 } // namespace
 
-peer_owner_client::peer_owner_client(transport::event_loop& loop, transport::message_bus& bus, owned_endpoints& owned,
-                                     core::entry_host_id self)
+peer_owner_client::peer_owner_client(transport::event_loop& loop, transport::message_bus& bus,
+                                     owned_endpoints& owned, core::entry_host_id self)
     : m_loop(loop), m_bus(bus), m_owned(owned), m_self(std::move(self)) {
-    m_bus.on<wire::execute_answerT>([this](const auto& from, const auto& message) { answered(from, message); });
+    m_bus.on<wire::execute_answerT>(
+        [this](const auto& from, const auto& message) { answered(from, message); });
     forget_expired();
 }
 
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-proxy_node::proxy_node(transport::event_loop& loop, transport::message_bus& bus, transport::peer_network& network,
-                       const settings::settings& chosen, const dialect::database_dialect& strategy)
+proxy_node::proxy_node(transport::event_loop& loop, transport::message_bus& bus,
+                       transport::peer_network& network, const settings::settings& chosen,
+                       const dialect::database_dialect& strategy)
     : m_loop(loop), m_network(network), m_settings(chosen), m_tokens(chosen.m_session_keys),
       m_follower(loop, bus, network, chosen), m_owned(loop, bus, m_follower, chosen, strategy),
       m_owners(loop, bus, m_owned, chosen.m_host),
@@ -85,12 +86,16 @@
         [this, &announcement](const auto& done) { m_follower.announce(announcement, done); });
 }
 
-gateway::operator_outcome proxy_node::drain(const control::drain_endpoint& change) { return submit(change); }
+gateway::operator_outcome proxy_node::drain(const control::drain_endpoint& change) {
+    return submit(change);
+}
 
 // Draining the primary makes the control leader hand its role over to the replica that has caught up.
-gateway::operator_outcome proxy_node::hand_over(const core::group_id& group, const core::endpoint_id& target) {
+gateway::operator_outcome proxy_node::hand_over(const core::group_id& group,
+                                                const core::endpoint_id& target) {
     if (!target.value().empty()) {
-        return refused_operation("target: the control leader chooses the most advanced replica; leave it out");
+        return refused_operation(
+            "target: the control leader chooses the most advanced replica; leave it out");
     }
     return wait_for<gateway::operator_outcome>([this, &group](const auto& done) {
         const auto record = m_follower.state().m_groups.find(group);
@@ -153,8 +158,10 @@
         auto gauges = m_owned.gauges();
         const auto now = transport::event_loop::now();
         gauges.push_back({"lease_valid", {}, m_follower.lease_valid(now) ? 1.0 : 0.0});
-        gauges.push_back({"applied_revision", {}, static_cast<double>(m_follower.state().m_revision.value())});
-        gauges.push_back({"requests_in_progress", {}, static_cast<double>(m_dispatcher.requests_in_progress())});
+        gauges.push_back(
+            {"applied_revision", {}, static_cast<double>(m_follower.state().m_revision.value())});
+        gauges.push_back(
+            {"requests_in_progress", {}, static_cast<double>(m_dispatcher.requests_in_progress())});
         gauges.push_back({"open_transactions", {}, static_cast<double>(m_dispatcher.open_transactions())});
         done(m_metrics.page(gauges));
     });
@@ -190,7 +197,8 @@
     std::thread([this, done = std::move(done)] {
         const auto limit = core::deadline_after(transport::event_loop::now(), core::milliseconds(5000));
         if (!m_gateway.wait_until_idle(limit)) {
-            core::log_line(core::log_level::warning, "proxy", "responses were cut at the end of the shutdown");
+            core::log_line(core::log_level::warning, "proxy",
+                           "responses were cut at the end of the shutdown");
         }
         m_gateway.stop();
         m_loop.post(done);
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -1,8 +1,8 @@
-// The proxy role of a process: joins the HTTP gateway, the dispatcher, the followed control state and the owned
-// endpoints.
+// The proxy role of a process: joins the HTTP gateway, the dispatcher, the followed control state and the
+// owned endpoints.
 //
-// Owns all of these. Gateway calls come from worker threads and are run on the event loop's thread; each waits there for
-// its answer.
+// Owns all of these. Gateway calls come from worker threads and are run on the event loop's thread; each
+// waits there for its answer.
 #pragma once
 
 #include "gateway/http_gateway.h"
@@ -33,14 +33,16 @@
     // Empty, or why the process cannot serve.
     std::string start();
     void peer_lost(const core::entry_host_id& peer);
-    // Graceful shutdown: endpoints go to other owners, requests in flight are answered, then `done` is called.
+    // Graceful shutdown: endpoints go to other owners, requests in flight are answered, then `done` is
+    // called.
     void shut_down(std::function<void()> done);
 
     routing::entry_answer execute(const routing::entry_statement& statement) override;
     gateway::operator_outcome submit(const control::command& change) override;
     gateway::operator_outcome announce(const control::announce_endpoint& announcement) override;
     gateway::operator_outcome drain(const control::drain_endpoint& change) override;
-    gateway::operator_outcome hand_over(const core::group_id& group, const core::endpoint_id& target) override;
+    gateway::operator_outcome hand_over(const core::group_id& group,
+                                        const core::endpoint_id& target) override;
     gateway::operator_outcome replace_control_host(const core::entry_host_id& old_host,
                                                    const core::entry_host_id& new_host,
                                                    const control::socket_address& peer_address) override;
--- a/src/transport/message_bus.cpp
+++ b/src/transport/message_bus.cpp
@@ -24,7 +24,8 @@
 void message_bus::receive(const core::entry_host_id& from, frame body) {
     const auto envelope = unpack_envelope(body);
     if (!envelope || envelope->body.value == nullptr) {
-        core::log_line(core::log_level::warning, "transport", "malformed message dropped peer=" + from.value());
+        core::log_line(core::log_level::warning, "transport",
+                       "malformed message dropped peer=" + from.value());
         return;
     }
     const auto handler = m_handlers.find(envelope->body.type);
--- a/src/transport/message_bus.h
+++ b/src/transport/message_bus.h
@@ -1,6 +1,7 @@
 // Typed messages over the peer links: packs and checks envelopes and hands each kind to its handler.
 //
-// Owns: the handlers. A message to this host itself takes the same path without a link. Runs on the event loop's thread.
+// Owns: the handlers. A message to this host itself takes the same path without a link. Runs on the event
+// loop's thread.
 #pragma once
 
 #include "transport/peer_network.h"
--- a/src/wire/positions.h
+++ b/src/wire/positions.h
@@ -31,8 +31,12 @@
     return core::history_position{core::term(message->term), core::log_position(message->lsn)};
 }
 
-inline std::vector<std::uint8_t> to_bytes(const std::string& text) { return {text.begin(), text.end()}; }
+inline std::vector<std::uint8_t> to_bytes(const std::string& text) {
+    return {text.begin(), text.end()};
+}
 
-inline std::string to_text(const std::vector<std::uint8_t>& bytes) { return {bytes.begin(), bytes.end()}; }
+inline std::string to_text(const std::vector<std::uint8_t>& bytes) {
+    return {bytes.begin(), bytes.end()};
+}
 
 } // namespace mangoquay::wire
