--- a/src/control_host/control_host.cpp
+++ b/src/control_host/control_host.cpp
@@ -35,8 +35,9 @@
 } // namespace
 
 control_host::control_host(transport::event_loop& loop, transport::message_bus& bus,
-                           const settings::settings& chosen, const dialect::database_dialect& strategy)
-    : m_loop(loop), m_bus(bus), m_self(chosen.m_host),
+                           transport::peer_network& network, const settings::settings& chosen,
+                           const dialect::database_dialect& strategy)
+    : m_loop(loop), m_bus(bus), m_network(network), m_self(chosen.m_host),
       m_raft(std::make_unique<consensus::raft_driver>(
           loop, raft_settings(chosen),
           [this](const core::entry_host_id& to, const consensus::raft_message& message) {
--- a/src/control_host/control_host.h
+++ b/src/control_host/control_host.h
@@ -26,8 +26,8 @@
 
 class control_host {
 public:
-    control_host(transport::event_loop& loop, transport::message_bus& bus, const settings::settings& chosen,
-                 const dialect::database_dialect& strategy);
+    control_host(transport::event_loop& loop, transport::message_bus& bus, transport::peer_network& network,
+                 const settings::settings& chosen, const dialect::database_dialect& strategy);
     ~control_host();
     control_host(const control_host&) = delete;
     control_host& operator=(const control_host&) = delete;
@@ -70,6 +70,7 @@
 
     transport::event_loop& m_loop;
     transport::message_bus& m_bus;
+    transport::peer_network& m_network;
     core::entry_host_id m_self;
     std::unique_ptr<consensus::raft_driver> m_raft;
     control::control_state m_state;
--- a/src/control_host/leader_duties.cpp
+++ b/src/control_host/leader_duties.cpp
@@ -28,6 +28,9 @@
 
 void control_host::heartbeat_received(const core::entry_host_id& from, const wire::heartbeatT& message) {
     const auto now = transport::event_loop::now();
+    if (from != m_self) {
+        m_network.set_address(from, {message.peer_host, message.peer_port});
+    }
     if (!may_decide(now) || message.host != from.value()) {
         redirect(from, message);
         return;
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -56,7 +56,7 @@
 
     std::unique_ptr<control_host::control_host> control;
     if (chosen.m_control) {
-        control = std::make_unique<control_host::control_host>(loop, bus, chosen, strategy);
+        control = std::make_unique<control_host::control_host>(loop, bus, network, chosen, strategy);
         const auto started = control->start();
         if (!started) {
             return fail("cannot start the control role reason=" + started.reason());
--- a/src/proxy/control_follower.cpp
+++ b/src/proxy/control_follower.cpp
@@ -74,7 +74,11 @@
     const bool leader_known = !m_leader.value().empty() && !m_leader_trusted.passed(now);
     for (const settings::control_host& host : m_settings.m_control_hosts) {
         if (!leader_known || host.m_host == m_leader) {
-            m_bus.send(host.m_host, membership::to_wire(report));
+            wire::heartbeatT message = membership::to_wire(report);
+            // A control host must be able to answer a proxy that is not registered yet.
+            message.peer_host = m_settings.m_peer_address.m_host;
+            message.peer_port = m_settings.m_peer_address.m_port;
+            m_bus.send(host.m_host, std::move(message));
         }
     }
 }
@@ -102,9 +106,11 @@
     m_registering = true;
     core::log_line(core::log_level::info, "membership",
                    "registering incarnation=" + std::to_string(change.m_record.m_incarnation.value()));
-    submit(change, [this](const gateway::operator_outcome&) {
+    submit(change, [this](const gateway::operator_outcome& outcome) {
         m_registering = false;
-        register_when_needed();
+        if (outcome.m_verdict != core::verdict::ran) {
+            register_when_needed(); // otherwise the log shows the registration soon
+        }
     });
 }
 
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -1794,6 +1794,8 @@
   std::vector<std::unique_ptr<mangoquay::wire::unsettled_dayT>> unsettled{};
   std::vector<std::string> renewed_endpoints{};
   bool leaving = false;
+  std::string peer_host{};
+  uint16_t peer_port = 0;
   heartbeatT() = default;
   heartbeatT(const heartbeatT &o);
   heartbeatT(heartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1812,7 +1814,9 @@
     VT_HEALTH = 12,
     VT_UNSETTLED = 14,
     VT_RENEWED_ENDPOINTS = 16,
-    VT_LEAVING = 18
+    VT_LEAVING = 18,
+    VT_PEER_HOST = 20,
+    VT_PEER_PORT = 22
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1838,6 +1842,12 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  const flatbuffers::String *peer_host() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEER_HOST);
+  }
+  uint16_t peer_port() const {
+    return GetField<uint16_t>(VT_PEER_PORT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1855,6 +1865,9 @@
            verifier.VerifyVector(renewed_endpoints()) &&
            verifier.VerifyVectorOfStrings(renewed_endpoints()) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_PEER_HOST) &&
+           verifier.VerifyString(peer_host()) &&
+           VerifyField<uint16_t>(verifier, VT_PEER_PORT, 2) &&
            verifier.EndTable();
   }
   heartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1890,6 +1903,12 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(heartbeat::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_peer_host(flatbuffers::Offset<flatbuffers::String> peer_host) {
+    fbb_.AddOffset(heartbeat::VT_PEER_HOST, peer_host);
+  }
+  void add_peer_port(uint16_t peer_port) {
+    fbb_.AddElement<uint16_t>(heartbeat::VT_PEER_PORT, peer_port, 0);
+  }
   explicit heartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1910,15 +1929,19 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::endpoint_health>>> health = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::unsettled_day>>> unsettled = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> renewed_endpoints = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    flatbuffers::Offset<flatbuffers::String> peer_host = 0,
+    uint16_t peer_port = 0) {
   heartbeatBuilder builder_(_fbb);
   builder_.add_applied_revision(applied_revision);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
+  builder_.add_peer_host(peer_host);
   builder_.add_renewed_endpoints(renewed_endpoints);
   builder_.add_unsettled(unsettled);
   builder_.add_health(health);
   builder_.add_host(host);
+  builder_.add_peer_port(peer_port);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -1937,11 +1960,14 @@
     const std::vector<flatbuffers::Offset<mangoquay::wire::endpoint_health>> *health = nullptr,
     const std::vector<flatbuffers::Offset<mangoquay::wire::unsettled_day>> *unsettled = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *renewed_endpoints = nullptr,
-    bool leaving = false) {
+    bool leaving = false,
+    const char *peer_host = nullptr,
+    uint16_t peer_port = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto health__ = health ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_health>>(*health) : 0;
   auto unsettled__ = unsettled ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::unsettled_day>>(*unsettled) : 0;
   auto renewed_endpoints__ = renewed_endpoints ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*renewed_endpoints) : 0;
+  auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
   return mangoquay::wire::Createheartbeat(
       _fbb,
       host__,
@@ -1951,7 +1977,9 @@
       health__,
       unsettled__,
       renewed_endpoints__,
-      leaving);
+      leaving,
+      peer_host__,
+      peer_port);
 }
 
 flatbuffers::Offset<heartbeat> Createheartbeat(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4349,7 +4377,9 @@
         number(o.number),
         applied_revision(o.applied_revision),
         renewed_endpoints(o.renewed_endpoints),
-        leaving(o.leaving) {
+        leaving(o.leaving),
+        peer_host(o.peer_host),
+        peer_port(o.peer_port) {
   health.reserve(o.health.size());
   for (const auto &health_ : o.health) { health.emplace_back((health_) ? new mangoquay::wire::endpoint_healthT(*health_) : nullptr); }
   unsettled.reserve(o.unsettled.size());
@@ -4365,6 +4395,8 @@
   std::swap(unsettled, o.unsettled);
   std::swap(renewed_endpoints, o.renewed_endpoints);
   std::swap(leaving, o.leaving);
+  std::swap(peer_host, o.peer_host);
+  std::swap(peer_port, o.peer_port);
   return *this;
 }
 
@@ -4385,6 +4417,8 @@
   { auto _e = unsettled(); if (_e) { _o->unsettled.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unsettled[_i] = std::unique_ptr<mangoquay::wire::unsettled_dayT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = renewed_endpoints(); if (_e) { _o->renewed_endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewed_endpoints[_i] = _e->Get(_i)->str(); } } }
   { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
+  { auto _e = peer_port(); _o->peer_port = _e; }
 }
 
 inline flatbuffers::Offset<heartbeat> heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4403,6 +4437,8 @@
   auto _unsettled = _o->unsettled.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::unsettled_day>> (_o->unsettled.size(), [](size_t i, _VectorArgs *__va) { return Createunsettled_day(*__va->__fbb, __va->__o->unsettled[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _renewed_endpoints = _o->renewed_endpoints.size() ? _fbb.CreateVectorOfStrings(_o->renewed_endpoints) : 0;
   auto _leaving = _o->leaving;
+  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
+  auto _peer_port = _o->peer_port;
   return mangoquay::wire::Createheartbeat(
       _fbb,
       _host,
@@ -4412,7 +4448,9 @@
       _health,
       _unsettled,
       _renewed_endpoints,
-      _leaving);
+      _leaving,
+      _peer_host,
+      _peer_port);
 }
 
 inline lease_grantT *lease_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/test/standin/announcer.cpp
+++ b/test/standin/announcer.cpp
@@ -13,9 +13,8 @@
 
 std::string body_of(const endpoint_report& report) {
     return nlohmann::json{{"group", report.m_layout.m_group},
-                          {"availability_zone", report.m_layout.m_zone},
-                          {"host", report.m_layout.m_host},
-                          {"port", report.m_layout.m_port},
+                          {"zone", report.m_layout.m_zone},
+                          {"address", report.m_layout.m_host + ":" + std::to_string(report.m_layout.m_port)},
                           {"role", report.m_primary ? "primary" : "replica"},
                           {"term", report.m_term},
                           {"slots", report.m_layout.m_slots},
