--- a/src/failover/candidates.cpp
+++ b/src/failover/candidates.cpp
@@ -4,13 +4,17 @@
 #include <algorithm>
 
 namespace mangoquay::failover {
+namespace {
+
+core::term latest_term(const control::group_record& group) {
+    return group.m_fork_positions.empty() ? core::term{} : group.m_fork_positions.rbegin()->first;
+}
+
+} // namespace
 
 std::optional<core::history_position> trusted_position(const control::group_record& group,
                                                        core::history_position reported) {
-    if (group.m_fork_positions.empty()) {
-        return reported;
-    }
-    const core::term latest = group.m_fork_positions.rbegin()->first;
+    const core::term latest = latest_term(group);
     if (reported.m_term >= latest) {
         return reported;
     }
@@ -34,6 +38,7 @@
                                                const std::optional<core::history_position>& old_primary) {
     std::optional<core::endpoint_id> best;
     core::history_position best_position;
+    const core::term latest = latest_term(group);
     std::size_t counted = 0;
     for (const auto& [id, member] : stopped) {
         core::history_position reported = member.m_status.m_position;
@@ -43,6 +48,10 @@
             continue;
         }
         ++counted;
+        // A replica that never received the latest term would name its new timeline like that term.
+        if (reported.m_term < latest) {
+            continue;
+        }
         const bool preferred =
             best && *position == best_position && stopped.at(*best).m_leaving && !member.m_leaving;
         if (!best || *position > best_position || preferred) {
--- a/src/failover/candidates.h
+++ b/src/failover/candidates.h
@@ -42,8 +42,10 @@
 
 // The most advanced of the stopped replicas, or nothing while too few have answered. Members that need a
 // rewind, left recovery or report a position that cannot be trusted are stopped as well but are not compared.
-// `old_primary` is its position, when it answers: it then counts for the quorum, and the replica must have
-// all it has.
+// Only a replica that has received the latest term may be promoted: PostgreSQL numbers a new timeline after
+// those that the replica knows, and two histories of one number could not be told apart; the others still
+// count. `old_primary` is its position, when it answers: it then counts for the quorum, and the replica must
+// have all it has.
 std::optional<core::endpoint_id> most_advanced(const control::group_record& group,
                                                const std::map<core::endpoint_id, stopped_member>& stopped,
                                                const std::optional<core::history_position>& old_primary);
--- a/src/failover/group_failover.cpp
+++ b/src/failover/group_failover.cpp
@@ -47,6 +47,7 @@
     member.m_reported_at = now;
     member.m_reachable = report.m_reachable;
     member.m_known = member.m_known || report.m_reachable;
+    member.m_repairs = report.m_follows == group->second.m_primary ? 0 : member.m_repairs;
     if (report.m_endpoint == group->second.m_primary) {
         m_suspicion.owner_report(now, beat.m_host, report);
         m_primary_report = {beat.m_host, beat.m_applied, report.m_lock_held, report.m_writes_in_flight};
@@ -111,6 +112,7 @@
     m_stage_since = now;
     m_next_proposal = {};
     m_chosen = chosen;
+    m_promote_sent = m_promote_sent && next != stage::waiting_in_force;
     if (next != stage::finishing) {
         m_promoted.reset();
     }
--- a/src/failover/group_failover.h
+++ b/src/failover/group_failover.h
@@ -35,6 +35,9 @@
 inline constexpr core::milliseconds proposal_retry{500};
 // Between two attempts to repair what a member follows, and two readings of a member that needs a rewind.
 inline constexpr core::milliseconds repair_period{2000};
+// A member that has not streamed after so many attempts (10 s) most likely diverged; it is recorded as in
+// need of a rewind, so that its platform learns of it. If it streams later, it is a replica again.
+inline constexpr int repairs_before_rewind = 5;
 // Writes are held at most this long for a planned hand-over (target gap 500 ms); then they are released and
 // it is tried again later. A long write in flight is never interrupted for it.
 inline constexpr core::milliseconds longest_hold{400};
@@ -103,6 +106,7 @@
         std::map<step_kind, pending_step> m_pending;
         core::deadline m_next_look;
         core::deadline m_next_repair;
+        int m_repairs = 0; // since it last streamed from the primary
     };
     // The owner's last report of the primary.
     struct primary_report {
@@ -171,6 +175,7 @@
     core::deadline m_next_hand_over;
     std::uint64_t m_last_attempt = 0;
     bool m_looked_once = false;
+    bool m_promote_sent = false; // in this promotion
 };
 
 } // namespace mangoquay::failover
--- a/src/failover/member_repair.cpp
+++ b/src/failover/member_repair.cpp
@@ -55,6 +55,9 @@
         } else if (member.m_known && member.m_follows != m_watched) {
             member.m_next_repair = core::deadline_after(here.m_now, repair_period);
             send(here, step_kind::follow, follow{0, id, m_watched});
+            if (++member.m_repairs > repairs_before_rewind && member.m_reachable) {
+                announce(here, id, control::endpoint_role::primary, {});
+            }
         }
     }
 }
@@ -70,6 +73,9 @@
         announce(here, id, control::endpoint_role::replica, here.m_record.m_term);
     } else if (!status.m_streaming) {
         send(here, step_kind::follow, follow{0, id, m_watched});
+        if (++member.m_repairs > repairs_before_rewind && member.m_reachable) {
+            announce(here, id, control::endpoint_role::primary, {});
+        }
     }
 }
 
--- a/src/failover/promotion_stages.cpp
+++ b/src/failover/promotion_stages.cpp
@@ -110,13 +110,14 @@
     const auto best = most_advanced(here.m_record, stopped, m_primary_position);
     if (best) {
         enter(stage::promoting, here.m_now, *best);
-    } else if (m_primary_position && here.m_now - m_stage_since > promotion_patience) {
+    } else if (m_primary_position && !m_promote_sent && here.m_now - m_stage_since > promotion_patience) {
         let_replicas_catch_up(here);
     }
 }
 
 // The old primary answers and is needed for the quorum, but the replicas were stopped short of its position.
-// No write is acknowledged under its term any more, so following it once more is safe.
+// No write is acknowledged under its term any more, so following it once more is safe, as long as none of
+// them may have been promoted.
 void group_failover::let_replicas_catch_up(context& here) {
     m_stage_since = here.m_now;
     m_catching_up = core::deadline_after(here.m_now, catch_up_time);
@@ -139,6 +140,7 @@
         enter(stage::stopping, here.m_now);
         return;
     }
+    m_promote_sent = true;
     send(here, step_kind::promote, promote{0, m_chosen});
 }
 
