--- a/src/settlement/settlement_core.h
+++ b/src/settlement/settlement_core.h
@@ -2,6 +2,11 @@
 //
 // Receives heartbeats, readings of positions and ticks; sends readings and proposals. Owns volatile state
 // only: the days to settle are those in phase `closing` in the replicated state, so a new leader starts over.
+//
+// Order: the closing is in force on every live proxy; every live proxy reports no unsettled write of the day,
+// and the owner of each primary holds its lock, so that the sessions of earlier owners have ended; the
+// primary's position is read under the group's term; a quorum of the group holds that position; settle_day.
+// The quorum keeps an unacknowledged write that the export has shown from disappearing with the primary.
 #pragma once
 
 #include "control/commands.h"
@@ -13,13 +18,16 @@
 #include <optional>
 #include <set>
 #include <variant>
+#include <vector>
 
 namespace mangoquay::settlement {
 
-inline constexpr core::milliseconds reading_retry{600};
+// More than failover::read_timeout: an answer that is missing this long is asked for again.
+inline constexpr core::milliseconds reading_retry{400};
 inline constexpr core::milliseconds proposal_retry{500};
 
-// The shell runs readings like those of the failover core and answers with a failover::step_answer.
+// The shell runs a reading as for the failover core and gives the answer to the core that asked: each core
+// numbers its own attempts.
 using action = std::variant<failover::read_position, failover::propose>;
 using actions = std::vector<action>;
 
@@ -42,11 +50,13 @@
     struct reading {
         std::uint64_t m_attempt = 0;
         core::deadline m_retry;
-        std::optional<core::history_position> m_position;
+        bool m_holds = false; // of a replica: it holds the target
     };
     struct group_progress {
         core::term m_term;
         core::endpoint_id m_primary;
+        core::owner_epoch m_epoch;
+        core::revision m_owner_seen_at;                 // at or after the assignment of the present owner
         std::optional<core::history_position> m_target; // of the primary, read after the writes had drained
         std::map<core::endpoint_id, reading> m_readings;
     };
@@ -56,13 +66,20 @@
         core::deadline m_next_proposal;
     };
 
+    void advance(core::time_point now, const control::control_state& state, membership::lease_table& leases,
+                 const control::day_key& key, const control::day_record& day, actions& out);
+    static void follow_group(const control::control_state& state, const core::group_id& group,
+                             group_progress& progress);
     [[nodiscard]] bool drained(core::time_point now, const control::control_state& state,
-                               membership::lease_table& leases, const control::day_key& key) const;
+                               membership::lease_table& leases, const control::day_key& key,
+                               const control::day_record& day) const;
     [[nodiscard]] bool taken_over(core::time_point now, const control::control_state& state,
-                                  const membership::lease_table& leases, const core::group_id& group) const;
-    void read_group(core::time_point now, const control::control_state& state, const core::group_id& group,
-                    group_progress& progress, actions& out);
+                                  const membership::lease_table& leases,
+                                  const group_progress& progress) const;
+    void read_group(core::time_point now, const control::group_record& record, group_progress& progress,
+                    actions& out);
     void request(core::time_point now, const core::endpoint_id& endpoint, reading& wanted, actions& out);
+    static bool held_by_quorum(const control::group_record& record, const group_progress& progress);
 
     std::map<core::entry_host_id, host_report> m_hosts;
     std::map<control::day_key, closing> m_closings;
