--- a/src/routing/dispatcher_engine.cpp
+++ b/src/routing/dispatcher_engine.cpp
@@ -64,7 +64,8 @@
     request.m_received = m_environment.m_now();
     request.m_due = core::time_point::max();
     std::optional<core::statement_answer> refusal =
-        admit(m_state, m_environment.m_view_status().m_current, request.m_received, request.m_statement);
+        admit(m_state, m_service_groups, m_environment.m_view_status().m_current, request.m_received,
+              request.m_statement);
     if (m_shutting_down && !request.in_transaction()) {
         refusal = core::refused(reason::shutting_down, "this entry host is shutting down");
     }
--- a/src/routing/dispatcher_engine.h
+++ b/src/routing/dispatcher_engine.h
@@ -8,6 +8,7 @@
 #include "retries/retry_policy.h"
 #include "routing/dispatched_request.h"
 #include "routing/position_table.h"
+#include "routing/service_groups.h"
 #include "routing/statement_dispatcher.h"
 #include "transactions/transaction_registry.h"
 
@@ -70,6 +71,7 @@
     owner_client& m_owners;
     metrics::metrics_registry& m_metrics;
     retries::retry_budget m_budget;
+    service_groups m_service_groups;
     std::mt19937_64 m_random;
     std::uint64_t m_next_number = 1;
     std::set<std::pair<core::time_point, std::uint64_t>> m_due; // number 0: transactions
--- a/src/routing/statement_admission.cpp
+++ b/src/routing/statement_admission.cpp
@@ -15,7 +15,8 @@
     return found == state.m_days.end() ? nullptr : &found->second;
 }
 
-std::optional<core::statement_answer> resolve_group(const control::service_record& service, bool view_current,
+std::optional<core::statement_answer> resolve_group(const control::service_record& service,
+                                                    service_groups& known, bool view_current,
                                                     entry_statement& statement) {
     core::group_id& group = statement.m_request.m_group;
     const auto& groups = service.m_groups;
@@ -29,7 +30,7 @@
     } else if (group.value().empty()) {
         return core::refused(reason::malformed_request,
                              "the service has several groups: group or key is needed");
-    } else if (std::find(groups.begin(), groups.end(), group) == groups.end()) {
+    } else if (!known.contains(statement.m_request.m_service, service, group)) {
         return core::refused(view_current ? reason::unknown_group : reason::control_not_current,
                              "the service has no group " + group.value());
     }
@@ -68,8 +69,9 @@
     return found == day->m_positions.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::optional<core::statement_answer> admit(const control::control_state& state, bool view_current,
-                                            core::time_point now, entry_statement& statement) {
+std::optional<core::statement_answer> admit(const control::control_state& state, service_groups& groups,
+                                            bool view_current, core::time_point now,
+                                            entry_statement& statement) {
     const auto service = state.m_services.find(statement.m_request.m_service);
     if (service == state.m_services.end()) {
         return core::refused(view_current ? reason::unknown_service : reason::control_not_current,
@@ -84,7 +86,8 @@
         const core::milliseconds largest(preset->second.m_largest_max_age_ms);
         statement.m_request.m_max_age = std::min(*statement.m_request.m_max_age, largest);
     }
-    std::optional<core::statement_answer> refusal = resolve_group(service->second, view_current, statement);
+    std::optional<core::statement_answer> refusal =
+        resolve_group(service->second, groups, view_current, statement);
     return refusal.has_value() ? refusal : check_day(state, statement);
 }
 
--- a/src/routing/statement_admission.h
+++ b/src/routing/statement_admission.h
@@ -6,6 +6,7 @@
 #include "core/statement.h"
 #include "routing/choose_endpoint.h"
 #include "routing/entry_statement.h"
+#include "routing/service_groups.h"
 #include "sessions/session_token.h"
 
 #include <optional>
@@ -17,8 +18,9 @@
 
 // Fills in the group and the default deadline; the answer, if any, refuses the statement.
 // `view_current`: with a view that is not current an unknown name may be new, not wrong.
-std::optional<core::statement_answer> admit(const control::control_state& state, bool view_current,
-                                            core::time_point now, entry_statement& statement);
+std::optional<core::statement_answer> admit(const control::control_state& state, service_groups& groups,
+                                            bool view_current, core::time_point now,
+                                            entry_statement& statement);
 
 // The routing request's purpose and least position. `positions` are those of a verified token, empty without.
 void fill_position(const control::control_state& state, const sessions::session_positions& positions,
--- a/test/correctness/statement_dispatch.cpp
+++ b/test/correctness/statement_dispatch.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(writes_wait_for_a_promotion);
     CPPUNIT_TEST(a_replica_that_is_behind_is_left_for_another);
     CPPUNIT_TEST(groups_and_days_are_checked_before_anything_is_sent);
+    CPPUNIT_TEST(changed_services_are_noticed);
     CPPUNIT_TEST(outgrown_and_unknown_positions_lead_to_the_primary);
     CPPUNIT_TEST(transactions_stay_at_their_endpoint);
     CPPUNIT_TEST(failed_transactions_run_nothing_more);
@@ -168,6 +169,20 @@
         CPPUNIT_ASSERT(world.m_sent.at(0).m_request.m_least_position == at(1, 70));
     }
 
+    void changed_services_are_noticed() {
+        dispatcher_world world({}, 40);
+        const auto to_last_group = [](routing::entry_statement& each) {
+            each.m_request.m_group = group_name(39);
+        };
+        world.send(statement_kind::write, {}, to_last_group);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.m_sent.size());
+        control::service_record& record = world.m_state.m_services.at(service);
+        record.m_groups.back() = group_name(40);
+        record.m_revision = core::revision(7);
+        const std::size_t removed = world.send(statement_kind::write, {}, to_last_group);
+        assert_answer(world, removed, verdict::not_run, reason::unknown_group);
+    }
+
     void outgrown_and_unknown_positions_lead_to_the_primary() {
         dispatcher_world world;
         const std::size_t write = world.send(statement_kind::write, world.token(at(1, 5)));
