--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -2,14 +2,21 @@
 #include "admission/slot_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mangoquay::admission {
 namespace {
 
 constexpr std::size_t short_class = 0;
 constexpr std::size_t long_class = 1;
-// Long work that waited this part of the shed wait goes ahead of short work.
+// Long work that waited this part of the shed wait goes ahead of short work, and may take one more of the
+// slots that the load of short work needs; after twice that time, two more.
 constexpr int long_ageing_part = 4;
+// The load of short work is averaged over this time: longer than a burst of arrivals, shorter than a swing of
+// demand.
+constexpr std::chrono::duration<double> short_load_window(2.0);
+// Slots per unit of short load that keep its queue short.
+constexpr double short_load_headroom = 1.25;
 constexpr int wait_average_weight = 16;
 constexpr core::milliseconds least_retry_hint{50};
 constexpr core::milliseconds largest_retry_hint{5000};
@@ -40,6 +47,11 @@
     }
     const bool long_work = is_long(work);
     const core::duration wait = expected_wait(long_work, now);
+    if (!long_work) {
+        const std::chrono::duration<double> run = m_model.expected(work.m_fingerprint, work.m_declared);
+        m_short_load = short_load(now) + run / short_load_window;
+        m_short_load_at = now;
+    }
     const bool over_bound = waiting() >= m_policy.m_bound_per_slot * m_policy.m_slots;
     if (m_rules.m_shed &&
         (over_bound || wait > m_policy.m_shed_wait || wait > work.m_deadline.remaining(now))) {
@@ -112,11 +124,17 @@
     return numbers;
 }
 
-std::optional<core::time_point> slot_queue::next_event() const {
+std::optional<core::time_point> slot_queue::next_event(core::time_point now) const {
     if (m_deadlines.empty()) {
         return std::nullopt;
     }
     core::time_point next = m_deadlines.begin()->first;
+    const core::duration step = m_policy.m_shed_wait / long_ageing_part;
+    if (!m_waiting[long_class].empty() && m_running.size() < m_policy.m_slots &&
+        m_running_long < long_limit() && step > core::duration{}) {
+        const auto& oldest = m_waiting[long_class].begin()->second;
+        next = std::min(next, oldest.m_offered_at + step * (long_work_age(now) + 1));
+    }
     for (const auto& [number, work] : m_running) {
         if (!work.m_long) {
             next = std::min(next, work.m_started_at + m_model.long_threshold());
@@ -131,6 +149,21 @@
     return slots == 0 ? 0 : slots - std::min(reserved, slots - 1);
 }
 
+std::size_t slot_queue::unaged_long_limit(core::time_point now) const {
+    // Without ageing the slots of short work could be withheld for ever.
+    const bool ages = m_rules.m_age_long_work && m_policy.m_shed_wait >= core::milliseconds(long_ageing_part);
+    if (!m_rules.m_adapt_reserve || !ages || m_policy.m_slots == 0) {
+        return long_limit();
+    }
+    const auto needed = static_cast<std::size_t>(std::ceil(short_load(now) * short_load_headroom));
+    return std::min(long_limit(), m_policy.m_slots - std::min(needed, m_policy.m_slots - 1));
+}
+
+double slot_queue::short_load(core::time_point now) const {
+    return m_short_load *
+           std::exp(-(std::chrono::duration<double>(now - m_short_load_at) / short_load_window));
+}
+
 core::duration slot_queue::expected_wait(bool long_work, core::time_point now) const {
     const std::size_t which = long_work ? long_class : short_class;
     const bool may_start =
@@ -177,16 +210,25 @@
     }
 }
 
+std::int64_t slot_queue::long_work_age(core::time_point now) const {
+    const core::duration step = m_policy.m_shed_wait / long_ageing_part;
+    if (!m_rules.m_age_long_work || m_waiting[long_class].empty() || step <= core::duration{}) {
+        return 0;
+    }
+    return (now - m_waiting[long_class].begin()->second.m_offered_at) / step;
+}
+
 std::optional<slot_queue::place> slot_queue::choose(core::time_point now) {
     const auto short_one = choose_in_class(short_class, now);
-    const auto long_one = m_running_long < long_limit() ? choose_in_class(long_class, now) : std::nullopt;
+    const std::int64_t age = long_work_age(now);
+    const std::size_t limit = std::min(long_limit(), unaged_long_limit(now) + static_cast<std::size_t>(age));
+    const auto long_one = m_running_long < limit ? choose_in_class(long_class, now) : std::nullopt;
+    const bool long_aged = age > 0;
     if (!long_one) {
         m_aged_long_was_last = false;
         return short_one ? std::optional(place{short_class, *short_one}) : std::nullopt;
     }
-    const core::duration waited = now - m_waiting[long_class].at(*long_one).m_offered_at;
-    const bool aged = m_rules.m_age_long_work && waited >= m_policy.m_shed_wait / long_ageing_part;
-    if (!short_one || (aged && !m_aged_long_was_last)) {
+    if (!short_one || (long_aged && !m_aged_long_was_last)) {
         m_aged_long_was_last = short_one.has_value();
         return place{long_class, *long_one};
     }
--- a/src/admission/slot_queue.h
+++ b/src/admission/slot_queue.h
@@ -39,6 +39,7 @@
 struct queue_rules {
     bool m_count_slots = true;
     bool m_keep_reserve = true;
+    bool m_adapt_reserve = true;
     bool m_age_long_work = true;
     bool m_check_deadline = true;
     bool m_share_fairly = true;
@@ -80,15 +81,19 @@
     std::vector<work_number> withdraw_all();
 
     // The next moment at which advance() has something to do without an offer or a finish.
-    [[nodiscard]] std::optional<core::time_point> next_event() const;
+    [[nodiscard]] std::optional<core::time_point> next_event(core::time_point now) const;
     [[nodiscard]] std::size_t waiting() const { return m_deadlines.size(); }
     [[nodiscard]] std::size_t running() const { return m_running.size(); }
     [[nodiscard]] std::size_t running_long() const { return m_running_long; }
     [[nodiscard]] core::duration average_wait(bool long_work) const {
         return m_average_wait.at(long_work ? 1 : 0);
     }
-    // How many slots long work may take.
+    // How many slots long work may take at most.
     [[nodiscard]] std::size_t long_limit() const;
+    // How many it may take before it has aged: what the recent load of short work needs is left free too,
+    // because a burst of long work would otherwise hold those slots for many times the run time of short
+    // work.
+    [[nodiscard]] std::size_t unaged_long_limit(core::time_point now) const;
 
 private:
     using sequence = std::uint64_t; // order of arrival
@@ -114,6 +119,10 @@
 
     [[nodiscard]] core::duration expected_wait(bool long_work, core::time_point now) const;
     [[nodiscard]] bool is_long(const queued_work& work) const;
+    // How many ageing times the longest waiting long work has waited.
+    [[nodiscard]] std::int64_t long_work_age(core::time_point now) const;
+    // Slots that the short work offered lately needs on average.
+    [[nodiscard]] double short_load(core::time_point now) const;
     void expire(core::time_point now, queue_actions& actions);
     // Running work that turns out to be long counts as long from then on.
     void reclassify_running(core::time_point now);
@@ -136,6 +145,8 @@
     std::set<std::pair<core::time_point, work_number>> m_deadlines;
     std::unordered_map<std::uint64_t, running_work> m_running;
     std::size_t m_running_long = 0;
+    double m_short_load = 0; // as of m_short_load_at
+    core::time_point m_short_load_at{};
     bool m_aged_long_was_last =
         false; // aged long work takes at most every second slot, so short work goes on too
 };
--- a/src/ownership/engine_support.cpp
+++ b/src/ownership/engine_support.cpp
@@ -257,7 +257,7 @@
 std::optional<core::time_point> owner_engine::next_event() const {
     std::optional<core::time_point> next;
     for (const auto& candidate :
-         {m_queue.next_event(), m_quorum.next_deadline(), m_transactions.next_due()}) {
+         {m_queue.next_event(now()), m_quorum.next_deadline(), m_transactions.next_due()}) {
         next = next && candidate ? std::min(*next, *candidate) : (candidate ? candidate : next);
     }
     for (const job_ptr& work : m_position_waits) {
--- a/test/correctness/slot_queue_rules.cpp
+++ b/test/correctness/slot_queue_rules.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(invariants_hold_under_any_load);
     CPPUNIT_TEST(planted_faults_are_noticed);
     CPPUNIT_TEST(long_work_is_not_starved);
+    CPPUNIT_TEST(burst_of_long_work_leaves_what_short_work_needs);
     CPPUNIT_TEST(light_callers_are_served_beside_a_heavy_one);
     CPPUNIT_TEST(straggler_is_learned_while_it_still_runs);
     CPPUNIT_TEST(hopeless_work_is_refused_at_once_with_a_hint);
@@ -102,6 +103,22 @@
         CPPUNIT_ASSERT(dispatched_long(no_ageing) < 10);
     }
 
+    void burst_of_long_work_leaves_what_short_work_needs() {
+        const auto short_wait = [](const queue_rules& rules) {
+            queue_load load = saturating_load();
+            load.m_policy = {5, 1, 40, 2000ms};
+            load.m_arrivals_per_step = 1;
+            load.m_steps = 20000;
+            queue_simulation simulation(load, rules);
+            CPPUNIT_ASSERT_EQUAL(std::string(), simulation.run());
+            CPPUNIT_ASSERT(simulation.dispatched_long() > 100);
+            return simulation.total_short_wait();
+        };
+        queue_rules fixed_reserve;
+        fixed_reserve.m_adapt_reserve = false;
+        CPPUNIT_ASSERT(short_wait({}) * 3 < short_wait(fixed_reserve) * 2);
+    }
+
     void light_callers_are_served_beside_a_heavy_one() {
         const auto longest_wait = [](const queue_rules& rules) {
             queue_load load = saturating_load();
--- a/test/support/owner_harness.h
+++ b/test/support/owner_harness.h
@@ -85,7 +85,8 @@
     using answer_future = std::future<core::statement_answer>;
 
     owner_harness(standin::postgres_standin& database, const std::string& endpoint, std::uint64_t epoch = 1,
-                  std::uint32_t slots = 3, const std::string& host = "host") {
+                  std::uint32_t slots = 3, const std::string& host = "host", bool lease = true) {
+        m_rights.m_lease = lease;
         control::endpoint_record record;
         record.m_group = core::group_id("a");
         record.m_address = {"127.0.0.1", report_of(database, endpoint).m_layout.m_port};
--- a/test/support/queue_simulation.h
+++ b/test/support/queue_simulation.h
@@ -47,10 +47,7 @@
 
     [[nodiscard]] int dispatched_long() const { return m_dispatched_long; }
     [[nodiscard]] int shed() const { return m_shed; }
-    // Dispatched work of the light callers, in percent of what they offered.
-    [[nodiscard]] int light_share() const {
-        return m_light_offered == 0 ? 100 : 100 * m_light_dispatched / m_light_offered;
-    }
+    [[nodiscard]] core::duration total_short_wait() const { return m_total_short_wait; }
     [[nodiscard]] core::duration longest_light_wait() const { return m_longest_light_wait; }
 
 private:
@@ -79,7 +76,6 @@
         next.m_work.m_fingerprint = admission::fingerprint{next.m_long ? 1U : 2U};
         next.m_work.m_declared = next.m_long ? core::work_class::long_work : core::work_class::undeclared;
         next.m_work.m_deadline = core::deadline_after(m_now, m_load.m_deadline);
-        m_light_offered += next.m_light ? 1 : 0;
         if (m_queue.offer(next.m_work, m_now).m_accepted) {
             m_waiting.emplace(m_next, next);
         } else {
@@ -116,8 +112,8 @@
 
     void count(const item& started) {
         m_dispatched_long += started.m_long ? 1 : 0;
+        m_total_short_wait += started.m_long ? core::duration{} : m_now - started.m_offered_at;
         if (started.m_light) {
-            ++m_light_dispatched;
             m_longest_light_wait = std::max(m_longest_light_wait, m_now - started.m_offered_at);
         }
     }
@@ -150,9 +146,8 @@
     std::string m_violation;
     int m_dispatched_long = 0;
     int m_shed = 0;
-    int m_light_offered = 0;
-    int m_light_dispatched = 0;
     core::duration m_longest_light_wait{};
+    core::duration m_total_short_wait{};
 };
 
 } // namespace mangoquay::test
