--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -5,4 +5,4 @@
 folder="${1:-build}"
 shift || true
 cmake -S . -B "$folder" -G Ninja "$@" >/dev/null
-cmake --build "$folder"
+cmake --build "$folder" ${MANGOQUAY_JOBS:+-j "$MANGOQUAY_JOBS"}
--- a/test/performance/slot_queue_decisions.cpp
+++ b/test/performance/slot_queue_decisions.cpp
@@ -1,6 +1,8 @@
 // Measures the slot queue: decisions (offer, dispatch, finish) per second at several queue lengths, and the
 // wait of short work in the presence of long work against two baselines run on the same load: first in, first
 // out, and a queue without reserved slots.
+#include "measurement.h"
+
 #include "admission/slot_queue.h"
 
 #include <algorithm>
@@ -163,13 +165,12 @@
     print("reserved_1_and_by_load", run_queue(mixed, 1, true));
 }
 
-} // namespace
-
-int main() {
+const bool registered = mangoquay::performance::add_measurement("slot_queue", [](std::ostream&) {
     for (const std::size_t length : {1, 10, 100, 200}) {
         measure_decisions(length);
     }
     measure_head_of_line(100);
     measure_head_of_line(200);
-    return 0;
-}
+});
+
+} // namespace
