--- a/test/correctness/failover_safety.cpp
+++ b/test/correctness/failover_safety.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(failover_safety);
     CPPUNIT_TEST(no_acknowledged_write_is_lost);
     CPPUNIT_TEST(groups_recover_after_faults);
+    CPPUNIT_TEST(planned_hand_over_interrupts_nothing);
     CPPUNIT_TEST(planted_faults_are_caught);
     CPPUNIT_TEST(discarded_tail_is_not_chosen);
     CPPUNIT_TEST(a_lone_view_is_not_enough);
@@ -54,6 +55,17 @@
             {150, 4000}));
     }
 
+    void planned_hand_over_interrupts_nothing() {
+        const auto handing_over = [](planted fault) {
+            return [fault](script& steps) {
+                group_model model(steps, steps.one_in(2) ? 5 : 3, fault);
+                return model.hand_over();
+            };
+        };
+        CPPUNIT_ASSERT(testing::holds(handing_over(planted::none), {50, 3000}));
+        CPPUNIT_ASSERT(testing::violated(handing_over(planted::hides_in_flight), {200, 3000}));
+    }
+
     void planted_faults_are_caught() {
         const testing::script_size size{4000, 8000};
         CPPUNIT_ASSERT(testing::violated(with(planted::no_wait_in_force), size));
--- a/test/support/group_model.cpp
+++ b/test/support/group_model.cpp
@@ -1,4 +1,4 @@
-// Model of a database group around the failover core.
+// Model of a database group around the failover core: proxies, replication, faults.
 #include "support/group_model.h"
 
 namespace mangoquay::testing {
@@ -221,7 +221,8 @@
     seen = std::max(seen, status.m_position.m_term.value());
     report.m_position = {core::term{seen}, status.m_position.m_position};
     report.m_follows = of.m_streaming ? id_of(of.m_follows) : core::endpoint_id{};
-    report.m_writes_in_flight = static_cast<std::uint32_t>(proxy.m_waiting.size());
+    const bool hidden = m_planted == planted::hides_in_flight;
+    report.m_writes_in_flight = hidden ? 0 : static_cast<std::uint32_t>(proxy.m_waiting.size());
     report.m_writes_stalled = !proxy.m_waiting.empty();
     return report;
 }
@@ -330,161 +331,4 @@
     });
 }
 
-void group_model::execute(std::size_t index) {
-    const auto [leader, wanted] = m_actions[index];
-    m_actions.erase(m_actions.begin() + static_cast<std::ptrdiff_t>(index));
-    if (m_steps.one_in(8)) {
-        m_actions.push_back({leader, wanted}); // delayed behind later ones
-        return;
-    }
-    if (const auto* proposal = std::get_if<failover::propose>(&wanted)) {
-        commit(proposal->m_command);
-        tick();
-        return;
-    }
-    if (const auto* ask = std::get_if<failover::ask_proxy>(&wanted)) {
-        answer_proxy_probe(*ask);
-        return;
-    }
-    failover::step_answer answer;
-    std::visit(
-        [&](const auto& typed) {
-            if constexpr (requires { typed.m_attempt; }) {
-                answer.m_attempt = typed.m_attempt;
-                answer.m_endpoint = typed.m_endpoint;
-            }
-        },
-        wanted);
-    database& at = m_databases[index_of(answer.m_endpoint)];
-    const bool reached = at.m_alive && !at.m_cut_from_leader && !m_steps.one_in(10);
-    answer.m_ok = reached && take_effect(wanted, leader, at);
-    answer.m_status = status_of(at);
-    if (!m_steps.one_in(10)) {
-        m_answers.push_back({leader, answer});
-    }
-}
-
-bool group_model::take_effect(const failover::action& wanted, std::uint64_t leader, database& at) {
-    if (std::holds_alternative<failover::read_position>(wanted)) {
-        return true;
-    }
-    const auto fenced = [&](std::uint64_t attempt) {
-        const std::pair mine{leader, attempt};
-        if (mine < at.m_fence) {
-            return true;
-        }
-        at.m_fence = std::max(at.m_fence, mine);
-        return false;
-    };
-    if (const auto* stop = std::get_if<failover::stop_following>(&wanted)) {
-        if (fenced(stop->m_attempt)) {
-            return false;
-        }
-        at.m_follows = -1;
-        at.m_streaming = false;
-    } else if (const auto* follow = std::get_if<failover::follow>(&wanted)) {
-        if (fenced(follow->m_attempt)) {
-            return false;
-        }
-        at.m_follows = index_of(follow->m_primary);
-        at.m_streaming = false;
-    } else if (const auto* promotion = std::get_if<failover::promote>(&wanted)) {
-        if (fenced(promotion->m_attempt)) {
-            return false;
-        }
-        if (at.m_in_recovery) {
-            at.m_in_recovery = at.m_streaming = false;
-            at.m_follows = -1;
-            at.m_checkpoint_term = ++at.m_term;
-            at.m_log.push_back(m_next_entry++); // the record that ends recovery
-        }
-    }
-    return true;
-}
-
-void group_model::deliver_answer() {
-    if (m_answers.empty()) {
-        return;
-    }
-    const auto index = m_steps.one_in(4) ? m_steps.below(static_cast<std::uint32_t>(m_answers.size())) : 0;
-    const auto answer = m_answers[index];
-    m_answers.erase(m_answers.begin() + index);
-    if (answer.m_leader == m_leader) {
-        const auto no_leases_known = membership::lease_table{};
-        membership::lease_table ignorant = no_leases_known;
-        collect(m_core.on_step_answer(
-            m_now, m_state, m_planted == planted::no_wait_in_force ? ignorant : m_leases, answer.m_message));
-    }
-}
-
-void group_model::answer_proxy_probe(const failover::ask_proxy& ask) {
-    const database& of = m_databases[index_of(ask.m_endpoint)];
-    const bool reachable = of.m_alive && !of.m_cut_from_proxies;
-    m_core.on_probe_result(m_now, m_state, {ask.m_host, ask.m_endpoint, reachable});
-}
-
-// The platform rebuilds a member that needs it from the present primary.
-void group_model::rewind(int index) {
-    database& of = m_databases[index];
-    const auto primary = record().m_primary;
-    if (!record().m_needs_rewind.contains(id_of(index)) || primary.value().empty() || !of.m_alive) {
-        return;
-    }
-    const database& source = m_databases[index_of(primary)];
-    while (!is_prefix(of.m_log, source.m_log)) {
-        of.m_log.pop_back();
-    }
-    of.m_in_recovery = true;
-    of.m_follows = index_of(primary);
-}
-
-// What a quiet moment of the system does, so that promotions get to their end in a short script.
-void group_model::fair_round() {
-    m_now += milliseconds(50);
-    for (int index = 0; index < static_cast<int>(m_databases.size()); ++index) {
-        replicate(index);
-    }
-    for (model_proxy& proxy : m_proxies) {
-        apply_some(proxy, 2);
-        heartbeat(proxy);
-        poll(proxy);
-        acknowledge(proxy);
-    }
-    tick();
-    for (std::size_t pending = std::min<std::size_t>(m_actions.size(), 8); pending > 0; --pending) {
-        execute(0);
-    }
-    while (!m_answers.empty()) {
-        deliver_answer();
-    }
-}
-
-std::string group_model::heal_and_finish() {
-    for (database& one : m_databases) {
-        heal(one);
-    }
-    for (model_proxy& proxy : m_proxies) {
-        proxy.m_paused = proxy.m_slow_acks = false;
-    }
-    const std::size_t before = m_acknowledged.size();
-    for (int round = 0; round < 400; ++round) {
-        for (int index = 0; index < static_cast<int>(m_databases.size()); ++index) {
-            rewind(index);
-        }
-        for (model_proxy& proxy : m_proxies) {
-            apply_some(proxy, m_committed.size());
-            write(proxy);
-        }
-        fair_round();
-        std::string found = violation();
-        if (!found.empty()) {
-            return found;
-        }
-        if (!record().m_promotion_in_progress && m_acknowledged.size() > before + 20) {
-            return "";
-        }
-    }
-    return "the group did not recover after all faults had healed";
-}
-
 } // namespace mangoquay::testing
--- a/test/support/group_model.h
+++ b/test/support/group_model.h
@@ -23,6 +23,7 @@
     acks_without_lease,  // a proxy does not check its lease when it acknowledges
     acks_without_quorum, // ... or does not wait for replicas
     acks_replaced_term,  // ... or does not compare the term with its view
+    hides_in_flight,     // an owner reports no write in flight
 };
 
 struct database {
@@ -70,6 +71,9 @@
     std::string run();
     // After all faults have healed a promotion that was begun ends and a write can be acknowledged.
     std::string heal_and_finish();
+    // The primary is drained in a healthy system: another member takes over, and no write that was in flight
+    // is left without an acknowledgement.
+    std::string hand_over();
 
     [[nodiscard]] int promotions() const { return m_promotions; }
     [[nodiscard]] std::size_t acknowledged() const { return m_acknowledged.size(); }
