Finish requests on open connections before a stop; hold writes during a hand-over

Cause: the demo's graceful stop cut one request: the listener was closed together with keep-alive connections that callers were about to use again. The owner ignored m_writes_held, so a planned hand-over would not have drained. Ruled out: the dispatcher (it refused with not_run before the stop). Change: stop accepting first, close connections when they have had their last answer; refuse new writes while held; send a heartbeat at once after commands that the control leader waits for. Conclusion: idle connections are closed after 5 s; a request that arrives in that moment can still be cut.

--- a/src/gateway/http_gateway.cpp
+++ b/src/gateway/http_gateway.cpp
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <sys/resource.h>
 #include <ulfius.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
@@ -145,6 +146,7 @@
     server& operator=(server&&) = delete;
 
     std::string start();
+    void stop_accepting();
     void stop();
 
     std::atomic<bool> m_draining{false};
@@ -269,6 +271,15 @@
     return {};
 }
 
+void http_gateway::server::stop_accepting() {
+    if (m_running) {
+        const MHD_socket listener = MHD_quiesce_daemon(m_instance.mhd_daemon);
+        if (listener != MHD_INVALID_SOCKET) {
+            ::close(listener);
+        }
+    }
+}
+
 void http_gateway::server::stop() {
     if (m_running) {
         ulfius_stop_framework(&m_instance);
@@ -293,6 +304,10 @@
     m_server->m_draining = true;
 }
 
+void http_gateway::stop_accepting() {
+    m_server->stop_accepting();
+}
+
 bool http_gateway::wait_until_idle(core::deadline limit) const {
     while (!m_server->connections().idle()) {
         if (limit.passed(std::chrono::steady_clock::now())) {
--- a/src/gateway/http_gateway.h
+++ b/src/gateway/http_gateway.h
@@ -30,6 +30,8 @@
 
     // Each response from now on closes its connection, so that callers move to other proxies.
     void begin_drain();
+    // Takes no new connections; open ones go on.
+    void stop_accepting();
     // Waits until no request is being handled and no response is being sent; false at the deadline.
     [[nodiscard]] bool wait_until_idle(core::deadline limit) const;
     // Closes all connections.
--- a/src/ownership/engine_support.cpp
+++ b/src/ownership/engine_support.cpp
@@ -49,6 +49,12 @@
     if (m_group->m_term != term()) {
         return core::reason::term_replaced;
     }
+    // During a planned hand-over only work that has begun goes on.
+    const bool starts =
+        request.m_kind == core::statement_kind::write || request.m_kind == core::statement_kind::begin;
+    if (m_group->m_writes_held && starts) {
+        return core::reason::no_primary;
+    }
     if (!may_acknowledge(term())) {
         return core::reason::lease_lapsed;
     }
--- a/src/proxy/control_follower.cpp
+++ b/src/proxy/control_follower.cpp
@@ -29,6 +29,13 @@
         static_cast<std::uint64_t>(std::chrono::duration_cast<core::milliseconds>(since_epoch).count()));
 }
 
+// The control leader goes on only when every proxy has applied these.
+bool leader_waits_for(const control::command& change) {
+    return std::holds_alternative<control::hold_writes>(change) ||
+           std::holds_alternative<control::begin_promotion>(change) ||
+           std::holds_alternative<control::close_day>(change);
+}
+
 } // namespace
 
 control_follower::control_follower(transport::event_loop& loop, transport::message_bus& bus,
@@ -131,6 +138,7 @@
 void control_follower::batch_received(const wire::log_batchT& batch) {
     std::uint64_t at = batch.first_revision;
     bool changed = false;
+    bool awaited = false;
     for (const auto& entry : batch.entries) {
         const std::uint64_t revision = at++;
         if (revision <= m_state.m_revision.value()) {
@@ -151,10 +159,15 @@
             std::abort();
         }
         control::apply(m_state, *change, core::revision(revision));
+        awaited = awaited || leader_waits_for(*change);
     }
     if (changed) {
         view_changed();
     }
+    if (awaited) {
+        // Otherwise each of these steps would take up to one heartbeat period longer.
+        send_heartbeat(transport::event_loop::now());
+    }
 }
 
 void control_follower::snapshot_received(const wire::state_snapshotT& snapshot) {
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -15,7 +15,9 @@
 // Long work in flight may take this long to finish; then the process stops all the same.
 constexpr core::milliseconds shutdown_patience{30000};
 constexpr core::milliseconds shutdown_poll{50};
-// Requests that the balancer still sends here are served for this long after the drain began.
+// Connections without a request are closed after this.
+constexpr core::milliseconds idle_connection_patience{5000};
+// Connections that the balancer still opens here are accepted for this long after the drain began.
 constexpr core::milliseconds drain_grace{500};
 
 gateway::operator_outcome refused_operation(const std::string& message) {
@@ -175,20 +177,28 @@
     core::log_line(core::log_level::info, "proxy", "graceful shutdown started");
     m_follower.begin_leaving();
     m_gateway.begin_drain();
-    const auto limit = core::deadline_after(transport::event_loop::now(), shutdown_patience);
-    m_loop.after(drain_grace, [this, limit, done = std::move(done)] { continue_shut_down(limit, done); });
+    const auto now = transport::event_loop::now();
+    m_shutdown_limit = core::deadline_after(now, shutdown_patience);
+    m_idle_limit = core::deadline_after(now, idle_connection_patience);
+    m_loop.after(drain_grace, [this, done = std::move(done)] {
+        m_gateway.stop_accepting();
+        continue_shut_down(done);
+    });
 }
 
-void proxy_node::continue_shut_down(core::deadline limit, std::function<void()> done) {
+void proxy_node::continue_shut_down(std::function<void()> done) {
     const auto now = transport::event_loop::now();
     // Without a control leader nobody takes the endpoints over, so there is nothing to wait for.
     const bool handed_over = m_owned.empty() || !m_follower.lease_valid(now);
     const bool answered = m_dispatcher.requests_in_progress() == 0 && m_dispatcher.open_transactions() == 0;
-    if ((handed_over && answered) || limit.passed(now)) {
+    // Closing a connection that its caller is about to use again would cut that request; each answer tells
+    // the caller to close, so only idle connections are left in the end.
+    const bool left = m_gateway.connections() == 0 || m_idle_limit.passed(now);
+    if ((handed_over && answered && left) || m_shutdown_limit.passed(now)) {
         finish_shut_down(std::move(done));
         return;
     }
-    m_loop.after(shutdown_poll, [this, limit, done = std::move(done)] { continue_shut_down(limit, done); });
+    m_loop.after(shutdown_poll, [this, done = std::move(done)] { continue_shut_down(done); });
 }
 
 void proxy_node::finish_shut_down(std::function<void()> done) {
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -55,7 +55,7 @@
     template <class Answer>
     Answer wait_for(std::function<void(std::function<void(Answer)>)> start);
     [[nodiscard]] nlohmann::json local_status() const;
-    void continue_shut_down(core::deadline limit, std::function<void()> done);
+    void continue_shut_down(std::function<void()> done);
     void finish_shut_down(std::function<void()> done);
 
     transport::event_loop& m_loop;
@@ -68,6 +68,8 @@
     peer_owner_client m_owners;
     routing::statement_dispatcher m_dispatcher;
     gateway::http_gateway m_gateway;
+    core::deadline m_shutdown_limit; // once a shutdown has started
+    core::deadline m_idle_limit;
 };
 
 } // namespace mangoquay::proxy
