--- a/test/correctness/endpoint_owner_service.cpp
+++ b/test/correctness/endpoint_owner_service.cpp
@@ -127,6 +127,13 @@
     void slots_and_connections_hold_in_total() {
         owner_harness primary(*m_database, "a1", 1, 3);
         CPPUNIT_ASSERT(primary.serving());
+        // A stalled test machine must not make the queue shed.
+        control::preset_record patient;
+        patient.m_shed_wait_ms = 60000;
+        primary.on_loop([&](auto& owner) {
+            owner.apply_policy(patient);
+            return 0;
+        });
         std::vector<owner_harness::answer_future> answers;
         answers.reserve(40);
         for (int number = 0; number < 40; ++number) {
