Measure the slopes of the control side

Cause: docs/CAPACITY.md needs figures per entry, endpoint and heartbeat. Change: test/performance/control_slopes.cpp.

--- /dev/null
+++ b/test/performance/control_slopes.cpp
@@ -0,0 +1,197 @@
+// Measures what control costs per entry, endpoint and heartbeat, the slopes that docs/CAPACITY.md is worked
+// out from.
+#include "measurement.h"
+
+#include "control/apply.h"
+#include "control/codec.h"
+#include "failover/failover_core.h"
+#include "membership/membership_core.h"
+#include "membership/report_messages.h"
+#include "transport/message_bus.h"
+
+#include <malloc.h>
+
+#include <chrono>
+#include <ctime>
+#include <string>
+
+using namespace mangoquay;
+
+namespace {
+
+struct fleet_size {
+    int m_proxies = 0;
+    int m_groups = 0; // of 3 endpoints
+};
+
+// One cell of eight, and the whole fleet in one cell.
+constexpr fleet_size cell{275, 1584};
+constexpr fleet_size whole{2200, 12667};
+
+core::entry_host_id proxy_name(int index) {
+    return core::entry_host_id("proxy-" + std::to_string(index));
+}
+
+core::endpoint_id endpoint_name(int group, int index) {
+    return core::endpoint_id("group-" + std::to_string(group) + "-" +
+                             std::string(1, static_cast<char>('a' + index)));
+}
+
+double processor_seconds() {
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + 1e-9 * static_cast<double>(used.tv_nsec);
+}
+
+template <class Work>
+double microseconds_each(int repetitions, Work work) {
+    const double start = processor_seconds();
+    for (int index = 0; index < repetitions; ++index) {
+        work(index);
+    }
+    return (processor_seconds() - start) * 1e6 / repetitions;
+}
+
+std::vector<control::command> fleet_commands(const fleet_size& size) {
+    std::vector<control::command> commands;
+    for (int index = 0; index < size.m_proxies; ++index) {
+        control::register_proxy change{proxy_name(index), {}};
+        change.m_record.m_zone = core::availability_zone("zone-" + std::to_string(index % 39));
+        change.m_record.m_peer_address = {"127.0.0.1", 7101};
+        change.m_record.m_http_address = {"127.0.0.1", 8101};
+        change.m_record.m_incarnation = core::incarnation(1);
+        commands.emplace_back(change);
+    }
+    std::uint64_t epoch = 0;
+    for (int group = 0; group < size.m_groups; ++group) {
+        for (int index = 2; index >= 0; --index) {
+            control::announce_endpoint change;
+            change.m_endpoint = endpoint_name(group, index);
+            change.m_group = core::group_id("group-" + std::to_string(group));
+            change.m_zone = core::availability_zone("zone-" + std::to_string((group + index) % 39));
+            change.m_address = {"127.0.0.1", 5432};
+            change.m_role = index == 0 ? control::endpoint_role::primary : control::endpoint_role::replica;
+            change.m_term = core::term(1);
+            change.m_slots = 5;
+            change.m_connections = 30;
+            commands.emplace_back(change);
+            commands.emplace_back(control::assign_owner{change.m_endpoint,
+                                                        proxy_name((group * 3 + index) % size.m_proxies),
+                                                        core::owner_epoch(++epoch)});
+        }
+    }
+    return commands;
+}
+
+membership::heartbeat heartbeat_of(const control::control_state& state, int proxy, std::uint64_t number) {
+    membership::heartbeat beat;
+    beat.m_host = proxy_name(proxy);
+    beat.m_incarnation = core::incarnation(1);
+    beat.m_number = number;
+    beat.m_applied = state.m_revision;
+    for (const auto& [endpoint, record] : state.m_endpoints) {
+        if (record.m_owner == beat.m_host) {
+            membership::endpoint_report report;
+            report.m_endpoint = endpoint;
+            report.m_reachable = true;
+            report.m_lock_held = true;
+            report.m_position = {core::term(1), core::log_position(1000)};
+            beat.m_health.push_back(report);
+            beat.m_renewed.push_back(endpoint);
+        }
+    }
+    return beat;
+}
+
+void print(std::ostream& out, const char* name, const char* size, double value, const char* unit) {
+    out << "control_slopes case=" << name << " size=" << size << " value=" << value << " unit=" << unit
+        << '\n';
+}
+
+void measure_log(std::ostream& out, const char* label, const fleet_size& size,
+                 control::control_state& state) {
+    const auto commands = fleet_commands(size);
+    std::vector<std::string> payloads;
+    std::size_t bytes = 0;
+    for (const control::command& change : commands) {
+        payloads.push_back(control::encode(change));
+        bytes += payloads.back().size();
+    }
+    print(out, "entry_bytes", label, static_cast<double>(bytes) / static_cast<double>(payloads.size()), "B");
+    const std::size_t before = mallinfo2().uordblks;
+    std::uint64_t revision = 0;
+    const double apply = microseconds_each(static_cast<int>(payloads.size()), [&](int index) {
+        const auto change = control::decode_command(payloads[static_cast<std::size_t>(index)]);
+        control::apply(state, *change, core::revision(++revision));
+    });
+    print(out, "decode_and_apply_entry", label, apply, "us");
+    print(out, "state_memory", label, static_cast<double>(mallinfo2().uordblks - before) / 1e6, "MB");
+    const std::string snapshot = control::encode(state);
+    print(out, "snapshot_bytes", label, static_cast<double>(snapshot.size()) / 1e6, "MB");
+    print(out, "snapshot_encode", label, microseconds_each(3, [&](int) { control::encode(state); }) / 1e3,
+          "ms");
+    print(out, "snapshot_decode", label,
+          microseconds_each(3, [&](int) { control::decode_state(snapshot); }) / 1e3, "ms");
+}
+
+void measure_leader(std::ostream& out, const char* label, const fleet_size& size,
+                    const control::control_state& state) {
+    auto now = core::time_point{} + std::chrono::hours(1);
+    membership::membership_core members;
+    failover::failover_core failover;
+    members.elected(now, state);
+    failover.elected(now, state);
+    std::vector<membership::heartbeat> beats;
+    for (int proxy = 0; proxy < size.m_proxies; ++proxy) {
+        beats.push_back(heartbeat_of(state, proxy, 1));
+    }
+    wire::envelopeT envelope;
+    envelope.body.Set(membership::to_wire(beats.front()));
+    const auto packed = transport::pack_envelope(envelope);
+    print(out, "heartbeat_bytes", label, static_cast<double>(packed.size()), "B");
+    print(out, "heartbeat_encode", label,
+          microseconds_each(1000,
+                            [&](int) {
+                                wire::envelopeT one;
+                                one.body.Set(membership::to_wire(beats.front()));
+                                transport::pack_envelope(one);
+                            }),
+          "us");
+    const double handle = microseconds_each(3 * size.m_proxies, [&](int index) {
+        auto& beat = beats[static_cast<std::size_t>(index % size.m_proxies)];
+        ++beat.m_number;
+        const auto received = transport::unpack_envelope(packed);
+        members.on_heartbeat(now, state, beat, true);
+        failover.on_heartbeat(now, state, beat);
+    });
+    print(out, "leader_handles_heartbeat", label, handle, "us");
+    print(out, "membership_tick", label,
+          microseconds_each(10,
+                            [&](int) {
+                                now += core::milliseconds(100);
+                                members.tick(now, state);
+                            }) /
+              1e3,
+          "ms");
+    print(out, "failover_tick", label,
+          microseconds_each(10,
+                            [&](int) {
+                                now += core::milliseconds(50);
+                                failover.tick(now, state, members.leases());
+                            }) /
+              1e3,
+          "ms");
+}
+
+void measure(std::ostream& out, const char* label, const fleet_size& size) {
+    control::control_state state = control::initial_state();
+    measure_log(out, label, size, state);
+    measure_leader(out, label, size, state);
+}
+
+const bool registered = performance::add_measurement("control_slopes", [](std::ostream& out) {
+    measure(out, "cell_275_proxies_4752_endpoints", cell);
+    measure(out, "fleet_2200_proxies_38001_endpoints", whole);
+});
+
+} // namespace
