--- a/src/gateway/http_gateway.cpp
+++ b/src/gateway/http_gateway.cpp
@@ -146,7 +146,7 @@
     server& operator=(server&&) = delete;
 
     std::string start();
-    void stop_accepting();
+    void stop_accepting() const;
     void stop();
 
     std::atomic<bool> m_draining{false};
@@ -271,7 +271,7 @@
     return {};
 }
 
-void http_gateway::server::stop_accepting() {
+void http_gateway::server::stop_accepting() const {
     if (m_running) {
         const MHD_socket listener = MHD_quiesce_daemon(m_instance.mhd_daemon);
         if (listener != MHD_INVALID_SOCKET) {
--- a/src/proxy/control_follower.cpp
+++ b/src/proxy/control_follower.cpp
@@ -272,7 +272,7 @@
     m_status_queries[number] = std::move(done);
     wire::status_queryT query;
     query.number = number;
-    m_bus.send(m_leader, std::move(query));
+    m_bus.send(m_leader, query);
     m_loop.after(status_patience, [this, number] {
         const auto query = m_status_queries.find(number);
         if (query != m_status_queries.end()) {
--- a/test/performance/control_slopes.cpp
+++ b/test/performance/control_slopes.cpp
@@ -142,6 +142,7 @@
     members.elected(now, state);
     failover.elected(now, state);
     std::vector<membership::heartbeat> beats;
+    beats.reserve(static_cast<std::size_t>(size.m_proxies));
     for (int proxy = 0; proxy < size.m_proxies; ++proxy) {
         beats.push_back(heartbeat_of(state, proxy, 1));
     }
@@ -183,6 +184,28 @@
           "ms");
 }
 
+template <class Message>
+double packed_bytes(Message message) {
+    wire::envelopeT envelope;
+    envelope.body.Set(std::move(message));
+    return static_cast<double>(transport::pack_envelope(envelope).size() + transport::frame_header_bytes);
+}
+
+void measure_messages(std::ostream& out) {
+    wire::lease_grantT grant;
+    grant.leader = "control-01";
+    wire::position_queryT query;
+    query.group = "group-12345";
+    query.endpoint = "group-12345-a";
+    wire::position_answerT answer;
+    answer.group = "group-12345";
+    answer.position = std::make_unique<wire::wire_positionT>();
+    answer.position->lsn = 1000;
+    print(out, "lease_grant_frame", "any", packed_bytes(std::move(grant)), "B");
+    print(out, "position_query_frame", "any", packed_bytes(std::move(query)), "B");
+    print(out, "position_answer_frame", "any", packed_bytes(std::move(answer)), "B");
+}
+
 void measure(std::ostream& out, const char* label, const fleet_size& size) {
     control::control_state state = control::initial_state();
     measure_log(out, label, size, state);
@@ -190,6 +213,7 @@
 }
 
 const bool registered = performance::add_measurement("control_slopes", [](std::ostream& out) {
+    measure_messages(out);
     measure(out, "cell_275_proxies_4752_endpoints", cell);
     measure(out, "fleet_2200_proxies_38001_endpoints", whole);
 });
