Report a replica as streaming only while its receiver runs

Cause: step_runner took a set primary_conninfo for streaming; a replica keeps it while its primary is lost, so the leader's own reading could not show that replication had stopped. Ruled out: the stand-in; its receiver count was right. Change: each reading asks for running receivers. Conclusion: the owner's report of what a replica follows still comes from primary_conninfo.

--- a/src/consensus/raft_message.h
+++ b/src/consensus/raft_message.h
@@ -27,16 +27,19 @@
 inline constexpr auto last_message_kind = message_kind::hello_reply;
 
 // Meaning of the fields by kind:
-//   pre_vote, vote      m_index, m_log_term: the candidate's last entry
-//   append              m_index, m_log_term: the entry before m_entries; m_commit
-//   append_reply        m_granted; m_index: last matching synced entry, or where to retry when not granted
-//   snapshot            m_index, m_log_term: last entry covered; m_members; m_state: bytes from m_offset;
-//   m_total snapshot_reply      m_index: of the snapshot; m_offset: next byte wanted hello m_granted: the
-//   sender's folder is empty; m_members: the hosts of its settings as voters
-//                       without disk; m_round: echo of the last hello_reply of a leader in m_term;
-//                       m_offset: number of this hello
-//   hello_reply         m_granted: the folder is empty and the listed hosts are the same; m_round;
-//                       m_offset: echo of the number
+//
+// - pre_vote, vote: m_index and m_log_term are those of the candidate's last entry.
+// - append: m_index and m_log_term are those of the entry before m_entries; m_commit.
+// - append_reply: m_granted; m_index is the last matching synced entry, or where to retry when not granted.
+// - snapshot: m_index and m_log_term are those of the last entry covered; m_members; m_state holds the bytes
+//   from m_offset of m_total.
+// - snapshot_reply: m_index is that of the snapshot, m_offset the next byte wanted.
+// - hello: m_granted says that the sender's folder is empty; m_members are the hosts of its settings,
+//   as voters without disk; m_round echoes the last hello_reply of a leader in m_term; m_offset is the
+//   number of this hello.
+// - hello_reply: m_granted says that the folder is empty and the listed hosts are the same; m_round;
+//   m_offset echoes the number.
+//
 // m_round numbers the heartbeat rounds of one leader; replies echo it.
 struct raft_message {
     message_kind m_kind = message_kind::append;
--- a/src/control_host/step_runner.cpp
+++ b/src/control_host/step_runner.cpp
@@ -159,7 +159,7 @@
         wait_until_zero(number);
         return;
     }
-    read_status(number);
+    read_receivers(number);
 }
 
 void step_runner::sql_answered(std::uint64_t number, const database::database_answer& answer) {
@@ -196,6 +196,27 @@
     });
 }
 
+// A replica keeps its primary_conninfo while it cannot stream, so only the receiver tells.
+void step_runner::read_receivers(std::uint64_t number) {
+    running_step* step = find(number);
+    if (step == nullptr) {
+        return;
+    }
+    step->m_connection->execute(sql::receivers_running, {}, step->m_deadline,
+                                [this, number](const auto& answer) {
+                                    running_step* reading = find(number);
+                                    if (reading == nullptr) {
+                                        return;
+                                    }
+                                    if (answer.m_outcome != database::outcome::completed) {
+                                        finish(number, false);
+                                        return;
+                                    }
+                                    reading->m_answer.m_status.m_streaming = answer.first_cell() != "0";
+                                    read_status(number);
+                                });
+}
+
 void step_runner::read_status(std::uint64_t number) {
     running_step* step = find(number);
     if (step == nullptr) {
@@ -232,7 +253,7 @@
     seen.m_in_recovery = status->m_is_replica;
     seen.m_position =
         status->m_is_replica ? std::max(status->m_durable, status->m_applied) : status->m_durable;
-    seen.m_streaming = status->m_is_replica && !status->m_follows.empty();
+    seen.m_streaming = seen.m_streaming && status->m_is_replica;
     finish(number, true);
 }
 
--- a/src/control_host/step_runner.h
+++ b/src/control_host/step_runner.h
@@ -62,6 +62,7 @@
     void next(std::uint64_t number);
     void sql_answered(std::uint64_t number, const database::database_answer& answer);
     void wait_until_zero(std::uint64_t number);
+    void read_receivers(std::uint64_t number);
     void read_status(std::uint64_t number);
     void status_answered(std::uint64_t number, const database::database_answer& answer);
     void finish(std::uint64_t number, bool ok);
--- a/src/failover/endpoint_steps.h
+++ b/src/failover/endpoint_steps.h
@@ -2,10 +2,9 @@
 //
 // A shell runs each step as it is and decides nothing. Rules for the shell, on which the proof rests:
 // - A step starts only while the leader lease of this process is valid, checked after connecting.
-// - stop_following, promote and follow run on a session named `mangoquay-control/<Raft term>/<attempt>`; the
-// step
-//   first ends the control sessions of lower (Raft term, attempt) at the endpoint. A step of an earlier
-//   leader, or an earlier step of this one, thus never takes effect after a later step has.
+// - stop_following, promote and follow run on a session named by Raft term and attempt
+//   (`mangoquay-control/<Raft term>/<attempt>`). It first ends the sessions of lower ones at the endpoint, so
+//   that a step of an earlier leader, or an earlier one of this leader, never takes effect after a later one.
 // - A step is given up after its timeout below and answered with m_ok = false. All steps are idempotent.
 // - Answers echo the attempt; the status is read after the step.
 #pragma once
--- a/test/correctness/failover_steps.cpp
+++ b/test/correctness/failover_steps.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(step_ends_sessions_of_earlier_leaders);
     CPPUNIT_TEST(step_leaves_sessions_of_later_leaders);
     CPPUNIT_TEST(step_without_the_lease_changes_nothing);
+    CPPUNIT_TEST(replica_of_a_lost_primary_does_not_stream);
     CPPUNIT_TEST(promoted_replica_reports_its_new_term);
     CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +86,15 @@
         CPPUNIT_ASSERT(report_of(*m_databases, "a3").m_streaming);
     }
 
+    void replica_of_a_lost_primary_does_not_stream() {
+        leader_harness leader(*m_databases, 2);
+        const failover::read_position reading{1, core::endpoint_id("a2")};
+        CPPUNIT_ASSERT(leader.run(reading).m_status.m_streaming);
+        CPPUNIT_ASSERT(m_databases->act("a1", "crash"));
+        const auto answer = leader.run(reading);
+        CPPUNIT_ASSERT(answer.m_ok && !answer.m_status.m_streaming);
+    }
+
     void promoted_replica_reports_its_new_term() {
         leader_harness leader(*m_databases, 2);
         CPPUNIT_ASSERT(leader.run(failover::stop_following{1, core::endpoint_id("a2")}).m_ok);
