Honour the configured sslmode on connections to databases

Cause: the settings' sslmode was dropped: three copies of the same mapping passed an empty TLS mode, which is 'disable', so a site that asked for TLS got plain text. Ruled out: the dialect, which passes the mode on to the driver. Conclusion: TLS towards a database is still not run end to end: the stand-in speaks none.

--- a/src/control_host/control_host.cpp
+++ b/src/control_host/control_host.cpp
@@ -6,6 +6,7 @@
 #include "control/apply.h"
 #include "control/codec.h"
 #include "core/log.h"
+#include "settings/database_credentials.h"
 #include "wire/positions.h"
 
 #include <functional>
@@ -28,10 +29,6 @@
     return raft;
 }
 
-dialect::connection_settings database_settings(const settings::settings& chosen) {
-    return {chosen.m_database.m_user, chosen.m_database.m_password, chosen.m_database.m_database, {}, ""};
-}
-
 } // namespace
 
 control_host::control_host(transport::event_loop& loop, transport::message_bus& bus,
@@ -44,7 +41,7 @@
               m_bus.send(to, consensus::to_wire(message));
           })),
       m_state(control::initial_state()),
-      m_steps(loop, chosen.m_host, database_settings(chosen), strategy,
+      m_steps(loop, chosen.m_host, settings::database_credentials(chosen.m_database), strategy,
               [this]() -> std::optional<std::uint64_t> {
                   return may_decide(transport::event_loop::now()) ? std::optional(m_raft->term().value())
                                                                   : std::nullopt;
--- a/src/proxy/endpoint_reports.cpp
+++ b/src/proxy/endpoint_reports.cpp
@@ -1,6 +1,7 @@
 // What owned endpoints tell others: health, positions, probes, figures.
 #include "database/connection.h"
 #include "proxy/owned_endpoints.h"
+#include "settings/database_credentials.h"
 #include "wire/positions.h"
 
 #include <algorithm>
@@ -107,11 +108,7 @@
         return;
     }
     const std::uint64_t number = ++m_last_number;
-    const dialect::connection_settings credentials{m_settings.m_database.m_user,
-                                                   m_settings.m_database.m_password,
-                                                   m_settings.m_database.m_database,
-                                                   {},
-                                                   ""};
+    const dialect::connection_settings credentials = settings::database_credentials(m_settings.m_database);
     auto probe = std::make_shared<database::connection>(
         m_loop, m_strategy.connection_parameters(record->second.m_address, credentials,
                                                  "mangoquay-probe/" + m_settings.m_host.value()));
--- a/src/proxy/owned_endpoints.cpp
+++ b/src/proxy/owned_endpoints.cpp
@@ -3,20 +3,13 @@
 
 #include "core/log.h"
 #include "ownership/execute_messages.h"
+#include "settings/database_credentials.h"
 #include "wire/positions.h"
 
 #include <functional>
 #include <utility>
 
 namespace mangoquay::proxy {
-namespace {
-
-dialect::connection_settings database_settings(const settings::settings& chosen) {
-    return {chosen.m_database.m_user, chosen.m_database.m_password, chosen.m_database.m_database, {}, ""};
-}
-
-} // namespace
-
 owned_endpoints::owned_endpoints(transport::event_loop& loop, transport::message_bus& bus,
                                  control_follower& follower, const settings::settings& chosen,
                                  const dialect::database_dialect& strategy)
@@ -75,7 +68,8 @@
     const std::uint64_t seed = std::hash<std::string>{}(m_settings.m_host.value() + endpoint.value());
     owned fresh{record.m_owner_epoch, record.m_address, nullptr};
     fresh.m_owner = std::make_unique<ownership::endpoint_owner>(
-        m_loop, endpoint, record, m_settings.m_host, *this, database_settings(m_settings), m_strategy, seed);
+        m_loop, endpoint, record, m_settings.m_host, *this,
+        settings::database_credentials(m_settings.m_database), m_strategy, seed);
     m_owners.emplace(endpoint, std::move(fresh));
 }
 
