--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # Checks formatting and runs the linter over all sources but generated code. `--fix` formats in place.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'test/*.cpp' 'test/*.h' 'tools/*.cpp' 'tools/*.h' | grep -v _generated.h)
+mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' 'test/*.cpp' 'test/*.h' 'tools/*.cpp' 'tools/*.h' | grep -v _generated.h)
 if [ "${1:-}" = --fix ]; then
     clang-format -i "${files[@]}"
     exit 0
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -2,13 +2,16 @@
 #include "cli/command_line.h"
 
 #include "cli/control_client.h"
+#include "platform/serve.h"
 #include "process/process.h"
+#include "settings/fleet_settings.h"
 #include "settings/settings.h"
 #include "traces/trace_replay.h"
 
 #include <getopt.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <string>
 #include <string_view>
@@ -18,7 +21,11 @@
 
 constexpr const char* help = R"(usage:
   mangoquay run --config FILE      run this host's roles until SIGTERM
+  mangoquay serve [--config FILE]  run this host of a discovered fleet until SIGTERM; without FILE the
+                                   settings are those that MANGOQUAY_SETTINGS names
   mangoquay check-config FILE      check a settings file
+  mangoquay check-fleet-config FILE
+                                   check a settings file of serve
   mangoquay replay FILE            replay a recorded trace of the control log and compare its outcomes
   mangoquay ctl COMMAND ...        operate a running system; see mangoquay ctl --help
   mangoquay --help | --version
@@ -112,6 +119,33 @@
     return process::run_process(*loaded);
 }
 
+int check_fleet_config(const std::string& file) {
+    const auto loaded = settings::load_fleet_settings(file);
+    if (!loaded) {
+        std::fprintf(stderr, "%s\n", loaded.reason().c_str());
+        return exit_code::wrong_use;
+    }
+    std::printf("%s: valid\n", file.c_str());
+    return exit_code::success;
+}
+
+int serve_with(std::string file) {
+    if (file.empty()) {
+        const char* named = std::getenv("MANGOQUAY_SETTINGS");
+        file = named == nullptr ? "" : named;
+    }
+    if (file.empty()) {
+        return usage_error("serve needs --config FILE or MANGOQUAY_SETTINGS");
+    }
+    const auto loaded = settings::load_fleet_settings(file);
+    if (!loaded) {
+        std::fprintf(stderr, "%s\n", loaded.reason().c_str());
+        return exit_code::wrong_use;
+    }
+    core::configure_log(loaded->m_log_level, "");
+    return platform::serve(*loaded);
+}
+
 } // namespace
 
 int run(int argc, char** argv) {
@@ -132,6 +166,15 @@
                    ? usage_error("run needs --config FILE only")
                    : run_with(parsed.m_config);
     }
+    if (command == "serve") {
+        return parsed.m_positional != 0 ? usage_error("serve takes --config FILE only")
+                                        : serve_with(parsed.m_config);
+    }
+    if (command == "check-fleet-config") {
+        return parsed.m_positional != 1 || !parsed.m_config.empty()
+                   ? usage_error("check-fleet-config needs one FILE")
+                   : check_fleet_config(parsed.m_file);
+    }
     if (command == "check-config") {
         return parsed.m_positional != 1 || !parsed.m_config.empty()
                    ? usage_error("check-config needs one FILE")
--- a/src/consensus/raft_driver.cpp
+++ b/src/consensus/raft_driver.cpp
@@ -40,6 +40,8 @@
     raft_settings settings;
     settings.m_self = {m_settings.m_self, recovered.m_disk};
     settings.m_initial_hosts = m_settings.m_initial_hosts;
+    settings.m_may_found = m_settings.m_may_found;
+    settings.m_limits.m_kept_entries = m_settings.m_kept_entries;
     settings.m_timing = m_settings.m_timing;
     settings.m_seed = m_settings.m_seed ^ std::hash<std::string>{}(m_settings.m_self.value());
     m_last_snapshot = recovered.m_snapshot.m_index;
@@ -137,6 +139,10 @@
     return to_revision(m_delivered);
 }
 
+std::optional<core::time_point> raft_driver::last_contact(const core::entry_host_id& voter) const {
+    return m_node ? m_node->last_contact(voter) : std::nullopt;
+}
+
 disk_id raft_driver::disk() const {
     return m_node ? m_node->self().m_disk : disk_id{};
 }
--- a/src/consensus/raft_driver.h
+++ b/src/consensus/raft_driver.h
@@ -28,9 +28,11 @@
     std::string m_data_folder;
     // All control hosts of a new cell, this one included. Read only while the data folder is empty.
     std::set<core::entry_host_id> m_initial_hosts;
+    bool m_may_found = true; // see raft_settings
     raft_timing m_timing;
     std::uint64_t m_seed = 1;                 // of the election timeouts; should differ between hosts
     std::uint64_t m_snapshot_interval = 4096; // entries applied between two snapshots
+    std::uint64_t m_kept_entries = 4096;      // before the end of a snapshot, for followers that are behind
 };
 
 struct committed_entry {
@@ -78,8 +80,9 @@
     void receive(const core::entry_host_id& from, const raft_message& message);
     // The payload must not be empty. On a host that is not the leader the callback gets an empty index.
     void propose(std::string payload, propose_callback done);
-    // Takes `lost` out of the members and admits `replacement`, as a learner until it has caught up. Only the
-    // leader does this; fails with the reason otherwise. Success means that the change was started.
+    // Takes `lost`, unless it is empty, out of the members and admits `replacement`, as a learner until it has
+    // caught up. Only the leader does this; fails with the reason otherwise. Success means that the change was
+    // started.
     status replace_host(const core::entry_host_id& lost, const core::entry_host_id& replacement);
 
     [[nodiscard]] bool is_leader() const;
@@ -92,6 +95,8 @@
     // and the reader needs the whole state instead.
     [[nodiscard]] std::optional<std::vector<committed_entry>> entries_after(core::revision after,
                                                                             std::size_t limit = 1024) const;
+    // On a leader: when the newest message that the voter has answered was sent.
+    [[nodiscard]] std::optional<core::time_point> last_contact(const core::entry_host_id& voter) const;
     [[nodiscard]] disk_id disk() const;
     // The highest Raft term that this host knows; on a leader its own.
     [[nodiscard]] raft_term term() const;
--- a/src/consensus/raft_members.cpp
+++ b/src/consensus/raft_members.cpp
@@ -83,7 +83,7 @@
 // second cell.
 void raft_node::bootstrap_if_all_empty() {
     const auto& listed = m_settings.m_initial_hosts;
-    if (!is_blank() || listed.empty() || *listed.begin() != self().m_host) {
+    if (!m_settings.m_may_found || !is_blank() || listed.empty() || *listed.begin() != self().m_host) {
         return;
     }
     membership founders;
@@ -169,6 +169,15 @@
     std::ranges::for_each(members().m_learners, add);
 }
 
+std::optional<core::time_point> raft_node::last_contact(const core::entry_host_id& voter) const {
+    for (const auto& [follower, state] : m_progress) {
+        if (follower.m_host == voter) {
+            return std::max(state.m_contact, m_leader_since);
+        }
+    }
+    return members().contains_host(voter) && is_leader() ? std::optional(m_leader_since) : std::nullopt;
+}
+
 std::string raft_node::replace_refusal(const replace_host& change) const {
     if (!is_leader()) {
         return "this host is not the leader";
@@ -176,7 +185,7 @@
     if (change.m_lost == self().m_host) {
         return "the leader cannot replace itself";
     }
-    if (!members().contains_host(change.m_lost)) {
+    if (!change.m_lost.value().empty() && !members().contains_host(change.m_lost)) {
         return "host " + change.m_lost.value() + " is not a control host";
     }
     if (members().contains_host(change.m_replacement)) {
@@ -186,8 +195,8 @@
 }
 
 void raft_node::on_event(const replace_host& event) {
-    const bool done =
-        is_leader() && !members().contains_host(event.m_lost) && members().contains_host(event.m_replacement);
+    const bool done = is_leader() && !event.m_lost.value().empty() && !members().contains_host(event.m_lost) &&
+                      members().contains_host(event.m_replacement);
     const std::string refusal = done ? "" : replace_refusal(event);
     if (refusal.empty() && !done) {
         membership next = members();
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -60,6 +60,8 @@
 struct raft_settings {
     member m_self;
     std::set<core::entry_host_id> m_initial_hosts;
+    // False: the initial hosts are only asked for the cell that exists; a blank host waits to be admitted.
+    bool m_may_found = true;
     raft_timing m_timing;
     raft_limits m_limits;
     std::uint64_t m_seed = 1;
@@ -84,7 +86,7 @@
     std::string m_state;
 };
 struct replace_host {
-    core::entry_host_id m_lost;
+    core::entry_host_id m_lost; // empty: the replacement is an addition
     core::entry_host_id m_replacement;
 };
 using raft_event =
@@ -159,6 +161,8 @@
     // replace.
     [[nodiscard]] bool holds_lease(core::time_point now) const;
     [[nodiscard]] const std::optional<member>& leader() const { return m_leader; }
+    // On a leader: when the newest message that the voter has answered was sent; its election if there is none.
+    [[nodiscard]] std::optional<core::time_point> last_contact(const core::entry_host_id& voter) const;
     [[nodiscard]] const member& self() const { return m_settings.m_self; }
     [[nodiscard]] const membership& members() const { return m_log.members(); }
     [[nodiscard]] const raft_log& log() const { return m_log; }
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -42,6 +42,14 @@
 
 } // namespace
 
+std::string describe_errors(const std::string& file, const std::vector<json_error>& errors) {
+    std::string text;
+    for (const json_error& error : errors) {
+        text += (text.empty() ? "" : "\n") + file + ": " + to_string(error);
+    }
+    return text;
+}
+
 std::string to_string(const json_error& error) {
     return (error.m_pointer.empty() ? "/" : error.m_pointer) + ": found " + error.m_found +
            "; allowed: " + error.m_allowed;
@@ -127,6 +135,18 @@
     return value->get<std::uint64_t>();
 }
 
+std::optional<double> json_reader::number(const char* name, double least, double most) {
+    const nlohmann::json* value = find(name);
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    if (!value->is_number() || value->get<double>() < least || value->get<double>() > most) {
+        record(name, *value, "a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return std::nullopt;
+    }
+    return value->get<double>();
+}
+
 std::optional<bool> json_reader::boolean(const char* name) {
     const nlohmann::json* value = find(name);
     if (value == nullptr) {
--- a/src/core/json_reader.h
+++ b/src/core/json_reader.h
@@ -23,6 +23,8 @@
 
 // One line: `/http_limits/connections: found 0; allowed: an integer from 1 to 100000`.
 std::string to_string(const json_error& error);
+// A line for each error, each beginning with the name of the file.
+std::string describe_errors(const std::string& file, const std::vector<json_error>& errors);
 
 // Ids are used in file names, application names of database sessions and URL paths.
 inline constexpr std::size_t longest_identifier = 63;
@@ -41,6 +43,7 @@
     std::optional<std::string> secret(const char* name, std::size_t shortest); // never printed in an error
     std::optional<std::string> identifier(const char* name);
     std::optional<std::uint64_t> integer(const char* name, std::uint64_t least, std::uint64_t most);
+    std::optional<double> number(const char* name, double least, double most);
     std::optional<bool> boolean(const char* name);
     // The index of the value in `names`.
     std::optional<std::size_t> choice(const char* name, std::initializer_list<const char*> names);
--- /dev/null
+++ b/src/entry/caller_sessions.cpp
@@ -0,0 +1,153 @@
+// Startup, statements and ends of callers' connections.
+#include "entry/caller_sessions.h"
+
+#include "core/log.h"
+
+#include <unistd.h>
+
+#include <utility>
+#include <vector>
+
+namespace mangoquay::entry {
+namespace {
+
+// Callers give up a session whose startup takes more than 2 s (sheet).
+constexpr core::milliseconds startup_patience{1500};
+constexpr core::milliseconds startup_retry{50};
+
+} // namespace
+
+caller_sessions::caller_sessions(transport::event_loop& loop, const session_protocol& protocol,
+                                 caller_limits limits)
+    : m_loop(loop), m_protocol(protocol), m_limits(limits), m_listener(loop) {}
+
+core::result<std::uint16_t> caller_sessions::listen(const control::socket_address& address,
+                                                    relay::relay_core& core) {
+    m_core = &core;
+    return m_listener.listen(address, [this](int socket) { accepted(socket); });
+}
+
+void caller_sessions::accepted(int socket) {
+    if (m_connections.size() >= m_limits.m_sessions) {
+        ++m_turned_away;
+        ::close(socket);
+        return;
+    }
+    const relay::session_id id(++m_last_session);
+    transport::stream_handlers handlers;
+    handlers.m_received = [this, id](std::string& bytes) { received(id, bytes); };
+    handlers.m_closed = [this, id](const std::string&) { end(id); };
+    connection& opened = m_connections[id];
+    opened.m_start_by = core::deadline_after(core::now(), startup_patience);
+    opened.m_stream = std::make_unique<transport::byte_stream>(m_loop, socket, std::move(handlers));
+}
+
+void caller_sessions::received(relay::session_id id, std::string& bytes) {
+    std::size_t offset = 0;
+    while (auto message = m_protocol.decode_caller(bytes, offset)) {
+        if (!handle(id, std::move(*message)) || !m_connections.contains(id)) {
+            return;
+        }
+    }
+    bytes.erase(0, offset);
+}
+
+bool caller_sessions::handle(relay::session_id id, caller_message message) {
+    connection& caller = m_connections.at(id);
+    switch (message.m_kind) {
+    case message_kind::startup:
+        if (caller.m_started || !caller.m_database.empty()) {
+            refuse_and_close(id, relay::refusal::malformed, "the session has started already");
+            return false;
+        }
+        caller.m_database = std::move(message.m_database);
+        return start(id, caller);
+    case message_kind::statement:
+        if (!caller.m_started || ++caller.m_in_progress > m_limits.m_waiting_statements) {
+            refuse_and_close(id, relay::refusal::malformed, "a statement at this point is not allowed");
+            return false;
+        }
+        m_core->statement_received(id, std::move(message.m_statement), core::now());
+        return true;
+    case message_kind::terminate:
+        end(id);
+        return false;
+    default:
+        refuse_and_close(id, relay::refusal::malformed, "the message cannot be read");
+        return false;
+    }
+}
+
+bool caller_sessions::start(relay::session_id id, connection& caller) {
+    const core::time_point now = core::now();
+    if (!m_core->configured() && !caller.m_start_by.passed(now)) {
+        if (!m_waiting_timer) {
+            m_waiting_timer = true;
+            m_loop.after(startup_retry, [this] { start_waiting(); });
+        }
+        return true;
+    }
+    if (!m_core->configured()) {
+        refuse_and_close(id, relay::refusal::busy, "this host has no configuration yet");
+        return false;
+    }
+    if (!m_core->session_opened(id, caller.m_database)) {
+        refuse_and_close(id, relay::refusal::unknown_database, "no route of that name");
+        return false;
+    }
+    caller.m_started = true;
+    std::string ready;
+    m_protocol.encode_ready(ready);
+    caller.m_stream->write(ready);
+    return true;
+}
+
+void caller_sessions::start_waiting() {
+    m_waiting_timer = false;
+    std::vector<relay::session_id> waiting;
+    for (const auto& [id, caller] : m_connections) {
+        if (!caller.m_started && !caller.m_database.empty()) {
+            waiting.push_back(id);
+        }
+    }
+    for (const relay::session_id id : waiting) {
+        start(id, m_connections.at(id));
+    }
+}
+
+void caller_sessions::answer(relay::session_id session, const relay::session_answer& answer) {
+    const auto found = m_connections.find(session);
+    if (found == m_connections.end()) {
+        return;
+    }
+    --found->second.m_in_progress;
+    std::string bytes;
+    m_protocol.encode_answer(answer, bytes);
+    found->second.m_stream->write(bytes);
+}
+
+void caller_sessions::refuse_and_close(relay::session_id id, relay::refusal reason, const std::string& text) {
+    const auto found = m_connections.find(id);
+    std::string bytes;
+    m_protocol.encode_refusal(reason, text, bytes);
+    found->second.m_stream->write(bytes);
+    core::log_line(core::log_level::debug, "entry",
+                   "session refused reason=" + std::string(relay::to_string(reason)) +
+                       " database=" + found->second.m_database);
+    end(id);
+}
+
+void caller_sessions::close(relay::session_id session) {
+    const auto found = m_connections.find(session);
+    if (found != m_connections.end()) {
+        transport::byte_stream::close_when_sent(std::move(found->second.m_stream));
+        m_connections.erase(found);
+    }
+}
+
+void caller_sessions::end(relay::session_id id) {
+    close(id);
+    m_core->session_closed(id, core::now());
+}
+
+} // namespace mangoquay::entry
--- /dev/null
+++ b/src/entry/database_link.cpp
@@ -0,0 +1,62 @@
+// Startup and decoding of answers.
+#include "entry/database_link.h"
+
+#include <utility>
+
+namespace mangoquay::entry {
+
+database_link::database_link(transport::event_loop& loop, const session_protocol& protocol,
+                             const registry::endpoint_report& target, database_link_handlers handlers)
+    : m_protocol(protocol), m_handlers(std::move(handlers)) {
+    transport::stream_handlers stream;
+    stream.m_connected = [] {};
+    stream.m_received = [this](std::string& bytes) { received(bytes); };
+    stream.m_closed = [this](const std::string& reason) { m_handlers.m_failed(std::nullopt, reason); };
+    m_stream = std::make_unique<transport::byte_stream>(loop, target.m_address, std::move(stream));
+    std::string startup;
+    m_protocol.encode_startup(target, startup);
+    m_stream->write(startup);
+}
+
+void database_link::send(const std::vector<relay::database_request>& requests) {
+    std::string bytes;
+    for (const relay::database_request& request : requests) {
+        m_protocol.encode_request(request, bytes);
+    }
+    m_stream->write(bytes);
+}
+
+void database_link::received(std::string& bytes) {
+    const std::weak_ptr<int> alive = m_alive;
+    std::size_t offset = 0;
+    for (;;) {
+        const answer_progress progress = m_protocol.decode_answer(bytes, offset, m_partial);
+        if (progress == answer_progress::incomplete) {
+            break;
+        }
+        // A statement's answer that was cut off lacks its outcome.
+        if (progress == answer_progress::malformed || (m_opened && !m_partial.m_complete)) {
+            m_handlers.m_failed(std::nullopt, "malformed answer");
+            return;
+        }
+        const relay::database_answer answer = std::exchange(m_partial, {}).m_answer;
+        if (m_opened) {
+            m_handlers.m_answered(answer);
+        } else if (answer.m_refusal) {
+            m_handlers.m_failed(answer.m_refusal, answer.m_text);
+            return;
+        } else {
+            m_opened = true;
+            m_handlers.m_opened(answer.m_position);
+        }
+        if (alive.expired()) {
+            return; // a handler closed the link
+        }
+    }
+    bytes.erase(0, offset);
+    if (!m_opened && m_partial.m_answer.m_refusal) { // a refused startup has no further line
+        m_handlers.m_failed(m_partial.m_answer.m_refusal, m_partial.m_answer.m_text);
+    }
+}
+
+} // namespace mangoquay::entry
--- /dev/null
+++ b/src/entry/entry_node.cpp
@@ -0,0 +1,202 @@
+// Wires the relay core to sockets and news.
+#include "entry/entry_node.h"
+
+#include "core/log.h"
+
+#include <utility>
+
+namespace mangoquay::entry {
+namespace {
+
+// Resolution of limits and pauses while statements are in progress.
+constexpr core::milliseconds busy_tick{10};
+constexpr core::milliseconds idle_tick{100};
+constexpr core::milliseconds summary_period{5000};
+constexpr core::milliseconds drain_tick{100};
+// The balancer asks each second and needs two misses (sheet).
+constexpr core::milliseconds balancer_notice{2300};
+// Spreads the callers' reconnects over the remaining hosts.
+constexpr std::size_t sessions_closed_per_step = 40;
+// Lines about single statements between two summaries; further ones are counted only.
+constexpr std::uint64_t most_lines = 100;
+// Kept for descriptors other than sessions and database links.
+constexpr std::uint32_t reserved_descriptors = 500;
+
+caller_limits limits_from(const settings::fleet_settings& chosen) {
+    caller_limits limits;
+    const std::uint32_t usable =
+        chosen.m_descriptors > 2 * reserved_descriptors ? chosen.m_descriptors - reserved_descriptors
+                                                        : chosen.m_descriptors / 2;
+    limits.m_sessions = usable;
+    return limits;
+}
+
+} // namespace
+
+entry_node::entry_node(transport::event_loop& loop, transport::message_bus& bus,
+                       transport::peer_network& network, const settings::fleet_settings& chosen,
+                       const session_protocol& protocol, documents::document_decoder decoder)
+    : m_loop(loop), m_settings(chosen), m_protocol(protocol), m_decoder(decoder),
+      m_core(*this, relay::relay_limits{.m_zone = chosen.m_zone}),
+      m_callers(loop, protocol, limits_from(chosen)),
+      m_news(loop, bus, network,
+             {fleet::host_id(chosen.m_peer_address), chosen.m_peer_address, true}, news_handlers()) {}
+
+entry_node::~entry_node() = default;
+
+fleet::follower_handlers entry_node::news_handlers() {
+    fleet::follower_handlers handlers;
+    handlers.m_document = [this](documents::document_version version, const std::string& bytes) {
+        document_arrived(version, bytes);
+    };
+    handlers.m_endpoints_changed = [this] { endpoints_changed(); };
+    handlers.m_entry_hosts = [this](std::uint32_t count) { m_core.entry_hosts_counted(count); };
+    handlers.m_sightings = [this] { return m_core.sightings(core::now()); };
+    handlers.m_ready = [this] { return ready(); };
+    handlers.m_version = [this] { return m_core.version(); };
+    return handlers;
+}
+
+std::string entry_node::start() {
+    const auto listening = m_callers.listen(*m_settings.m_caller_address, m_core);
+    if (!listening) {
+        return "cannot listen for callers reason=" + listening.reason();
+    }
+    m_news.start(m_settings.m_known_control);
+    m_next_summary = core::now() + summary_period;
+    tick();
+    return {};
+}
+
+void entry_node::document_arrived(documents::document_version version, const std::string& bytes) {
+    if (version <= m_core.version()) {
+        return;
+    }
+    auto decoded = m_decoder(bytes);
+    if (!decoded) {
+        core::log_line(core::log_level::error, "entry",
+                       "configuration from a control host cannot be read reason=" + decoded.reason());
+        return;
+    }
+    const std::string text = std::to_string(version.value());
+    m_core.configure(std::move(*decoded), core::now());
+    core::log_line(core::log_level::info, "entry", "configuration in force version=" + text);
+    endpoints_changed();
+}
+
+void entry_node::endpoints_changed() {
+    m_core.endpoints_changed(m_news.endpoints().listed(), core::now());
+    m_ready = m_core.configured() && !m_stopped;
+}
+
+void entry_node::tick() {
+    const core::time_point now = core::now();
+    m_core.tick(now);
+    if (now >= m_next_summary) {
+        write_summary();
+        m_next_summary = now + summary_period;
+    }
+    m_loop.after(m_core.active() > 0 ? busy_tick : idle_tick, [this] { tick(); });
+}
+
+void entry_node::answer(relay::session_id session, const relay::session_answer& answer) {
+    m_callers.answer(session, answer);
+}
+
+void entry_node::close_session(relay::session_id session) {
+    m_callers.close(session);
+}
+
+void entry_node::open_link(relay::link_id link, const registry::endpoint_report& target) {
+    database_link_handlers handlers;
+    handlers.m_opened = [this, link](std::optional<core::history_position> position) {
+        m_core.link_opened(link, position, core::now());
+    };
+    handlers.m_answered = [this, link](const relay::database_answer& answer) {
+        m_core.link_answered(link, answer, core::now());
+    };
+    handlers.m_failed = [this, link, id = target.m_id](std::optional<relay::refusal> reason,
+                                                      const std::string& text) {
+        core::log_line(core::log_level::info, "entry",
+                       "database link ended endpoint=" + id.value() + " reason=" + text);
+        const auto failed = std::move(m_links[link]); // outlives the call that ends it
+        m_links.erase(link);
+        m_core.link_failed(link, reason, core::now());
+    };
+    m_links[link] = std::make_unique<database_link>(m_loop, m_protocol, target, std::move(handlers));
+}
+
+void entry_node::send(relay::link_id link, const std::vector<relay::database_request>& requests) {
+    m_links.at(link)->send(requests);
+}
+
+void entry_node::close_link(relay::link_id link) {
+    m_links.erase(link);
+}
+
+void entry_node::record(const relay::relay_event& event) {
+    // Statements that take the usual way are counted, not written.
+    const bool usual = event.m_attempts <= 1 && std::string_view(event.m_what) == "sent";
+    if (usual) {
+        return;
+    }
+    if (m_lines >= most_lines) {
+        ++m_lines_left_out;
+        return;
+    }
+    ++m_lines;
+    core::log_line(core::log_level::info, "relay",
+                   std::string(event.m_what) + " request=" + event.m_request + " endpoint=" + event.m_endpoint +
+                       " reason=\"" + event.m_reason + "\" age_ms=" + std::to_string(event.m_age_ms) +
+                       " attempts=" + std::to_string(event.m_attempts) +
+                       " configuration=" + std::to_string(m_core.version().value()));
+}
+
+void entry_node::write_summary() {
+    const relay::relay_counters& counted = m_core.counters();
+    core::log_line(core::log_level::info, "relay",
+                   "summary sessions=" + std::to_string(m_core.sessions()) +
+                       " active=" + std::to_string(m_core.active()) + " links=" + std::to_string(m_core.links()) +
+                       " statements=" + std::to_string(counted.m_statements) +
+                       " succeeded=" + std::to_string(counted.m_succeeded) +
+                       " refused=" + std::to_string(counted.m_refused) +
+                       " uncertain=" + std::to_string(counted.m_uncertain) +
+                       " repeated=" + std::to_string(counted.m_repeated) +
+                       " probes=" + std::to_string(counted.m_probes) +
+                       " lines_left_out=" + std::to_string(std::exchange(m_lines_left_out, 0)));
+    m_lines = 0;
+}
+
+void entry_node::shut_down(std::function<void()> stopped) {
+    const core::time_point now = core::now();
+    m_stopped = std::move(stopped);
+    m_ready = false;
+    m_news.ask();
+    const auto limit = m_settings.m_stop_limit;
+    m_drain_sessions = core::deadline_after(now, std::min<core::milliseconds>(balancer_notice, limit / 2));
+    m_drain_transactions = core::deadline_after(now, limit * 55 / 100);
+    m_drain_end = core::deadline_after(now, limit * 85 / 100);
+    core::log_line(core::log_level::info, "entry",
+                   "stopping sessions=" + std::to_string(m_core.sessions()));
+    drain_step();
+}
+
+void entry_node::drain_step() {
+    const core::time_point now = core::now();
+    std::size_t left = m_core.sessions();
+    if (m_drain_transactions.passed(now)) {
+        m_core.abort_idle_transactions(now);
+    }
+    if (m_drain_sessions.passed(now)) {
+        left = m_core.close_idle_sessions(sessions_closed_per_step, now);
+    }
+    const bool done = m_drain_sessions.passed(now) && left == 0;
+    if (done || m_drain_end.passed(now)) {
+        core::log_line(core::log_level::info, "entry", "stopped sessions_left=" + std::to_string(left));
+        m_loop.after(drain_tick, m_stopped); // the last answers leave first
+        return;
+    }
+    m_loop.after(drain_tick, [this] { drain_step(); });
+}
+
+} // namespace mangoquay::entry
--- /dev/null
+++ b/src/entry/entry_node.h
@@ -0,0 +1,71 @@
+// Shell of an entry host of a discovered fleet: joins callers' sessions, the relay core, database links and the news
+// of control hosts.
+//
+// Owns all of these. Runs on the event loop's thread. Decides only about its own stop: the balancer is told first,
+// idle sessions are closed once it has had time to notice, transactions get half of the limit.
+#pragma once
+
+#include "entry/caller_sessions.h"
+#include "entry/database_link.h"
+#include "fleet/news_follower.h"
+#include "settings/fleet_settings.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+
+namespace mangoquay::entry {
+
+class entry_node final : private relay::relay_ports {
+public:
+    entry_node(transport::event_loop& loop, transport::message_bus& bus, transport::peer_network& network,
+               const settings::fleet_settings& chosen, const session_protocol& protocol,
+               documents::document_decoder decoder);
+    ~entry_node() override;
+    entry_node(const entry_node&) = delete;
+    entry_node& operator=(const entry_node&) = delete;
+    entry_node(entry_node&&) = delete;
+    entry_node& operator=(entry_node&&) = delete;
+
+    // Empty, or why the host cannot start.
+    std::string start();
+    // Calls `stopped` when nothing is in progress any more, or at the limit.
+    void shut_down(std::function<void()> stopped);
+    // May be called from any thread.
+    [[nodiscard]] bool ready() const { return m_ready.load(); }
+    [[nodiscard]] const relay::relay_counters& counters() const { return m_core.counters(); }
+
+private:
+    void answer(relay::session_id session, const relay::session_answer& answer) override;
+    void close_session(relay::session_id session) override;
+    void open_link(relay::link_id link, const registry::endpoint_report& target) override;
+    void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
+    void close_link(relay::link_id link) override;
+    void record(const relay::relay_event& event) override;
+
+    fleet::follower_handlers news_handlers();
+    void document_arrived(documents::document_version version, const std::string& bytes);
+    void endpoints_changed();
+    void tick();
+    void drain_step();
+    void write_summary();
+
+    transport::event_loop& m_loop;
+    settings::fleet_settings m_settings;
+    const session_protocol& m_protocol;
+    documents::document_decoder m_decoder;
+    relay::relay_core m_core;
+    caller_sessions m_callers;
+    fleet::news_follower m_news;
+    std::map<relay::link_id, std::unique_ptr<database_link>> m_links;
+    std::atomic<bool> m_ready{false};
+    core::time_point m_next_summary{};
+    std::uint64_t m_lines = 0;         // written since the last summary
+    std::uint64_t m_lines_left_out = 0;
+    core::deadline m_drain_sessions; // while stopping
+    core::deadline m_drain_transactions;
+    core::deadline m_drain_end;
+    std::function<void()> m_stopped; // set while stopping
+};
+
+} // namespace mangoquay::entry
--- /dev/null
+++ b/src/entry/session_protocol.h
@@ -0,0 +1,56 @@
+// The byte protocol of callers and databases, as a strategy: an adapter implements it, the entry host knows only the
+// decoded messages.
+//
+// An implementation keeps no state between calls but what lies in the given objects.
+#pragma once
+
+#include "registry/endpoint_registry.h"
+#include "relay/statement.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace mangoquay::entry {
+
+enum class message_kind : std::uint8_t { startup, statement, terminate, malformed, too_long };
+
+struct caller_message {
+    message_kind m_kind = message_kind::malformed;
+    std::string m_database; // of startup
+    relay::session_statement m_statement;
+};
+
+// The parts of one database answer that have arrived.
+struct partial_answer {
+    relay::database_answer m_answer;
+    bool m_complete = false;
+};
+
+enum class answer_progress : std::uint8_t { incomplete, complete, malformed };
+
+class session_protocol {
+public:
+    session_protocol() = default;
+    virtual ~session_protocol() = default;
+    session_protocol(const session_protocol&) = delete;
+    session_protocol& operator=(const session_protocol&) = delete;
+    session_protocol(session_protocol&&) = delete;
+    session_protocol& operator=(session_protocol&&) = delete;
+
+    // Takes one message from `received` at `offset` and moves the offset past it; nothing when it is not complete.
+    virtual std::optional<caller_message> decode_caller(const std::string& received, std::size_t& offset) const = 0;
+    virtual void encode_ready(std::string& out) const = 0;
+    // A refusal outside of any statement; the connection is closed after it.
+    virtual void encode_refusal(relay::refusal reason, const std::string& text, std::string& out) const = 0;
+    virtual void encode_answer(const relay::session_answer& answer, std::string& out) const = 0;
+
+    virtual void encode_startup(const registry::endpoint_report& target, std::string& out) const = 0;
+    virtual void encode_request(const relay::database_request& request, std::string& out) const = 0;
+    // Adds what `received` holds of one answer and moves the offset past it. The answer to a startup is one without
+    // rows and signature.
+    virtual answer_progress decode_answer(const std::string& received, std::size_t& offset,
+                                          partial_answer& answer) const = 0;
+};
+
+} // namespace mangoquay::entry
--- /dev/null
+++ b/src/fleet/control_node.h
@@ -0,0 +1,74 @@
+// Shell of a control host of a discovered fleet: a member of the Raft cell that keeps the configuration document, a
+// receiver of endpoint reports and, while it leads, the one that orders promotions.
+//
+// Owns all of these. Runs on the event loop's thread; the calls of the HTTP adapter are posted to it.
+#pragma once
+
+#include "consensus/raft_driver.h"
+#include "documents/document_register.h"
+#include "fleet/news_follower.h"
+#include "fleet/news_source.h"
+#include "settings/fleet_settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace mangoquay::fleet {
+
+enum class call_verdict : std::uint8_t {
+    done,
+    invalid,     // the caller's mistake
+    redirected,  // the leader has to answer
+    unavailable, // not known now; the caller may ask again or elsewhere
+};
+
+struct call_outcome {
+    call_verdict m_verdict = call_verdict::unavailable;
+    std::string m_text; // the document, or a reason
+    core::entry_host_id m_leader; // of redirected
+};
+
+using call_done = std::function<void(call_outcome)>;
+
+class control_node {
+public:
+    control_node(transport::event_loop& loop, transport::message_bus& bus, transport::peer_network& network,
+                 const settings::fleet_settings& chosen, documents::document_decoder decoder);
+    ~control_node();
+    control_node(const control_node&) = delete;
+    control_node& operator=(const control_node&) = delete;
+    control_node(control_node&&) = delete;
+    control_node& operator=(control_node&&) = delete;
+
+    consensus::status start();
+
+    // Calls from outside, on the loop's thread; each calls `done` once.
+    void replace_document(std::string bytes, const call_done& done);
+    void read_document(const call_done& done);
+    void report(const registry::endpoint_report& report);
+    // `started_ms` tells which incarnation leaves, when its message says so.
+    void leave(const core::endpoint_id& endpoint, std::optional<std::int64_t> started_ms);
+
+private:
+    void tick();
+    void join_if_alone(core::time_point now);
+    void join_asked(const core::entry_host_id& from, const wire::cell_joinT& request);
+    void committed(const std::string& payload);
+    [[nodiscard]] call_outcome leader_needed() const;
+    follower_handlers news_handlers();
+
+    transport::event_loop& m_loop;
+    transport::message_bus& m_bus;
+    transport::peer_network& m_network;
+    settings::fleet_settings m_settings;
+    core::entry_host_id m_self;
+    documents::document_decoder m_decoder;
+    documents::document_register m_documents;
+    std::unique_ptr<consensus::raft_driver> m_raft;
+    news_follower m_news;
+    news_source m_source;
+    core::time_point m_leader_seen{};
+};
+
+} // namespace mangoquay::fleet
--- /dev/null
+++ b/src/fleet/news_follower.cpp
@@ -0,0 +1,110 @@
+// Questions to control hosts and the merge of their answers.
+#include "fleet/news_follower.h"
+
+#include "core/log.h"
+#include "registry/registry_wire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoquay::fleet {
+namespace {
+
+// Changes are pushed; this period only repairs what a lost link dropped.
+constexpr core::milliseconds ask_period{500};
+// A control host that is no member any more and has not answered for this long is forgotten.
+constexpr core::milliseconds forget_after{20000};
+
+} // namespace
+
+core::entry_host_id host_id(const control::socket_address& address) {
+    return core::entry_host_id(address.m_host);
+}
+
+news_follower::news_follower(transport::event_loop& loop, transport::message_bus& bus,
+                             transport::peer_network& network, follower_identity identity,
+                             follower_handlers handlers)
+    : m_loop(loop), m_bus(bus), m_network(network), m_identity(std::move(identity)),
+      m_handlers(std::move(handlers)) {
+    m_bus.on<wire::fleet_updateT>([this](const auto& from, const auto& news) { updated(from, news); });
+}
+
+void news_follower::start(const std::vector<control::socket_address>& known_control) {
+    for (const control::socket_address& address : known_control) {
+        add_control_host(host_id(address));
+    }
+    tick();
+}
+
+void news_follower::add_control_host(const core::entry_host_id& host) {
+    if (host == m_identity.m_self || !m_control_hosts.insert(host).second) {
+        return;
+    }
+    m_answered[host] = core::now();
+    // Ports are the same on all hosts of a fleet.
+    m_network.set_address(host, {host.value(), m_identity.m_peer_address.m_port});
+    core::log_line(core::log_level::info, "fleet", "control host known host=" + host.value());
+}
+
+void news_follower::tick() {
+    const core::time_point now = core::now();
+    std::erase_if(m_control_hosts, [&](const core::entry_host_id& host) {
+        const bool forgotten = m_control_hosts.size() > 1 && m_answered[host] + forget_after < now;
+        if (forgotten) {
+            core::log_line(core::log_level::info, "fleet", "control host forgotten host=" + host.value());
+        }
+        return forgotten;
+    });
+    m_registry.forget_old(now);
+    ask();
+    m_loop.after(ask_period, [this] { tick(); });
+}
+
+void news_follower::ask() {
+    wire::fleet_followT question;
+    question.is_entry = m_identity.m_is_entry;
+    question.ready = m_handlers.m_ready();
+    question.peer_host = m_identity.m_peer_address.m_host;
+    question.peer_port = m_identity.m_peer_address.m_port;
+    question.document_version = m_handlers.m_version().value();
+    question.registry_digest = m_registry.digest();
+    for (const relay::primary_sighting& seen : m_handlers.m_sightings()) {
+        auto view = std::make_unique<wire::primary_viewT>();
+        view->endpoint = seen.m_endpoint.value();
+        view->answered = seen.m_answered;
+        view->failing = seen.m_failing;
+        question.primaries.push_back(std::move(view));
+    }
+    for (const core::entry_host_id& host : m_control_hosts) {
+        m_bus.send(host, question);
+    }
+}
+
+void news_follower::updated(const core::entry_host_id& from, const wire::fleet_updateT& news) {
+    const core::time_point now = core::now();
+    m_heard = now;
+    m_answered[from] = now;
+    for (const std::string& host : news.control_hosts) {
+        add_control_host(core::entry_host_id(host));
+    }
+    bool changed = false;
+    for (const auto& entry : news.endpoints) {
+        const registry::endpoint_report report = registry::from_wire(*entry);
+        changed = m_registry.merge(report, now) == registry::merge_outcome::changed || changed;
+    }
+    if (news.entry_hosts > 0) {
+        m_entry_hosts[from] = news.entry_hosts;
+        const auto largest = std::ranges::max_element(
+            m_entry_hosts, {}, [](const auto& one) { return one.second; });
+        m_handlers.m_entry_hosts(largest->second);
+    }
+    if (!news.document.empty()) {
+        m_handlers.m_document(documents::document_version(news.document_version),
+                              std::string(news.document.begin(), news.document.end()));
+    }
+    if (changed) {
+        m_handlers.m_endpoints_changed();
+    }
+}
+
+} // namespace mangoquay::fleet
--- /dev/null
+++ b/src/fleet/news_follower.h
@@ -0,0 +1,70 @@
+// Follows every control host that this host knows: configuration documents and endpoint reports.
+//
+// Decides: whom to ask, how often. Owns: the known control hosts and the registry of endpoints. Several hosts are
+// followed at once, because what they say is merged: one that is cut off or stale does no harm. The shell provides
+// the document handler, since control hosts take documents from their log instead.
+#pragma once
+
+#include "documents/configuration.h"
+#include "registry/endpoint_registry.h"
+#include "relay/relay_core.h"
+#include "transport/message_bus.h"
+#include "transport/peer_network.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace mangoquay::fleet {
+
+// Hosts are named by their IP numbers, because nothing else about them is known in advance.
+core::entry_host_id host_id(const control::socket_address& address);
+
+struct follower_identity {
+    core::entry_host_id m_self;
+    control::socket_address m_peer_address;
+    bool m_is_entry = false;
+};
+
+struct follower_handlers {
+    std::function<void(documents::document_version, const std::string& bytes)> m_document;
+    std::function<void()> m_endpoints_changed;
+    std::function<void(std::uint32_t)> m_entry_hosts;
+    std::function<std::vector<relay::primary_sighting>()> m_sightings;
+    std::function<bool()> m_ready;
+    std::function<documents::document_version()> m_version;
+};
+
+class news_follower {
+public:
+    news_follower(transport::event_loop& loop, transport::message_bus& bus, transport::peer_network& network,
+                  follower_identity identity, follower_handlers handlers);
+
+    void start(const std::vector<control::socket_address>& known_control);
+    // Asks all known control hosts now.
+    void ask();
+    void add_control_host(const core::entry_host_id& host);
+
+    [[nodiscard]] registry::endpoint_registry& endpoints() { return m_registry; }
+    [[nodiscard]] const std::set<core::entry_host_id>& control_hosts() const { return m_control_hosts; }
+    // When a control host last answered.
+    [[nodiscard]] std::optional<core::time_point> heard() const { return m_heard; }
+
+private:
+    void tick();
+    void updated(const core::entry_host_id& from, const wire::fleet_updateT& news);
+
+    transport::event_loop& m_loop;
+    transport::message_bus& m_bus;
+    transport::peer_network& m_network;
+    follower_identity m_identity;
+    follower_handlers m_handlers;
+    std::set<core::entry_host_id> m_control_hosts;
+    std::map<core::entry_host_id, core::time_point> m_answered;
+    std::map<core::entry_host_id, std::uint32_t> m_entry_hosts; // as each control host counts them
+    registry::endpoint_registry m_registry;
+    std::optional<core::time_point> m_heard;
+};
+
+} // namespace mangoquay::fleet
--- /dev/null
+++ b/src/fleet/news_source.cpp
@@ -0,0 +1,79 @@
+// News for followers.
+#include "fleet/news_source.h"
+
+#include "registry/registry_wire.h"
+
+#include <algorithm>
+
+namespace mangoquay::fleet {
+namespace {
+
+// Followers ask every half a second. Their share of connections is kept for some seconds after they fall silent,
+// because a host that is cut off from here may still use it.
+constexpr core::milliseconds follower_lifetime{6000};
+
+} // namespace
+
+news_source::news_source(transport::message_bus& bus, transport::peer_network& network,
+                         const documents::document_register& documents, registry::endpoint_registry& endpoints)
+    : m_bus(bus), m_network(network), m_documents(documents), m_registry(endpoints) {}
+
+std::uint32_t news_source::entry_hosts() const {
+    return static_cast<std::uint32_t>(
+        std::ranges::count_if(m_followers, [](const auto& one) { return one.second.m_is_entry; }));
+}
+
+void news_source::forget_silent(core::time_point now) {
+    std::erase_if(m_followers, [now](const auto& one) { return one.second.m_heard + follower_lifetime < now; });
+}
+
+void news_source::asked(const core::entry_host_id& from, const wire::fleet_followT& question,
+                        const std::set<core::entry_host_id>& control_hosts, core::time_point now) {
+    forget_silent(now);
+    if (!m_followers.contains(from)) {
+        m_network.set_address(from, {question.peer_host, question.peer_port});
+    }
+    follower_record& follower = m_followers[from];
+    follower.m_is_entry = question.is_entry;
+    follower.m_heard = now;
+    follower.m_primaries.clear();
+    for (const auto& view : question.primaries) {
+        follower.m_primaries[core::endpoint_id(view->endpoint)] = {view->answered, view->failing};
+    }
+    wire::fleet_updateT news;
+    for (const core::entry_host_id& host : control_hosts) {
+        news.control_hosts.push_back(host.value());
+    }
+    news.entry_hosts = entry_hosts();
+    news.document_version = m_documents.version().value();
+    if (question.document_version < news.document_version) {
+        news.document.assign(m_documents.bytes().begin(), m_documents.bytes().end());
+    }
+    if (question.registry_digest != m_registry.digest()) {
+        for (const auto& [id, entry] : m_registry.entries()) {
+            news.endpoints.push_back(std::make_unique<wire::endpoint_entryT>(registry::to_wire(entry.m_report)));
+        }
+    }
+    m_bus.send(from, std::move(news));
+}
+
+void news_source::document_changed() {
+    for (const auto& [host, follower] : m_followers) {
+        wire::fleet_updateT news;
+        news.document_version = m_documents.version().value();
+        news.document.assign(m_documents.bytes().begin(), m_documents.bytes().end());
+        m_bus.send(host, std::move(news));
+    }
+}
+
+void news_source::report_merged(const registry::endpoint_report& report, bool changed) {
+    for (const auto& [host, follower] : m_followers) {
+        if (changed || !follower.m_is_entry) {
+            wire::fleet_updateT news;
+            news.endpoints.push_back(std::make_unique<wire::endpoint_entryT>(registry::to_wire(report)));
+            m_bus.send(host, std::move(news));
+        }
+    }
+}
+
+} // namespace mangoquay::fleet
--- /dev/null
+++ b/src/fleet/news_source.h
@@ -0,0 +1,55 @@
+// Answers the followers of a control host and pushes changes to them.
+//
+// Owns: the followers, volatile. A follower that lacks something gets it in one message.
+#pragma once
+
+#include "core/clock.h"
+#include "documents/document_register.h"
+#include "registry/endpoint_registry.h"
+#include "transport/message_bus.h"
+#include "transport/peer_network.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace mangoquay::fleet {
+
+// What an entry host last said of a primary.
+struct primary_view {
+    bool m_answered = false;
+    bool m_failing = false;
+};
+
+struct follower_record {
+    bool m_is_entry = false;
+    core::time_point m_heard{};
+    std::map<core::endpoint_id, primary_view> m_primaries;
+};
+
+class news_source {
+public:
+    news_source(transport::message_bus& bus, transport::peer_network& network,
+                const documents::document_register& documents, registry::endpoint_registry& endpoints);
+
+    // Answers a question.
+    void asked(const core::entry_host_id& from, const wire::fleet_followT& question,
+               const std::set<core::entry_host_id>& control_hosts, core::time_point now);
+    void document_changed();
+    // A report was merged here. Control hosts get every one, because they watch for silence.
+    void report_merged(const registry::endpoint_report& report, bool changed);
+
+    [[nodiscard]] const std::map<core::entry_host_id, follower_record>& followers() const { return m_followers; }
+    [[nodiscard]] std::uint32_t entry_hosts() const;
+
+private:
+    void forget_silent(core::time_point now);
+
+    transport::message_bus& m_bus;
+    transport::peer_network& m_network;
+    const documents::document_register& m_documents;
+    registry::endpoint_registry& m_registry;
+    std::map<core::entry_host_id, follower_record> m_followers;
+};
+
+} // namespace mangoquay::fleet
--- a/src/gateway/http_gateway.cpp
+++ b/src/gateway/http_gateway.cpp
@@ -310,7 +310,7 @@
 
 bool http_gateway::wait_until_idle(core::deadline limit) const {
     while (!m_server->connections().idle()) {
-        if (limit.passed(std::chrono::steady_clock::now())) {
+        if (limit.passed(core::now())) {
             return false;
         }
         std::this_thread::sleep_for(idle_poll);
--- a/src/gateway/statement_calls.cpp
+++ b/src/gateway/statement_calls.cpp
@@ -47,7 +47,7 @@
 
 // `kind`: absent when the body says it.
 api_response run(const api_call& call, statement_body shape, std::optional<statement_kind> kind) {
-    auto decoded = decode_statement(shape, call.m_request.m_body, std::chrono::steady_clock::now());
+    auto decoded = decode_statement(shape, call.m_request.m_body, core::now());
     if (!decoded) {
         return refusal(core::reason::malformed_request, decoded.reason());
     }
--- a/src/process/process.cpp
+++ b/src/process/process.cpp
@@ -4,33 +4,17 @@
 #include "control_host/control_host.h"
 #include "core/log.h"
 #include "dialect/postgres_dialect.h"
+#include "process/stop_signals.h"
 #include "proxy/proxy_node.h"
 #include "transport/event_loop.h"
 #include "transport/message_bus.h"
 #include "transport/peer_network.h"
 
-#include <sys/epoll.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
-
-#include <csignal>
 #include <memory>
 
 namespace mangoquay::process {
 namespace {
 
-// A descriptor that becomes readable on SIGTERM and SIGINT. Called before any thread starts, so that all
-// inherit the blocked mask.
-int take_stop_signals() {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigprocmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 int fail(const std::string& what) {
     core::log_line(core::log_level::error, "process", what);
     return 1;
@@ -39,8 +23,9 @@
 } // namespace
 
 int run_process(const settings::settings& chosen) {
-    const int stop_signals = take_stop_signals();
+    stop_signals signals;
     transport::event_loop loop;
+    signals.watch(loop);
     transport::peer_network network(loop, chosen.m_host, chosen.m_cluster_key);
     transport::message_bus bus(loop, network, chosen.m_host);
     const dialect::postgres_dialect strategy;
@@ -72,12 +57,7 @@
         }
     }
 
-    loop.watch(stop_signals, EPOLLIN, [&](std::uint32_t) {
-        signalfd_siginfo info{};
-        if (::read(stop_signals, &info, sizeof info) != sizeof info) {
-            return;
-        }
-        loop.unwatch(stop_signals); // a second signal changes nothing
+    signals.on_stop([&] {
         if (proxy) {
             proxy->shut_down([&loop] { loop.stop(); });
         } else {
--- /dev/null
+++ b/src/registry/endpoint_registry.cpp
@@ -0,0 +1,112 @@
+// Merge order, expiry and digest of endpoint reports.
+#include "registry/endpoint_registry.h"
+
+#include <string_view>
+#include <tuple>
+
+namespace mangoquay::registry {
+namespace {
+
+auto age_order(const endpoint_report& report) {
+    return std::tuple(report.m_started_ms, report.m_sequence);
+}
+
+bool same_content(endpoint_report left, const endpoint_report& right) {
+    left.m_sequence = right.m_sequence;
+    return left == right;
+}
+
+// FNV-1a, 64 bits: stable across builds, unlike std::hash.
+class digest_builder {
+public:
+    void add(std::string_view text) {
+        for (const char byte : text) {
+            m_value = (m_value ^ static_cast<unsigned char>(byte)) * prime;
+        }
+        m_value = (m_value ^ 0xffU) * prime;
+    }
+    void add(std::uint64_t number) { add(std::to_string(number)); }
+    [[nodiscard]] std::uint64_t value() const { return m_value; }
+
+private:
+    static constexpr std::uint64_t prime = 1099511628211U;
+    std::uint64_t m_value = 14695981039346656037U;
+};
+
+} // namespace
+
+merge_outcome endpoint_registry::merge(const endpoint_report& report, core::time_point now) {
+    const auto found = m_entries.find(report.m_id);
+    if (found == m_entries.end()) {
+        m_entries.emplace(report.m_id, endpoint_entry{report, now});
+        return merge_outcome::changed;
+    }
+    endpoint_report& held = found->second.m_report;
+    if (age_order(report) <= age_order(held)) {
+        return merge_outcome::stale;
+    }
+    // Within one incarnation nothing follows the deregistration.
+    if (held.m_state == report_state::gone && report.m_started_ms == held.m_started_ms) {
+        return merge_outcome::stale;
+    }
+    const bool same = same_content(held, report);
+    found->second = endpoint_entry{report, now};
+    return same ? merge_outcome::refreshed : merge_outcome::changed;
+}
+
+bool endpoint_registry::remove(const core::endpoint_id& id, core::time_point now) {
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.m_report.m_state == report_state::gone) {
+        return false;
+    }
+    found->second.m_report.m_state = report_state::gone;
+    ++found->second.m_report.m_sequence;
+    found->second.m_heard = now;
+    return true;
+}
+
+void endpoint_registry::forget_old(core::time_point now) {
+    std::erase_if(m_entries, [now](const auto& one) {
+        const endpoint_entry& entry = one.second;
+        return entry.m_report.m_state == report_state::gone && entry.m_heard + gone_lifetime < now;
+    });
+}
+
+std::vector<endpoint_report> endpoint_registry::listed() const {
+    std::map<control::socket_address, const endpoint_report*> newest;
+    for (const auto& [id, entry] : m_entries) {
+        const endpoint_report*& held = newest[entry.m_report.m_address];
+        if (held == nullptr || held->m_started_ms < entry.m_report.m_started_ms) {
+            held = &entry.m_report;
+        }
+    }
+    std::vector<endpoint_report> listed;
+    for (const auto& [address, report] : newest) {
+        if (report->m_state != report_state::gone) {
+            listed.push_back(*report);
+        }
+    }
+    return listed;
+}
+
+const endpoint_entry* endpoint_registry::find(const core::endpoint_id& id) const {
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+std::uint64_t endpoint_registry::digest() const {
+    digest_builder digest;
+    for (const auto& [id, entry] : m_entries) {
+        const endpoint_report& report = entry.m_report;
+        digest.add(id.value());
+        digest.add(report.m_service.value());
+        digest.add(report.m_address.m_host);
+        digest.add(report.m_address.m_port);
+        digest.add(static_cast<std::uint64_t>(report.m_state));
+        digest.add(static_cast<std::uint64_t>(report.m_is_primary));
+        digest.add(static_cast<std::uint64_t>(report.m_started_ms));
+    }
+    return digest.value();
+}
+
+} // namespace mangoquay::registry
--- /dev/null
+++ b/src/relay/link.h
@@ -0,0 +1,47 @@
+// A connection to a database, as the relay core sees it.
+//
+// Invariants:
+// - answers come in the order of m_expected, one each;
+// - m_session is empty exactly while no caller's work is on the link;
+// - m_values and m_prepared are what the database holds for the connection once all of m_expected are answered.
+#pragma once
+
+#include "core/ids.h"
+#include "relay/session.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace mangoquay::relay {
+
+enum class link_phase : std::uint8_t { opening, idle, busy };
+
+enum class link_step : std::uint8_t {
+    prepare, // session values or a prepared statement
+    begin,   // plain; only a primary accepts it
+    begin_read_only,
+    statement, // the caller's
+    rollback,  // ends a transaction that the relay or the caller gave up
+    probe,     // the begin of an empty transaction that asks the primary for its position
+};
+
+struct expected_answer {
+    link_step m_step = link_step::statement;
+    core::time_point m_sent{};
+};
+
+struct link {
+    core::endpoint_id m_endpoint;
+    link_phase m_phase = link_phase::opening;
+    std::optional<session_id> m_session;
+    std::deque<expected_answer> m_expected;
+    std::map<std::string, std::string> m_values;
+    std::set<std::string> m_prepared; // names given by prepared_name()
+    core::deadline m_answer_by;       // of the first of m_expected, or of the opening
+    core::time_point m_heard{};       // the last answer
+};
+
+} // namespace mangoquay::relay
--- /dev/null
+++ b/src/relay/placement.cpp
@@ -0,0 +1,100 @@
+// The cost of an endpoint is the time until it answers, as expected from its recent answers, plus penalties.
+#include "relay/placement.h"
+
+#include <algorithm>
+
+namespace mangoquay::relay {
+namespace {
+
+// A replica in another zone is worth its bytes only when the own zone's is slower by more than this.
+constexpr double other_zone_penalty_ms = 25.0;
+constexpr double suspect_penalty_ms = 2000.0;
+constexpr double shedding_penalty_ms = 300.0;
+constexpr double lagging_penalty_ms = 400.0;
+constexpr double avoided_penalty_ms = 1000.0;
+// Reads stay off the primary while a replica is about as good: writes can go nowhere else.
+constexpr double primary_penalty_ms = 5.0;
+
+bool has_free_link(const endpoint_view& view, std::uint32_t links_per_endpoint) {
+    return view.m_busy < links_per_endpoint;
+}
+
+bool probably_lags(const endpoint_view& view, const placement_request& request) {
+    if (!request.m_position || (view.m_position && *view.m_position >= *request.m_position)) {
+        return false;
+    }
+    return request.m_position_is_recent;
+}
+
+double cost_of(const endpoint_view& view, const placement_request& request, core::time_point now) {
+    const double slots = std::max(1.0, static_cast<double>(view.m_report.m_slots));
+    double cost = view.m_answer_ms * (1.0 + static_cast<double>(view.m_busy) / slots);
+    cost += view.m_report.m_zone == request.m_zone ? 0.0 : other_zone_penalty_ms;
+    cost += view.m_suspect.passed(now) ? 0.0 : suspect_penalty_ms;
+    cost += view.m_shedding.passed(now) ? 0.0 : shedding_penalty_ms;
+    if (view.m_report.m_is_primary) {
+        return cost + primary_penalty_ms;
+    }
+    const bool lags = !view.m_lagging.passed(now) || probably_lags(view, request);
+    return cost + (lags ? lagging_penalty_ms : 0.0);
+}
+
+bool serves_reads(const endpoint_view& view, const core::service_name& service) {
+    return view.m_report.m_service == service && view.m_report.m_state == registry::report_state::ready;
+}
+
+placement_outcome place_on_primary(const endpoint_views& views, const placement_request& request,
+                                   core::time_point now) {
+    placement_outcome outcome;
+    const endpoint_view* primary = find_primary(views, request.m_service, now);
+    if (primary == nullptr) {
+        return outcome;
+    }
+    outcome.m_known = primary->m_suspect.passed(now);
+    if (has_free_link(*primary, request.m_links_per_endpoint)) {
+        outcome.m_chosen = placement{primary->m_report.m_id, "primary"};
+    }
+    return outcome;
+}
+
+} // namespace
+
+const endpoint_view* find_primary(const endpoint_views& views, const core::service_name& service,
+                                  core::time_point now) {
+    const endpoint_view* best = nullptr;
+    for (const auto& [id, view] : views) {
+        const bool claims = view.m_report.m_service == service && view.m_report.m_is_primary &&
+                            view.m_refuted.passed(now);
+        if (claims && (best == nullptr || best->m_position < view.m_position)) {
+            best = &view;
+        }
+    }
+    return best;
+}
+
+placement_outcome choose_endpoint(const endpoint_views& views, const placement_request& request,
+                                  core::time_point now) {
+    if (request.m_needs_primary) {
+        return place_on_primary(views, request, now);
+    }
+    placement_outcome outcome;
+    double least = 0.0;
+    for (const auto& [id, view] : views) {
+        if (!serves_reads(view, request.m_service)) {
+            continue;
+        }
+        outcome.m_known = outcome.m_known || view.m_suspect.passed(now);
+        if (!has_free_link(view, request.m_links_per_endpoint)) {
+            continue;
+        }
+        const bool avoided = request.m_avoided != nullptr && request.m_avoided->contains(id);
+        const double cost = cost_of(view, request, now) + (avoided ? avoided_penalty_ms : 0.0);
+        if (!outcome.m_chosen || cost < least) {
+            least = cost;
+            outcome.m_chosen = placement{id, view.m_report.m_is_primary ? "primary" : "replica"};
+        }
+    }
+    return outcome;
+}
+
+} // namespace mangoquay::relay
--- /dev/null
+++ b/src/relay/placement.h
@@ -0,0 +1,61 @@
+// Which endpoint a statement goes to: a pure function over what this host knows of the endpoints.
+//
+// Answers the load pattern of uneven replicas: an endpoint that is slow or busy costs more and gets less.
+#pragma once
+
+#include "core/clock.h"
+#include "core/history_position.h"
+#include "core/ids.h"
+#include "registry/endpoint_registry.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace mangoquay::relay {
+
+// What this host has learnt about an endpoint from its own traffic.
+struct endpoint_view {
+    registry::endpoint_report m_report;
+    std::uint32_t m_links = 0; // open and opening
+    std::uint32_t m_busy = 0;  // of them
+    core::deadline m_suspect;  // after a failure: avoided while others can serve
+    core::duration m_suspect_step{}; // doubles with each failure in a row
+    core::deadline m_shedding; // it refused work for lack of slots
+    core::deadline m_lagging;  // it lacked a position that was asked for
+    core::deadline m_refuted;  // it is no primary, whatever it reports
+    double m_answer_ms = 15.0; // exponentially weighted; starts near the work of the sheets' short requests
+    std::optional<core::history_position> m_position; // last seen
+    core::time_point m_position_at{};
+};
+
+using endpoint_views = std::map<core::endpoint_id, endpoint_view>;
+
+struct placement_request {
+    core::service_name m_service;
+    core::availability_zone m_zone; // of this host
+    bool m_needs_primary = false;
+    std::optional<core::history_position> m_position; // that the endpoint must hold
+    bool m_position_is_recent = false; // replicas have probably not received it yet
+    const std::set<core::endpoint_id>* m_avoided = nullptr;
+    std::uint32_t m_links_per_endpoint = 1;
+};
+
+struct placement {
+    core::endpoint_id m_endpoint;
+    const char* m_reason = "";
+};
+
+// The primary by the endpoints' own reports, or nothing. Of several the one of the latest term that was seen.
+const endpoint_view* find_primary(const endpoint_views& views, const core::service_name& service,
+                                  core::time_point now);
+
+// Nothing when no endpoint can take the statement now; the reason is for the log.
+struct placement_outcome {
+    std::optional<placement> m_chosen;
+    bool m_known = false; // an endpoint that could serve it exists, but has no free link or is avoided
+};
+placement_outcome choose_endpoint(const endpoint_views& views, const placement_request& request,
+                                  core::time_point now);
+
+} // namespace mangoquay::relay
--- /dev/null
+++ b/src/relay/relay_core.h
@@ -0,0 +1,198 @@
+// Carries statements of callers' sessions to databases and their answers back.
+//
+// Decides: which endpoint runs a statement, on which link, after which preparation; what is repeated and what the
+// caller is told. Owns: sessions, links, what this host has learnt about endpoints. Deterministic: no socket, clock or
+// log; it acts through relay_ports, whose functions must not call back.
+//
+// Safety rules:
+// - a read on a `latest` route runs inside a plain transaction, which an endpoint that lost the lead refuses;
+// - any other read carries a position that covers what its caller must see;
+// - a refusal that promises "not run" is given only when no single write and no commit of the attempt was sent,
+//   or the database itself said that it did not run;
+// - an answer belongs to the statement at the head of its link's queue; a link with an answer missing is closed,
+//   never reused.
+#pragma once
+
+#include "documents/configuration.h"
+#include "relay/freshness.h"
+#include "relay/link.h"
+#include "relay/placement.h"
+#include "relay/session.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mangoquay::relay {
+
+// A decision that touches a caller's statement, for the log.
+struct relay_event {
+    const char* m_what = "";
+    std::string m_request;
+    std::string m_endpoint;
+    std::string m_reason;
+    std::int64_t m_age_ms = 0; // since the statement arrived
+    std::uint32_t m_attempts = 0;
+};
+
+class relay_ports {
+public:
+    relay_ports() = default;
+    virtual ~relay_ports() = default;
+    relay_ports(const relay_ports&) = delete;
+    relay_ports& operator=(const relay_ports&) = delete;
+    relay_ports(relay_ports&&) = delete;
+    relay_ports& operator=(relay_ports&&) = delete;
+
+    virtual void answer(session_id session, const session_answer& answer) = 0;
+    virtual void close_session(session_id session) = 0;
+    // Answered by link_opened() or link_failed().
+    virtual void open_link(link_id link, const registry::endpoint_report& target) = 0;
+    virtual void send(link_id link, const std::vector<database_request>& requests) = 0;
+    // No event of the link follows.
+    virtual void close_link(link_id link) = 0;
+    virtual void record(const relay_event& event) = 0;
+};
+
+struct relay_limits {
+    core::availability_zone m_zone;
+    // Kept free at each database for control hosts and for hosts that are just starting.
+    std::uint32_t m_reserved_connections = 3;
+    std::uint32_t m_entry_hosts = 8; // that share the connections, until control hosts say how many there are
+};
+
+struct relay_counters {
+    std::uint64_t m_statements = 0;
+    std::uint64_t m_succeeded = 0;
+    std::uint64_t m_refused = 0;      // with the promise that nothing ran
+    std::uint64_t m_uncertain = 0;    // without
+    std::uint64_t m_repeated = 0;     // attempts after the first
+    std::uint64_t m_probes = 0;       // for the primary's position
+    std::uint64_t m_links_opened = 0;
+    std::uint64_t m_replica_reads = 0;
+    std::uint64_t m_primary_reads = 0;
+};
+
+// What this host saw of a service's primary, for the control hosts.
+struct primary_sighting {
+    core::endpoint_id m_endpoint;
+    bool m_answered = false; // within the last second or so
+    bool m_failing = false;  // links fail and none has answered since
+};
+
+class relay_core {
+public:
+    relay_core(relay_ports& ports, relay_limits limits);
+
+    void configure(documents::configuration next, core::time_point now);
+    void endpoints_changed(const std::vector<registry::endpoint_report>& listed, core::time_point now);
+    void entry_hosts_counted(std::uint32_t count) { m_limits.m_entry_hosts = std::max(1U, count); }
+
+    // False: no route has that name.
+    bool session_opened(session_id id, const std::string& database);
+    void statement_received(session_id id, session_statement statement, core::time_point now);
+    void session_closed(session_id id, core::time_point now);
+    // Closes sessions without a statement or transaction in progress, at most `most` of them, and marks the others
+    // to be closed when theirs has ended. Returns how many sessions are left.
+    std::size_t close_idle_sessions(std::size_t most, core::time_point now);
+    // Ends open transactions that have no statement in progress.
+    void abort_idle_transactions(core::time_point now);
+
+    void link_opened(link_id id, std::optional<core::history_position> position, core::time_point now);
+    void link_answered(link_id id, const database_answer& answer, core::time_point now);
+    // `reason` tells a refused connection from one that broke.
+    void link_failed(link_id id, std::optional<refusal> reason, core::time_point now);
+
+    void tick(core::time_point now);
+
+    [[nodiscard]] bool configured() const { return m_configuration.m_version.value() > 0; }
+    [[nodiscard]] documents::document_version version() const { return m_configuration.m_version; }
+    [[nodiscard]] std::size_t sessions() const { return m_sessions.size(); }
+    [[nodiscard]] std::size_t active() const { return m_active.size(); }
+    [[nodiscard]] std::size_t links() const { return m_links.size(); }
+    [[nodiscard]] const relay_counters& counters() const { return m_counters; }
+    [[nodiscard]] std::vector<primary_sighting> sightings(core::time_point now) const;
+
+private:
+    using statement_handler = void (relay_core::*)(session_id, session&, session_statement, core::time_point);
+
+    // relay_sessions.cpp: statements that need no database, transactions, answers to callers.
+    void start_next(session_id id, core::time_point now);
+    void start(session_id id, session& caller, session_statement statement, core::time_point now);
+    void begin(session_id id, session& caller, session_statement statement, core::time_point now);
+    void end_transaction(session_id id, session& caller, session_statement statement, core::time_point now);
+    void set_value(session_id id, session& caller, session_statement statement, core::time_point now);
+    void prepare(session_id id, session& caller, session_statement statement, core::time_point now);
+    void deallocate(session_id id, session& caller, session_statement statement, core::time_point now);
+    void run(session_id id, session& caller, session_statement statement, core::time_point now);
+    void reject_malformed(session_id id, session& caller, session_statement statement, core::time_point now);
+    void succeed_locally(session_id id, session& caller, const session_statement& statement);
+    void refuse(session_id id, session& caller, refusal reason, const std::string& text, core::time_point now);
+    void finish(session_id id, session& caller, session_answer answer, core::time_point now);
+    void leave_transaction(session& caller);
+
+    // relay_dispatch.cpp: endpoints and links for statements.
+    void dispatch(session_id id, core::time_point now);
+    void dispatch_waiting(core::time_point now);
+    [[nodiscard]] bool needs_primary(const session& caller, const documents::route_rule& route) const;
+    // False: not provable now; a probe was started.
+    bool require_position(const session& caller, const documents::route_rule& route, placement_request& request,
+                          core::time_point now);
+    std::optional<link_id> take_link(const core::endpoint_id& endpoint, const session& caller, core::time_point now);
+    void open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now);
+    void prepare_link(session_id id, session& caller, link_id number, core::time_point now);
+    void send_statement(session& caller, link_id number, core::time_point now);
+    // What the link lacks of the session's values and prepared statements; the link's record is updated.
+    static std::vector<database_request> missing_values(const session& caller, link& on);
+    std::optional<std::pair<link_step, database_request>> transaction_start(const session& caller, const link& on,
+                                                                            core::time_point now);
+    void occupy(link& on);
+    void start_probe(const core::service_name& service, core::time_point now);
+    void hedge(session_id id, session& caller, core::time_point now);
+    [[nodiscard]] std::uint32_t links_allowed(const core::service_name& service) const;
+
+    // relay_links.cpp: answers and failures of links.
+    void preparation_answered(link_id id, link_step step, const database_answer& answer, core::time_point now);
+    void statement_answered(link_id id, const expected_answer& expected, const database_answer& answer,
+                            core::time_point now);
+    void statement_succeeded(session_id owner, link_id id, const expected_answer& expected,
+                             const database_answer& answer, core::time_point now);
+    void statement_refused(session_id owner, link_id id, const database_answer& answer, core::time_point now);
+    bool repeat(session_id owner, session& caller, refusal reason, const std::string& text, core::time_point now);
+    void note_refusal(const core::endpoint_id& endpoint, refusal reason, core::time_point now);
+    void note_failure(const core::endpoint_id& endpoint, core::time_point now);
+    void observe(const link& on, const expected_answer& expected, const database_answer& answer,
+                 core::time_point now);
+    void lose_link(link_id id, const std::string& reason, core::time_point now);
+    void link_lost_by(session_id owner, const std::string& reason, core::time_point now);
+    void release(link_id id, core::time_point now);
+    void detach(session& caller, core::time_point now);
+    void drop_link(link_id id);
+    void send(link_id id, link& on, const std::vector<database_request>& requests,
+              const std::vector<link_step>& steps, core::time_point now);
+    void check_link(link_id id, core::time_point now);
+    void check_session(session_id id, core::time_point now);
+
+    [[nodiscard]] const documents::route_rule* route_of(const session& caller) const;
+    void record(const char* what, const session& caller, const std::string& endpoint, const std::string& reason,
+                core::time_point now);
+
+    relay_ports& m_ports;
+    relay_limits m_limits;
+    documents::configuration m_configuration;
+    std::unordered_map<session_id, session> m_sessions;
+    std::map<session_id, int> m_active; // sessions with a statement or transaction in progress
+    std::map<link_id, link> m_links;
+    endpoint_views m_endpoints;
+    std::map<core::service_name, freshness> m_freshness;
+    std::map<core::service_name, link_id> m_probes; // in progress
+    std::uint64_t m_last_link = 0;
+    relay_counters m_counters;
+};
+
+// The name under which a shape is prepared on every link, whatever its callers call it.
+std::string prepared_name(const prepared_statement& statement);
+
+} // namespace mangoquay::relay
--- /dev/null
+++ b/src/relay/relay_dispatch.cpp
@@ -0,0 +1,369 @@
+// Finds an endpoint and a link for a statement and prepares the link for it.
+#include "relay/relay_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoquay::relay {
+namespace {
+
+// A new connection takes about 12 ms (sheet); a lost opening packet is repeated only after a second.
+constexpr core::milliseconds opening_limit{700};
+// A preparation needs no slot, so a database that is reached answers within a round trip.
+constexpr core::milliseconds preparation_limit{400};
+// A link that was silent for so long may be dead without a reset; it proves itself before a write uses it.
+constexpr core::milliseconds unproven_after{1500};
+// Replicas lag by 60 to 150 ms (sheet).
+constexpr core::milliseconds usual_lag{200};
+// Links kept open at each endpoint from the start, so that the first statements do not wait for one.
+constexpr std::uint32_t links_ahead = 1;
+// A fresh position is asked for when the newest is older than this part of what a reader may see.
+constexpr int ask_at_age_divisor = 2;
+
+} // namespace
+
+std::string prepared_name(const prepared_statement& statement) {
+    return (statement.m_access == access_kind::write ? "w_" : "r_") + statement.m_shape;
+}
+
+std::uint32_t relay_core::links_allowed(const core::service_name& service) const {
+    const documents::service_rule* rule = m_configuration.service(service);
+    if (rule == nullptr) {
+        return 1;
+    }
+    const std::uint32_t shared = rule->m_connections > m_limits.m_reserved_connections
+                                     ? rule->m_connections - m_limits.m_reserved_connections
+                                     : 1;
+    return std::max(1U, shared / m_limits.m_entry_hosts);
+}
+
+bool relay_core::needs_primary(const session& caller, const documents::route_rule& route) const {
+    if (route.m_consistency == documents::consistency::latest || caller.m_operation->m_writes ||
+        caller.m_operation->m_fenced) {
+        return true;
+    }
+    return caller.m_state == transaction_state::open && !caller.m_transaction.m_read_only;
+}
+
+void relay_core::dispatch(session_id id, core::time_point now) {
+    session& caller = m_sessions.at(id);
+    operation& work = *caller.m_operation;
+    if (caller.m_link) { // inside a transaction
+        prepare_link(id, caller, *caller.m_link, now);
+        return;
+    }
+    const documents::route_rule* route = route_of(caller);
+    if (route == nullptr) {
+        refuse(id, caller, refusal::unknown_database, "the route was removed", now);
+        return;
+    }
+    if (!work.m_not_before.passed(now)) {
+        return;
+    }
+    placement_request request;
+    request.m_service = route->m_service;
+    request.m_zone = m_limits.m_zone;
+    request.m_needs_primary = needs_primary(caller, *route);
+    request.m_avoided = &work.m_avoided;
+    request.m_links_per_endpoint = links_allowed(route->m_service);
+    if (!request.m_needs_primary && !require_position(caller, *route, request, now)) {
+        work.m_last_refusal = refusal::lagging;
+        work.m_last_reason = "freshness cannot be proven";
+        return;
+    }
+    const placement_outcome outcome = choose_endpoint(m_endpoints, request, now);
+    if (!outcome.m_chosen) {
+        work.m_last_reason = outcome.m_known ? "all connections are in use" : "no usable endpoint";
+        return;
+    }
+    if (const auto number = take_link(outcome.m_chosen->m_endpoint, caller, now)) {
+        caller.m_link = number;
+        m_links.at(*number).m_session = id;
+        prepare_link(id, caller, *number, now);
+    }
+}
+
+void relay_core::dispatch_waiting(core::time_point now) {
+    std::vector<std::pair<std::pair<std::uint32_t, core::time_point>, session_id>> waiting;
+    for (const auto& [id, unused] : m_active) {
+        const session& caller = m_sessions.at(id);
+        if (!caller.m_operation || caller.m_operation->m_phase != operation_phase::waiting) {
+            continue;
+        }
+        const documents::route_rule* route = route_of(caller);
+        const std::uint32_t priority = route == nullptr ? 0 : route->m_priority;
+        waiting.push_back({{priority, caller.m_operation->m_arrived}, id});
+    }
+    std::ranges::sort(waiting);
+    for (const auto& [order, id] : waiting) {
+        const auto found = m_sessions.find(id);
+        if (found != m_sessions.end() && found->second.m_operation &&
+            found->second.m_operation->m_phase == operation_phase::waiting) {
+            dispatch(id, now);
+            start_next(id, now);
+        }
+    }
+}
+
+// The age counts from the arrival of the statement, or of its transaction: what happens to this host afterwards does
+// not matter for what the caller must see.
+bool relay_core::require_position(const session& caller, const documents::route_rule& route,
+                                  placement_request& request, core::time_point now) {
+    const bool in_transaction = caller.m_state == transaction_state::open;
+    const core::time_point arrived =
+        in_transaction ? caller.m_transaction.m_arrived : caller.m_operation->m_arrived;
+    freshness& known = m_freshness[route.m_service];
+    const auto newest = known.newest();
+    if (!newest || *newest + route.m_largest_age / ask_at_age_divisor < now) {
+        start_probe(route.m_service, now);
+    }
+    const auto covering = known.covering(arrived - route.m_largest_age);
+    if (!covering) {
+        return false;
+    }
+    request.m_position = covering;
+    if (route.m_consistency == documents::consistency::read_your_writes && caller.m_own_commit &&
+        *caller.m_own_commit > *covering) {
+        request.m_position = caller.m_own_commit;
+        request.m_position_is_recent = caller.m_committed_at + usual_lag > now;
+    }
+    return true;
+}
+
+// An idle link, preferably one that holds the session's values; otherwise a new one is opened for a later dispatch.
+std::optional<link_id> relay_core::take_link(const core::endpoint_id& endpoint, const session& caller,
+                                             core::time_point now) {
+    std::optional<link_id> best;
+    std::uint32_t opening = 0;
+    for (const auto& [number, one] : m_links) {
+        if (one.m_endpoint != endpoint) {
+            continue;
+        }
+        opening += one.m_phase == link_phase::opening ? 1 : 0;
+        if (one.m_phase == link_phase::idle && (!best || one.m_values == caller.m_values)) {
+            best = number;
+        }
+    }
+    if (!best && opening == 0) {
+        open_links(endpoint, 1, now);
+    }
+    return best;
+}
+
+void relay_core::open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now) {
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end() || !found->second.m_suspect.passed(now)) {
+        return; // a suspect endpoint is tried again when its back-off has ended
+    }
+    endpoint_view& view = found->second;
+    const std::uint32_t allowed = links_allowed(view.m_report.m_service);
+    for (; wanted > 0 && view.m_links < allowed; --wanted) {
+        const link_id number(++m_last_link);
+        link opened;
+        opened.m_endpoint = endpoint;
+        opened.m_answer_by.m_at = now + opening_limit;
+        m_links.emplace(number, std::move(opened));
+        ++view.m_links;
+        ++m_counters.m_links_opened;
+        m_ports.open_link(number, view.m_report);
+    }
+}
+
+std::vector<database_request> relay_core::missing_values(const session& caller, link& on) {
+    std::vector<database_request> requests;
+    const bool drops = std::ranges::any_of(
+        on.m_values, [&](const auto& one) { return !caller.m_values.contains(one.first); });
+    if (drops) {
+        requests.push_back({.m_kind = request_kind::reset});
+        on.m_values.clear();
+        on.m_prepared.clear();
+    }
+    for (const auto& [name, value] : caller.m_values) {
+        const auto held = on.m_values.find(name);
+        if (held == on.m_values.end() || held->second != value) {
+            requests.push_back({.m_kind = request_kind::set_value, .m_name = name, .m_argument = value});
+            on.m_values[name] = value;
+        }
+    }
+    const session_statement& statement = caller.m_operation->m_statement;
+    if (statement.m_kind == statement_kind::execute) {
+        const prepared_statement& wanted = caller.m_prepared.at(statement.m_name);
+        const std::string name = prepared_name(wanted);
+        if (on.m_prepared.insert(name).second) {
+            requests.push_back({.m_kind = request_kind::prepare,
+                                .m_name = name,
+                                .m_argument = wanted.m_shape,
+                                .m_access = wanted.m_access});
+        }
+    }
+    return requests;
+}
+
+std::optional<std::pair<link_step, database_request>>
+relay_core::transaction_start(const session& caller, const link&, core::time_point now) {
+    const documents::route_rule* route = route_of(caller);
+    const bool latest = route == nullptr || route->m_consistency == documents::consistency::latest;
+    const bool fenced = latest || caller.m_operation->m_fenced;
+    if (caller.m_state == transaction_state::idle) {
+        const bool fences_read = fenced && !caller.m_operation->m_writes;
+        return fences_read ? std::optional(std::pair{link_step::begin, database_request{.m_kind = request_kind::begin}})
+                           : std::nullopt;
+    }
+    if (caller.m_transaction.m_begun) {
+        return std::nullopt;
+    }
+    if (fenced || !caller.m_transaction.m_read_only) {
+        return std::pair{link_step::begin, database_request{.m_kind = request_kind::begin}};
+    }
+    placement_request needed;
+    require_position(caller, *route, needed, now);
+    return std::pair{link_step::begin_read_only, database_request{.m_kind = request_kind::begin_read_only,
+                                                                  .m_least_position = needed.m_position}};
+}
+
+void relay_core::occupy(link& on) {
+    if (on.m_phase == link_phase::idle) {
+        on.m_phase = link_phase::busy;
+        ++m_endpoints.at(on.m_endpoint).m_busy;
+    }
+}
+
+// Sends what has to come before the statement and waits for the answers, or sends the statement at once.
+void relay_core::prepare_link(session_id, session& caller, link_id number, core::time_point now) {
+    link& on = m_links.at(number);
+    const bool unproven = on.m_heard + unproven_after < now;
+    occupy(on);
+    std::vector<database_request> requests = missing_values(caller, on);
+    std::vector<link_step> steps(requests.size(), link_step::prepare);
+    if (auto start = transaction_start(caller, on, now)) {
+        caller.m_operation->m_fenced =
+            caller.m_operation->m_fenced || (caller.m_state == transaction_state::idle);
+        steps.push_back(start->first);
+        requests.push_back(std::move(start->second));
+    } else if (requests.empty() && unproven && caller.m_state == transaction_state::idle) {
+        requests = {{.m_kind = request_kind::begin_read_only}, {.m_kind = request_kind::rollback}};
+        steps = {link_step::prepare, link_step::prepare};
+    }
+    if (requests.empty()) {
+        send_statement(caller, number, now);
+        return;
+    }
+    caller.m_operation->m_phase = operation_phase::preparing;
+    on.m_answer_by.m_at = now + preparation_limit;
+    send(number, on, requests, steps, now);
+}
+
+void relay_core::send_statement(session& caller, link_id number, core::time_point now) {
+    link& on = m_links.at(number);
+    operation& work = *caller.m_operation;
+    const session_statement& statement = work.m_statement;
+    database_request request{.m_id = statement.m_id, .m_argument = statement.m_text};
+    if (statement.m_kind == statement_kind::execute) {
+        request.m_kind = request_kind::execute;
+        request.m_name = prepared_name(caller.m_prepared.at(statement.m_name));
+        request.m_argument = statement.m_argument;
+    }
+    const documents::route_rule* route = route_of(caller);
+    if (caller.m_state == transaction_state::idle && !work.m_writes && !work.m_fenced && route != nullptr) {
+        placement_request needed;
+        require_position(caller, *route, needed, now);
+        request.m_least_position = needed.m_position;
+    }
+    work.m_phase = operation_phase::running;
+    ++work.m_attempts;
+    m_counters.m_repeated += work.m_attempts > 1 ? 1 : 0;
+    work.m_hedge.m_at = now + (route == nullptr ? core::milliseconds(1000) : route->m_target_latency / 2);
+    on.m_answer_by = work.m_limit;
+    caller.m_transaction.m_wrote = caller.m_transaction.m_wrote || work.m_writes;
+    record("sent", caller, on.m_endpoint.value(), work.m_fenced ? "fenced" : "direct", now);
+    send(number, on, {std::move(request)}, {link_step::statement}, now);
+}
+
+void relay_core::send(link_id id, link& on, const std::vector<database_request>& requests,
+                      const std::vector<link_step>& steps, core::time_point now) {
+    for (const link_step step : steps) {
+        on.m_expected.push_back({step, now});
+    }
+    m_ports.send(id, requests);
+}
+
+// An empty transaction at the primary: it takes no slot, and only a primary accepts it.
+void relay_core::start_probe(const core::service_name& service, core::time_point now) {
+    if (m_probes.contains(service)) {
+        return;
+    }
+    const endpoint_view* primary = find_primary(m_endpoints, service, now);
+    if (primary == nullptr) {
+        return;
+    }
+    const core::endpoint_id endpoint = primary->m_report.m_id;
+    const auto number = take_link(endpoint, session{}, now);
+    if (!number) {
+        return;
+    }
+    link& on = m_links.at(*number);
+    occupy(on);
+    on.m_answer_by.m_at = now + preparation_limit;
+    m_probes[service] = *number;
+    ++m_counters.m_probes;
+    send(*number, on, {{.m_kind = request_kind::begin}, {.m_kind = request_kind::rollback}},
+         {link_step::probe, link_step::rollback}, now);
+}
+
+void relay_core::endpoints_changed(const std::vector<registry::endpoint_report>& listed, core::time_point now) {
+    std::set<core::endpoint_id> present;
+    for (const registry::endpoint_report& report : listed) {
+        present.insert(report.m_id);
+        endpoint_view& view = m_endpoints[report.m_id];
+        const bool restarted =
+            !view.m_report.m_id.value().empty() && view.m_report.m_started_ms != report.m_started_ms;
+        if (restarted || (!view.m_report.m_is_primary && report.m_is_primary)) {
+            view.m_suspect = {};
+            view.m_refuted = {};
+        }
+        view.m_report = report;
+    }
+    for (auto one = m_endpoints.begin(); one != m_endpoints.end();) {
+        // Links that are in use finish their work; the record stays until they are gone.
+        if (present.contains(one->first) || one->second.m_busy > 0) {
+            if (!present.contains(one->first)) {
+                one->second.m_report.m_state = registry::report_state::gone;
+                one->second.m_report.m_is_primary = false;
+            }
+            ++one;
+            continue;
+        }
+        std::vector<link_id> idle;
+        for (const auto& [number, link] : m_links) {
+            if (link.m_endpoint == one->first) {
+                idle.push_back(number);
+            }
+        }
+        for (const link_id number : idle) {
+            m_links.erase(number);
+            m_ports.close_link(number);
+        }
+        one = m_endpoints.erase(one);
+    }
+    for (const core::endpoint_id& id : present) {
+        if (m_endpoints.at(id).m_links < links_ahead && configured()) {
+            open_links(id, links_ahead - m_endpoints.at(id).m_links, now);
+        }
+    }
+    dispatch_waiting(now);
+}
+
+void relay_core::configure(documents::configuration next, core::time_point now) {
+    if (next.m_version <= m_configuration.m_version) {
+        return;
+    }
+    m_configuration = std::move(next);
+    for (const auto& [id, view] : m_endpoints) {
+        if (view.m_links < links_ahead) {
+            open_links(id, links_ahead - view.m_links, now);
+        }
+    }
+    dispatch_waiting(now);
+}
+
+} // namespace mangoquay::relay
--- /dev/null
+++ b/src/relay/relay_sessions.cpp
@@ -0,0 +1,275 @@
+// Sessions: statements answered without a database, transaction states, answers to callers.
+#include "relay/relay_core.h"
+
+#include <array>
+#include <utility>
+
+namespace mangoquay::relay {
+namespace {
+
+// A statement is answered this long before its limit, so that the answer arrives in time.
+constexpr core::milliseconds answer_margin{15};
+// A caller is refused rather than held when half of its latency target passed without an endpoint.
+constexpr int refuse_after_divisor = 2;
+// A read that has waited for this share of its latency target is sent to a second endpoint.
+constexpr int hedge_after_divisor = 2;
+
+constexpr const char* no_signature = "-";
+
+core::time_point earlier(core::time_point left, core::time_point right) {
+    return left < right ? left : right;
+}
+
+} // namespace
+
+bool relay_core::session_opened(session_id id, const std::string& database) {
+    if (m_configuration.route(database) == nullptr) {
+        return false;
+    }
+    session opened;
+    opened.m_database = database;
+    m_sessions[id] = std::move(opened);
+    return true;
+}
+
+void relay_core::statement_received(session_id id, session_statement statement, core::time_point now) {
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end()) {
+        return;
+    }
+    ++m_counters.m_statements;
+    if (found->second.m_operation || !found->second.m_waiting.empty()) {
+        found->second.m_waiting.push_back(std::move(statement));
+        return;
+    }
+    start(id, found->second, std::move(statement), now);
+    start_next(id, now);
+}
+
+void relay_core::start_next(session_id id, core::time_point now) {
+    for (;;) {
+        const auto found = m_sessions.find(id);
+        if (found == m_sessions.end() || found->second.m_operation || found->second.m_waiting.empty()) {
+            return;
+        }
+        session_statement next = std::move(found->second.m_waiting.front());
+        found->second.m_waiting.pop_front();
+        start(id, found->second, std::move(next), now);
+    }
+}
+
+void relay_core::start(session_id id, session& caller, session_statement statement, core::time_point now) {
+    // In the order of statement_kind.
+    static constexpr std::array<statement_handler, 11> handlers{
+        &relay_core::begin,     &relay_core::begin,           &relay_core::end_transaction,
+        &relay_core::end_transaction, &relay_core::run,       &relay_core::run,
+        &relay_core::set_value, &relay_core::prepare,         &relay_core::run,
+        &relay_core::deallocate, &relay_core::reject_malformed};
+    const bool ends = statement.m_kind == statement_kind::rollback || statement.m_kind == statement_kind::commit;
+    operation started;
+    started.m_statement = statement;
+    started.m_arrived = now;
+    caller.m_operation = std::move(started);
+    if (caller.m_state == transaction_state::failed && !ends) {
+        if (caller.m_transaction.m_lost) {
+            refuse(id, caller, refusal::aborted, "the transaction was ended; nothing of it is kept", now);
+            return;
+        }
+        refuse(id, caller, refusal::malformed, "the transaction failed; roll it back", now);
+        return;
+    }
+    (this->*handlers.at(static_cast<std::size_t>(statement.m_kind)))(id, caller, std::move(statement), now);
+}
+
+// The database learns of a transaction with its first statement, so a pause after the begin holds no connection.
+void relay_core::begin(session_id id, session& caller, session_statement statement, core::time_point now) {
+    if (caller.m_state != transaction_state::idle) {
+        refuse(id, caller, refusal::malformed, "a transaction is open", now);
+        return;
+    }
+    if (route_of(caller) == nullptr) {
+        refuse(id, caller, refusal::unknown_database, "no route of that name", now);
+        return;
+    }
+    caller.m_state = transaction_state::open;
+    caller.m_transaction = {};
+    caller.m_transaction.m_read_only = statement.m_kind == statement_kind::begin_read_only;
+    caller.m_transaction.m_arrived = now;
+    m_active[id] = 0;
+    succeed_locally(id, caller, statement);
+}
+
+void relay_core::end_transaction(session_id id, session& caller, session_statement statement,
+                                 core::time_point now) {
+    if (caller.m_state == transaction_state::idle) {
+        refuse(id, caller, refusal::malformed, "no transaction is open", now);
+        return;
+    }
+    const bool commits = statement.m_kind == statement_kind::commit;
+    if (commits && caller.m_state == transaction_state::open) {
+        run(id, caller, std::move(statement), now);
+        return;
+    }
+    detach(caller, now);
+    leave_transaction(caller);
+    if (commits) {
+        refuse(id, caller, refusal::aborted, "the transaction had failed and is rolled back", now);
+        return;
+    }
+    succeed_locally(id, caller, statement);
+}
+
+void relay_core::set_value(session_id id, session& caller, session_statement statement, core::time_point) {
+    caller.m_values[statement.m_name] = statement.m_argument;
+    succeed_locally(id, caller, statement);
+}
+
+void relay_core::prepare(session_id id, session& caller, session_statement statement, core::time_point) {
+    caller.m_prepared[statement.m_name] = {statement.m_access, statement.m_argument};
+    succeed_locally(id, caller, statement);
+}
+
+void relay_core::deallocate(session_id id, session& caller, session_statement statement, core::time_point now) {
+    if (caller.m_prepared.erase(statement.m_name) == 0) {
+        refuse(id, caller, refusal::unknown_statement, "no prepared statement of that name", now);
+        return;
+    }
+    succeed_locally(id, caller, statement);
+}
+
+void relay_core::reject_malformed(session_id id, session& caller, session_statement /*statement*/,
+                                  core::time_point now) {
+    refuse(id, caller, refusal::malformed, "the statement cannot be read", now);
+}
+
+void relay_core::run(session_id id, session& caller, session_statement statement, core::time_point now) {
+    const documents::route_rule* route = route_of(caller);
+    if (route == nullptr) {
+        refuse(id, caller, refusal::unknown_database, "no route of that name", now);
+        return;
+    }
+    operation& work = *caller.m_operation;
+    work.m_writes = statement.m_kind == statement_kind::write;
+    if (statement.m_kind == statement_kind::execute) {
+        const auto prepared = caller.m_prepared.find(statement.m_name);
+        if (prepared == caller.m_prepared.end()) {
+            refuse(id, caller, refusal::unknown_statement, "no prepared statement of that name", now);
+            return;
+        }
+        work.m_writes = prepared->second.m_access == access_kind::write;
+    }
+    work.m_limit.m_at = now + route->m_statement_limit - answer_margin;
+    work.m_refuse.m_at = earlier(now + route->m_target_latency / refuse_after_divisor, work.m_limit.m_at);
+    m_active[id] = 0;
+    dispatch(id, now);
+}
+
+void relay_core::succeed_locally(session_id id, session& caller, const session_statement& statement) {
+    session_answer answer;
+    answer.m_request = statement.m_id;
+    answer.m_text = no_signature;
+    answer.m_state = caller.m_state;
+    caller.m_operation.reset();
+    if (caller.m_state == transaction_state::idle) {
+        m_active.erase(id);
+    }
+    m_ports.answer(id, answer);
+}
+
+void relay_core::refuse(session_id id, session& caller, refusal reason, const std::string& text,
+                        core::time_point now) {
+    session_answer answer;
+    answer.m_refusal = reason;
+    answer.m_text = text;
+    const bool kept = promises_not_run(reason) || reason == refusal::malformed || reason == refusal::unknown_database;
+    ++(kept ? m_counters.m_refused : m_counters.m_uncertain);
+    record("refused", caller, "", to_string(reason) + std::string(" ") + text, now);
+    finish(id, caller, std::move(answer), now);
+}
+
+// Answers the statement in progress. The caller's transaction state is that of the session after it.
+void relay_core::finish(session_id id, session& caller, session_answer answer, core::time_point now) {
+    const documents::route_rule* route = route_of(caller);
+    answer.m_request = caller.m_operation->m_statement.m_id;
+    if (answer.m_refusal && caller.m_state == transaction_state::open) {
+        caller.m_state = transaction_state::failed;
+    }
+    answer.m_state = caller.m_state;
+    caller.m_operation.reset();
+    if (caller.m_state == transaction_state::idle) {
+        m_active.erase(id);
+    }
+    const core::milliseconds idle = m_configuration.m_transaction_idle_limit;
+    if (route != nullptr && idle.count() > 0) {
+        caller.m_transaction.m_idle_limit.m_at = now + idle;
+    } else {
+        caller.m_transaction.m_idle_limit.m_at = core::time_point::max();
+    }
+    m_ports.answer(id, answer);
+    if (caller.m_closing && caller.m_state == transaction_state::idle && caller.m_waiting.empty()) {
+        m_sessions.erase(id);
+        m_ports.close_session(id);
+    }
+}
+
+void relay_core::leave_transaction(session& caller) {
+    caller.m_state = transaction_state::idle;
+    caller.m_transaction = {};
+}
+
+void relay_core::session_closed(session_id id, core::time_point now) {
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end()) {
+        return;
+    }
+    detach(found->second, now);
+    m_active.erase(id);
+    m_sessions.erase(found);
+    dispatch_waiting(now);
+}
+
+std::size_t relay_core::close_idle_sessions(std::size_t most, core::time_point) {
+    std::size_t closed = 0;
+    for (auto one = m_sessions.begin(); one != m_sessions.end();) {
+        const bool idle = !one->second.m_operation && one->second.m_waiting.empty() &&
+                          one->second.m_state == transaction_state::idle;
+        one->second.m_closing = true;
+        if (!idle || closed == most) {
+            ++one;
+            continue;
+        }
+        ++closed;
+        const session_id id = one->first;
+        one = m_sessions.erase(one);
+        m_ports.close_session(id);
+    }
+    return m_sessions.size();
+}
+
+void relay_core::abort_idle_transactions(core::time_point now) {
+    for (auto& [id, caller] : m_sessions) {
+        if (caller.m_state == transaction_state::open && !caller.m_operation) {
+            detach(caller, now);
+            caller.m_state = transaction_state::failed;
+            caller.m_transaction.m_lost = true;
+            record("transaction ended", caller, "", "the host stops", now);
+        }
+    }
+}
+
+const documents::route_rule* relay_core::route_of(const session& caller) const {
+    return m_configuration.route(caller.m_database);
+}
+
+void relay_core::record(const char* what, const session& caller, const std::string& endpoint,
+                        const std::string& reason, core::time_point now) {
+    relay_event event{what, "", endpoint, reason, 0, 0};
+    if (caller.m_operation) {
+        event.m_request = caller.m_operation->m_statement.m_id;
+        event.m_attempts = caller.m_operation->m_attempts;
+        event.m_age_ms = std::chrono::duration_cast<core::milliseconds>(now - caller.m_operation->m_arrived).count();
+    }
+    m_ports.record(event);
+}
+
+} // namespace mangoquay::relay
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -59,18 +59,6 @@
     return value;
 }
 
-std::optional<control::socket_address> read_address(json_reader& reader, const char* name) {
-    const std::optional<std::string> text = reader.text(name);
-    if (!text) {
-        return std::nullopt;
-    }
-    std::optional<control::socket_address> address = parse_socket_address(*text);
-    if (!address) {
-        reader.error(name, address_allowed);
-    }
-    return address;
-}
-
 void read_roles(json_reader& reader, settings& into) {
     reader.required("roles", "an array with \"proxy\", \"control\" or both");
     const std::optional<std::vector<std::string>> roles = reader.identifiers("roles");
@@ -99,7 +87,7 @@
             member.required("host", "the id of a control host");
             member.required("peer_address", address_allowed);
             host.m_host = core::entry_host_id(member.identifier("host").value_or(""));
-            host.m_peer_address = read_address(member, "peer_address").value_or(control::socket_address{});
+            host.m_peer_address = read_socket_address(member, "peer_address").value_or(control::socket_address{});
             if (!hosts.insert(host.m_host).second) {
                 member.error("host", "no host twice");
             }
@@ -264,8 +252,8 @@
     reader.required("peer_address", address_allowed);
     into.m_host = core::entry_host_id(reader.identifier("host").value_or(""));
     into.m_zone = core::availability_zone(reader.identifier("zone").value_or(""));
-    into.m_peer_address = read_address(reader, "peer_address").value_or(control::socket_address{});
-    into.m_http_address = read_address(reader, "http_address");
+    into.m_peer_address = read_socket_address(reader, "peer_address").value_or(control::socket_address{});
+    into.m_http_address = read_socket_address(reader, "http_address");
     const std::optional<std::string> folder = reader.text("data_folder");
     into.m_data_folder = folder ? files.resolve(*folder) : std::filesystem::path{};
     const std::optional<std::string> trace = reader.text("trace_file");
@@ -319,11 +307,7 @@
     if (errors.empty()) {
         return read;
     }
-    std::string reason;
-    for (const json_error& error : errors) {
-        reason += (reason.empty() ? "" : "\n") + path.string() + ": " + to_string(error);
-    }
-    return core::result<settings>::failure(reason);
+    return core::result<settings>::failure(core::describe_errors(path.string(), errors));
 }
 
 } // namespace mangoquay::settings
--- a/src/settings/socket_address_text.cpp
+++ b/src/settings/socket_address_text.cpp
@@ -38,6 +38,18 @@
     return address;
 }
 
+std::optional<control::socket_address> read_socket_address(core::json_reader& reader, const char* name) {
+    const std::optional<std::string> text = reader.text(name);
+    if (!text) {
+        return std::nullopt;
+    }
+    std::optional<control::socket_address> address = parse_socket_address(*text);
+    if (!address) {
+        reader.error(name, address_allowed);
+    }
+    return address;
+}
+
 std::string to_text(const control::socket_address& address) {
     const bool needs_brackets = address.m_host.find(':') != std::string::npos;
     const std::string host = needs_brackets ? "[" + address.m_host + "]" : address.m_host;
--- a/src/settings/socket_address_text.h
+++ b/src/settings/socket_address_text.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "control/control_state.h"
+#include "core/json_reader.h"
 
 #include <optional>
 #include <string>
@@ -14,6 +15,8 @@
 
 // Port 0 is refused.
 std::optional<control::socket_address> parse_socket_address(std::string_view text);
+// Nothing and, when the member is there, an error otherwise.
+std::optional<control::socket_address> read_socket_address(core::json_reader& reader, const char* name);
 std::string to_text(const control::socket_address& address);
 
 } // namespace mangoquay::settings
--- /dev/null
+++ b/src/transport/byte_stream.cpp
@@ -0,0 +1,211 @@
+// Reading, writing and closing of plain TCP connections.
+#include "transport/byte_stream.h"
+
+#include "transport/socket_options.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace mangoquay::transport {
+namespace {
+
+constexpr std::size_t read_bytes = 16384;
+constexpr int listen_backlog = 1024;
+constexpr core::milliseconds closing_limit{1000};
+
+} // namespace
+
+byte_stream::byte_stream(event_loop& loop, int socket, stream_handlers handlers)
+    : m_loop(loop), m_socket(socket), m_handlers(std::move(handlers)) {
+    set_stream_options(m_socket);
+    watch_again();
+}
+
+byte_stream::byte_stream(event_loop& loop, const control::socket_address& address, stream_handlers handlers)
+    : m_loop(loop), m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+      m_handlers(std::move(handlers)), m_connecting(true) {
+    const auto target = to_socket_address(address);
+    if (m_socket < 0 || !target) {
+        fail(m_socket < 0 ? std::strerror(errno) : "not an IP number");
+        return;
+    }
+    set_stream_options(m_socket);
+    const int connected = ::connect(m_socket, reinterpret_cast<const sockaddr*>(&*target), sizeof *target);
+    if (connected < 0 && errno != EINPROGRESS) {
+        fail(std::strerror(errno));
+        return;
+    }
+    watch_again();
+}
+
+byte_stream::~byte_stream() {
+    if (m_socket >= 0) {
+        m_loop.unwatch(m_socket);
+        ::close(m_socket);
+    }
+}
+
+void byte_stream::watch_again() {
+    std::uint32_t wanted = m_connecting || !m_unsent.empty() ? EPOLLOUT : 0U;
+    if (!m_connecting && m_unsent.size() < largest_unsent_bytes) {
+        wanted |= EPOLLIN;
+    }
+    if (wanted != m_events) {
+        m_events = wanted;
+        m_loop.watch(m_socket, wanted, [this](std::uint32_t events) { ready(events); });
+    }
+}
+
+void byte_stream::ready(std::uint32_t events) {
+    if (m_failed) {
+        return;
+    }
+    if (m_connecting) {
+        int error = 0;
+        socklen_t size = sizeof error;
+        getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &error, &size);
+        if (error != 0) {
+            fail(std::strerror(error));
+            return;
+        }
+        m_connecting = false;
+        flush();
+        const std::weak_ptr<int> alive = m_alive;
+        m_handlers.m_connected();
+        if (alive.expired() || m_failed) {
+            return;
+        }
+        watch_again();
+        return;
+    }
+    if ((events & EPOLLOUT) != 0) {
+        flush();
+    }
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !m_failed) {
+        read_ready();
+    }
+}
+
+void byte_stream::read_ready() {
+    std::array<char, read_bytes> buffer{};
+    const ssize_t count = ::recv(m_socket, buffer.data(), buffer.size(), 0);
+    if (count == 0) {
+        fail("closed by the peer");
+        return;
+    }
+    if (count < 0) {
+        if (errno != EAGAIN && errno != EINTR) {
+            fail(std::strerror(errno));
+        }
+        return;
+    }
+    m_received.append(buffer.data(), static_cast<std::size_t>(count));
+    m_handlers.m_received(m_received); // may destroy this object
+}
+
+void byte_stream::write(std::string_view bytes) {
+    if (m_failed) {
+        return;
+    }
+    if (m_unsent.size() + bytes.size() > 4 * largest_unsent_bytes) {
+        fail("the peer does not read");
+        return;
+    }
+    m_unsent.append(bytes);
+    if (!m_connecting && (m_events & EPOLLOUT) == 0) {
+        flush();
+    }
+}
+
+void byte_stream::flush() {
+    while (!m_unsent.empty()) {
+        const ssize_t count = ::send(m_socket, m_unsent.data(), m_unsent.size(), MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count < 0 && errno != EAGAIN) {
+            fail(std::strerror(errno));
+            return;
+        }
+        if (count < 0) {
+            break;
+        }
+        m_unsent.erase(0, static_cast<std::size_t>(count));
+    }
+    watch_again();
+}
+
+void byte_stream::fail(const std::string& reason) {
+    if (m_failed) {
+        return;
+    }
+    m_failed = true;
+    if (m_events != 0) {
+        m_loop.unwatch(m_socket);
+        m_events = 0;
+    }
+    m_loop.post([this, alive = std::weak_ptr(m_alive), reason] {
+        if (!alive.expired()) {
+            m_handlers.m_closed(reason); // may destroy this object
+        }
+    });
+}
+
+void byte_stream::close_when_sent(std::unique_ptr<byte_stream> stream) {
+    if (stream->m_failed || stream->m_unsent.empty()) {
+        return;
+    }
+    event_loop& loop = stream->m_loop;
+    const std::shared_ptr<byte_stream> closing = std::move(stream);
+    closing->m_handlers.m_received = [](std::string& received) { received.clear(); };
+    closing->m_handlers.m_closed = [](const std::string&) {};
+    loop.after(closing_limit, [closing] {});
+}
+
+stream_listener::~stream_listener() {
+    if (m_socket >= 0) {
+        m_loop.unwatch(m_socket);
+        ::close(m_socket);
+    }
+}
+
+core::result<std::uint16_t> stream_listener::listen(const control::socket_address& address,
+                                                    accept_handler handler) {
+    const auto bound = to_socket_address(address);
+    if (!bound) {
+        return core::result<std::uint16_t>::failure("not an IP number: " + address.m_host);
+    }
+    m_on_accept = std::move(handler);
+    m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in given = *bound;
+    socklen_t size = sizeof given;
+    const bool listening = ::bind(m_socket, reinterpret_cast<const sockaddr*>(&given), sizeof given) == 0 &&
+                           ::listen(m_socket, listen_backlog) == 0 &&
+                           getsockname(m_socket, reinterpret_cast<sockaddr*>(&given), &size) == 0;
+    if (!listening) {
+        return core::result<std::uint16_t>::failure(address.m_host + ":" + std::to_string(address.m_port) + ": " +
+                                                    std::strerror(errno));
+    }
+    m_loop.watch(m_socket, EPOLLIN, [this](std::uint32_t) { accept_ready(); });
+    return ntohs(given.sin_port);
+}
+
+void stream_listener::accept_ready() {
+    for (;;) {
+        const int socket = ::accept4(m_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0) {
+            return; // none is waiting, or descriptors ran out and the next event tries again
+        }
+        m_on_accept(socket);
+    }
+}
+
+} // namespace mangoquay::transport
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -45,7 +45,7 @@
     void watch(int socket, std::uint32_t events, socket_handler handler);
     void unwatch(int socket);
 
-    [[nodiscard]] static core::time_point now() { return std::chrono::steady_clock::now(); }
+    [[nodiscard]] static core::time_point now() { return core::now(); }
 
 private:
     struct watched_socket {
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -1,6 +1,8 @@
 // Opening, writing and reading of links.
 #include "transport/peer_link.h"
 
+#include "transport/socket_options.h"
+
 #include "core/log.h"
 
 #include <arpa/inet.h>
@@ -22,22 +24,9 @@
 // Short, so that a restarted peer is reached again well within one lease of 1,000 ms.
 constexpr auto largest_backoff = core::milliseconds(400);
 // Unacknowledged data older than this closes a link, so that a silent cut is noticed.
-constexpr unsigned user_timeout_ms = 3000;
 constexpr std::size_t read_chunk_bytes = 64U * 1024U;
 constexpr std::size_t compaction_bytes = 1U << 20U;
 
-void set_link_options(int socket) {
-    const int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
-    const int idle_s = 1;
-    const int probes = 3;
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof idle_s);
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-}
-
 bool parse_address(const control::socket_address& address, sockaddr_in& parsed) {
     parsed = {};
     parsed.sin_family = AF_INET;
@@ -104,7 +93,7 @@
         fail("no socket or bad address");
         return;
     }
-    set_link_options(m_socket);
+    set_stream_options(m_socket);
     m_state = link_state::connecting;
     const int outcome = ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address);
     if (outcome < 0 && errno != EINPROGRESS) {
@@ -232,7 +221,7 @@
 
 incoming_link::incoming_link(peer_network& network, int socket)
     : m_network(network), m_socket(socket), m_handshake(network.m_cluster_key, network.m_self.value()) {
-    set_link_options(m_socket);
+    set_stream_options(m_socket);
     m_network.m_loop.watch(m_socket, EPOLLIN, [this](std::uint32_t) { ready(); });
     // A stranger that connects and stays silent is dropped.
     m_handshake_timer = m_network.m_loop.after(handshake_limit, [this] { m_network.incoming_closed(this); });
--- /dev/null
+++ b/src/transport/socket_options.cpp
@@ -0,0 +1,39 @@
+// Limits after which the system gives up a silent connection.
+#include "transport/socket_options.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace mangoquay::transport {
+namespace {
+
+// Databases drop a connection whose remote end is unreachable after 3 s (sheet); this side gives up no later.
+constexpr unsigned user_timeout_ms = 2500;
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+
+} // namespace
+
+std::optional<sockaddr_in> to_socket_address(const control::socket_address& address) {
+    sockaddr_in converted{};
+    converted.sin_family = AF_INET;
+    converted.sin_port = htons(address.m_port);
+    if (inet_pton(AF_INET, address.m_host.c_str(), &converted.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    return converted;
+}
+
+void set_stream_options(int socket) {
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keep_alive_idle_s, sizeof keep_alive_idle_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keep_alive_interval_s, sizeof keep_alive_interval_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof keep_alive_probes);
+}
+
+} // namespace mangoquay::transport
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -125,6 +125,26 @@
 struct replace_control_hostBuilder;
 struct replace_control_hostT;
 
+struct endpoint_entry;
+struct endpoint_entryBuilder;
+struct endpoint_entryT;
+
+struct primary_view;
+struct primary_viewBuilder;
+struct primary_viewT;
+
+struct fleet_follow;
+struct fleet_followBuilder;
+struct fleet_followT;
+
+struct fleet_update;
+struct fleet_updateBuilder;
+struct fleet_updateT;
+
+struct cell_join;
+struct cell_joinBuilder;
+struct cell_joinT;
+
 struct envelope;
 struct envelopeBuilder;
 struct envelopeT;
@@ -147,11 +167,14 @@
   status_query = 14,
   status_answer = 15,
   replace_control_host = 16,
+  fleet_follow = 17,
+  fleet_update = 18,
+  cell_join = 19,
   MIN = NONE,
-  MAX = replace_control_host
+  MAX = cell_join
 };
 
-inline const message (&EnumValuesmessage())[17] {
+inline const message (&EnumValuesmessage())[20] {
   static const message values[] = {
     message::NONE,
     message::raft_message,
@@ -169,13 +192,16 @@
     message::probe_answer,
     message::status_query,
     message::status_answer,
-    message::replace_control_host
+    message::replace_control_host,
+    message::fleet_follow,
+    message::fleet_update,
+    message::cell_join
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[18] = {
+  static const char * const names[21] = {
     "NONE",
     "raft_message",
     "heartbeat",
@@ -193,13 +219,16 @@
     "status_query",
     "status_answer",
     "replace_control_host",
+    "fleet_follow",
+    "fleet_update",
+    "cell_join",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::replace_control_host)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::cell_join)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -272,6 +301,18 @@
   static const message enum_value = message::replace_control_host;
 };
 
+template<> struct messageTraits<mangoquay::wire::fleet_follow> {
+  static const message enum_value = message::fleet_follow;
+};
+
+template<> struct messageTraits<mangoquay::wire::fleet_update> {
+  static const message enum_value = message::fleet_update;
+};
+
+template<> struct messageTraits<mangoquay::wire::cell_join> {
+  static const message enum_value = message::cell_join;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -340,6 +381,18 @@
   static const message enum_value = message::replace_control_host;
 };
 
+template<> struct messageUnionTraits<mangoquay::wire::fleet_followT> {
+  static const message enum_value = message::fleet_follow;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::fleet_updateT> {
+  static const message enum_value = message::fleet_update;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::cell_joinT> {
+  static const message enum_value = message::cell_join;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -498,6 +551,30 @@
     return type == message::replace_control_host ?
       reinterpret_cast<const mangoquay::wire::replace_control_hostT *>(value) : nullptr;
   }
+  mangoquay::wire::fleet_followT *Asfleet_follow() {
+    return type == message::fleet_follow ?
+      reinterpret_cast<mangoquay::wire::fleet_followT *>(value) : nullptr;
+  }
+  const mangoquay::wire::fleet_followT *Asfleet_follow() const {
+    return type == message::fleet_follow ?
+      reinterpret_cast<const mangoquay::wire::fleet_followT *>(value) : nullptr;
+  }
+  mangoquay::wire::fleet_updateT *Asfleet_update() {
+    return type == message::fleet_update ?
+      reinterpret_cast<mangoquay::wire::fleet_updateT *>(value) : nullptr;
+  }
+  const mangoquay::wire::fleet_updateT *Asfleet_update() const {
+    return type == message::fleet_update ?
+      reinterpret_cast<const mangoquay::wire::fleet_updateT *>(value) : nullptr;
+  }
+  mangoquay::wire::cell_joinT *Ascell_join() {
+    return type == message::cell_join ?
+      reinterpret_cast<mangoquay::wire::cell_joinT *>(value) : nullptr;
+  }
+  const mangoquay::wire::cell_joinT *Ascell_join() const {
+    return type == message::cell_join ?
+      reinterpret_cast<const mangoquay::wire::cell_joinT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -3669,6 +3746,655 @@
 
 flatbuffers::Offset<replace_control_host> Createreplace_control_host(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct endpoint_entryT : public flatbuffers::NativeTable {
+  typedef endpoint_entry TableType;
+  std::string id{};
+  std::string service{};
+  std::string host{};
+  uint16_t port = 0;
+  std::string zone{};
+  uint32_t slots = 0;
+  uint8_t state = 0;
+  bool is_primary = false;
+  int64_t started_ms = 0;
+  uint64_t sequence = 0;
+};
+
+struct endpoint_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef endpoint_entryT NativeTableType;
+  typedef endpoint_entryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_SERVICE = 6,
+    VT_HOST = 8,
+    VT_PORT = 10,
+    VT_ZONE = 12,
+    VT_SLOTS = 14,
+    VT_STATE = 16,
+    VT_IS_PRIMARY = 18,
+    VT_STARTED_MS = 20,
+    VT_SEQUENCE = 22
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  bool is_primary() const {
+    return GetField<uint8_t>(VT_IS_PRIMARY, 0) != 0;
+  }
+  int64_t started_ms() const {
+    return GetField<int64_t>(VT_STARTED_MS, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_PRIMARY, 1) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           verifier.EndTable();
+  }
+  endpoint_entryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(endpoint_entryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<endpoint_entry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct endpoint_entryBuilder {
+  typedef endpoint_entry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(endpoint_entry::VT_ID, id);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(endpoint_entry::VT_SERVICE, service);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(endpoint_entry::VT_HOST, host);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(endpoint_entry::VT_PORT, port, 0);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(endpoint_entry::VT_ZONE, zone);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(endpoint_entry::VT_SLOTS, slots, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(endpoint_entry::VT_STATE, state, 0);
+  }
+  void add_is_primary(bool is_primary) {
+    fbb_.AddElement<uint8_t>(endpoint_entry::VT_IS_PRIMARY, static_cast<uint8_t>(is_primary), 0);
+  }
+  void add_started_ms(int64_t started_ms) {
+    fbb_.AddElement<int64_t>(endpoint_entry::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(endpoint_entry::VT_SEQUENCE, sequence, 0);
+  }
+  explicit endpoint_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<endpoint_entry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<endpoint_entry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<endpoint_entry> Createendpoint_entry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    uint16_t port = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint32_t slots = 0,
+    uint8_t state = 0,
+    bool is_primary = false,
+    int64_t started_ms = 0,
+    uint64_t sequence = 0) {
+  endpoint_entryBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_started_ms(started_ms);
+  builder_.add_slots(slots);
+  builder_.add_zone(zone);
+  builder_.add_host(host);
+  builder_.add_service(service);
+  builder_.add_id(id);
+  builder_.add_port(port);
+  builder_.add_is_primary(is_primary);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+struct endpoint_entry::Traits {
+  using type = endpoint_entry;
+  static auto constexpr Create = Createendpoint_entry;
+};
+
+inline flatbuffers::Offset<endpoint_entry> Createendpoint_entryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *service = nullptr,
+    const char *host = nullptr,
+    uint16_t port = 0,
+    const char *zone = nullptr,
+    uint32_t slots = 0,
+    uint8_t state = 0,
+    bool is_primary = false,
+    int64_t started_ms = 0,
+    uint64_t sequence = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return mangoquay::wire::Createendpoint_entry(
+      _fbb,
+      id__,
+      service__,
+      host__,
+      port,
+      zone__,
+      slots,
+      state,
+      is_primary,
+      started_ms,
+      sequence);
+}
+
+flatbuffers::Offset<endpoint_entry> Createendpoint_entry(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct primary_viewT : public flatbuffers::NativeTable {
+  typedef primary_view TableType;
+  std::string endpoint{};
+  bool answered = false;
+  bool failing = false;
+};
+
+struct primary_view FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef primary_viewT NativeTableType;
+  typedef primary_viewBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_ANSWERED = 6,
+    VT_FAILING = 8
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  bool answered() const {
+    return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
+  }
+  bool failing() const {
+    return GetField<uint8_t>(VT_FAILING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_FAILING, 1) &&
+           verifier.EndTable();
+  }
+  primary_viewT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(primary_viewT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<primary_view> Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_viewT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct primary_viewBuilder {
+  typedef primary_view Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(primary_view::VT_ENDPOINT, endpoint);
+  }
+  void add_answered(bool answered) {
+    fbb_.AddElement<uint8_t>(primary_view::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
+  }
+  void add_failing(bool failing) {
+    fbb_.AddElement<uint8_t>(primary_view::VT_FAILING, static_cast<uint8_t>(failing), 0);
+  }
+  explicit primary_viewBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<primary_view> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<primary_view>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<primary_view> Createprimary_view(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    bool answered = false,
+    bool failing = false) {
+  primary_viewBuilder builder_(_fbb);
+  builder_.add_endpoint(endpoint);
+  builder_.add_failing(failing);
+  builder_.add_answered(answered);
+  return builder_.Finish();
+}
+
+struct primary_view::Traits {
+  using type = primary_view;
+  static auto constexpr Create = Createprimary_view;
+};
+
+inline flatbuffers::Offset<primary_view> Createprimary_viewDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    bool answered = false,
+    bool failing = false) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return mangoquay::wire::Createprimary_view(
+      _fbb,
+      endpoint__,
+      answered,
+      failing);
+}
+
+flatbuffers::Offset<primary_view> Createprimary_view(flatbuffers::FlatBufferBuilder &_fbb, const primary_viewT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct fleet_followT : public flatbuffers::NativeTable {
+  typedef fleet_follow TableType;
+  bool is_entry = false;
+  bool ready = false;
+  std::string peer_host{};
+  uint16_t peer_port = 0;
+  uint64_t document_version = 0;
+  uint64_t registry_digest = 0;
+  std::vector<std::unique_ptr<mangoquay::wire::primary_viewT>> primaries{};
+  fleet_followT() = default;
+  fleet_followT(const fleet_followT &o);
+  fleet_followT(fleet_followT&&) FLATBUFFERS_NOEXCEPT = default;
+  fleet_followT &operator=(fleet_followT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct fleet_follow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef fleet_followT NativeTableType;
+  typedef fleet_followBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_IS_ENTRY = 4,
+    VT_READY = 6,
+    VT_PEER_HOST = 8,
+    VT_PEER_PORT = 10,
+    VT_DOCUMENT_VERSION = 12,
+    VT_REGISTRY_DIGEST = 14,
+    VT_PRIMARIES = 16
+  };
+  bool is_entry() const {
+    return GetField<uint8_t>(VT_IS_ENTRY, 0) != 0;
+  }
+  bool ready() const {
+    return GetField<uint8_t>(VT_READY, 0) != 0;
+  }
+  const flatbuffers::String *peer_host() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEER_HOST);
+  }
+  uint16_t peer_port() const {
+    return GetField<uint16_t>(VT_PEER_PORT, 0);
+  }
+  uint64_t document_version() const {
+    return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
+  }
+  uint64_t registry_digest() const {
+    return GetField<uint64_t>(VT_REGISTRY_DIGEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *primaries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *>(VT_PRIMARIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ENTRY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_READY, 1) &&
+           VerifyOffset(verifier, VT_PEER_HOST) &&
+           verifier.VerifyString(peer_host()) &&
+           VerifyField<uint16_t>(verifier, VT_PEER_PORT, 2) &&
+           VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRY_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_PRIMARIES) &&
+           verifier.VerifyVector(primaries()) &&
+           verifier.VerifyVectorOfTables(primaries()) &&
+           verifier.EndTable();
+  }
+  fleet_followT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(fleet_followT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<fleet_follow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct fleet_followBuilder {
+  typedef fleet_follow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_is_entry(bool is_entry) {
+    fbb_.AddElement<uint8_t>(fleet_follow::VT_IS_ENTRY, static_cast<uint8_t>(is_entry), 0);
+  }
+  void add_ready(bool ready) {
+    fbb_.AddElement<uint8_t>(fleet_follow::VT_READY, static_cast<uint8_t>(ready), 0);
+  }
+  void add_peer_host(flatbuffers::Offset<flatbuffers::String> peer_host) {
+    fbb_.AddOffset(fleet_follow::VT_PEER_HOST, peer_host);
+  }
+  void add_peer_port(uint16_t peer_port) {
+    fbb_.AddElement<uint16_t>(fleet_follow::VT_PEER_PORT, peer_port, 0);
+  }
+  void add_document_version(uint64_t document_version) {
+    fbb_.AddElement<uint64_t>(fleet_follow::VT_DOCUMENT_VERSION, document_version, 0);
+  }
+  void add_registry_digest(uint64_t registry_digest) {
+    fbb_.AddElement<uint64_t>(fleet_follow::VT_REGISTRY_DIGEST, registry_digest, 0);
+  }
+  void add_primaries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>>> primaries) {
+    fbb_.AddOffset(fleet_follow::VT_PRIMARIES, primaries);
+  }
+  explicit fleet_followBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<fleet_follow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<fleet_follow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<fleet_follow> Createfleet_follow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool is_entry = false,
+    bool ready = false,
+    flatbuffers::Offset<flatbuffers::String> peer_host = 0,
+    uint16_t peer_port = 0,
+    uint64_t document_version = 0,
+    uint64_t registry_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>>> primaries = 0) {
+  fleet_followBuilder builder_(_fbb);
+  builder_.add_registry_digest(registry_digest);
+  builder_.add_document_version(document_version);
+  builder_.add_primaries(primaries);
+  builder_.add_peer_host(peer_host);
+  builder_.add_peer_port(peer_port);
+  builder_.add_ready(ready);
+  builder_.add_is_entry(is_entry);
+  return builder_.Finish();
+}
+
+struct fleet_follow::Traits {
+  using type = fleet_follow;
+  static auto constexpr Create = Createfleet_follow;
+};
+
+inline flatbuffers::Offset<fleet_follow> Createfleet_followDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool is_entry = false,
+    bool ready = false,
+    const char *peer_host = nullptr,
+    uint16_t peer_port = 0,
+    uint64_t document_version = 0,
+    uint64_t registry_digest = 0,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *primaries = nullptr) {
+  auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
+  auto primaries__ = primaries ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>>(*primaries) : 0;
+  return mangoquay::wire::Createfleet_follow(
+      _fbb,
+      is_entry,
+      ready,
+      peer_host__,
+      peer_port,
+      document_version,
+      registry_digest,
+      primaries__);
+}
+
+flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct fleet_updateT : public flatbuffers::NativeTable {
+  typedef fleet_update TableType;
+  uint64_t document_version = 0;
+  std::vector<uint8_t> document{};
+  std::vector<std::unique_ptr<mangoquay::wire::endpoint_entryT>> endpoints{};
+  std::vector<std::string> control_hosts{};
+  uint32_t entry_hosts = 0;
+  fleet_updateT() = default;
+  fleet_updateT(const fleet_updateT &o);
+  fleet_updateT(fleet_updateT&&) FLATBUFFERS_NOEXCEPT = default;
+  fleet_updateT &operator=(fleet_updateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct fleet_update FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef fleet_updateT NativeTableType;
+  typedef fleet_updateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DOCUMENT_VERSION = 4,
+    VT_DOCUMENT = 6,
+    VT_ENDPOINTS = 8,
+    VT_CONTROL_HOSTS = 10,
+    VT_ENTRY_HOSTS = 12
+  };
+  uint64_t document_version() const {
+    return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *document() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> *endpoints() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> *>(VT_ENDPOINTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *control_hosts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_CONTROL_HOSTS);
+  }
+  uint32_t entry_hosts() const {
+    return GetField<uint32_t>(VT_ENTRY_HOSTS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DOCUMENT) &&
+           verifier.VerifyVector(document()) &&
+           VerifyOffset(verifier, VT_ENDPOINTS) &&
+           verifier.VerifyVector(endpoints()) &&
+           verifier.VerifyVectorOfTables(endpoints()) &&
+           VerifyOffset(verifier, VT_CONTROL_HOSTS) &&
+           verifier.VerifyVector(control_hosts()) &&
+           verifier.VerifyVectorOfStrings(control_hosts()) &&
+           VerifyField<uint32_t>(verifier, VT_ENTRY_HOSTS, 4) &&
+           verifier.EndTable();
+  }
+  fleet_updateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(fleet_updateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<fleet_update> Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct fleet_updateBuilder {
+  typedef fleet_update Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_document_version(uint64_t document_version) {
+    fbb_.AddElement<uint64_t>(fleet_update::VT_DOCUMENT_VERSION, document_version, 0);
+  }
+  void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
+    fbb_.AddOffset(fleet_update::VT_DOCUMENT, document);
+  }
+  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>> endpoints) {
+    fbb_.AddOffset(fleet_update::VT_ENDPOINTS, endpoints);
+  }
+  void add_control_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control_hosts) {
+    fbb_.AddOffset(fleet_update::VT_CONTROL_HOSTS, control_hosts);
+  }
+  void add_entry_hosts(uint32_t entry_hosts) {
+    fbb_.AddElement<uint32_t>(fleet_update::VT_ENTRY_HOSTS, entry_hosts, 0);
+  }
+  explicit fleet_updateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<fleet_update> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<fleet_update>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<fleet_update> Createfleet_update(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t document_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>> endpoints = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control_hosts = 0,
+    uint32_t entry_hosts = 0) {
+  fleet_updateBuilder builder_(_fbb);
+  builder_.add_document_version(document_version);
+  builder_.add_entry_hosts(entry_hosts);
+  builder_.add_control_hosts(control_hosts);
+  builder_.add_endpoints(endpoints);
+  builder_.add_document(document);
+  return builder_.Finish();
+}
+
+struct fleet_update::Traits {
+  using type = fleet_update;
+  static auto constexpr Create = Createfleet_update;
+};
+
+inline flatbuffers::Offset<fleet_update> Createfleet_updateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t document_version = 0,
+    const std::vector<uint8_t> *document = nullptr,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> *endpoints = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *control_hosts = nullptr,
+    uint32_t entry_hosts = 0) {
+  auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+  auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>(*endpoints) : 0;
+  auto control_hosts__ = control_hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control_hosts) : 0;
+  return mangoquay::wire::Createfleet_update(
+      _fbb,
+      document_version,
+      document__,
+      endpoints__,
+      control_hosts__,
+      entry_hosts);
+}
+
+flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct cell_joinT : public flatbuffers::NativeTable {
+  typedef cell_join TableType;
+  std::string peer_host{};
+  uint16_t peer_port = 0;
+};
+
+struct cell_join FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef cell_joinT NativeTableType;
+  typedef cell_joinBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PEER_HOST = 4,
+    VT_PEER_PORT = 6
+  };
+  const flatbuffers::String *peer_host() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEER_HOST);
+  }
+  uint16_t peer_port() const {
+    return GetField<uint16_t>(VT_PEER_PORT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PEER_HOST) &&
+           verifier.VerifyString(peer_host()) &&
+           VerifyField<uint16_t>(verifier, VT_PEER_PORT, 2) &&
+           verifier.EndTable();
+  }
+  cell_joinT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(cell_joinT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<cell_join> Pack(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct cell_joinBuilder {
+  typedef cell_join Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_peer_host(flatbuffers::Offset<flatbuffers::String> peer_host) {
+    fbb_.AddOffset(cell_join::VT_PEER_HOST, peer_host);
+  }
+  void add_peer_port(uint16_t peer_port) {
+    fbb_.AddElement<uint16_t>(cell_join::VT_PEER_PORT, peer_port, 0);
+  }
+  explicit cell_joinBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<cell_join> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<cell_join>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<cell_join> Createcell_join(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> peer_host = 0,
+    uint16_t peer_port = 0) {
+  cell_joinBuilder builder_(_fbb);
+  builder_.add_peer_host(peer_host);
+  builder_.add_peer_port(peer_port);
+  return builder_.Finish();
+}
+
+struct cell_join::Traits {
+  using type = cell_join;
+  static auto constexpr Create = Createcell_join;
+};
+
+inline flatbuffers::Offset<cell_join> Createcell_joinDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *peer_host = nullptr,
+    uint16_t peer_port = 0) {
+  auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
+  return mangoquay::wire::Createcell_join(
+      _fbb,
+      peer_host__,
+      peer_port);
+}
+
+flatbuffers::Offset<cell_join> Createcell_join(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct envelopeT : public flatbuffers::NativeTable {
   typedef envelope TableType;
   mangoquay::wire::messageUnion body{};
@@ -3737,6 +4463,15 @@
   const mangoquay::wire::replace_control_host *body_as_replace_control_host() const {
     return body_type() == mangoquay::wire::message::replace_control_host ? static_cast<const mangoquay::wire::replace_control_host *>(body()) : nullptr;
   }
+  const mangoquay::wire::fleet_follow *body_as_fleet_follow() const {
+    return body_type() == mangoquay::wire::message::fleet_follow ? static_cast<const mangoquay::wire::fleet_follow *>(body()) : nullptr;
+  }
+  const mangoquay::wire::fleet_update *body_as_fleet_update() const {
+    return body_type() == mangoquay::wire::message::fleet_update ? static_cast<const mangoquay::wire::fleet_update *>(body()) : nullptr;
+  }
+  const mangoquay::wire::cell_join *body_as_cell_join() const {
+    return body_type() == mangoquay::wire::message::cell_join ? static_cast<const mangoquay::wire::cell_join *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3813,6 +4548,18 @@
   return body_as_replace_control_host();
 }
 
+template<> inline const mangoquay::wire::fleet_follow *envelope::body_as<mangoquay::wire::fleet_follow>() const {
+  return body_as_fleet_follow();
+}
+
+template<> inline const mangoquay::wire::fleet_update *envelope::body_as<mangoquay::wire::fleet_update>() const {
+  return body_as_fleet_update();
+}
+
+template<> inline const mangoquay::wire::cell_join *envelope::body_as<mangoquay::wire::cell_join>() const {
+  return body_as_cell_join();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5083,6 +5830,242 @@
       _new_host);
 }
 
+inline endpoint_entryT *endpoint_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<endpoint_entryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void endpoint_entry::UnPackTo(endpoint_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = state(); _o->state = _e; }
+  { auto _e = is_primary(); _o->is_primary = _e; }
+  { auto _e = started_ms(); _o->started_ms = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+}
+
+inline flatbuffers::Offset<endpoint_entry> endpoint_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createendpoint_entry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<endpoint_entry> Createendpoint_entry(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const endpoint_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _port = _o->port;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _slots = _o->slots;
+  auto _state = _o->state;
+  auto _is_primary = _o->is_primary;
+  auto _started_ms = _o->started_ms;
+  auto _sequence = _o->sequence;
+  return mangoquay::wire::Createendpoint_entry(
+      _fbb,
+      _id,
+      _service,
+      _host,
+      _port,
+      _zone,
+      _slots,
+      _state,
+      _is_primary,
+      _started_ms,
+      _sequence);
+}
+
+inline primary_viewT *primary_view::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<primary_viewT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void primary_view::UnPackTo(primary_viewT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = answered(); _o->answered = _e; }
+  { auto _e = failing(); _o->failing = _e; }
+}
+
+inline flatbuffers::Offset<primary_view> primary_view::Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_viewT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createprimary_view(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<primary_view> Createprimary_view(flatbuffers::FlatBufferBuilder &_fbb, const primary_viewT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const primary_viewT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _answered = _o->answered;
+  auto _failing = _o->failing;
+  return mangoquay::wire::Createprimary_view(
+      _fbb,
+      _endpoint,
+      _answered,
+      _failing);
+}
+
+inline fleet_followT::fleet_followT(const fleet_followT &o)
+      : is_entry(o.is_entry),
+        ready(o.ready),
+        peer_host(o.peer_host),
+        peer_port(o.peer_port),
+        document_version(o.document_version),
+        registry_digest(o.registry_digest) {
+  primaries.reserve(o.primaries.size());
+  for (const auto &primaries_ : o.primaries) { primaries.emplace_back((primaries_) ? new mangoquay::wire::primary_viewT(*primaries_) : nullptr); }
+}
+
+inline fleet_followT &fleet_followT::operator=(fleet_followT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(is_entry, o.is_entry);
+  std::swap(ready, o.ready);
+  std::swap(peer_host, o.peer_host);
+  std::swap(peer_port, o.peer_port);
+  std::swap(document_version, o.document_version);
+  std::swap(registry_digest, o.registry_digest);
+  std::swap(primaries, o.primaries);
+  return *this;
+}
+
+inline fleet_followT *fleet_follow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<fleet_followT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void fleet_follow::UnPackTo(fleet_followT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = is_entry(); _o->is_entry = _e; }
+  { auto _e = ready(); _o->ready = _e; }
+  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
+  { auto _e = peer_port(); _o->peer_port = _e; }
+  { auto _e = document_version(); _o->document_version = _e; }
+  { auto _e = registry_digest(); _o->registry_digest = _e; }
+  { auto _e = primaries(); if (_e) { _o->primaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->primaries[_i] = std::unique_ptr<mangoquay::wire::primary_viewT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<fleet_follow> fleet_follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createfleet_follow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const fleet_followT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _is_entry = _o->is_entry;
+  auto _ready = _o->ready;
+  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
+  auto _peer_port = _o->peer_port;
+  auto _document_version = _o->document_version;
+  auto _registry_digest = _o->registry_digest;
+  auto _primaries = _o->primaries.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>> (_o->primaries.size(), [](size_t i, _VectorArgs *__va) { return Createprimary_view(*__va->__fbb, __va->__o->primaries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mangoquay::wire::Createfleet_follow(
+      _fbb,
+      _is_entry,
+      _ready,
+      _peer_host,
+      _peer_port,
+      _document_version,
+      _registry_digest,
+      _primaries);
+}
+
+inline fleet_updateT::fleet_updateT(const fleet_updateT &o)
+      : document_version(o.document_version),
+        document(o.document),
+        control_hosts(o.control_hosts),
+        entry_hosts(o.entry_hosts) {
+  endpoints.reserve(o.endpoints.size());
+  for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangoquay::wire::endpoint_entryT(*endpoints_) : nullptr); }
+}
+
+inline fleet_updateT &fleet_updateT::operator=(fleet_updateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(document_version, o.document_version);
+  std::swap(document, o.document);
+  std::swap(endpoints, o.endpoints);
+  std::swap(control_hosts, o.control_hosts);
+  std::swap(entry_hosts, o.entry_hosts);
+  return *this;
+}
+
+inline fleet_updateT *fleet_update::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<fleet_updateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void fleet_update::UnPackTo(fleet_updateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = document_version(); _o->document_version = _e; }
+  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<mangoquay::wire::endpoint_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = control_hosts(); if (_e) { _o->control_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->control_hosts[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = entry_hosts(); _o->entry_hosts = _e; }
+}
+
+inline flatbuffers::Offset<fleet_update> fleet_update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createfleet_update(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const fleet_updateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _document_version = _o->document_version;
+  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
+  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return Createendpoint_entry(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _control_hosts = _o->control_hosts.size() ? _fbb.CreateVectorOfStrings(_o->control_hosts) : 0;
+  auto _entry_hosts = _o->entry_hosts;
+  return mangoquay::wire::Createfleet_update(
+      _fbb,
+      _document_version,
+      _document,
+      _endpoints,
+      _control_hosts,
+      _entry_hosts);
+}
+
+inline cell_joinT *cell_join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<cell_joinT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void cell_join::UnPackTo(cell_joinT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
+  { auto _e = peer_port(); _o->peer_port = _e; }
+}
+
+inline flatbuffers::Offset<cell_join> cell_join::Pack(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcell_join(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<cell_join> Createcell_join(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const cell_joinT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
+  auto _peer_port = _o->peer_port;
+  return mangoquay::wire::Createcell_join(
+      _fbb,
+      _peer_host,
+      _peer_port);
+}
+
 inline envelopeT *envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<envelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -5181,6 +6164,18 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::replace_control_host *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::fleet_follow: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::fleet_follow *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::fleet_update: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::fleet_update *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::cell_join: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::cell_join *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5264,6 +6259,18 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::replace_control_host *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::fleet_follow: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::fleet_follow *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::fleet_update: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::fleet_update *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::cell_join: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::cell_join *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5335,6 +6342,18 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::replace_control_hostT *>(value);
       return Createreplace_control_host(_fbb, ptr, _rehasher).Union();
     }
+    case message::fleet_follow: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::fleet_followT *>(value);
+      return Createfleet_follow(_fbb, ptr, _rehasher).Union();
+    }
+    case message::fleet_update: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::fleet_updateT *>(value);
+      return Createfleet_update(_fbb, ptr, _rehasher).Union();
+    }
+    case message::cell_join: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::cell_joinT *>(value);
+      return Createcell_join(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5405,6 +6424,18 @@
       value = new mangoquay::wire::replace_control_hostT(*reinterpret_cast<mangoquay::wire::replace_control_hostT *>(u.value));
       break;
     }
+    case message::fleet_follow: {
+      value = new mangoquay::wire::fleet_followT(*reinterpret_cast<mangoquay::wire::fleet_followT *>(u.value));
+      break;
+    }
+    case message::fleet_update: {
+      value = new mangoquay::wire::fleet_updateT(*reinterpret_cast<mangoquay::wire::fleet_updateT *>(u.value));
+      break;
+    }
+    case message::cell_join: {
+      value = new mangoquay::wire::cell_joinT(*reinterpret_cast<mangoquay::wire::cell_joinT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5492,6 +6523,21 @@
       delete ptr;
       break;
     }
+    case message::fleet_follow: {
+      auto ptr = reinterpret_cast<mangoquay::wire::fleet_followT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::fleet_update: {
+      auto ptr = reinterpret_cast<mangoquay::wire::fleet_updateT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::cell_join: {
+      auto ptr = reinterpret_cast<mangoquay::wire::cell_joinT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/test/correctness/http_gateway_service.cpp
+++ b/test/correctness/http_gateway_service.cpp
@@ -154,7 +154,7 @@
             changed.wait(lock, [&] { return entered; });
         }
         server.begin_drain();
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = core::now();
         CPPUNIT_ASSERT(!server.wait_until_idle(core::deadline_after(now, core::milliseconds(20))));
         {
             const std::lock_guard lock(mutex);
--- a/test/performance/held_connections.cpp
+++ b/test/performance/held_connections.cpp
@@ -57,8 +57,8 @@
     }
     const std::size_t before = resident_kilobytes();
     std::vector<std::unique_ptr<loopback_client>> held;
-    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(60);
-    while (held.size() + 1 < wanted_connections && std::chrono::steady_clock::now() < limit) {
+    const auto limit = core::now() + std::chrono::seconds(60);
+    while (held.size() + 1 < wanted_connections && core::now() < limit) {
         if (held.size() >= server.connections() + largest_backlog) {
             std::this_thread::sleep_for(core::milliseconds(1));
             continue;
@@ -66,7 +66,7 @@
         held.push_back(std::make_unique<loopback_client>(chosen.m_http_address->m_port));
         held.back()->send("GET /v1/status HTTP/1.1\r\nAuthorization:");
     }
-    while (server.connections() < held.size() && std::chrono::steady_clock::now() < limit) {
+    while (server.connections() < held.size() && core::now() < limit) {
         std::this_thread::sleep_for(core::milliseconds(1));
     }
     cli::http_request request;
--- a/test/performance/slot_queue_decisions.cpp
+++ b/test/performance/slot_queue_decisions.cpp
@@ -49,14 +49,14 @@
     while (queue.waiting() < length) {
         step();
     }
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = core::now();
     for (int round = 0; round < decision_rounds; ++round) {
         now += 1ms;
         queue.finish(running.front(), now, true);
         running.pop_front();
         step();
     }
-    const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - start;
+    const std::chrono::duration<double> taken = core::now() - start;
     std::printf("slot_queue decisions: queue_length=%zu cycles_per_second=%.0f ns_per_cycle=%.0f\n", length,
                 decision_rounds / taken.count(), taken.count() * 1e9 / decision_rounds);
 }
--- a/test/standin/announcer.cpp
+++ b/test/standin/announcer.cpp
@@ -52,13 +52,13 @@
 
 void announcer::run() {
     while (!m_stopped) {
-        const auto next = std::chrono::steady_clock::now() + m_wanted.m_interval;
+        const auto next = core::now() + m_wanted.m_interval;
         for (const endpoint_report& report : m_standin.report()) {
             if (!report.m_faults.m_crashed) {
                 announce(report);
             }
         }
-        while (!m_stopped && std::chrono::steady_clock::now() < next) {
+        while (!m_stopped && core::now() < next) {
             std::this_thread::sleep_for(core::milliseconds(20));
         }
     }
--- a/tools/load/baseline.cpp
+++ b/tools/load/baseline.cpp
@@ -22,7 +22,7 @@
 constexpr core::milliseconds monitor_interval{200};
 
 core::time_point now() {
-    return std::chrono::steady_clock::now();
+    return core::now();
 }
 
 std::string encode(const char* verdict, const char* reason, const std::string& message) {
--- a/tools/load/driver.cpp
+++ b/tools/load/driver.cpp
@@ -20,7 +20,7 @@
 constexpr core::milliseconds pause_between_tries{500};
 
 core::time_point now() {
-    return std::chrono::steady_clock::now();
+    return core::now();
 }
 
 core::duration seconds(double count) {
