--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -132,6 +132,8 @@
     void refuse(session_id id, session& caller, refusal reason, const std::string& text, core::time_point now);
     void finish(session_id id, session& caller, session_answer answer, core::time_point now);
     void leave_transaction(session& caller);
+    // Of a transaction that waits for its caller from now on.
+    [[nodiscard]] core::deadline idle_limit(core::time_point now) const;
 
     // relay_dispatch.cpp: endpoints and links for statements.
     void dispatch(session_id id, core::time_point now);
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -95,6 +95,7 @@
     caller.m_transaction = {};
     caller.m_transaction.m_read_only = statement.m_kind == statement_kind::begin_read_only;
     caller.m_transaction.m_arrived = now;
+    caller.m_transaction.m_idle_limit = idle_limit(now);
     m_active[id] = 0;
     succeed_locally(id, caller, statement);
 }
@@ -189,7 +190,6 @@
 
 // Answers the statement in progress. The caller's transaction state is that of the session after it.
 void relay_core::finish(session_id id, session& caller, session_answer answer, core::time_point now) {
-    const documents::route_rule* route = route_of(caller);
     answer.m_request = caller.m_operation->m_statement.m_id;
     if (answer.m_refusal && caller.m_state == transaction_state::open) {
         caller.m_state = transaction_state::failed;
@@ -199,12 +199,7 @@
     if (caller.m_state == transaction_state::idle) {
         m_active.erase(id);
     }
-    const core::milliseconds idle = m_configuration.m_transaction_idle_limit;
-    if (route != nullptr && idle.count() > 0) {
-        caller.m_transaction.m_idle_limit.m_at = now + idle;
-    } else {
-        caller.m_transaction.m_idle_limit.m_at = core::time_point::max();
-    }
+    caller.m_transaction.m_idle_limit = idle_limit(now);
     m_ports.answer(id, answer);
     if (caller.m_closing && caller.m_state == transaction_state::idle && caller.m_waiting.empty()) {
         m_sessions.erase(id);
@@ -212,6 +207,11 @@
     }
 }
 
+core::deadline relay_core::idle_limit(core::time_point now) const {
+    const core::milliseconds idle = m_configuration.m_transaction_idle_limit;
+    return idle.count() > 0 ? core::deadline_after(now, idle) : core::deadline{core::time_point::max()};
+}
+
 void relay_core::leave_transaction(session& caller) {
     caller.m_state = transaction_state::idle;
     caller.m_transaction = {};
