Replace lost and leaving primaries through the platform's executor; stop accepting before the exit

Ruled out: the cut of an open transaction; the host's log shows that no session was left when it ended. Change: promotion core and its shell, fences of (Raft term, count); the listener is closed and a further round is served before an entry host exits.

--- a/src/entry/caller_sessions.h
+++ b/src/entry/caller_sessions.h
@@ -25,6 +25,8 @@
     // The relay core must outlive this object.
     core::result<std::uint16_t> listen(const control::socket_address& address, relay::relay_core& core);
 
+    // Connections that are not accepted yet are refused from now on.
+    void stop_accepting() { m_listener.close(); }
     void answer(relay::session_id session, const relay::session_answer& answer);
     void close(relay::session_id session);
     [[nodiscard]] std::size_t open() const { return m_connections.size(); }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -190,7 +190,12 @@
     if (m_drain_sessions.passed(now)) {
         left = m_core.close_idle_sessions(sessions_closed_per_step, now);
     }
-    const bool done = m_drain_sessions.passed(now) && left == 0;
+    if (!m_accepting_ended && m_drain_sessions.passed(now) && (left == 0 || m_drain_transactions.passed(now))) {
+        m_accepting_ended = true;
+        m_callers.stop_accepting();
+        left = 1; // one more round for what was accepted before
+    }
+    const bool done = m_accepting_ended && left == 0 && m_callers.open() == 0;
     if (done || m_drain_end.passed(now)) {
         core::log_line(core::log_level::info, "entry", "stopped sessions_left=" + std::to_string(left));
         m_loop.after(drain_tick, m_stopped); // the last answers leave first
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -66,6 +66,7 @@
     core::deadline m_drain_transactions;
     core::deadline m_drain_end;
     std::function<void()> m_stopped; // set while stopping
+    bool m_accepting_ended = false;
 };
 
 } // namespace mangoquay::entry
--- a/src/entry/session_protocol.h
+++ b/src/entry/session_protocol.h
@@ -4,6 +4,7 @@
 // An implementation keeps no state between calls but what lies in the given objects.
 #pragma once
 
+#include "promotion/promotion_core.h"
 #include "registry/endpoint_registry.h"
 #include "relay/statement.h"
 
@@ -47,6 +48,8 @@
 
     virtual void encode_startup(const registry::endpoint_report& target, std::string& out) const = 0;
     virtual void encode_request(const relay::database_request& request, std::string& out) const = 0;
+    // The row that answers a status request and the steps of a promotion; nothing when it cannot be read.
+    [[nodiscard]] virtual std::optional<promotion::endpoint_status> decode_status(const std::string& row) const = 0;
     // Adds what `received` holds of one answer and moves the offset past it. The answer to a startup is one without
     // rows and signature.
     virtual answer_progress decode_answer(const std::string& received, std::size_t& offset,
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -10,9 +10,10 @@
 namespace mangoquay::fleet {
 namespace {
 
-constexpr core::milliseconds tick_period{250};
+constexpr core::milliseconds tick_period{50};
 // A host that knows no leader for this long asks to be admitted; elections end within about a second.
 constexpr core::milliseconds alone_for{1000};
+constexpr core::milliseconds join_period{250};
 // Documents may be large; few are kept in the log.
 constexpr std::uint64_t snapshot_interval = 32;
 constexpr std::uint64_t kept_entries = 32;
@@ -35,7 +36,8 @@
 
 control_node::control_node(transport::event_loop& loop, transport::message_bus& bus,
                            transport::peer_network& network, const settings::fleet_settings& chosen,
-                           documents::document_decoder decoder)
+                           documents::document_decoder decoder, const entry::session_protocol& protocol,
+                           promotion_executor& executor)
     : m_loop(loop), m_bus(bus), m_network(network), m_settings(chosen),
       m_self(host_id(chosen.m_peer_address)), m_decoder(decoder),
       m_raft(std::make_unique<consensus::raft_driver>(
@@ -45,7 +47,8 @@
               m_bus.send(to, consensus::to_wire(message));
           })),
       m_news(loop, bus, network, {m_self, chosen.m_peer_address, false}, news_handlers()),
-      m_source(bus, network, m_documents, m_news.endpoints()) {
+      m_source(bus, network, m_documents, m_news.endpoints()),
+      m_promotions(loop, protocol, executor, m_self, [this] { return next_fence(); }) {
     m_raft->on_commit([this](core::revision, const std::string& payload) { committed(payload); });
     m_raft->on_install([this](core::revision, const std::string& state) { committed(state); });
     m_raft->on_snapshot_needed([this] {
@@ -98,10 +101,33 @@
 }
 
 void control_node::tick() {
-    join_if_alone(core::now());
+    const core::time_point now = core::now();
+    join_if_alone(now);
+    lead(now);
     m_loop.after(tick_period, [this] { tick(); });
 }
 
+void control_node::lead(core::time_point now) {
+    const bool leads = m_raft->holds_lease(now);
+    m_promotions.lead(leads);
+    if (leads) {
+        m_promotions.tick(m_configuration, m_news.endpoints(), m_source.followers(), now);
+    }
+}
+
+// The term rises with each leader and the count with each order, so every order has a higher fence than all before it.
+std::optional<promotion::fence> control_node::next_fence() {
+    constexpr unsigned count_bits = 20;
+    if (!m_raft->holds_lease(core::now())) {
+        return std::nullopt;
+    }
+    if (m_raft->term() != m_fence_term) {
+        m_fence_term = m_raft->term();
+        m_orders = 0;
+    }
+    return promotion::fence((m_fence_term.value() << count_bits) + ++m_orders);
+}
+
 void control_node::join_if_alone(core::time_point now) {
     if (m_raft->leader()) {
         m_leader_seen = now;
@@ -109,6 +135,10 @@
     if (m_leader_seen + alone_for > now) {
         return;
     }
+    if (m_next_join > now) {
+        return;
+    }
+    m_next_join = now + join_period;
     wire::cell_joinT request;
     request.peer_host = m_settings.m_peer_address.m_host;
     request.peer_port = m_settings.m_peer_address.m_port;
@@ -146,6 +176,9 @@
         core::log_line(core::log_level::info, "fleet",
                        "configuration committed version=" + std::to_string(m_documents.version().value()) +
                            " before=" + std::to_string(before.value()));
+        if (auto decoded = m_decoder(m_documents.bytes())) {
+            m_configuration = std::move(*decoded);
+        }
         m_source.document_changed();
     }
 }
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -8,6 +8,7 @@
 #include "documents/document_register.h"
 #include "fleet/news_follower.h"
 #include "fleet/news_source.h"
+#include "fleet/promotion_runner.h"
 #include "settings/fleet_settings.h"
 
 #include <functional>
@@ -34,7 +35,8 @@
 class control_node {
 public:
     control_node(transport::event_loop& loop, transport::message_bus& bus, transport::peer_network& network,
-                 const settings::fleet_settings& chosen, documents::document_decoder decoder);
+                 const settings::fleet_settings& chosen, documents::document_decoder decoder,
+                 const entry::session_protocol& protocol, promotion_executor& executor);
     ~control_node();
     control_node(const control_node&) = delete;
     control_node& operator=(const control_node&) = delete;
@@ -55,6 +57,8 @@
     void join_if_alone(core::time_point now);
     void join_asked(const core::entry_host_id& from, const wire::cell_joinT& request);
     void committed(const std::string& payload);
+    void lead(core::time_point now);
+    [[nodiscard]] std::optional<promotion::fence> next_fence();
     [[nodiscard]] call_outcome leader_needed() const;
     follower_handlers news_handlers();
 
@@ -68,7 +72,12 @@
     std::unique_ptr<consensus::raft_driver> m_raft;
     news_follower m_news;
     news_source m_source;
+    promotion_runner m_promotions;
+    documents::configuration m_configuration; // the committed document, decoded
     core::time_point m_leader_seen{};
+    core::time_point m_next_join{};
+    std::uint32_t m_orders = 0; // given in m_fence_term
+    consensus::raft_term m_fence_term;
 };
 
 } // namespace mangoquay::fleet
--- /dev/null
+++ b/src/fleet/promotion_executor.h
@@ -0,0 +1,30 @@
+// Carries out promotions on behalf of the leader; an adapter implements it.
+#pragma once
+
+#include "promotion/promotion_core.h"
+
+#include <functional>
+
+namespace mangoquay::fleet {
+
+struct promotion_order {
+    core::entry_host_id m_holder; // the leader that gives the order
+    core::service_name m_service;
+    core::endpoint_id m_target;
+    promotion::fence m_fence;
+};
+
+class promotion_executor {
+public:
+    promotion_executor() = default;
+    virtual ~promotion_executor() = default;
+    promotion_executor(const promotion_executor&) = delete;
+    promotion_executor& operator=(const promotion_executor&) = delete;
+    promotion_executor(promotion_executor&&) = delete;
+    promotion_executor& operator=(promotion_executor&&) = delete;
+
+    // Calls `done` once, on the event loop's thread.
+    virtual void order(const promotion_order& order, std::function<void(promotion::order_outcome)> done) = 0;
+};
+
+} // namespace mangoquay::fleet
--- /dev/null
+++ b/src/fleet/promotion_runner.h
@@ -0,0 +1,75 @@
+// Shell of the promotion core: runs its steps over database links and its orders at the executor.
+//
+// Owns: the core and one link an endpoint, opened on demand. Runs on the event loop's thread.
+#pragma once
+
+#include "documents/configuration.h"
+#include "entry/database_link.h"
+#include "fleet/news_source.h"
+#include "fleet/promotion_executor.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace mangoquay::fleet {
+
+class promotion_runner final : private promotion::promotion_ports {
+public:
+    // The fence for the next order, nothing while this host may not decide.
+    using fence_source = std::function<std::optional<promotion::fence>()>;
+
+    promotion_runner(transport::event_loop& loop, const entry::session_protocol& protocol,
+                     promotion_executor& executor, core::entry_host_id self, fence_source fences);
+    ~promotion_runner() override;
+    promotion_runner(const promotion_runner&) = delete;
+    promotion_runner& operator=(const promotion_runner&) = delete;
+    promotion_runner(promotion_runner&&) = delete;
+    promotion_runner& operator=(promotion_runner&&) = delete;
+
+    void lead(bool leading);
+    void tick(const documents::configuration& chosen, const registry::endpoint_registry& endpoints,
+              const std::map<core::entry_host_id, follower_record>& followers, core::time_point now);
+
+private:
+    struct waiting_step {
+        core::service_name m_service;
+        promotion::step_kind m_kind = promotion::step_kind::probe;
+        int m_answers_left = 1;
+        core::deadline m_limit;
+        promotion::step_answer m_answer;
+    };
+    struct endpoint_link {
+        registry::endpoint_report m_target;
+        std::unique_ptr<entry::database_link> m_link;
+        std::deque<waiting_step> m_steps;
+        core::time_point m_used{};
+    };
+
+    void run_step(const core::service_name& service, const registry::endpoint_report& target,
+                  promotion::step_kind kind, core::term term) override;
+    void order(const core::service_name& service, const core::endpoint_id& target,
+               promotion::fence number) override;
+    std::optional<promotion::fence> next_fence() override;
+    void record(const promotion::promotion_event& event) override;
+
+    endpoint_link& link_to(const registry::endpoint_report& target);
+    void answered(const core::endpoint_id& id, const relay::database_answer& answer);
+    void failed(const core::endpoint_id& id);
+    void drop_overdue(core::time_point now);
+    [[nodiscard]] std::vector<promotion::service_view>
+    views(const documents::configuration& chosen, const registry::endpoint_registry& endpoints,
+          const std::map<core::entry_host_id, follower_record>& followers) const;
+
+    transport::event_loop& m_loop;
+    const entry::session_protocol& m_protocol;
+    promotion_executor& m_executor;
+    core::entry_host_id m_self;
+    fence_source m_fences;
+    promotion::promotion_core m_core;
+    bool m_leading = false;
+    std::map<core::endpoint_id, endpoint_link> m_links;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+} // namespace mangoquay::fleet
--- /dev/null
+++ b/src/promotion/promotion_core.cpp
@@ -0,0 +1,367 @@
+// Phases of a replacement: watch, stop the old primary, compare replicas, order, confirm.
+#include "promotion/promotion_core.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace mangoquay::promotion {
+namespace {
+
+using registry::endpoint_report;
+using registry::report_state;
+
+// An empty transaction takes no slot at the database.
+constexpr core::milliseconds probe_period{250};
+// Probes fail for this long before a primary without contact to any entry host counts as lost: two lost answers.
+constexpr core::milliseconds lost_after{700};
+// Some entry hosts still reach it, most do not.
+constexpr core::milliseconds mostly_lost_after{2000};
+// Reports of a new primary take up to a second to arrive after a start or a promotion that was not ours.
+constexpr core::milliseconds missing_limit{1500};
+constexpr core::milliseconds pause_limit{350};
+constexpr core::milliseconds step_down_limit{500};
+// Replicas lag by 60 to 150 ms (sheet); a longer wait costs more writes than it saves.
+constexpr core::milliseconds catch_up_limit{800};
+// An executor that is slow or cut off is asked again under a higher fence.
+constexpr core::milliseconds order_limit{1500};
+// A promotion takes about a second (sheet).
+constexpr core::milliseconds confirm_limit{3000};
+constexpr core::milliseconds confirm_probe_period{100};
+constexpr core::milliseconds rejected_for{3000};
+constexpr core::milliseconds catch_up_poll{40};
+// Two missed reports.
+constexpr core::milliseconds watched_credit{2500};
+
+const endpoint_report* find(const service_view& service, const core::endpoint_id& id) {
+    const auto found = std::ranges::find(service.m_endpoints, id, &endpoint_report::m_id);
+    return found == service.m_endpoints.end() ? nullptr : &*found;
+}
+
+bool has_successor(const service_view& service, const core::endpoint_id& primary) {
+    return std::ranges::any_of(service.m_endpoints, [&](const endpoint_report& one) {
+        return one.m_id != primary && one.m_state == report_state::ready;
+    });
+}
+
+// Of several claims the one that was watched so far, as long as it reports, and otherwise the last that reported: a
+// primary that crashed never takes its claim back.
+const endpoint_report* claimed_primary(const service_view& service, const core::endpoint_id& watched) {
+    const endpoint_report* best = nullptr;
+    core::time_point best_heard{};
+    for (const endpoint_report& report : service.m_endpoints) {
+        const auto heard = service.m_heard.find(report.m_id);
+        core::time_point when = heard == service.m_heard.end() ? core::time_point{} : heard->second;
+        when += report.m_id == watched ? watched_credit : core::milliseconds(0);
+        if (report.m_is_primary && (best == nullptr || when > best_heard)) {
+            best = &report;
+            best_heard = when;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+void promotion_core::lead(bool leading) {
+    if (leading != m_leading) {
+        m_leading = leading;
+        m_watches.clear();
+    }
+}
+
+void promotion_core::tick(const std::vector<service_view>& services, core::time_point now) {
+    // In the order of phase.
+    static constexpr std::array<phase_handler, 6> handlers{
+        &promotion_core::watching,    &promotion_core::stepping_down, &promotion_core::pausing,
+        &promotion_core::catching_up, &promotion_core::ordering,      &promotion_core::confirming};
+    if (!m_leading) {
+        return;
+    }
+    for (const service_view& service : services) {
+        const auto [found, added] = m_watches.try_emplace(service.m_name);
+        if (added) {
+            found->second.m_first_seen = now;
+        }
+        (this->*handlers.at(static_cast<std::size_t>(found->second.m_phase)))(found->second, service, now);
+    }
+}
+
+void promotion_core::enter(watch& one, phase next, core::milliseconds limit, core::time_point now) {
+    one.m_phase = next;
+    one.m_phase_limit = core::deadline_after(now, limit);
+    one.m_probing = false;
+    one.m_next_probe = core::deadline{now};
+}
+
+void promotion_core::probe(watch& one, const service_view& service, const endpoint_report& target,
+                           core::time_point now) {
+    if (one.m_probing || !one.m_next_probe.passed(now)) {
+        return;
+    }
+    one.m_probing = true;
+    one.m_next_probe =
+        core::deadline_after(now, one.m_phase == phase::confirming ? confirm_probe_period : probe_period);
+    m_ports.run_step(service.m_name, target, step_kind::probe, one.m_newest);
+}
+
+void promotion_core::watching(watch& one, const service_view& service, core::time_point now) {
+    const endpoint_report* primary = claimed_primary(service, one.m_primary);
+    if (primary == nullptr) {
+        one.m_missing_since = one.m_missing_since.value_or(now);
+        const bool replaceable = has_successor(service, {}) && *one.m_missing_since + missing_limit < now;
+        if (replaceable) {
+            one.m_primary = {};
+            begin_pause(one, service, "no endpoint claims to be the primary", now);
+        }
+        return;
+    }
+    if (primary->m_id != one.m_primary) {
+        one.m_primary = primary->m_id;
+        one.m_failing_since.reset();
+        one.m_missing_since.reset();
+        one.m_probing = false;
+        one.m_probe_accepted = false;
+    }
+    if (one.m_paused && one.m_probe_accepted) {
+        resume_all(one, service);
+    }
+    probe(one, service, *primary, now);
+    if (is_lost(one, service, now)) {
+        begin_pause(one, service, "the primary is lost", now);
+        return;
+    }
+    if (one.m_missing_since && *one.m_missing_since + missing_limit < now &&
+        has_successor(service, primary->m_id)) {
+        begin_pause(one, service, "the reported primary refuses to be one", now);
+        return;
+    }
+    const bool leaves = primary->m_state == report_state::draining && has_successor(service, primary->m_id);
+    if (leaves && !one.m_failing_since && one.m_newest.value() > 0) {
+        m_ports.record({"planned replacement", service.m_name, primary->m_id, "the primary leaves"});
+        enter(one, phase::stepping_down, step_down_limit, now);
+        m_ports.run_step(service.m_name, *primary, step_kind::step_down, core::term(one.m_newest.value() + 1));
+    }
+}
+
+bool promotion_core::is_lost(const watch& one, const service_view& service, core::time_point now) const {
+    if (!one.m_failing_since || !has_successor(service, one.m_primary)) {
+        return false;
+    }
+    const auto seen = service.m_entry_views.find(one.m_primary);
+    const entry_views views = seen == service.m_entry_views.end() ? entry_views{} : seen->second;
+    const core::duration failing = now - *one.m_failing_since;
+    if (views.m_answered == 0) {
+        return failing >= lost_after;
+    }
+    return failing >= mostly_lost_after && views.m_failing > views.m_answered;
+}
+
+void promotion_core::stepping_down(watch& one, const service_view& service, core::time_point now) {
+    if (one.m_phase_limit.passed(now)) {
+        begin_pause(one, service, "the old primary did not answer the step down", now);
+    }
+}
+
+void promotion_core::begin_pause(watch& one, const service_view& service, const char* reason,
+                                 core::time_point now) {
+    m_ports.record({"replacement", service.m_name, one.m_primary, reason});
+    one.m_positions.clear();
+    one.m_paused = true;
+    one.m_needed.reset();
+    enter(one, phase::pausing, pause_limit, now);
+    ask_replicas(one, service, step_kind::pause, core::term(one.m_newest.value() + 1));
+}
+
+void promotion_core::ask_replicas(watch& one, const service_view& service, step_kind kind, core::term term) {
+    one.m_asked.clear();
+    for (const endpoint_report& report : service.m_endpoints) {
+        if (report.m_id != one.m_primary) {
+            one.m_asked.insert(report.m_id);
+            m_ports.run_step(service.m_name, report, kind, term);
+        }
+    }
+}
+
+void promotion_core::pausing(watch& one, const service_view& service, core::time_point now) {
+    const bool all = one.m_positions.size() == one.m_asked.size() && !one.m_asked.empty();
+    if (!all && !one.m_phase_limit.passed(now)) {
+        return;
+    }
+    // Each acknowledged commit is at one of any so many replicas.
+    const std::size_t replicas = one.m_asked.size();
+    const std::size_t needed = service.m_synchronous_replicas == 0 ? 1
+                               : replicas >= service.m_synchronous_replicas
+                                   ? replicas - service.m_synchronous_replicas + 1
+                                   : replicas;
+    if (one.m_positions.size() >= std::max<std::size_t>(needed, 1)) {
+        choose_and_order(one, service, now);
+        return;
+    }
+    finish(one, service.m_name, "replacement given up: too few replicas answer", now);
+    one.m_failing_since = now; // tried again after the usual time
+}
+
+void promotion_core::catching_up(watch& one, const service_view& service, core::time_point now) {
+    const bool reached = std::ranges::any_of(one.m_positions, [&](const auto& held) {
+        const endpoint_report* report = find(service, held.first);
+        return report != nullptr && report->m_state == report_state::ready && held.second >= *one.m_needed;
+    });
+    if (reached || one.m_phase_limit.passed(now)) {
+        choose_and_order(one, service, now);
+        return;
+    }
+    if (one.m_next_probe.passed(now)) {
+        one.m_next_probe = core::deadline_after(now, catch_up_poll);
+        ask_replicas(one, service, step_kind::status, one.m_newest);
+    }
+}
+
+void promotion_core::choose_and_order(watch& one, const service_view& service, core::time_point now) {
+    const endpoint_report* best = nullptr;
+    bool best_rejected = true;
+    for (const auto& [id, position] : one.m_positions) {
+        const endpoint_report* report = find(service, id);
+        if (report == nullptr || report->m_state != report_state::ready) {
+            continue;
+        }
+        const auto rejected_until = one.m_rejected.find(id);
+        const bool rejected = rejected_until != one.m_rejected.end() && !rejected_until->second.passed(now);
+        const bool better = best == nullptr || (best_rejected && !rejected) ||
+                            (best_rejected == rejected && one.m_positions.at(best->m_id) < position);
+        if (better) {
+            best = report;
+            best_rejected = rejected;
+        }
+    }
+    if (best == nullptr) {
+        finish(one, service.m_name, "replacement given up: no replica is ready", now);
+        one.m_failing_since = now;
+        return;
+    }
+    one.m_target = best->m_id;
+    give_order(one, service, now);
+}
+
+void promotion_core::give_order(watch& one, const service_view& service, core::time_point now) {
+    const auto number = m_ports.next_fence();
+    if (!number) {
+        return; // leadership is in doubt; asked again at the next tick
+    }
+    one.m_fence = *number;
+    enter(one, phase::ordering, order_limit, now);
+    m_ports.record({"promotion ordered", service.m_name, one.m_target, "fence=" + std::to_string(number->value())});
+    m_ports.order(service.m_name, one.m_target, *number);
+}
+
+void promotion_core::ordering(watch& one, const service_view& service, core::time_point now) {
+    if (one.m_phase_limit.passed(now)) {
+        give_order(one, service, now);
+    }
+}
+
+void promotion_core::confirming(watch& one, const service_view& service, core::time_point now) {
+    const endpoint_report* target = find(service, one.m_target);
+    if (target == nullptr || one.m_phase_limit.passed(now)) {
+        one.m_rejected[one.m_target] = core::deadline_after(now, rejected_for);
+        begin_pause(one, service, "the promotion was not confirmed", now);
+        return;
+    }
+    probe(one, service, *target, now);
+}
+
+void promotion_core::order_answered(const core::service_name& service, fence number, order_outcome outcome,
+                                    core::time_point now) {
+    const auto found = m_watches.find(service);
+    if (!m_leading || found == m_watches.end() || found->second.m_phase != phase::ordering ||
+        found->second.m_fence != number) {
+        return;
+    }
+    watch& one = found->second;
+    switch (outcome) {
+    case order_outcome::accepted:
+        m_ports.record({"promotion accepted", service, one.m_target, ""});
+        enter(one, phase::confirming, confirm_limit, now);
+        break;
+    case order_outcome::refused:
+        one.m_rejected[one.m_target] = core::deadline_after(now, rejected_for);
+        m_ports.record({"promotion refused", service, one.m_target, ""});
+        // The others are compared again: the refused one may be down.
+        one.m_phase = phase::pausing;
+        one.m_positions.erase(one.m_target);
+        one.m_asked.erase(one.m_target);
+        one.m_phase_limit = core::deadline_after(now, pause_limit);
+        break;
+    case order_outcome::unknown:
+        one.m_phase_limit = core::deadline_after(now, probe_period);
+        break;
+    }
+}
+
+void promotion_core::step_answered(const core::service_name& service, const step_answer& answer,
+                                   core::time_point now) {
+    const auto found = m_watches.find(service);
+    if (!m_leading || found == m_watches.end()) {
+        return;
+    }
+    watch& one = found->second;
+    if (answer.m_status) {
+        one.m_newest = std::max(one.m_newest, answer.m_status->m_term);
+    }
+    if (answer.m_position) {
+        one.m_newest = std::max(one.m_newest, answer.m_position->m_term);
+    }
+    if (answer.m_kind == step_kind::probe) {
+        one.m_probing = false;
+    }
+    if (one.m_phase == phase::watching && answer.m_kind == step_kind::probe) {
+        probe_answered(one, answer, now);
+    } else if (one.m_phase == phase::confirming && answer.m_is_primary && answer.m_endpoint == one.m_target) {
+        one.m_primary = one.m_target;
+        finish(one, service, "promotion confirmed", now);
+    } else if (one.m_phase == phase::pausing && answer.m_kind == step_kind::pause && answer.m_status) {
+        one.m_positions[answer.m_endpoint] = answer.m_status->m_received;
+    } else if (one.m_phase == phase::catching_up && answer.m_status) {
+        one.m_positions[answer.m_endpoint] = answer.m_status->m_received;
+    } else if (one.m_phase == phase::stepping_down && answer.m_kind == step_kind::step_down && answer.m_status) {
+        one.m_needed = answer.m_status->m_received;
+        one.m_positions.clear();
+        enter(one, phase::catching_up, catch_up_limit, now);
+    }
+}
+
+void promotion_core::probe_answered(watch& one, const step_answer& answer, core::time_point now) {
+    if (answer.m_endpoint != one.m_primary) {
+        return;
+    }
+    one.m_probe_accepted = answer.m_answered && answer.m_is_primary;
+    if (answer.m_answered) {
+        one.m_failing_since.reset();
+    } else {
+        one.m_failing_since = one.m_failing_since.value_or(now);
+    }
+    if (!answer.m_answered || answer.m_is_primary) {
+        one.m_missing_since.reset();
+    } else {
+        one.m_missing_since = one.m_missing_since.value_or(now);
+    }
+}
+
+void promotion_core::finish(watch& one, const core::service_name& service, const char* what,
+                            core::time_point now) {
+    m_ports.record({what, service, one.m_target, ""});
+    one.m_failing_since.reset();
+    one.m_missing_since.reset();
+    one.m_needed.reset();
+    one.m_probe_accepted = false;
+    enter(one, phase::watching, core::milliseconds(0), now);
+}
+
+void promotion_core::resume_all(watch& one, const service_view& service) {
+    for (const endpoint_report& report : service.m_endpoints) {
+        m_ports.run_step(service.m_name, report, step_kind::resume, one.m_newest);
+    }
+    one.m_paused = false;
+}
+
+} // namespace mangoquay::promotion
--- /dev/null
+++ b/src/promotion/promotion_core.h
@@ -0,0 +1,155 @@
+// Decides when a service's primary is replaced and by which replica, where an outside executor carries the promotion
+// out and only the fence of an order tells old from new.
+//
+// Owns: one watch a service, volatile. A new leader starts afresh: its fences are higher than those of all before, so
+// whatever an earlier one ordered late is refused. Deterministic: events in, requests to promotion_ports out.
+//
+// Safety rules:
+// - replicas stop receiving under a higher term before their positions are compared, so the furthest one stays it;
+// - with synchronous replicas an order waits until so many replicas have answered that each acknowledged commit is held
+//   by one of them;
+// - each order has a fence of its own, higher than those of all earlier orders.
+#pragma once
+
+#include "core/clock.h"
+#include "core/history_position.h"
+#include "core/ids.h"
+#include "registry/endpoint_registry.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mangoquay::promotion {
+
+using fence = core::strong_value<struct fence_tag, std::uint64_t>;
+
+// What a database says about itself when it is asked by a control host.
+struct endpoint_status {
+    bool m_is_primary = false;
+    core::term m_term;
+    core::history_position m_received;
+};
+
+enum class step_kind : std::uint8_t { probe, status, pause, resume, step_down };
+
+enum class order_outcome : std::uint8_t {
+    accepted,
+    refused, // the fence is too low, or the database does not run
+    unknown, // it may still be carried out
+};
+
+// What entry hosts say of a primary.
+struct entry_views {
+    std::uint32_t m_answered = 0;
+    std::uint32_t m_failing = 0;
+};
+
+struct service_view {
+    core::service_name m_name;
+    std::uint32_t m_synchronous_replicas = 0;
+    std::vector<registry::endpoint_report> m_endpoints;
+    std::map<core::endpoint_id, core::time_point> m_heard; // when each last reported
+    std::map<core::endpoint_id, entry_views> m_entry_views;
+};
+
+struct promotion_event {
+    const char* m_what = "";
+    core::service_name m_service;
+    core::endpoint_id m_endpoint;
+    std::string m_reason;
+};
+
+class promotion_ports {
+public:
+    promotion_ports() = default;
+    virtual ~promotion_ports() = default;
+    promotion_ports(const promotion_ports&) = delete;
+    promotion_ports& operator=(const promotion_ports&) = delete;
+    promotion_ports(promotion_ports&&) = delete;
+    promotion_ports& operator=(promotion_ports&&) = delete;
+
+    // Answered by step_answered(); a probe is an empty transaction that only a primary accepts.
+    virtual void run_step(const core::service_name& service, const registry::endpoint_report& target,
+                          step_kind kind, core::term term) = 0;
+    // Answered by order_answered().
+    virtual void order(const core::service_name& service, const core::endpoint_id& target, fence number) = 0;
+    // No order may be given without it: the host still leads.
+    [[nodiscard]] virtual std::optional<fence> next_fence() = 0;
+    virtual void record(const promotion_event& event) = 0;
+};
+
+struct step_answer {
+    core::endpoint_id m_endpoint;
+    step_kind m_kind = step_kind::probe;
+    bool m_answered = false; // the database was reached and answered
+    bool m_is_primary = false;
+    std::optional<endpoint_status> m_status;                // of every kind but a probe
+    std::optional<core::history_position> m_position; // of a probe that a primary accepted
+};
+
+class promotion_core {
+public:
+    explicit promotion_core(promotion_ports& ports) : m_ports(ports) {}
+
+    // The host begins or ceases to lead. Nothing is remembered over a change.
+    void lead(bool leading);
+    void tick(const std::vector<service_view>& services, core::time_point now);
+    void step_answered(const core::service_name& service, const step_answer& answer, core::time_point now);
+    void order_answered(const core::service_name& service, fence number, order_outcome outcome,
+                        core::time_point now);
+
+private:
+    enum class phase : std::uint8_t { watching, stepping_down, pausing, catching_up, ordering, confirming };
+
+    struct watch {
+        phase m_phase = phase::watching;
+        core::deadline m_phase_limit;
+        core::endpoint_id m_primary; // watched, or being replaced
+        core::time_point m_first_seen{};
+        std::optional<core::time_point> m_failing_since; // probes
+        std::optional<core::time_point> m_missing_since; // no endpoint is the primary
+        bool m_probe_accepted = false;                   // the last one
+        bool m_probing = false;
+        core::deadline m_next_probe;
+        core::term m_newest; // seen anywhere
+        std::optional<core::history_position> m_needed; // that the successor must hold, of a planned replacement
+        std::map<core::endpoint_id, core::history_position> m_positions; // of paused replicas
+        std::set<core::endpoint_id> m_asked;
+        std::map<core::endpoint_id, core::deadline> m_rejected; // as successors, until then
+        core::endpoint_id m_target;
+        fence m_fence;
+        // Replicas may be paused, also by an earlier leader, and have to be resumed once there is a primary.
+        bool m_paused = true;
+    };
+
+    using phase_handler = void (promotion_core::*)(watch&, const service_view&, core::time_point);
+
+    void watching(watch& one, const service_view& service, core::time_point now);
+    void stepping_down(watch& one, const service_view& service, core::time_point now);
+    void pausing(watch& one, const service_view& service, core::time_point now);
+    void catching_up(watch& one, const service_view& service, core::time_point now);
+    void ordering(watch& one, const service_view& service, core::time_point now);
+    void confirming(watch& one, const service_view& service, core::time_point now);
+
+    void probe(watch& one, const service_view& service, const registry::endpoint_report& target,
+               core::time_point now);
+    void begin_pause(watch& one, const service_view& service, const char* reason, core::time_point now);
+    void ask_replicas(watch& one, const service_view& service, step_kind kind, core::term term);
+    void probe_answered(watch& one, const step_answer& answer, core::time_point now);
+    void choose_and_order(watch& one, const service_view& service, core::time_point now);
+    void give_order(watch& one, const service_view& service, core::time_point now);
+    void finish(watch& one, const core::service_name& service, const char* what, core::time_point now);
+    void resume_all(watch& one, const service_view& service);
+    void enter(watch& one, phase next, core::milliseconds limit, core::time_point now);
+    [[nodiscard]] bool is_lost(const watch& one, const service_view& service, core::time_point now) const;
+
+    promotion_ports& m_ports;
+    bool m_leading = false;
+    std::map<core::service_name, watch> m_watches;
+};
+
+} // namespace mangoquay::promotion
--- a/src/transport/byte_stream.cpp
+++ b/src/transport/byte_stream.cpp
@@ -169,9 +169,14 @@
 }
 
 stream_listener::~stream_listener() {
+    close();
+}
+
+void stream_listener::close() {
     if (m_socket >= 0) {
         m_loop.unwatch(m_socket);
         ::close(m_socket);
+        m_socket = -1;
     }
 }
 
--- a/src/transport/byte_stream.h
+++ b/src/transport/byte_stream.h
@@ -74,6 +74,7 @@
     stream_listener& operator=(stream_listener&&) = delete;
 
     core::result<std::uint16_t> listen(const control::socket_address& address, accept_handler handler);
+    void close();
 
 private:
     void accept_ready();
