Let election timeouts differ between hosts; leave lagging replicas alone for growing pauses

Replicas that lacked a position were asked again at once: 163,419 of 191,449 arrivals did not run. Ruled out: lost links and slow disks (the storage log shows all hosts started within 20 ms).

--- a/src/consensus/raft_driver.cpp
+++ b/src/consensus/raft_driver.cpp
@@ -19,6 +19,17 @@
 
 } // namespace
 
+std::uint64_t election_seed(std::uint64_t base, const core::entry_host_id& host) {
+    // FNV-1a over the host's name, begun with the base.
+    constexpr std::uint64_t offset = 14695981039346656037U;
+    constexpr std::uint64_t prime = 1099511628211U;
+    std::uint64_t seed = offset ^ base;
+    for (const char byte : host.value()) {
+        seed = (seed ^ static_cast<unsigned char>(byte)) * prime;
+    }
+    return seed;
+}
+
 raft_driver::raft_driver(transport::event_loop& loop, driver_settings settings, message_sender sender)
     : m_loop(loop), m_settings(std::move(settings)), m_sender(std::move(sender)),
       m_on_failure([](const std::string&) { std::abort(); }), m_alive(std::make_shared<raft_driver*>(this)) {}
@@ -43,7 +54,7 @@
     settings.m_may_found = m_settings.m_may_found;
     settings.m_limits.m_kept_entries = m_settings.m_kept_entries;
     settings.m_timing = m_settings.m_timing;
-    settings.m_seed = m_settings.m_seed ^ std::hash<std::string>{}(m_settings.m_self.value());
+    settings.m_seed = election_seed(m_settings.m_seed, m_settings.m_self);
     m_last_snapshot = recovered.m_snapshot.m_index;
     m_node = std::make_unique<raft_node>(std::move(settings), std::move(recovered), m_loop.now());
     const std::weak_ptr<raft_driver*> alive = m_alive;
--- a/src/consensus/raft_driver.h
+++ b/src/consensus/raft_driver.h
@@ -35,6 +35,10 @@
     std::uint64_t m_kept_entries = 4096;      // before the end of a snapshot, for followers that are behind
 };
 
+// Seed of a host's election timeouts. Hosts with equal timeouts split their votes for ever, so hosts differ
+// whatever base is chosen, also when it is a hash of the host itself.
+std::uint64_t election_seed(std::uint64_t base, const core::entry_host_id& host);
+
 struct committed_entry {
     core::revision m_revision;
     std::string m_payload; // empty for entries of the consensus slice itself
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -5,6 +5,7 @@
 #include "fleet/admission_choice.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace mangoquay::fleet {
@@ -26,7 +27,7 @@
         raft.m_initial_hosts.insert(host_id(address));
     }
     raft.m_may_found = chosen.m_first_start;
-    raft.m_seed = std::hash<core::entry_host_id>{}(raft.m_self);
+    raft.m_seed = std::random_device{}();
     raft.m_snapshot_interval = snapshot_interval;
     raft.m_kept_entries = kept_entries;
     return raft;
@@ -107,6 +108,20 @@
     m_loop.after(tick_period, [this] { tick(); });
 }
 
+// A log that is read again at a start commits many versions at once; followers get the last of them.
+void control_node::announce_document() {
+    if (std::exchange(m_announcing, true)) {
+        return;
+    }
+    m_loop.post([this] {
+        m_announcing = false;
+        if (auto decoded = m_decoder(m_documents.bytes())) {
+            m_configuration = std::move(*decoded);
+        }
+        m_source.document_changed();
+    });
+}
+
 void control_node::lead(core::time_point now) {
     const bool leads = m_raft->holds_lease(now);
     m_promotions.lead(leads);
@@ -176,10 +191,7 @@
         core::log_line(core::log_level::info, "fleet",
                        "configuration committed version=" + std::to_string(m_documents.version().value()) +
                            " before=" + std::to_string(before.value()));
-        if (auto decoded = m_decoder(m_documents.bytes())) {
-            m_configuration = std::move(*decoded);
-        }
-        m_source.document_changed();
+        announce_document();
     }
 }
 
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -57,6 +57,7 @@
     void join_if_alone(core::time_point now);
     void join_asked(const core::entry_host_id& from, const wire::cell_joinT& request);
     void committed(const std::string& payload);
+    void announce_document();
     void lead(core::time_point now);
     [[nodiscard]] std::optional<promotion::fence> next_fence();
     [[nodiscard]] call_outcome leader_needed() const;
@@ -76,6 +77,7 @@
     documents::configuration m_configuration; // the committed document, decoded
     core::time_point m_leader_seen{};
     core::time_point m_next_join{};
+    bool m_announcing = false;
     std::uint32_t m_orders = 0; // given in m_fence_term
     consensus::raft_term m_fence_term;
 };
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -9,8 +9,7 @@
 // A replica in another zone is worth its bytes only when the own zone's is slower by more than this.
 constexpr double other_zone_penalty_ms = 25.0;
 constexpr double suspect_penalty_ms = 2000.0;
-constexpr double shedding_penalty_ms = 300.0;
-constexpr double lagging_penalty_ms = 400.0;
+constexpr double recent_position_penalty_ms = 400.0;
 constexpr double avoided_penalty_ms = 1000.0;
 // Reads stay off the primary while a replica is about as good: writes can go nowhere else.
 constexpr double primary_penalty_ms = 5.0;
@@ -31,16 +30,16 @@
     double cost = view.m_answer_ms * (1.0 + static_cast<double>(view.m_busy) / slots);
     cost += view.m_report.m_zone == request.m_zone ? 0.0 : other_zone_penalty_ms;
     cost += view.m_suspect.passed(now) ? 0.0 : suspect_penalty_ms;
-    cost += view.m_shedding.passed(now) ? 0.0 : shedding_penalty_ms;
     if (view.m_report.m_is_primary) {
         return cost + primary_penalty_ms;
     }
-    const bool lags = !view.m_lagging.passed(now) || probably_lags(view, request);
-    return cost + (lags ? lagging_penalty_ms : 0.0);
+    return cost + (probably_lags(view, request) ? recent_position_penalty_ms : 0.0);
 }
 
-bool serves_reads(const endpoint_view& view, const core::service_name& service) {
-    return view.m_report.m_service == service && view.m_report.m_state == registry::report_state::ready;
+// A replica that lags far behind refuses each read at once; asking it again and again costs both sides time.
+bool serves_reads(const endpoint_view& view, const core::service_name& service, core::time_point now) {
+    return view.m_report.m_service == service && view.m_report.m_state == registry::report_state::ready &&
+           (view.m_report.m_is_primary || view.m_lagging.passed(now)) && view.m_shedding.passed(now);
 }
 
 placement_outcome place_on_primary(const endpoint_views& views, const placement_request& request,
@@ -51,7 +50,7 @@
         return outcome;
     }
     outcome.m_known = primary->m_suspect.passed(now);
-    if (has_free_link(*primary, request.m_links_per_endpoint)) {
+    if (has_free_link(*primary, request.m_links_per_endpoint) && primary->m_shedding.passed(now)) {
         outcome.m_chosen = placement{primary->m_report.m_id, "primary"};
     }
     return outcome;
@@ -86,7 +85,7 @@
     placement_outcome outcome;
     double least = 0.0;
     for (const auto& [id, view] : views) {
-        if (!serves_reads(view, request.m_service)) {
+        if (!serves_reads(view, request.m_service, now)) {
             continue;
         }
         outcome.m_known = outcome.m_known || view.m_suspect.passed(now);
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -22,7 +22,8 @@
     core::deadline m_suspect;  // after a failure: avoided while others can serve
     core::duration m_suspect_step{}; // doubles with each failure in a row
     core::deadline m_shedding; // it refused work for lack of slots
-    core::deadline m_lagging;  // it lacked a position that was asked for
+    core::deadline m_lagging;  // it lacked a position that was asked for: gets no reads until then
+    core::duration m_lagging_step{}; // doubles with each such refusal in a row
     core::deadline m_refuted;  // it is no primary, whatever it reports
     double m_answer_ms = 15.0; // exponentially weighted; starts near the work of the sheets' short requests
     std::optional<core::history_position> m_position; // last seen
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -11,7 +11,8 @@
 constexpr core::milliseconds largest_back_off{1600};
 // A database without a free slot is asked again after a few of its service times.
 constexpr core::milliseconds shedding_pause{30};
-constexpr core::milliseconds lagging_pause{120};
+constexpr core::milliseconds least_lagging_pause{50};
+constexpr core::milliseconds largest_lagging_pause{800};
 // Covers the time until the endpoint's own report of its new role arrives.
 constexpr core::milliseconds refuted_for{500};
 constexpr core::milliseconds repeat_pause{10};
@@ -95,6 +96,7 @@
     if (expected.m_step == link_step::statement) {
         const double taken = std::chrono::duration<double, std::milli>(now - expected.m_sent).count();
         view.m_answer_ms += answer_weight * (taken - view.m_answer_ms);
+        view.m_lagging_step = {};
     }
     // Only a primary accepts a plain begin.
     const bool from_primary = expected.m_step == link_step::begin || expected.m_step == link_step::probe;
@@ -264,7 +266,11 @@
     if (reason == refusal::busy || reason == refusal::too_many_connections) {
         view.m_shedding.m_at = now + shedding_pause;
     } else if (reason == refusal::lagging) {
-        view.m_lagging.m_at = now + lagging_pause;
+        if (view.m_lagging.passed(now)) { // further refusals of reads in flight say nothing new
+            view.m_lagging_step =
+                std::clamp<core::duration>(view.m_lagging_step * 2, least_lagging_pause, largest_lagging_pause);
+            view.m_lagging.m_at = now + view.m_lagging_step;
+        }
     } else if (reason == refusal::read_only) {
         view.m_refuted.m_at = now + refuted_for;
     }
