--- a/src/consensus/raft_driver.h
+++ b/src/consensus/raft_driver.h
@@ -84,9 +84,9 @@
     void receive(const core::entry_host_id& from, const raft_message& message);
     // The payload must not be empty. On a host that is not the leader the callback gets an empty index.
     void propose(std::string payload, propose_callback done);
-    // Takes `lost`, unless it is empty, out of the members and admits `replacement`, as a learner until it has
-    // caught up. Only the leader does this; fails with the reason otherwise. Success means that the change was
-    // started.
+    // Takes `lost`, unless it is empty, out of the members and admits `replacement`, as a learner until it
+    // has caught up. Only the leader does this; fails with the reason otherwise. Success means that the
+    // change was started.
     status replace_host(const core::entry_host_id& lost, const core::entry_host_id& replacement);
 
     [[nodiscard]] bool is_leader() const;
--- a/src/consensus/raft_members.cpp
+++ b/src/consensus/raft_members.cpp
@@ -195,8 +195,8 @@
 }
 
 void raft_node::on_event(const replace_host& event) {
-    const bool done = is_leader() && !event.m_lost.value().empty() && !members().contains_host(event.m_lost) &&
-                      members().contains_host(event.m_replacement);
+    const bool done = is_leader() && !event.m_lost.value().empty() &&
+                      !members().contains_host(event.m_lost) && members().contains_host(event.m_replacement);
     const std::string refusal = done ? "" : replace_refusal(event);
     if (refusal.empty() && !done) {
         membership next = members();
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -161,7 +161,8 @@
     // replace.
     [[nodiscard]] bool holds_lease(core::time_point now) const;
     [[nodiscard]] const std::optional<member>& leader() const { return m_leader; }
-    // On a leader: when the newest message that the voter has answered was sent; its election if there is none.
+    // On a leader: when the newest message that the voter has answered was sent; its election if there is
+    // none.
     [[nodiscard]] std::optional<core::time_point> last_contact(const core::entry_host_id& voter) const;
     [[nodiscard]] const member& self() const { return m_settings.m_self; }
     [[nodiscard]] const membership& members() const { return m_log.members(); }
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -22,8 +22,8 @@
     friend bool operator==(const deadline&, const deadline&) = default;
 };
 
-// The present moment. Counts the time for which the machine was suspended, which the usual steady clock does not,
-// so that a lease that ran out meanwhile is seen to have run out.
+// The present moment. Counts the time for which the machine was suspended, which the usual steady clock does
+// not, so that a lease that ran out meanwhile is seen to have run out.
 time_point now();
 
 inline deadline deadline_after(time_point now, duration length) {
--- a/src/documents/configuration.h
+++ b/src/documents/configuration.h
@@ -1,7 +1,7 @@
 // The configuration document that an operator replaces as a whole: routes, services, limits.
 //
-// Every entry host obeys the document of the highest version that it has seen. Validation is a pure function, so
-// each control host refuses the same documents.
+// Every entry host obeys the document of the highest version that it has seen. Validation is a pure function,
+// so each control host refuses the same documents.
 #pragma once
 
 #include "core/clock.h"
@@ -39,7 +39,7 @@
 
 struct service_rule {
     core::service_name m_name;
-    std::uint32_t m_connections = 0;       // at each of its databases, from all callers
+    std::uint32_t m_connections = 0; // at each of its databases, from all callers
     std::uint32_t m_synchronous_replicas = 0;
 
     friend bool operator==(const service_rule&, const service_rule&) = default;
--- a/src/entry/database_link.h
+++ b/src/entry/database_link.h
@@ -1,7 +1,7 @@
 // A connection to a database: startup, requests, answers. Decides nothing.
 //
-// Owns: the stream and the answer being received. Used by entry hosts for callers' statements and by control hosts
-// for promotion steps.
+// Owns: the stream and the answer being received. Used by entry hosts for callers' statements and by control
+// hosts for promotion steps.
 #pragma once
 
 #include "entry/session_protocol.h"
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -24,9 +24,9 @@
 
 caller_limits limits_from(const settings::fleet_settings& chosen) {
     caller_limits limits;
-    const std::uint32_t usable =
-        chosen.m_descriptors > 2 * reserved_descriptors ? chosen.m_descriptors - reserved_descriptors
-                                                        : chosen.m_descriptors / 2;
+    const std::uint32_t usable = chosen.m_descriptors > 2 * reserved_descriptors
+                                     ? chosen.m_descriptors - reserved_descriptors
+                                     : chosen.m_descriptors / 2;
     limits.m_sessions = usable;
     return limits;
 }
@@ -39,8 +39,8 @@
     : m_loop(loop), m_settings(chosen), m_protocol(protocol), m_decoder(decoder),
       m_core(*this, relay::relay_limits{.m_zone = chosen.m_zone}),
       m_callers(loop, protocol, limits_from(chosen)),
-      m_news(loop, bus, network,
-             {fleet::host_id(chosen.m_peer_address), chosen.m_peer_address, true}, news_handlers()) {}
+      m_news(loop, bus, network, {fleet::host_id(chosen.m_peer_address), chosen.m_peer_address, true},
+             news_handlers()) {}
 
 entry_node::~entry_node() = default;
 
@@ -116,7 +116,7 @@
         m_core.link_answered(link, answer, core::now());
     };
     handlers.m_failed = [this, link, id = target.m_id](std::optional<relay::refusal> reason,
-                                                      const std::string& text) {
+                                                       const std::string& text) {
         core::log_line(core::log_level::info, "entry",
                        "database link ended endpoint=" + id.value() + " reason=" + text);
         const auto failed = std::move(m_links[link]); // outlives the call that ends it
@@ -146,23 +146,21 @@
     }
     ++m_lines;
     core::log_line(core::log_level::info, "relay",
-                   std::string(event.m_what) + " request=" + event.m_request + " endpoint=" + event.m_endpoint +
-                       " reason=\"" + event.m_reason + "\" age_ms=" + std::to_string(event.m_age_ms) +
-                       " attempts=" + std::to_string(event.m_attempts) +
+                   std::string(event.m_what) + " request=" + event.m_request +
+                       " endpoint=" + event.m_endpoint + " reason=\"" + event.m_reason + "\" age_ms=" +
+                       std::to_string(event.m_age_ms) + " attempts=" + std::to_string(event.m_attempts) +
                        " configuration=" + std::to_string(m_core.version().value()));
 }
 
 void entry_node::write_summary() {
     const relay::relay_counters& counted = m_core.counters();
     core::log_line(core::log_level::info, "relay",
-                   "summary sessions=" + std::to_string(m_core.sessions()) +
-                       " active=" + std::to_string(m_core.active()) + " links=" + std::to_string(m_core.links()) +
-                       " statements=" + std::to_string(counted.m_statements) +
-                       " succeeded=" + std::to_string(counted.m_succeeded) +
-                       " refused=" + std::to_string(counted.m_refused) +
-                       " uncertain=" + std::to_string(counted.m_uncertain) +
-                       " repeated=" + std::to_string(counted.m_repeated) +
-                       " probes=" + std::to_string(counted.m_probes) +
+                   "summary sessions=" + std::to_string(m_core.sessions()) + " active=" +
+                       std::to_string(m_core.active()) + " links=" + std::to_string(m_core.links()) +
+                       " statements=" + std::to_string(counted.m_statements) + " succeeded=" +
+                       std::to_string(counted.m_succeeded) + " refused=" + std::to_string(counted.m_refused) +
+                       " uncertain=" + std::to_string(counted.m_uncertain) + " repeated=" +
+                       std::to_string(counted.m_repeated) + " probes=" + std::to_string(counted.m_probes) +
                        " lines_left_out=" + std::to_string(std::exchange(m_lines_left_out, 0)));
     m_lines = 0;
 }
@@ -176,8 +174,7 @@
     m_drain_sessions = core::deadline_after(now, std::min<core::milliseconds>(balancer_notice, limit / 2));
     m_drain_transactions = core::deadline_after(now, limit * 55 / 100);
     m_drain_end = core::deadline_after(now, limit * 85 / 100);
-    core::log_line(core::log_level::info, "entry",
-                   "stopping sessions=" + std::to_string(m_core.sessions()));
+    core::log_line(core::log_level::info, "entry", "stopping sessions=" + std::to_string(m_core.sessions()));
     drain_step();
 }
 
@@ -190,7 +187,8 @@
     if (m_drain_sessions.passed(now)) {
         left = m_core.close_idle_sessions(sessions_closed_per_step, now);
     }
-    if (!m_accepting_ended && m_drain_sessions.passed(now) && (left == 0 || m_drain_transactions.passed(now))) {
+    if (!m_accepting_ended && m_drain_sessions.passed(now) &&
+        (left == 0 || m_drain_transactions.passed(now))) {
         m_accepting_ended = true;
         m_callers.stop_accepting();
         left = 1; // one more round for what was accepted before
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -1,8 +1,8 @@
-// Shell of an entry host of a discovered fleet: joins callers' sessions, the relay core, database links and the news
-// of control hosts.
+// Shell of an entry host of a discovered fleet: joins callers' sessions, the relay core, database links and
+// the news of control hosts.
 //
-// Owns all of these. Runs on the event loop's thread. Decides only about its own stop: the balancer is told first,
-// idle sessions are closed once it has had time to notice, transactions get half of the limit.
+// Owns all of these. Runs on the event loop's thread. Decides only about its own stop: the balancer is told
+// first, idle sessions are closed once it has had time to notice, transactions get half of the limit.
 #pragma once
 
 #include "entry/caller_sessions.h"
@@ -60,7 +60,7 @@
     std::map<relay::link_id, std::unique_ptr<database_link>> m_links;
     std::atomic<bool> m_ready{false};
     core::time_point m_next_summary{};
-    std::uint64_t m_lines = 0;         // written since the last summary
+    std::uint64_t m_lines = 0; // written since the last summary
     std::uint64_t m_lines_left_out = 0;
     core::deadline m_drain_sessions; // while stopping
     core::deadline m_drain_transactions;
--- a/src/entry/session_protocol.h
+++ b/src/entry/session_protocol.h
@@ -1,5 +1,5 @@
-// The byte protocol of callers and databases, as a strategy: an adapter implements it, the entry host knows only the
-// decoded messages.
+// The byte protocol of callers and databases, as a strategy: an adapter implements it, the entry host knows
+// only the decoded messages.
 //
 // An implementation keeps no state between calls but what lies in the given objects.
 #pragma once
@@ -39,8 +39,10 @@
     session_protocol(session_protocol&&) = delete;
     session_protocol& operator=(session_protocol&&) = delete;
 
-    // Takes one message from `received` at `offset` and moves the offset past it; nothing when it is not complete.
-    virtual std::optional<caller_message> decode_caller(const std::string& received, std::size_t& offset) const = 0;
+    // Takes one message from `received` at `offset` and moves the offset past it; nothing when it is not
+    // complete.
+    virtual std::optional<caller_message> decode_caller(const std::string& received,
+                                                        std::size_t& offset) const = 0;
     virtual void encode_ready(std::string& out) const = 0;
     // A refusal outside of any statement; the connection is closed after it.
     virtual void encode_refusal(relay::refusal reason, const std::string& text, std::string& out) const = 0;
@@ -49,9 +51,10 @@
     virtual void encode_startup(const registry::endpoint_report& target, std::string& out) const = 0;
     virtual void encode_request(const relay::database_request& request, std::string& out) const = 0;
     // The row that answers a status request and the steps of a promotion; nothing when it cannot be read.
-    [[nodiscard]] virtual std::optional<promotion::endpoint_status> decode_status(const std::string& row) const = 0;
-    // Adds what `received` holds of one answer and moves the offset past it. The answer to a startup is one without
-    // rows and signature.
+    [[nodiscard]] virtual std::optional<promotion::endpoint_status>
+    decode_status(const std::string& row) const = 0;
+    // Adds what `received` holds of one answer and moves the offset past it. The answer to a startup is one
+    // without rows and signature.
     virtual answer_progress decode_answer(const std::string& received, std::size_t& offset,
                                           partial_answer& answer) const = 0;
 };
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -52,9 +52,8 @@
       m_promotions(loop, protocol, executor, m_self, [this] { return next_fence(); }) {
     m_raft->on_commit([this](core::revision, const std::string& payload) { committed(payload); });
     m_raft->on_install([this](core::revision, const std::string& state) { committed(state); });
-    m_raft->on_snapshot_needed([this] {
-        return documents::document_register::encode(m_documents.version(), m_documents.bytes());
-    });
+    m_raft->on_snapshot_needed(
+        [this] { return documents::document_register::encode(m_documents.version(), m_documents.bytes()); });
     m_bus.on<wire::raft_messageT>([this](const auto& from, const auto& message) {
         const auto decoded = consensus::from_wire(message);
         if (decoded) {
@@ -130,7 +129,8 @@
     }
 }
 
-// The term rises with each leader and the count with each order, so every order has a higher fence than all before it.
+// The term rises with each leader and the count with each order, so every order has a higher fence than all
+// before it.
 std::optional<promotion::fence> control_node::next_fence() {
     constexpr unsigned count_bits = 20;
     if (!m_raft->holds_lease(core::now())) {
@@ -167,7 +167,8 @@
         return;
     }
     m_network.set_address(from, {request.peer_host, request.peer_port});
-    admission_request asked{.m_newcomer = from, .m_self = m_self, .m_wanted = 2 * m_settings.m_lost_hosts + 1};
+    admission_request asked{
+        .m_newcomer = from, .m_self = m_self, .m_wanted = 2 * m_settings.m_lost_hosts + 1};
     const core::time_point now = core::now();
     const auto add = [&](const consensus::member& one) {
         asked.m_members.push_back({one.m_host, m_raft->last_contact(one.m_host).value_or(now)});
@@ -250,7 +251,8 @@
     const bool changed = outcome == registry::merge_outcome::changed;
     if (changed) {
         core::log_line(core::log_level::info, "fleet",
-                       "endpoint changed endpoint=" + report.m_id.value() + " service=" + report.m_service.value() +
+                       "endpoint changed endpoint=" + report.m_id.value() +
+                           " service=" + report.m_service.value() +
                            " state=" + std::to_string(static_cast<int>(report.m_state)) +
                            " primary=" + std::to_string(static_cast<int>(report.m_is_primary)) +
                            " sequence=" + std::to_string(report.m_sequence));
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -1,5 +1,5 @@
-// Shell of a control host of a discovered fleet: a member of the Raft cell that keeps the configuration document, a
-// receiver of endpoint reports and, while it leads, the one that orders promotions.
+// Shell of a control host of a discovered fleet: a member of the Raft cell that keeps the configuration
+// document, a receiver of endpoint reports and, while it leads, the one that orders promotions.
 //
 // Owns all of these. Runs on the event loop's thread; the calls of the HTTP adapter are posted to it.
 #pragma once
@@ -26,7 +26,7 @@
 
 struct call_outcome {
     call_verdict m_verdict = call_verdict::unavailable;
-    std::string m_text; // the document, or a reason
+    std::string m_text;           // the document, or a reason
     core::entry_host_id m_leader; // of redirected
 };
 
--- a/src/fleet/news_follower.cpp
+++ b/src/fleet/news_follower.cpp
@@ -94,8 +94,8 @@
     }
     if (news.entry_hosts > 0) {
         m_entry_hosts[from] = news.entry_hosts;
-        const auto largest = std::ranges::max_element(
-            m_entry_hosts, {}, [](const auto& one) { return one.second; });
+        const auto largest =
+            std::ranges::max_element(m_entry_hosts, {}, [](const auto& one) { return one.second; });
         m_handlers.m_entry_hosts(largest->second);
     }
     if (!news.document.empty()) {
--- a/src/fleet/news_follower.h
+++ b/src/fleet/news_follower.h
@@ -1,8 +1,8 @@
 // Follows every control host that this host knows: configuration documents and endpoint reports.
 //
-// Decides: whom to ask, how often. Owns: the known control hosts and the registry of endpoints. Several hosts are
-// followed at once, because what they say is merged: one that is cut off or stale does no harm. The shell provides
-// the document handler, since control hosts take documents from their log instead.
+// Decides: whom to ask, how often. Owns: the known control hosts and the registry of endpoints. Several hosts
+// are followed at once, because what they say is merged: one that is cut off or stale does no harm. The shell
+// provides the document handler, since control hosts take documents from their log instead.
 #pragma once
 
 #include "documents/configuration.h"
--- a/src/fleet/news_source.cpp
+++ b/src/fleet/news_source.cpp
@@ -8,14 +8,15 @@
 namespace mangoquay::fleet {
 namespace {
 
-// Followers ask every half a second. Their share of connections is kept for some seconds after they fall silent,
-// because a host that is cut off from here may still use it.
+// Followers ask every half a second. Their share of connections is kept for some seconds after they fall
+// silent, because a host that is cut off from here may still use it.
 constexpr core::milliseconds follower_lifetime{6000};
 
 } // namespace
 
 news_source::news_source(transport::message_bus& bus, transport::peer_network& network,
-                         const documents::document_register& documents, registry::endpoint_registry& endpoints)
+                         const documents::document_register& documents,
+                         registry::endpoint_registry& endpoints)
     : m_bus(bus), m_network(network), m_documents(documents), m_registry(endpoints) {}
 
 std::uint32_t news_source::entry_hosts() const {
@@ -24,7 +25,8 @@
 }
 
 void news_source::forget_silent(core::time_point now) {
-    std::erase_if(m_followers, [now](const auto& one) { return one.second.m_heard + follower_lifetime < now; });
+    std::erase_if(m_followers,
+                  [now](const auto& one) { return one.second.m_heard + follower_lifetime < now; });
 }
 
 void news_source::asked(const core::entry_host_id& from, const wire::fleet_followT& question,
@@ -51,7 +53,8 @@
     }
     if (question.registry_digest != m_registry.digest()) {
         for (const auto& [id, entry] : m_registry.entries()) {
-            news.endpoints.push_back(std::make_unique<wire::endpoint_entryT>(registry::to_wire(entry.m_report)));
+            news.endpoints.push_back(
+                std::make_unique<wire::endpoint_entryT>(registry::to_wire(entry.m_report)));
         }
     }
     m_bus.send(from, std::move(news));
--- a/src/fleet/news_source.h
+++ b/src/fleet/news_source.h
@@ -39,7 +39,9 @@
     // A report was merged here. Control hosts get every one, because they watch for silence.
     void report_merged(const registry::endpoint_report& report, bool changed);
 
-    [[nodiscard]] const std::map<core::entry_host_id, follower_record>& followers() const { return m_followers; }
+    [[nodiscard]] const std::map<core::entry_host_id, follower_record>& followers() const {
+        return m_followers;
+    }
     [[nodiscard]] std::uint32_t entry_hosts() const;
 
 private:
--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 promotion_runner::promotion_runner(transport::event_loop& loop, const entry::session_protocol& protocol,
-                                   promotion_executor& executor, core::entry_host_id self, fence_source fences)
+                                   promotion_executor& executor, core::entry_host_id self,
+                                   fence_source fences)
     : m_loop(loop), m_protocol(protocol), m_executor(executor), m_self(std::move(self)),
       m_fences(std::move(fences)), m_core(*this) {}
 
@@ -40,7 +41,8 @@
 
 void promotion_runner::lead(bool leading) {
     if (leading != m_leading) {
-        core::log_line(core::log_level::info, "promotion", leading ? "this host leads" : "this host does not lead");
+        core::log_line(core::log_level::info, "promotion",
+                       leading ? "this host leads" : "this host does not lead");
         m_leading = leading;
     }
     m_core.lead(leading);
@@ -49,7 +51,8 @@
     }
 }
 
-void promotion_runner::tick(const documents::configuration& chosen, const registry::endpoint_registry& endpoints,
+void promotion_runner::tick(const documents::configuration& chosen,
+                            const registry::endpoint_registry& endpoints,
                             const std::map<core::entry_host_id, follower_record>& followers,
                             core::time_point now) {
     drop_overdue(now);
@@ -93,7 +96,9 @@
     own.m_target = target;
     entry::database_link_handlers handlers;
     handlers.m_opened = [](std::optional<core::history_position>) {};
-    handlers.m_answered = [this, id = target.m_id](const relay::database_answer& answer) { answered(id, answer); };
+    handlers.m_answered = [this, id = target.m_id](const relay::database_answer& answer) {
+        answered(id, answer);
+    };
     handlers.m_failed = [this, id = target.m_id](std::optional<relay::refusal>, const std::string& reason) {
         core::log_line(core::log_level::info, "promotion",
                        "database link ended endpoint=" + id.value() + " reason=" + reason);
--- a/src/process/stop_signals.cpp
+++ b/src/process/stop_signals.cpp
@@ -31,7 +31,8 @@
         signalfd_siginfo info{};
         while (::read(m_descriptor, &info, sizeof info) == sizeof info) {
             if (info.ssi_signo == SIGHUP) {
-                core::log_line(core::log_level::info, "process", "reload signal: settings are read at start only");
+                core::log_line(core::log_level::info, "process",
+                               "reload signal: settings are read at start only");
                 continue;
             }
             if (!std::exchange(m_stopping, true) && m_on_stop) {
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -13,7 +13,8 @@
 
 // An empty transaction takes no slot at the database.
 constexpr core::milliseconds probe_period{250};
-// Probes fail for this long before a primary without contact to any entry host counts as lost: two lost answers.
+// Probes fail for this long before a primary without contact to any entry host counts as lost: two lost
+// answers.
 constexpr core::milliseconds lost_after{700};
 // Some entry hosts still reach it, most do not.
 constexpr core::milliseconds mostly_lost_after{2000};
@@ -44,8 +45,8 @@
     });
 }
 
-// Of several claims the one that was watched so far, as long as it reports, and otherwise the last that reported: a
-// primary that crashed never takes its claim back.
+// Of several claims the one that was watched so far, as long as it reports, and otherwise the last that
+// reported: a primary that crashed never takes its claim back.
 const endpoint_report* claimed_primary(const service_view& service, const core::endpoint_id& watched) {
     const endpoint_report* best = nullptr;
     core::time_point best_heard{};
@@ -140,7 +141,8 @@
     if (leaves && !one.m_failing_since && one.m_newest.value() > 0) {
         m_ports.record({"planned replacement", service.m_name, primary->m_id, "the primary leaves"});
         enter(one, phase::stepping_down, step_down_limit, now);
-        m_ports.run_step(service.m_name, *primary, step_kind::step_down, core::term(one.m_newest.value() + 1));
+        m_ports.run_step(service.m_name, *primary, step_kind::step_down,
+                         core::term(one.m_newest.value() + 1));
     }
 }
 
@@ -250,7 +252,8 @@
     }
     one.m_fence = *number;
     enter(one, phase::ordering, order_limit, now);
-    m_ports.record({"promotion ordered", service.m_name, one.m_target, "fence=" + std::to_string(number->value())});
+    m_ports.record(
+        {"promotion ordered", service.m_name, one.m_target, "fence=" + std::to_string(number->value())});
     m_ports.order(service.m_name, one.m_target, *number);
 }
 
@@ -323,7 +326,8 @@
         one.m_positions[answer.m_endpoint] = answer.m_status->m_received;
     } else if (one.m_phase == phase::catching_up && answer.m_status) {
         one.m_positions[answer.m_endpoint] = answer.m_status->m_received;
-    } else if (one.m_phase == phase::stepping_down && answer.m_kind == step_kind::step_down && answer.m_status) {
+    } else if (one.m_phase == phase::stepping_down && answer.m_kind == step_kind::step_down &&
+               answer.m_status) {
         one.m_needed = answer.m_status->m_received;
         one.m_positions.clear();
         enter(one, phase::catching_up, catch_up_limit, now);
--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -1,12 +1,15 @@
-// Decides when a service's primary is replaced and by which replica, where an outside executor carries the promotion
-// out and only the fence of an order tells old from new.
+// Decides when a service's primary is replaced and by which replica, where an outside executor carries the
+// promotion out and only the fence of an order tells old from new.
 //
-// Owns: one watch a service, volatile. A new leader starts afresh: its fences are higher than those of all before, so
-// whatever an earlier one ordered late is refused. Deterministic: events in, requests to promotion_ports out.
+// Owns: one watch a service, volatile. A new leader starts afresh: its fences are higher than those of all
+// before, so whatever an earlier one ordered late is refused. Deterministic: events in, requests to
+// promotion_ports out.
 //
 // Safety rules:
-// - replicas stop receiving under a higher term before their positions are compared, so the furthest one stays it;
-// - with synchronous replicas an order waits until so many replicas have answered that each acknowledged commit is held
+// - replicas stop receiving under a higher term before their positions are compared, so the furthest one
+// stays it;
+// - with synchronous replicas an order waits until so many replicas have answered that each acknowledged
+// commit is held
 //   by one of them;
 // - each order has a fence of its own, higher than those of all earlier orders.
 #pragma once
@@ -87,7 +90,7 @@
     step_kind m_kind = step_kind::probe;
     bool m_answered = false; // the database was reached and answered
     bool m_is_primary = false;
-    std::optional<endpoint_status> m_status;                // of every kind but a probe
+    std::optional<endpoint_status> m_status;          // of every kind but a probe
     std::optional<core::history_position> m_position; // of a probe that a primary accepted
 };
 
@@ -116,7 +119,8 @@
         bool m_probing = false;
         core::deadline m_next_probe;
         core::term m_newest; // seen anywhere
-        std::optional<core::history_position> m_needed; // that the successor must hold, of a planned replacement
+        std::optional<core::history_position>
+            m_needed; // that the successor must hold, of a planned replacement
         std::map<core::endpoint_id, core::history_position> m_positions; // of paused replicas
         std::set<core::endpoint_id> m_asked;
         std::map<core::endpoint_id, core::deadline> m_rejected; // as successors, until then
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -1,8 +1,9 @@
-// The databases that announced themselves, merged from reports that may arrive late, twice and at any control host.
+// The databases that announced themselves, merged from reports that may arrive late, twice and at any control
+// host.
 //
-// The merge commutes: of two reports about an id the one with the later start and then the higher sequence number
-// wins, so hosts that saw the same reports in any order agree. Nothing is decided by comparing clocks of this
-// host with others. Deterministic; the shell passes the time in.
+// The merge commutes: of two reports about an id the one with the later start and then the higher sequence
+// number wins, so hosts that saw the same reports in any order agree. Nothing is decided by comparing clocks
+// of this host with others. Deterministic; the shell passes the time in.
 //
 // Invariant: of the records that share an address only the one that started last is listed.
 #pragma once
@@ -45,7 +46,7 @@
 };
 
 enum class merge_outcome : std::uint8_t {
-    stale,    // an older report than the one held
+    stale,     // an older report than the one held
     refreshed, // newer, nothing but the sequence number changed
     changed,
 };
--- a/src/relay/freshness.h
+++ b/src/relay/freshness.h
@@ -1,9 +1,9 @@
 // Positions of a service's primary with the moments before which they cover every acknowledged commit.
 //
-// A position that the primary reports in answer to a request sent at time t covers all commits acknowledged before
-// t. A read that must show every commit older than its largest age may therefore run wherever such a position is
-// held, provided that t is not longer ago than that age when the read arrives. Deterministic; no clocks of two
-// hosts are compared.
+// A position that the primary reports in answer to a request sent at time t covers all commits acknowledged
+// before t. A read that must show every commit older than its largest age may therefore run wherever such a
+// position is held, provided that t is not longer ago than that age when the read arrives. Deterministic; no
+// clocks of two hosts are compared.
 //
 // Invariant: samples are in order of the time asked; each is from an answer that only a primary gives.
 #pragma once
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -3,7 +3,8 @@
 // Invariants:
 // - answers come in the order of m_expected, one each;
 // - m_session is empty exactly while no caller's work is on the link;
-// - m_values and m_prepared are what the database holds for the connection once all of m_expected are answered.
+// - m_values and m_prepared are what the database holds for the connection once all of m_expected are
+// answered.
 #pragma once
 
 #include "core/ids.h"
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -62,14 +62,15 @@
                                   core::time_point now) {
     const endpoint_view* best = nullptr;
     for (const auto& [id, view] : views) {
-        const bool claims = view.m_report.m_service == service && view.m_report.m_is_primary &&
-                            view.m_refuted.passed(now);
+        const bool claims =
+            view.m_report.m_service == service && view.m_report.m_is_primary && view.m_refuted.passed(now);
         if (!claims) {
             continue;
         }
         const bool usable = view.m_suspect.passed(now);
         const bool best_usable = best != nullptr && best->m_suspect.passed(now);
-        const bool better = usable != best_usable ? usable : best != nullptr && best->m_position < view.m_position;
+        const bool better =
+            usable != best_usable ? usable : best != nullptr && best->m_position < view.m_position;
         if (best == nullptr || better) {
             best = &view;
         }
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -17,14 +17,14 @@
 // What this host has learnt about an endpoint from its own traffic.
 struct endpoint_view {
     registry::endpoint_report m_report;
-    std::uint32_t m_links = 0; // open and opening
-    std::uint32_t m_busy = 0;  // of them
-    core::deadline m_suspect;  // after a failure: avoided while others can serve
+    std::uint32_t m_links = 0;       // open and opening
+    std::uint32_t m_busy = 0;        // of them
+    core::deadline m_suspect;        // after a failure: avoided while others can serve
     core::duration m_suspect_step{}; // doubles with each failure in a row
-    core::deadline m_shedding; // it refused work for lack of slots
-    core::deadline m_lagging;  // it lacked a position that was asked for: gets no reads until then
+    core::deadline m_shedding;       // it refused work for lack of slots
+    core::deadline m_lagging;        // it lacked a position that was asked for: gets no reads until then
     core::duration m_lagging_step{}; // doubles with each such refusal in a row
-    core::deadline m_refuted;  // it is no primary, whatever it reports
+    core::deadline m_refuted;        // it is no primary, whatever it reports
     double m_answer_ms = 15.0; // exponentially weighted; starts near the work of the sheets' short requests
     std::optional<core::history_position> m_position; // last seen
     core::time_point m_position_at{};
@@ -37,7 +37,7 @@
     core::availability_zone m_zone; // of this host
     bool m_needs_primary = false;
     std::optional<core::history_position> m_position; // that the endpoint must hold
-    bool m_position_is_recent = false; // replicas have probably not received it yet
+    bool m_position_is_recent = false;                // replicas have probably not received it yet
     const std::set<core::endpoint_id>* m_avoided = nullptr;
     std::uint32_t m_links_per_endpoint = 1;
 };
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -1,15 +1,17 @@
 // Carries statements of callers' sessions to databases and their answers back.
 //
-// Decides: which endpoint runs a statement, on which link, after which preparation; what is repeated and what the
-// caller is told. Owns: sessions, links, what this host has learnt about endpoints. Deterministic: no socket, clock or
-// log; it acts through relay_ports, whose functions must not call back.
+// Decides: which endpoint runs a statement, on which link, after which preparation; what is repeated and what
+// the caller is told. Owns: sessions, links, what this host has learnt about endpoints. Deterministic: no
+// socket, clock or log; it acts through relay_ports, whose functions must not call back.
 //
 // Safety rules:
 // - a read on a `latest` route runs inside a plain transaction, which an endpoint that lost the lead refuses;
 // - any other read carries a position that covers what its caller must see;
-// - a refusal that promises "not run" is given only when no single write and no commit of the attempt was sent,
+// - a refusal that promises "not run" is given only when no single write and no commit of the attempt was
+// sent,
 //   or the database itself said that it did not run;
-// - an answer belongs to the statement at the head of its link's queue; a link with an answer missing is closed,
+// - an answer belongs to the statement at the head of its link's queue; a link with an answer missing is
+// closed,
 //   never reused.
 #pragma once
 
@@ -66,10 +68,10 @@
 struct relay_counters {
     std::uint64_t m_statements = 0;
     std::uint64_t m_succeeded = 0;
-    std::uint64_t m_refused = 0;      // with the promise that nothing ran
-    std::uint64_t m_uncertain = 0;    // without
-    std::uint64_t m_repeated = 0;     // attempts after the first
-    std::uint64_t m_probes = 0;       // for the primary's position
+    std::uint64_t m_refused = 0;   // with the promise that nothing ran
+    std::uint64_t m_uncertain = 0; // without
+    std::uint64_t m_repeated = 0;  // attempts after the first
+    std::uint64_t m_probes = 0;    // for the primary's position
     std::uint64_t m_links_opened = 0;
     std::uint64_t m_replica_reads = 0;
     std::uint64_t m_primary_reads = 0;
@@ -94,8 +96,8 @@
     bool session_opened(session_id id, const std::string& database);
     void statement_received(session_id id, session_statement statement, core::time_point now);
     void session_closed(session_id id, core::time_point now);
-    // Closes sessions without a statement or transaction in progress, at most `most` of them, and marks the others
-    // to be closed when theirs has ended. Returns how many sessions are left.
+    // Closes sessions without a statement or transaction in progress, at most `most` of them, and marks the
+    // others to be closed when theirs has ended. Returns how many sessions are left.
     std::size_t close_idle_sessions(std::size_t most, core::time_point now);
     // Ends open transactions that have no statement in progress.
     void abort_idle_transactions(core::time_point now);
@@ -129,7 +131,8 @@
     void run(session_id id, session& caller, session_statement statement, core::time_point now);
     void reject_malformed(session_id id, session& caller, session_statement statement, core::time_point now);
     void succeed_locally(session_id id, session& caller, const session_statement& statement);
-    void refuse(session_id id, session& caller, refusal reason, const std::string& text, core::time_point now);
+    void refuse(session_id id, session& caller, refusal reason, const std::string& text,
+                core::time_point now);
     void finish(session_id id, session& caller, session_answer answer, core::time_point now);
     void leave_transaction(session& caller);
     // Of a transaction that waits for its caller from now on.
@@ -140,29 +143,32 @@
     void dispatch_waiting(core::time_point now);
     [[nodiscard]] bool needs_primary(const session& caller, const documents::route_rule& route) const;
     // False: not provable now; a probe was started.
-    bool require_position(const session& caller, const documents::route_rule& route, placement_request& request,
-                          core::time_point now);
-    std::optional<link_id> take_link(const core::endpoint_id& endpoint, const session& caller, core::time_point now);
+    bool require_position(const session& caller, const documents::route_rule& route,
+                          placement_request& request, core::time_point now);
+    std::optional<link_id> take_link(const core::endpoint_id& endpoint, const session& caller,
+                                     core::time_point now);
     void open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now);
     void prepare_link(session_id id, session& caller, link_id number, core::time_point now);
     void send_statement(session& caller, link_id number, core::time_point now);
     // What the link lacks of the session's values and prepared statements; the link's record is updated.
     static std::vector<database_request> missing_values(const session& caller, link& on);
-    std::optional<std::pair<link_step, database_request>> transaction_start(const session& caller, const link& on,
-                                                                            core::time_point now);
+    std::optional<std::pair<link_step, database_request>>
+    transaction_start(const session& caller, const link& on, core::time_point now);
     void occupy(link& on);
     void start_probe(const core::service_name& service, core::time_point now);
     void hedge(session_id id, session& caller, core::time_point now);
     [[nodiscard]] std::uint32_t links_allowed(const core::service_name& service) const;
 
     // relay_links.cpp: answers and failures of links.
-    void preparation_answered(link_id id, link_step step, const database_answer& answer, core::time_point now);
+    void preparation_answered(link_id id, link_step step, const database_answer& answer,
+                              core::time_point now);
     void statement_answered(link_id id, const expected_answer& expected, const database_answer& answer,
                             core::time_point now);
     void statement_succeeded(session_id owner, link_id id, const expected_answer& expected,
                              const database_answer& answer, core::time_point now);
     void statement_refused(session_id owner, link_id id, const database_answer& answer, core::time_point now);
-    bool repeat(session_id owner, session& caller, refusal reason, const std::string& text, core::time_point now);
+    bool repeat(session_id owner, session& caller, refusal reason, const std::string& text,
+                core::time_point now);
     void note_refusal(const core::endpoint_id& endpoint, refusal reason, core::time_point now);
     void note_failure(const core::endpoint_id& endpoint, core::time_point now);
     void observe(const link& on, const expected_answer& expected, const database_answer& answer,
@@ -178,8 +184,8 @@
     void check_session(session_id id, core::time_point now);
 
     [[nodiscard]] const documents::route_rule* route_of(const session& caller) const;
-    void record(const char* what, const session& caller, const std::string& endpoint, const std::string& reason,
-                core::time_point now);
+    void record(const char* what, const session& caller, const std::string& endpoint,
+                const std::string& reason, core::time_point now);
 
     relay_ports& m_ports;
     relay_limits m_limits;
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -105,8 +105,8 @@
     }
 }
 
-// The age counts from the arrival of the statement, or of its transaction: what happens to this host afterwards does
-// not matter for what the caller must see.
+// The age counts from the arrival of the statement, or of its transaction: what happens to this host
+// afterwards does not matter for what the caller must see.
 bool relay_core::require_position(const session& caller, const documents::route_rule& route,
                                   placement_request& request, core::time_point now) {
     const bool in_transaction = caller.m_state == transaction_state::open;
@@ -130,7 +130,8 @@
     return true;
 }
 
-// An idle link, preferably one that holds the session's values; otherwise a new one is opened for a later dispatch.
+// An idle link, preferably one that holds the session's values; otherwise a new one is opened for a later
+// dispatch.
 std::optional<link_id> relay_core::take_link(const core::endpoint_id& endpoint, const session& caller,
                                              core::time_point now) {
     std::optional<link_id> best;
@@ -206,7 +207,8 @@
     const bool fenced = latest || caller.m_operation->m_fenced;
     if (caller.m_state == transaction_state::idle) {
         const bool fences_read = fenced && !caller.m_operation->m_writes;
-        return fences_read ? std::optional(std::pair{link_step::begin, database_request{.m_kind = request_kind::begin}})
+        return fences_read ? std::optional(
+                                 std::pair{link_step::begin, database_request{.m_kind = request_kind::begin}})
                            : std::nullopt;
     }
     if (caller.m_transaction.m_begun) {
@@ -310,7 +312,8 @@
          {link_step::probe, link_step::rollback}, now);
 }
 
-void relay_core::endpoints_changed(const std::vector<registry::endpoint_report>& listed, core::time_point now) {
+void relay_core::endpoints_changed(const std::vector<registry::endpoint_report>& listed,
+                                   core::time_point now) {
     std::set<core::endpoint_id> present;
     for (const registry::endpoint_report& report : listed) {
         present.insert(report.m_id);
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -28,7 +28,8 @@
 
 } // namespace
 
-void relay_core::link_opened(link_id id, std::optional<core::history_position> position, core::time_point now) {
+void relay_core::link_opened(link_id id, std::optional<core::history_position> position,
+                             core::time_point now) {
     const auto found = m_links.find(id);
     if (found == m_links.end()) {
         return;
@@ -143,8 +144,8 @@
     }
 }
 
-void relay_core::statement_answered(link_id id, const expected_answer& expected, const database_answer& answer,
-                                    core::time_point now) {
+void relay_core::statement_answered(link_id id, const expected_answer& expected,
+                                    const database_answer& answer, core::time_point now) {
     link& on = m_links.at(id);
     if (!on.m_session) { // the caller has gone or was served elsewhere
         if (answer.m_state == transaction_state::idle) {
@@ -234,19 +235,22 @@
     repeat(owner, caller, reason, answer.m_text, now);
 }
 
-// Runs the statement again elsewhere where that is safe, or answers the caller. The statement has no link any more.
+// Runs the statement again elsewhere where that is safe, or answers the caller. The statement has no link any
+// more.
 bool relay_core::repeat(session_id owner, session& caller, refusal reason, const std::string& text,
                         core::time_point now) {
     operation& work = *caller.m_operation;
     const documents::route_rule* route = route_of(caller);
     const bool harmless = promises_not_run(reason) || work.m_phase != operation_phase::running;
-    const bool may_run_twice = !work.m_writes && route != nullptr && work.m_attempts < std::max(2U, route->m_attempts);
+    const bool may_run_twice =
+        !work.m_writes && route != nullptr && work.m_attempts < std::max(2U, route->m_attempts);
     const bool in_time = harmless ? !work.m_refuse.passed(now) : !work.m_limit.passed(now);
     if (in_time && reason != refusal::unknown_statement && (harmless || may_run_twice)) {
         work.m_phase = operation_phase::waiting;
         work.m_last_refusal = harmless ? reason : refusal::timed_out;
         work.m_last_reason = text;
-        work.m_not_before.m_at = now + (harmless && reason == refusal::busy ? repeat_pause : core::milliseconds(0));
+        work.m_not_before.m_at =
+            now + (harmless && reason == refusal::busy ? repeat_pause : core::milliseconds(0));
         record("repeated", caller, "", to_string(reason), now);
         dispatch(owner, now);
         return true;
@@ -267,8 +271,8 @@
         view.m_shedding.m_at = now + shedding_pause;
     } else if (reason == refusal::lagging) {
         if (view.m_lagging.passed(now)) { // further refusals of reads in flight say nothing new
-            view.m_lagging_step =
-                std::clamp<core::duration>(view.m_lagging_step * 2, least_lagging_pause, largest_lagging_pause);
+            view.m_lagging_step = std::clamp<core::duration>(view.m_lagging_step * 2, least_lagging_pause,
+                                                             largest_lagging_pause);
             view.m_lagging.m_at = now + view.m_lagging_step;
         }
     } else if (reason == refusal::read_only) {
@@ -278,7 +282,8 @@
 
 void relay_core::note_failure(const core::endpoint_id& endpoint, core::time_point now) {
     endpoint_view& view = m_endpoints.at(endpoint);
-    view.m_suspect_step = std::clamp<core::duration>(view.m_suspect_step * 2, least_back_off, largest_back_off);
+    view.m_suspect_step =
+        std::clamp<core::duration>(view.m_suspect_step * 2, least_back_off, largest_back_off);
     view.m_suspect.m_at = now + view.m_suspect_step;
 }
 
@@ -408,7 +413,9 @@
     if (found == m_links.end() || !found->second.m_answer_by.passed(now)) {
         return;
     }
-    lose_link(id, found->second.m_phase == link_phase::opening ? "opening took too long" : "no answer in time", now);
+    lose_link(id,
+              found->second.m_phase == link_phase::opening ? "opening took too long" : "no answer in time",
+              now);
 }
 
 void relay_core::check_session(session_id id, core::time_point now) {
@@ -435,7 +442,8 @@
             if (commits) {
                 leave_transaction(caller);
             }
-            refuse(id, caller, in_transaction ? refusal::aborted : work.m_last_refusal, work.m_last_reason, now);
+            refuse(id, caller, in_transaction ? refusal::aborted : work.m_last_refusal, work.m_last_reason,
+                   now);
             start_next(id, now);
             return;
         }
@@ -502,6 +510,7 @@
     return seen;
 }
 
-relay_core::relay_core(relay_ports& ports, relay_limits limits) : m_ports(ports), m_limits(std::move(limits)) {}
+relay_core::relay_core(relay_ports& ports, relay_limits limits)
+    : m_ports(ports), m_limits(std::move(limits)) {}
 
 } // namespace mangoquay::relay
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -60,12 +60,19 @@
 
 void relay_core::start(session_id id, session& caller, session_statement statement, core::time_point now) {
     // In the order of statement_kind.
-    static constexpr std::array<statement_handler, 11> handlers{
-        &relay_core::begin,     &relay_core::begin,           &relay_core::end_transaction,
-        &relay_core::end_transaction, &relay_core::run,       &relay_core::run,
-        &relay_core::set_value, &relay_core::prepare,         &relay_core::run,
-        &relay_core::deallocate, &relay_core::reject_malformed};
-    const bool ends = statement.m_kind == statement_kind::rollback || statement.m_kind == statement_kind::commit;
+    static constexpr std::array<statement_handler, 11> handlers{&relay_core::begin,
+                                                                &relay_core::begin,
+                                                                &relay_core::end_transaction,
+                                                                &relay_core::end_transaction,
+                                                                &relay_core::run,
+                                                                &relay_core::run,
+                                                                &relay_core::set_value,
+                                                                &relay_core::prepare,
+                                                                &relay_core::run,
+                                                                &relay_core::deallocate,
+                                                                &relay_core::reject_malformed};
+    const bool ends =
+        statement.m_kind == statement_kind::rollback || statement.m_kind == statement_kind::commit;
     operation started;
     started.m_statement = statement;
     started.m_arrived = now;
@@ -81,7 +88,8 @@
     (this->*handlers.at(static_cast<std::size_t>(statement.m_kind)))(id, caller, std::move(statement), now);
 }
 
-// The database learns of a transaction with its first statement, so a pause after the begin holds no connection.
+// The database learns of a transaction with its first statement, so a pause after the begin holds no
+// connection.
 void relay_core::begin(session_id id, session& caller, session_statement statement, core::time_point now) {
     if (caller.m_state != transaction_state::idle) {
         refuse(id, caller, refusal::malformed, "a transaction is open", now);
@@ -130,7 +138,8 @@
     succeed_locally(id, caller, statement);
 }
 
-void relay_core::deallocate(session_id id, session& caller, session_statement statement, core::time_point now) {
+void relay_core::deallocate(session_id id, session& caller, session_statement statement,
+                            core::time_point now) {
     if (caller.m_prepared.erase(statement.m_name) == 0) {
         refuse(id, caller, refusal::unknown_statement, "no prepared statement of that name", now);
         return;
@@ -182,7 +191,8 @@
     session_answer answer;
     answer.m_refusal = reason;
     answer.m_text = text;
-    const bool kept = promises_not_run(reason) || reason == refusal::malformed || reason == refusal::unknown_database;
+    const bool kept =
+        promises_not_run(reason) || reason == refusal::malformed || reason == refusal::unknown_database;
     ++(kept ? m_counters.m_refused : m_counters.m_uncertain);
     record("refused", caller, "", to_string(reason) + std::string(" ") + text, now);
     finish(id, caller, std::move(answer), now);
@@ -267,7 +277,8 @@
     if (caller.m_operation) {
         event.m_request = caller.m_operation->m_statement.m_id;
         event.m_attempts = caller.m_operation->m_attempts;
-        event.m_age_ms = std::chrono::duration_cast<core::milliseconds>(now - caller.m_operation->m_arrived).count();
+        event.m_age_ms =
+            std::chrono::duration_cast<core::milliseconds>(now - caller.m_operation->m_arrived).count();
     }
     m_ports.record(event);
 }
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -2,7 +2,8 @@
 //
 // Invariants of a session:
 // - m_link is set exactly while a transaction has begun at a database or a statement is at one;
-// - m_values and m_prepared hold what was acknowledged to the caller; a statement runs only on a link that was
+// - m_values and m_prepared hold what was acknowledged to the caller; a statement runs only on a link that
+// was
 //   brought to the same values;
 // - at most one statement is in progress; further ones wait in m_waiting in the order they arrived.
 #pragma once
@@ -57,8 +58,8 @@
     bool m_read_only = false; // as asked for by the caller
     bool m_begun = false;     // at the database of the session's link
     bool m_wrote = false;
-    bool m_ran = false;  // a statement of it succeeded
-    bool m_lost = false; // with its connection; nothing of it is kept
+    bool m_ran = false;           // a statement of it succeeded
+    bool m_lost = false;          // with its connection; nothing of it is kept
     core::time_point m_arrived{}; // of its first statement
     core::deadline m_idle_limit;  // while no statement of it is in progress
 };
--- a/src/relay/statement.h
+++ b/src/relay/statement.h
@@ -94,8 +94,8 @@
     std::string m_id; // the caller's; empty: issued by the relay itself
     // A database whose log lacks it refuses the request.
     std::optional<core::history_position> m_least_position;
-    std::string m_name;     // of a session value or prepared statement
-    std::string m_argument; // the text to forward, the value, the shape or the arguments
+    std::string m_name;                       // of a session value or prepared statement
+    std::string m_argument;                   // the text to forward, the value, the shape or the arguments
     access_kind m_access = access_kind::read; // of prepare
     core::term m_term;                        // of pause_reception and step_down
 };
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -21,9 +21,8 @@
 
 void read_known_control(json_reader& reader, std::vector<json_error>& errors, fleet_settings& into) {
     reader.array("known_control", [&](const nlohmann::json& element, const std::string& pointer) {
-        const auto address = element.is_string()
-                                 ? parse_socket_address(element.get_ref<const std::string&>())
-                                 : std::nullopt;
+        const auto address =
+            element.is_string() ? parse_socket_address(element.get_ref<const std::string&>()) : std::nullopt;
         if (address) {
             into.m_known_control.push_back(*address);
         } else {
@@ -35,8 +34,8 @@
 void read_limits(json_reader& reader, fleet_settings& into) {
     into.m_descriptors = static_cast<std::uint32_t>(
         reader.integer("descriptors", 256, most_descriptors).value_or(into.m_descriptors));
-    into.m_memory_mb =
-        static_cast<std::uint32_t>(reader.integer("memory_mb", 16, most_memory_mb).value_or(into.m_memory_mb));
+    into.m_memory_mb = static_cast<std::uint32_t>(
+        reader.integer("memory_mb", 16, most_memory_mb).value_or(into.m_memory_mb));
     into.m_lost_hosts = static_cast<std::uint32_t>(
         reader.integer("lost_hosts", 0, most_lost_hosts).value_or(into.m_lost_hosts));
     reader.required("stop_limit_s", "a number of seconds");
@@ -80,7 +79,8 @@
     read.m_cluster_key = reader.secret("cluster_key", shortest_key_bytes).value_or("");
     read_limits(reader, read);
     const auto level = reader.choice("log_level", {"debug", "info", "warning", "error"});
-    read.m_log_level = static_cast<core::log_level>(level.value_or(static_cast<std::size_t>(read.m_log_level)));
+    read.m_log_level =
+        static_cast<core::log_level>(level.value_or(static_cast<std::size_t>(read.m_log_level)));
     reader.finish();
     return read;
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -87,7 +87,8 @@
             member.required("host", "the id of a control host");
             member.required("peer_address", address_allowed);
             host.m_host = core::entry_host_id(member.identifier("host").value_or(""));
-            host.m_peer_address = read_socket_address(member, "peer_address").value_or(control::socket_address{});
+            host.m_peer_address =
+                read_socket_address(member, "peer_address").value_or(control::socket_address{});
             if (!hosts.insert(host.m_host).second) {
                 member.error("host", "no host twice");
             }
--- a/src/transport/byte_stream.cpp
+++ b/src/transport/byte_stream.cpp
@@ -196,8 +196,8 @@
                            ::listen(m_socket, listen_backlog) == 0 &&
                            getsockname(m_socket, reinterpret_cast<sockaddr*>(&given), &size) == 0;
     if (!listening) {
-        return core::result<std::uint16_t>::failure(address.m_host + ":" + std::to_string(address.m_port) + ": " +
-                                                    std::strerror(errno));
+        return core::result<std::uint16_t>::failure(address.m_host + ":" + std::to_string(address.m_port) +
+                                                    ": " + std::strerror(errno));
     }
     m_loop.watch(m_socket, EPOLLIN, [this](std::uint32_t) { accept_ready(); });
     return ntohs(given.sin_port);
--- a/src/transport/byte_stream.h
+++ b/src/transport/byte_stream.h
@@ -1,7 +1,7 @@
 // A non-blocking TCP connection that carries the bytes of a protocol decoded elsewhere.
 //
-// Owns: the socket and the bytes not yet sent. Runs on the event loop's thread. A peer that does not read stops
-// being read from, so its own requests cannot pile up answers.
+// Owns: the socket and the bytes not yet sent. Runs on the event loop's thread. A peer that does not read
+// stops being read from, so its own requests cannot pile up answers.
 #pragma once
 
 #include "control/control_state.h"
--- a/test/correctness/election_seeds.cpp
+++ b/test/correctness/election_seeds.cpp
@@ -1,5 +1,5 @@
-// Hosts of a cell must not share their election timeouts: a cell whose hosts start at the same moment with equal
-// timeouts splits its votes again and again and has no leader.
+// Hosts of a cell must not share their election timeouts: a cell whose hosts start at the same moment with
+// equal timeouts splits its votes again and again and has no leader.
 #include "consensus/raft_driver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,7 +18,8 @@
     CPPUNIT_TEST_SUITE_END();
 
     static void differ_for_a_common_base() {
-        CPPUNIT_ASSERT(election_seed(1, entry_host_id("10.1.0.1")) != election_seed(1, entry_host_id("10.2.0.1")));
+        CPPUNIT_ASSERT(election_seed(1, entry_host_id("10.1.0.1")) !=
+                       election_seed(1, entry_host_id("10.2.0.1")));
     }
 
     static void differ_when_the_base_is_a_hash_of_the_host() {
--- /dev/null
+++ b/test/support/relay_world.cpp
@@ -0,0 +1,574 @@
+// Databases, links and callers of the simulated world.
+#include "support/relay_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoquay::test {
+namespace {
+
+using relay::refusal;
+using relay::request_kind;
+using relay::session_statement;
+using relay::statement_kind;
+using relay::transaction_state;
+
+constexpr const char* service = "ledger";
+constexpr core::milliseconds largest_age{400};
+constexpr std::size_t callers = 5;
+
+documents::configuration configuration_of(std::uint32_t connections) {
+    documents::configuration chosen;
+    chosen.m_version = documents::document_version(1);
+    const documents::consistency kinds[] = {documents::consistency::latest,
+                                            documents::consistency::bounded_age,
+                                            documents::consistency::read_your_writes};
+    for (std::size_t place = 0; place < 3; ++place) {
+        documents::route_rule route;
+        route.m_database = "database" + std::to_string(place);
+        route.m_consistency = kinds[place];
+        route.m_statement_limit = core::milliseconds(1000);
+        route.m_target_latency = core::milliseconds(300);
+        route.m_attempts = 2;
+        route.m_largest_age = largest_age;
+        route.m_service = core::service_name(service);
+        chosen.m_routes.push_back(route);
+    }
+    chosen.m_services.push_back({core::service_name(service), connections, 0});
+    chosen.m_transaction_idle_limit = core::milliseconds(2000);
+    return chosen;
+}
+
+session_statement statement(statement_kind kind, std::string id, std::string text) {
+    session_statement made;
+    made.m_kind = kind;
+    made.m_id = std::move(id);
+    made.m_text = std::move(text);
+    return made;
+}
+
+std::uint64_t attempt_of(const std::string& id) {
+    return std::stoull(id.substr(0, id.find('-')));
+}
+
+} // namespace
+
+relay_world::relay_world(relay_world_options options)
+    : m_options(options), m_random(options.m_seed), m_operations_left(options.m_operations) {
+    relay::relay_limits limits;
+    limits.m_zone = core::availability_zone("zone0");
+    limits.m_entry_hosts = 4;
+    relay::relay_ports& ports = *this;
+    m_core = std::make_unique<relay::relay_core>(ports, limits);
+    for (std::uint32_t place = 0; place < options.m_databases; ++place) {
+        database one;
+        one.m_report.m_id = core::endpoint_id("db" + std::to_string(place));
+        one.m_report.m_service = core::service_name(service);
+        one.m_report.m_address = {"10.0.0." + std::to_string(place + 1), 5000};
+        one.m_report.m_zone = core::availability_zone("zone" + std::to_string(place % 3));
+        one.m_report.m_slots = 4;
+        one.m_report.m_sequence = 1;
+        one.m_leads = place == 0;
+        one.m_report.m_is_primary = one.m_leads;
+        m_databases.push_back(one);
+    }
+}
+
+relay_world::~relay_world() = default;
+
+void relay_world::at(core::duration delay, std::function<void()> work) {
+    m_events.emplace(event{m_now + delay, ++m_event_number}, std::move(work));
+}
+
+std::uint64_t relay_world::draw(std::uint64_t below) {
+    return m_random() % below;
+}
+
+void relay_world::violate(const std::string& what) {
+    if (m_violation.empty()) {
+        m_violation = what + " seed=" + std::to_string(m_options.m_seed);
+    }
+}
+
+void relay_world::run() {
+    m_core->configure(configuration_of(m_options.m_connections), m_now);
+    announce();
+    const std::function<void()> tick = [this, &tick] {
+        m_core->tick(m_now);
+        replicate();
+        at(core::milliseconds(10), tick);
+    };
+    tick();
+    const std::function<void()> trouble = [this, &trouble] {
+        disturb();
+        at(core::milliseconds(40 + draw(300)), trouble);
+    };
+    at(core::milliseconds(300), trouble);
+    for (std::size_t place = 0; place < callers; ++place) {
+        at(core::milliseconds(100 + draw(50)), [this] { start_operation(0); });
+    }
+    const core::time_point end = m_now + std::chrono::minutes(3);
+    while (m_now < end && m_violation.empty() && (m_operations_left > 0 || !m_callers.empty())) {
+        const auto next = m_events.begin();
+        m_now = next->first.first;
+        const auto work = std::move(next->second);
+        m_events.erase(next);
+        work();
+    }
+    if (!m_callers.empty()) {
+        violate("a statement was never answered");
+    }
+    for (const std::uint64_t attempt : m_promised) {
+        if (m_committed.contains(attempt)) {
+            violate("a write is kept although its caller was told that it is not");
+        }
+    }
+}
+
+// Databases.
+
+core::history_position relay_world::position_of(const database& one) {
+    const core::history_position position{core::term(one.m_term), core::log_position(one.m_log.size())};
+    m_last_commit[position] = one.m_log.empty() ? 0 : one.m_log.back().m_attempt;
+    return position;
+}
+
+// A log holds a position when it has the same commit at that place: what a promotion discarded is not held.
+bool relay_world::holds(const database& one, const core::history_position& position) const {
+    const std::uint64_t length = position.m_position.value();
+    if (length == 0) {
+        return true;
+    }
+    return one.m_log.size() >= length && one.m_log[length - 1].m_attempt == m_last_commit.at(position);
+}
+
+void relay_world::replicate() {
+    for (database& one : m_databases) {
+        const database* leader = nullptr;
+        for (const database& other : m_databases) {
+            leader = other.m_leads ? &other : leader;
+        }
+        if (leader == nullptr || one.m_leads || draw(static_cast<std::uint64_t>(one.m_lag_ms)) > 15) {
+            continue;
+        }
+        one.m_log = leader->m_log;
+        one.m_term = leader->m_term;
+    }
+}
+
+void relay_world::promote() {
+    std::vector<std::size_t> replicas;
+    for (std::size_t place = 0; place < m_databases.size(); ++place) {
+        if (!m_databases[place].m_leads) {
+            replicas.push_back(place);
+        }
+    }
+    if (replicas.empty()) {
+        return;
+    }
+    const std::size_t chosen = replicas[draw(replicas.size())];
+    const std::vector<commit> kept = m_databases[chosen].m_log;
+    std::uint32_t newest = 0;
+    for (database& one : m_databases) {
+        newest = std::max(newest, one.m_term);
+        for (const commit& entry : one.m_log) {
+            const bool stays = std::ranges::any_of(
+                kept, [&](const commit& held) { return held.m_attempt == entry.m_attempt; });
+            if (!stays) {
+                m_rolled_back.insert(entry.m_attempt);
+            }
+        }
+        one.m_leads = false;
+    }
+    database& leader = m_databases[chosen];
+    leader.m_leads = true;
+    leader.m_term = newest + 1;
+    // The new leader announces itself at once or a little later; the old one may not know for long.
+    at(core::milliseconds(draw(900)), [this] { announce(); });
+}
+
+void relay_world::announce() {
+    std::vector<registry::endpoint_report> listed;
+    for (database& one : m_databases) {
+        one.m_report.m_is_primary = one.m_leads;
+        ++one.m_report.m_sequence;
+        listed.push_back(one.m_report);
+    }
+    m_core->endpoints_changed(listed, m_now);
+}
+
+void relay_world::disturb() {
+    if (m_options.m_promotions && chance(15)) {
+        promote();
+    }
+    if (m_options.m_lag && chance(20)) {
+        m_databases[draw(m_databases.size())].m_lag_ms = chance(50) ? 60 : 2500;
+    }
+    if (!m_options.m_link_faults || m_links.empty() || !chance(50)) {
+        return;
+    }
+    auto hit = m_links.begin();
+    std::advance(hit, static_cast<std::ptrdiff_t>(draw(m_links.size())));
+    if (chance(40)) {
+        hit->second->m_silent = true;
+        return;
+    }
+    const relay::link_id number = hit->first;
+    hit->second->m_gone = true;
+    m_links.erase(hit);
+    at(core::milliseconds(draw(20)), [this, number] { m_core->link_failed(number, std::nullopt, m_now); });
+}
+
+void relay_world::open_link(relay::link_id link, const registry::endpoint_report& target) {
+    auto session = std::make_shared<server_session>();
+    for (std::size_t place = 0; place < m_databases.size(); ++place) {
+        if (m_databases[place].m_report.m_id == target.m_id) {
+            session->m_database = place;
+        }
+    }
+    m_links[link] = session;
+    at(core::milliseconds(12), [this, link, session] {
+        if (m_links.contains(link) && !session->m_silent) {
+            m_core->link_opened(link, position_of(m_databases[session->m_database]), m_now);
+        }
+    });
+}
+
+void relay_world::close_link(relay::link_id link) {
+    const auto found = m_links.find(link);
+    if (found != m_links.end()) {
+        found->second->m_gone = true;
+        m_links.erase(found);
+    }
+}
+
+void relay_world::send(relay::link_id link, const std::vector<relay::database_request>& requests) {
+    const auto found = m_links.find(link);
+    if (found == m_links.end()) {
+        return;
+    }
+    const std::shared_ptr<server_session> session = found->second;
+    for (const relay::database_request& request : requests) {
+        const core::time_point arrives = m_now + core::milliseconds(1 + draw(3));
+        const core::time_point starts = std::max(arrives, session->m_free_at);
+        const core::duration work = core::milliseconds(request.m_id.empty() ? 0 : 1 + draw(40));
+        session->m_free_at = starts + work;
+        at(starts + work - m_now, [this, link, session, request] {
+            if (session->m_gone) {
+                return; // the connection broke before the request arrived
+            }
+            const relay::database_answer given = execute(*session, request);
+            if (session->m_silent || (m_options.m_link_faults && draw(400) == 0)) {
+                session->m_silent = true; // it ran and its answer is lost
+                return;
+            }
+            at(core::milliseconds(1), [this, link, session, given] {
+                if (!session->m_gone && m_links.contains(link)) {
+                    m_core->link_answered(link, given, m_now);
+                }
+            });
+        });
+    }
+}
+
+relay::database_answer relay_world::execute(server_session& session, const relay::database_request& request) {
+    database& own = m_databases[session.m_database];
+    relay::database_answer answer;
+    answer.m_text = "-";
+    const auto state = [&] {
+        answer.m_state = session.m_failed           ? transaction_state::failed
+                         : session.m_in_transaction ? transaction_state::open
+                                                    : transaction_state::idle;
+        answer.m_position = position_of(own);
+        return answer;
+    };
+    const bool checks_position = request.m_least_position && !m_options.m_planted.m_drop_positions;
+    if (checks_position && !holds(own, *request.m_least_position)) {
+        answer.m_refusal = refusal::lagging;
+        return state();
+    }
+    switch (request.m_kind) {
+    case request_kind::reset:
+        session.m_values.clear();
+        session.m_prepared.clear();
+        return state();
+    case request_kind::set_value:
+        if (!m_options.m_planted.m_drop_values) {
+            session.m_values[request.m_name] = request.m_argument;
+        }
+        return state();
+    case request_kind::prepare:
+        session.m_prepared[request.m_name] = request.m_argument;
+        return state();
+    case request_kind::begin:
+    case request_kind::begin_read_only:
+        session.m_plain = request.m_kind == request_kind::begin;
+        if (session.m_plain && !own.m_leads && !m_options.m_planted.m_drop_fences) {
+            answer.m_refusal = refusal::read_only;
+            return state();
+        }
+        session.m_in_transaction = true;
+        session.m_failed = false;
+        session.m_begun_term = own.m_term;
+        session.m_attempt = 0;
+        session.m_writes.clear();
+        return state();
+    case request_kind::rollback:
+        session.m_in_transaction = false;
+        session.m_failed = false;
+        session.m_writes.clear();
+        return state();
+    default:
+        answer = execute_statement(session, request, request.m_argument, answer);
+        return state();
+    }
+}
+
+void relay_world::check_place(const server_session& session, std::uint64_t attempt) {
+    const auto owner = m_callers.find(m_session_of.at(attempt));
+    if (owner == m_callers.end() || owner->second.m_attempt != attempt) {
+        return; // its caller has moved on
+    }
+    if (owner->second.m_transaction && !session.m_in_transaction) {
+        violate("a statement ran outside its transaction");
+    }
+    if (session.m_in_transaction && session.m_attempt != 0 && session.m_attempt != attempt) {
+        violate("a statement ran inside another caller's transaction");
+    }
+    if (session.m_values != owner->second.m_values) {
+        violate("a statement ran with other session values");
+    }
+}
+
+// The database of the session runs a read of the attempt now.
+void relay_world::check_read(const server_session& session, std::uint64_t attempt) {
+    const database& own = m_databases[session.m_database];
+    const auto owner = m_callers.find(m_session_of.at(attempt));
+    if (owner == m_callers.end() || owner->second.m_attempt != attempt) {
+        return;
+    }
+    for (const acknowledged& one : m_acknowledged) {
+        const bool own_commit = one.m_session == owner->first;
+        const bool must_see =
+            owner->second.m_route == 0 ? one.m_at < owner->second.m_started
+            : one.m_at + largest_age < owner->second.m_started
+                ? true
+                : owner->second.m_route == 2 && own_commit && one.m_at < owner->second.m_started;
+        const bool held = std::ranges::any_of(
+            own.m_log, [&](const commit& entry) { return entry.m_attempt == one.m_attempt; });
+        if (must_see && !held && !m_rolled_back.contains(one.m_attempt)) {
+            violate("a read lacks an acknowledged commit route=" + std::to_string(owner->second.m_route));
+        }
+    }
+}
+
+relay::database_answer relay_world::execute_statement(server_session& session,
+                                                      const relay::database_request& request,
+                                                      const std::string& text, relay::database_answer base) {
+    database& own = m_databases[session.m_database];
+    const std::uint64_t attempt = attempt_of(request.m_id);
+    const bool executes = request.m_kind == request_kind::execute;
+    const bool writes = executes ? request.m_name.starts_with("w_") : text.starts_with("WRITE");
+    const bool commits = text == "COMMIT" && !executes;
+    const auto refuse = [&](refusal reason) {
+        base.m_refusal = reason;
+        session.m_failed = session.m_in_transaction;
+        return base;
+    };
+    if (executes && !session.m_prepared.contains(request.m_name)) {
+        violate("a prepared statement is unknown on its link");
+    }
+    check_place(session, attempt);
+    if (draw(60) == 0) {
+        base.m_refusal = refusal::busy;
+        return base;
+    }
+    const bool lost_lead = session.m_in_transaction && session.m_plain &&
+                           (!own.m_leads || own.m_term != session.m_begun_term) &&
+                           !m_options.m_planted.m_drop_fences;
+    if ((lost_lead && !(commits && session.m_writes.empty())) || (writes && !own.m_leads)) {
+        return refuse(refusal::read_only);
+    }
+    session.m_attempt = attempt;
+    base.m_text = "signature of " + request.m_id;
+    if (commits) {
+        session.m_in_transaction = false;
+        if (!session.m_writes.empty()) {
+            own.m_log.push_back({attempt, own.m_term});
+        }
+    } else if (writes && session.m_in_transaction) {
+        session.m_writes.push_back(attempt);
+        return base;
+    } else if (writes) {
+        own.m_log.push_back({attempt, own.m_term});
+    } else {
+        check_read(session, attempt);
+        return base;
+    }
+    if (!commits || !session.m_writes.empty()) {
+        if (++m_committed[attempt] > 1) {
+            violate("a write took effect twice");
+        }
+        session.m_writes.clear();
+    }
+    return base;
+}
+
+// Callers.
+
+void relay_world::start_operation(std::uint64_t session) {
+    if (m_operations_left-- <= 0) {
+        if (session != 0) {
+            m_callers.erase(session);
+            m_core->session_closed(relay::session_id(session), m_now);
+        }
+        return;
+    }
+    if (session == 0 || chance(20)) {
+        if (session != 0) {
+            m_callers.erase(session);
+            m_core->session_closed(relay::session_id(session), m_now);
+        }
+        session = ++m_last_session;
+        m_callers[session].m_route = draw(3);
+        m_core->session_opened(relay::session_id(session),
+                               "database" + std::to_string(m_callers[session].m_route));
+    }
+    caller& own = m_callers[session];
+    own.m_attempt = ++m_last_attempt;
+    m_session_of[own.m_attempt] = session;
+    own.m_script.clear();
+    own.m_next = 0;
+    own.m_writes = false;
+    const auto id = [&] { return std::to_string(own.m_attempt) + "-" + std::to_string(own.m_script.size()); };
+    const auto add_work = [&](bool writes) {
+        own.m_writes = own.m_writes || writes;
+        if (!chance(30)) {
+            const auto kind = writes ? statement_kind::write : statement_kind::read;
+            own.m_script.push_back(statement(kind, id(), writes ? "WRITE item data" : "READ item"));
+            return;
+        }
+        session_statement prepares = statement(statement_kind::prepare, id(), "PREPARE p");
+        prepares.m_name = "p";
+        prepares.m_argument = "shape" + std::to_string(draw(2));
+        prepares.m_access = writes ? relay::access_kind::write : relay::access_kind::read;
+        own.m_script.push_back(prepares);
+        session_statement executes = statement(statement_kind::execute, id(), "EXECUTE p item");
+        executes.m_name = "p";
+        executes.m_argument = "item";
+        own.m_script.push_back(executes);
+    };
+    if (chance(25)) {
+        session_statement sets = statement(statement_kind::set_value, id(), "SET name");
+        sets.m_name = "name" + std::to_string(draw(2));
+        sets.m_argument = std::to_string(draw(3));
+        own.m_script.push_back(sets);
+    }
+    own.m_transaction = chance(40);
+    if (!own.m_transaction) {
+        add_work(chance(40));
+    } else {
+        const bool read_only = chance(30);
+        const auto begins = read_only ? statement_kind::begin_read_only : statement_kind::begin;
+        own.m_script.push_back(statement(begins, id(), read_only ? "BEGIN READ" : "BEGIN"));
+        for (std::uint64_t count = 1 + draw(3); count > 0; --count) {
+            add_work(!read_only && chance(50));
+        }
+        const bool rolls_back = chance(15);
+        own.m_script.push_back(statement(rolls_back ? statement_kind::rollback : statement_kind::commit, id(),
+                                         rolls_back ? "ROLLBACK" : "COMMIT"));
+    }
+    own.m_started = m_now;
+    send_next(session);
+}
+
+void relay_world::send_next(std::uint64_t session) {
+    const auto found = m_callers.find(session);
+    if (found == m_callers.end()) {
+        return;
+    }
+    caller& own = found->second;
+    const session_statement next = own.m_script[own.m_next];
+    if (!own.m_transaction || next.m_kind == statement_kind::begin ||
+        next.m_kind == statement_kind::begin_read_only) {
+        own.m_started = m_now;
+    }
+    own.m_waiting = true;
+    m_core->statement_received(relay::session_id(session), next, m_now);
+}
+
+void relay_world::answer(relay::session_id session, const relay::session_answer& answer) {
+    const auto found = m_callers.find(session.value());
+    if (found == m_callers.end() || !found->second.m_waiting) {
+        violate("an answer without a statement");
+        return;
+    }
+    caller& own = found->second;
+    own.m_waiting = false;
+    const session_statement& asked = own.m_script[own.m_next];
+    if (answer.m_request != asked.m_id) {
+        violate("an answer to another statement");
+    }
+    refusal told = answer.m_refusal.value_or(refusal::failed);
+    if (m_options.m_planted.m_promise_lost_writes && told == refusal::in_doubt) {
+        told = refusal::busy;
+    }
+    if (answer.m_refusal) {
+        if (own.m_writes && relay::promises_not_run(told)) {
+            m_promised.insert(own.m_attempt);
+        }
+        at(core::milliseconds(1), [this, id = session.value()] { operation_ended(id); });
+        return;
+    }
+    const bool forwarded = asked.m_kind == statement_kind::read || asked.m_kind == statement_kind::write ||
+                           asked.m_kind == statement_kind::execute || asked.m_kind == statement_kind::commit;
+    const std::string expected =
+        "signature of " + (m_options.m_planted.m_cross_answers ? std::string("another") : asked.m_id);
+    if (forwarded && answer.m_text != expected) {
+        violate("a success without the database's signature for it");
+    }
+    if (asked.m_kind == statement_kind::set_value) {
+        own.m_values[asked.m_name] = asked.m_argument;
+    }
+    const bool commits =
+        asked.m_kind == statement_kind::commit || (forwarded && !own.m_transaction && own.m_writes);
+    if (commits && own.m_writes) {
+        m_acknowledged.push_back({own.m_attempt, session.value(), m_now});
+        m_succeeded += 1;
+    }
+    if (++own.m_next == own.m_script.size()) {
+        at(core::milliseconds(1 + draw(60)), [this, id = session.value()] { start_operation(id); });
+        return;
+    }
+    at(core::milliseconds(1 + draw(20)), [this, id = session.value()] { send_next(id); });
+}
+
+// After a refusal the caller ends its transaction and goes on.
+void relay_world::operation_ended(std::uint64_t session) {
+    const auto found = m_callers.find(session);
+    if (found == m_callers.end()) {
+        return;
+    }
+    caller& own = found->second;
+    const statement_kind failed = own.m_script[own.m_next].m_kind;
+    const bool open = own.m_transaction && failed != statement_kind::commit &&
+                      failed != statement_kind::rollback && failed != statement_kind::begin &&
+                      failed != statement_kind::set_value;
+    own.m_transaction = false;
+    own.m_writes = false;
+    if (!open) {
+        start_operation(session);
+        return;
+    }
+    own.m_attempt = ++m_last_attempt;
+    m_session_of[own.m_attempt] = session;
+    own.m_script = {statement(statement_kind::rollback, std::to_string(own.m_attempt) + "-0", "ROLLBACK")};
+    own.m_next = 0;
+    send_next(session);
+}
+
+void relay_world::close_session(relay::session_id session) {
+    m_callers.erase(session.value());
+}
+
+} // namespace mangoquay::test
