--- a/src/entry/caller_sessions.cpp
+++ b/src/entry/caller_sessions.cpp
@@ -67,7 +67,7 @@
             refuse_and_close(id, relay::refusal::malformed, "a statement at this point is not allowed");
             return false;
         }
-        m_core->statement_received(id, std::move(message.m_statement), core::now());
+        m_core->statement_received(id, message.m_statement, core::now());
         return true;
     case message_kind::terminate:
         end(id);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -140,7 +140,7 @@
     if (usual) {
         return;
     }
-    if (m_lines >= most_lines) {
+    if (m_lines >= most_lines && m_settings.m_log_level != core::log_level::debug) {
         ++m_lines_left_out;
         return;
     }
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -204,7 +204,7 @@
     return {call_verdict::unavailable, "no leader is known", {}};
 }
 
-void control_node::replace_document(std::string bytes, const call_done& done) {
+void control_node::replace_document(const std::string& bytes, const call_done& done) {
     const auto decoded = m_decoder(bytes);
     if (!decoded) {
         core::log_line(core::log_level::info, "fleet", "configuration refused reason=" + decoded.reason());
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -46,7 +46,7 @@
     consensus::status start();
 
     // Calls from outside, on the loop's thread; each calls `done` once.
-    void replace_document(std::string bytes, const call_done& done);
+    void replace_document(const std::string& bytes, const call_done& done);
     void read_document(const call_done& done);
     void report(const registry::endpoint_report& report);
     // `started_ms` tells which incarnation leaves, when its message says so.
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -322,9 +322,8 @@
     } else if (one.m_phase == phase::confirming && answer.m_is_primary && answer.m_endpoint == one.m_target) {
         one.m_primary = one.m_target;
         finish(one, service, "promotion confirmed", now);
-    } else if (one.m_phase == phase::pausing && answer.m_kind == step_kind::pause && answer.m_status) {
-        one.m_positions[answer.m_endpoint] = answer.m_status->m_received;
-    } else if (one.m_phase == phase::catching_up && answer.m_status) {
+    } else if (answer.m_status && (one.m_phase == phase::catching_up ||
+                                   (one.m_phase == phase::pausing && answer.m_kind == step_kind::pause))) {
         one.m_positions[answer.m_endpoint] = answer.m_status->m_received;
     } else if (one.m_phase == phase::stepping_down && answer.m_kind == step_kind::step_down &&
                answer.m_status) {
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -94,7 +94,7 @@
 
     // False: no route has that name.
     bool session_opened(session_id id, const std::string& database);
-    void statement_received(session_id id, session_statement statement, core::time_point now);
+    void statement_received(session_id id, const session_statement& statement, core::time_point now);
     void session_closed(session_id id, core::time_point now);
     // Closes sessions without a statement or transaction in progress, at most `most` of them, and marks the
     // others to be closed when theirs has ended. Returns how many sessions are left.
@@ -118,18 +118,21 @@
     [[nodiscard]] std::vector<primary_sighting> sightings(core::time_point now) const;
 
 private:
-    using statement_handler = void (relay_core::*)(session_id, session&, session_statement, core::time_point);
+    using statement_handler = void (relay_core::*)(session_id, session&, const session_statement&,
+                                                   core::time_point);
 
     // relay_sessions.cpp: statements that need no database, transactions, answers to callers.
     void start_next(session_id id, core::time_point now);
-    void start(session_id id, session& caller, session_statement statement, core::time_point now);
-    void begin(session_id id, session& caller, session_statement statement, core::time_point now);
-    void end_transaction(session_id id, session& caller, session_statement statement, core::time_point now);
-    void set_value(session_id id, session& caller, session_statement statement, core::time_point now);
-    void prepare(session_id id, session& caller, session_statement statement, core::time_point now);
-    void deallocate(session_id id, session& caller, session_statement statement, core::time_point now);
-    void run(session_id id, session& caller, session_statement statement, core::time_point now);
-    void reject_malformed(session_id id, session& caller, session_statement statement, core::time_point now);
+    void start(session_id id, session& caller, const session_statement& statement, core::time_point now);
+    void begin(session_id id, session& caller, const session_statement& statement, core::time_point now);
+    void end_transaction(session_id id, session& caller, const session_statement& statement,
+                         core::time_point now);
+    void set_value(session_id id, session& caller, const session_statement& statement, core::time_point now);
+    void prepare(session_id id, session& caller, const session_statement& statement, core::time_point now);
+    void deallocate(session_id id, session& caller, const session_statement& statement, core::time_point now);
+    void run(session_id id, session& caller, const session_statement& statement, core::time_point now);
+    void reject_malformed(session_id id, session& caller, const session_statement& statement,
+                          core::time_point now);
     void succeed_locally(session_id id, session& caller, const session_statement& statement);
     void refuse(session_id id, session& caller, refusal reason, const std::string& text,
                 core::time_point now);
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -32,17 +32,17 @@
     return true;
 }
 
-void relay_core::statement_received(session_id id, session_statement statement, core::time_point now) {
+void relay_core::statement_received(session_id id, const session_statement& statement, core::time_point now) {
     const auto found = m_sessions.find(id);
     if (found == m_sessions.end()) {
         return;
     }
     ++m_counters.m_statements;
     if (found->second.m_operation || !found->second.m_waiting.empty()) {
-        found->second.m_waiting.push_back(std::move(statement));
+        found->second.m_waiting.push_back(statement);
         return;
     }
-    start(id, found->second, std::move(statement), now);
+    start(id, found->second, statement, now);
     start_next(id, now);
 }
 
@@ -52,13 +52,14 @@
         if (found == m_sessions.end() || found->second.m_operation || found->second.m_waiting.empty()) {
             return;
         }
-        session_statement next = std::move(found->second.m_waiting.front());
+        const session_statement next = std::move(found->second.m_waiting.front());
         found->second.m_waiting.pop_front();
-        start(id, found->second, std::move(next), now);
+        start(id, found->second, next, now);
     }
 }
 
-void relay_core::start(session_id id, session& caller, session_statement statement, core::time_point now) {
+void relay_core::start(session_id id, session& caller, const session_statement& statement,
+                       core::time_point now) {
     // In the order of statement_kind.
     static constexpr std::array<statement_handler, 11> handlers{&relay_core::begin,
                                                                 &relay_core::begin,
@@ -85,12 +86,13 @@
         refuse(id, caller, refusal::malformed, "the transaction failed; roll it back", now);
         return;
     }
-    (this->*handlers.at(static_cast<std::size_t>(statement.m_kind)))(id, caller, std::move(statement), now);
+    (this->*handlers.at(static_cast<std::size_t>(statement.m_kind)))(id, caller, statement, now);
 }
 
 // The database learns of a transaction with its first statement, so a pause after the begin holds no
 // connection.
-void relay_core::begin(session_id id, session& caller, session_statement statement, core::time_point now) {
+void relay_core::begin(session_id id, session& caller, const session_statement& statement,
+                       core::time_point now) {
     if (caller.m_state != transaction_state::idle) {
         refuse(id, caller, refusal::malformed, "a transaction is open", now);
         return;
@@ -108,7 +110,7 @@
     succeed_locally(id, caller, statement);
 }
 
-void relay_core::end_transaction(session_id id, session& caller, session_statement statement,
+void relay_core::end_transaction(session_id id, session& caller, const session_statement& statement,
                                  core::time_point now) {
     if (caller.m_state == transaction_state::idle) {
         refuse(id, caller, refusal::malformed, "no transaction is open", now);
@@ -116,7 +118,7 @@
     }
     const bool commits = statement.m_kind == statement_kind::commit;
     if (commits && caller.m_state == transaction_state::open) {
-        run(id, caller, std::move(statement), now);
+        run(id, caller, statement, now);
         return;
     }
     detach(caller, now);
@@ -128,17 +130,19 @@
     succeed_locally(id, caller, statement);
 }
 
-void relay_core::set_value(session_id id, session& caller, session_statement statement, core::time_point) {
+void relay_core::set_value(session_id id, session& caller, const session_statement& statement,
+                           core::time_point) {
     caller.m_values[statement.m_name] = statement.m_argument;
     succeed_locally(id, caller, statement);
 }
 
-void relay_core::prepare(session_id id, session& caller, session_statement statement, core::time_point) {
+void relay_core::prepare(session_id id, session& caller, const session_statement& statement,
+                         core::time_point) {
     caller.m_prepared[statement.m_name] = {statement.m_access, statement.m_argument};
     succeed_locally(id, caller, statement);
 }
 
-void relay_core::deallocate(session_id id, session& caller, session_statement statement,
+void relay_core::deallocate(session_id id, session& caller, const session_statement& statement,
                             core::time_point now) {
     if (caller.m_prepared.erase(statement.m_name) == 0) {
         refuse(id, caller, refusal::unknown_statement, "no prepared statement of that name", now);
@@ -147,12 +151,13 @@
     succeed_locally(id, caller, statement);
 }
 
-void relay_core::reject_malformed(session_id id, session& caller, session_statement /*statement*/,
+void relay_core::reject_malformed(session_id id, session& caller, const session_statement& /*statement*/,
                                   core::time_point now) {
     refuse(id, caller, refusal::malformed, "the statement cannot be read", now);
 }
 
-void relay_core::run(session_id id, session& caller, session_statement statement, core::time_point now) {
+void relay_core::run(session_id id, session& caller, const session_statement& statement,
+                     core::time_point now) {
     const documents::route_rule* route = route_of(caller);
     if (route == nullptr) {
         refuse(id, caller, refusal::unknown_database, "no route of that name", now);
