--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -6,8 +6,6 @@
 namespace mangoquay::relay {
 namespace {
 
-// A replica in another zone is worth its bytes only when the own zone's is slower by more than this.
-constexpr double other_zone_penalty_ms = 25.0;
 constexpr double suspect_penalty_ms = 2000.0;
 constexpr double recent_position_penalty_ms = 400.0;
 constexpr double avoided_penalty_ms = 1000.0;
@@ -28,7 +26,7 @@
 double cost_of(const endpoint_view& view, const placement_request& request, core::time_point now) {
     const double slots = std::max(1.0, static_cast<double>(view.m_report.m_slots));
     double cost = view.m_answer_ms * (1.0 + static_cast<double>(view.m_busy) / slots);
-    cost += view.m_report.m_zone == request.m_zone ? 0.0 : other_zone_penalty_ms;
+    cost += view.m_report.m_zone == request.m_zone ? 0.0 : request.m_other_zone_cost_ms;
     cost += view.m_suspect.passed(now) ? 0.0 : suspect_penalty_ms;
     if (view.m_report.m_is_primary) {
         return cost + primary_penalty_ms;
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -40,6 +40,8 @@
     bool m_position_is_recent = false;                // replicas have probably not received it yet
     const std::set<core::endpoint_id>* m_avoided = nullptr;
     std::uint32_t m_links_per_endpoint = 1;
+    // A replica in another zone is worth its bytes only when the own zone's is slower by more than this.
+    double m_other_zone_cost_ms = 0.0;
 };
 
 struct placement {
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t links_ahead = 1;
 // A fresh position is asked for when the newest is older than this part of what a reader may see.
 constexpr int ask_at_age_divisor = 2;
+// An eighth of the latency target is spent on waiting rather than on bytes between zones.
+constexpr int other_zone_cost_divisor = 8;
 
 } // namespace
 
@@ -66,6 +68,7 @@
     request.m_needs_primary = needs_primary(caller, *route);
     request.m_avoided = &work.m_avoided;
     request.m_links_per_endpoint = links_allowed(route->m_service);
+    request.m_other_zone_cost_ms = static_cast<double>((route->m_target_latency / other_zone_cost_divisor).count());
     if (!request.m_needs_primary && !require_position(caller, *route, request, now)) {
         work.m_last_refusal = refusal::lagging;
         work.m_last_reason = "freshness cannot be proven";
