--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -38,6 +38,7 @@
     core::endpoint_id m_endpoint;
     link_phase m_phase = link_phase::opening;
     std::optional<session_id> m_session;
+    bool m_running = false; // a caller's statement was sent and is not answered
     std::deque<expected_answer> m_expected;
     std::map<std::string, std::string> m_values;
     std::set<std::string> m_prepared; // names given by prepared_name()
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -12,8 +12,8 @@
 // Reads stay off the primary while a replica is about as good: writes can go nowhere else.
 constexpr double primary_penalty_ms = 5.0;
 
-bool has_free_link(const endpoint_view& view, std::uint32_t links_per_endpoint) {
-    return view.m_busy < links_per_endpoint;
+bool has_free_link(const endpoint_view& view, const placement_request& request) {
+    return view.m_busy < request.m_links_per_endpoint && view.m_running < request.m_statements_per_endpoint;
 }
 
 bool probably_lags(const endpoint_view& view, const placement_request& request) {
@@ -48,7 +48,7 @@
         return outcome;
     }
     outcome.m_known = primary->m_suspect.passed(now);
-    if (has_free_link(*primary, request.m_links_per_endpoint) && primary->m_shedding.passed(now)) {
+    if (has_free_link(*primary, request) && primary->m_shedding.passed(now)) {
         outcome.m_chosen = placement{primary->m_report.m_id, "primary"};
     }
     return outcome;
@@ -88,7 +88,7 @@
             continue;
         }
         outcome.m_known = outcome.m_known || view.m_suspect.passed(now);
-        if (!has_free_link(view, request.m_links_per_endpoint)) {
+        if (!has_free_link(view, request)) {
             continue;
         }
         const bool avoided = request.m_avoided != nullptr && request.m_avoided->contains(id);
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -158,7 +158,10 @@
     std::optional<std::pair<link_step, database_request>>
     transaction_start(const session& caller, const link& on, core::time_point now);
     void occupy(link& on);
+    void set_running(link& on, bool running);
     void start_probe(const core::service_name& service, core::time_point now);
+    // Whether the budget allows one more read to run twice.
+    bool take_hedge();
     void hedge(session_id id, session& caller, core::time_point now);
     [[nodiscard]] std::uint32_t links_allowed(const core::service_name& service) const;
 
@@ -200,6 +203,7 @@
     std::map<core::service_name, freshness> m_freshness;
     std::map<core::service_name, link_id> m_probes; // in progress
     std::uint64_t m_last_link = 0;
+    double m_hedges = 0.0; // that may be started now
     relay_counters m_counters;
 };
 
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -21,6 +21,8 @@
 constexpr int ask_at_age_divisor = 2;
 // An eighth of the latency target is spent on waiting rather than on bytes between zones.
 constexpr int other_zone_cost_divisor = 8;
+// Statements that wait do so here, in the order of their priority, and not in the database's queue.
+constexpr std::uint32_t statements_at_once = 2;
 
 } // namespace
 
@@ -68,6 +70,7 @@
     request.m_needs_primary = needs_primary(caller, *route);
     request.m_avoided = &work.m_avoided;
     request.m_links_per_endpoint = links_allowed(route->m_service);
+    request.m_statements_per_endpoint = statements_at_once;
     request.m_other_zone_cost_ms = static_cast<double>((route->m_target_latency / other_zone_cost_divisor).count());
     if (!request.m_needs_primary && !require_position(caller, *route, request, now)) {
         work.m_last_refusal = refusal::lagging;
@@ -280,10 +283,19 @@
     work.m_hedge.m_at = now + (route == nullptr ? core::milliseconds(1000) : route->m_target_latency / 2);
     on.m_answer_by = work.m_limit;
     caller.m_transaction.m_wrote = caller.m_transaction.m_wrote || work.m_writes;
+    set_running(on, true);
     record("sent", caller, on.m_endpoint.value(), work.m_fenced ? "fenced" : "direct", now);
     send(number, on, {std::move(request)}, {link_step::statement}, now);
 }
 
+void relay_core::set_running(link& on, bool running) {
+    if (on.m_running != running) {
+        on.m_running = running;
+        endpoint_view& view = m_endpoints.at(on.m_endpoint);
+        view.m_running += running ? 1 : -1;
+    }
+}
+
 void relay_core::send(link_id id, link& on, const std::vector<database_request>& requests,
                       const std::vector<link_step>& steps, core::time_point now) {
     for (const link_step step : steps) {
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -21,6 +21,10 @@
 constexpr core::milliseconds clean_up_limit{400};
 constexpr core::milliseconds sighting_age{1000};
 constexpr double answer_weight = 0.15;
+// Reads that run a second time for want of an answer are at most this share of all statements: under overload each
+// would add to the queue that delays it.
+constexpr double hedges_per_statement = 0.03;
+constexpr double most_hedges = 5.0;
 
 bool is_commit(const session& caller) {
     return caller.m_operation->m_statement.m_kind == statement_kind::commit;
@@ -64,6 +68,7 @@
     observe(on, expected, answer, now);
     switch (expected.m_step) {
     case link_step::statement:
+        set_running(on, false);
         statement_answered(id, expected, answer, now);
         break;
     case link_step::probe:
@@ -170,6 +175,7 @@
     link& on = m_links.at(id);
     session& caller = m_sessions.at(owner);
     ++m_counters.m_succeeded;
+    m_hedges = std::min(most_hedges, m_hedges + hedges_per_statement);
     const endpoint_view& view = m_endpoints.at(on.m_endpoint);
     const bool commits = is_commit(caller);
     const bool wrote = caller.m_operation->m_writes || (commits && caller.m_transaction.m_wrote);
@@ -401,6 +407,7 @@
     std::erase_if(m_probes, [id](const auto& one) { return one.second == id; });
     endpoint_view& view = m_endpoints.at(found->second.m_endpoint);
     --view.m_links;
+    set_running(found->second, false);
     if (found->second.m_phase == link_phase::busy) {
         --view.m_busy;
     }
@@ -453,11 +460,19 @@
     }
     const bool may_hedge = work.m_phase == operation_phase::running && !work.m_writes &&
                            caller.m_state == transaction_state::idle && work.m_attempts == 1;
-    if (may_hedge && work.m_hedge.passed(now)) {
+    if (may_hedge && work.m_hedge.passed(now) && take_hedge()) {
         hedge(id, caller, now);
     }
 }
 
+bool relay_core::take_hedge() {
+    if (m_hedges < 1.0) {
+        return false;
+    }
+    m_hedges -= 1.0;
+    return true;
+}
+
 // The first endpoint may have lost the statement or its connection may be dead without a reset.
 void relay_core::hedge(session_id id, session& caller, core::time_point now) {
     operation& work = *caller.m_operation;
