Borrow links beyond a host's share while transactions hold them; notice lost primaries sooner

Change: a host opens up to half of a database's connections on demand and gives them back after 400 ms; the database's own refusal is the limit; probes each 150 ms, entry hosts tell of a failing primary at once.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -92,6 +92,7 @@
 void entry_node::tick() {
     const core::time_point now = core::now();
     m_core.tick(now);
+    tell_failing_primaries(now);
     if (now >= m_next_summary) {
         write_summary();
         m_next_summary = now + summary_period;
@@ -99,6 +100,19 @@
     m_loop.after(m_core.active() > 0 ? busy_tick : idle_tick, [this] { tick(); });
 }
 
+// Control hosts replace a lost primary sooner when they hear of it at once.
+void entry_node::tell_failing_primaries(core::time_point now) {
+    std::set<core::endpoint_id> failing;
+    for (const relay::primary_sighting& seen : m_core.sightings(now)) {
+        if (seen.m_failing && !seen.m_answered) {
+            failing.insert(seen.m_endpoint);
+        }
+    }
+    if (std::exchange(m_failing, failing) != failing) {
+        m_news.ask();
+    }
+}
+
 void entry_node::answer(relay::session_id session, const relay::session_answer& answer) {
     m_callers.answer(session, answer);
 }
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace mangoquay::entry {
 
@@ -47,6 +48,7 @@
     void document_arrived(documents::document_version version, const std::string& bytes);
     void endpoints_changed();
     void tick();
+    void tell_failing_primaries(core::time_point now);
     void drain_step();
     void write_summary();
 
@@ -59,6 +61,7 @@
     fleet::news_follower m_news;
     std::map<relay::link_id, std::unique_ptr<database_link>> m_links;
     std::atomic<bool> m_ready{false};
+    std::set<core::endpoint_id> m_failing; // primaries that control hosts were told of
     core::time_point m_next_summary{};
     std::uint64_t m_lines = 0; // written since the last summary
     std::uint64_t m_lines_left_out = 0;
--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // A database that is reached answers within a round trip and the wait for a slot.
-constexpr core::milliseconds step_limit{450};
+constexpr core::milliseconds step_limit{300};
 // Replicas are asked rarely; their links are not held open against the connections of entry hosts.
 constexpr core::milliseconds unused_link_lifetime{3000};
 
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -12,10 +12,10 @@
 using registry::report_state;
 
 // An empty transaction takes no slot at the database.
-constexpr core::milliseconds probe_period{250};
+constexpr core::milliseconds probe_period{150};
 // Probes fail for this long before a primary without contact to any entry host counts as lost: two lost
 // answers.
-constexpr core::milliseconds lost_after{700};
+constexpr core::milliseconds lost_after{450};
 // Some entry hosts still reach it, most do not.
 constexpr core::milliseconds mostly_lost_after{2000};
 // Reports of a new primary take up to a second to arrive after a start or a promotion that was not ours.
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -6,6 +6,7 @@
 namespace mangoquay::relay {
 namespace {
 
+constexpr std::uint32_t least_at_once = 2;
 constexpr double suspect_penalty_ms = 2000.0;
 constexpr double recent_position_penalty_ms = 400.0;
 constexpr double avoided_penalty_ms = 1000.0;
@@ -13,7 +14,9 @@
 constexpr double primary_penalty_ms = 5.0;
 
 bool has_free_link(const endpoint_view& view, const placement_request& request) {
-    return view.m_busy < request.m_links_per_endpoint && view.m_running < request.m_statements_per_endpoint;
+    // More statements than slots wait here, in the order of their priority, and not in the database's queue.
+    const std::uint32_t at_once = std::max(least_at_once, view.m_report.m_slots);
+    return view.m_busy < request.m_links_per_endpoint && view.m_running < at_once;
 }
 
 bool probably_lags(const endpoint_view& view, const placement_request& request) {
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -22,6 +22,7 @@
     std::uint32_t m_running = 0; // statements sent and not answered; a transaction that pauses has none
     core::deadline m_suspect;        // after a failure: avoided while others can serve
     core::duration m_suspect_step{}; // doubles with each failure in a row
+    core::deadline m_full;           // all its connections are taken: none is opened until then
     core::deadline m_shedding;       // it refused work for lack of slots
     core::deadline m_lagging;        // it lacked a position that was asked for: gets no reads until then
     core::duration m_lagging_step{}; // doubles with each such refusal in a row
@@ -41,7 +42,6 @@
     bool m_position_is_recent = false;                // replicas have probably not received it yet
     const std::set<core::endpoint_id>* m_avoided = nullptr;
     std::uint32_t m_links_per_endpoint = 1;
-    std::uint32_t m_statements_per_endpoint = 1; // at once
     // A replica in another zone is worth its bytes only when the own zone's is slower by more than this.
     double m_other_zone_cost_ms = 0.0;
 };
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -150,6 +150,7 @@
                           placement_request& request, core::time_point now);
     std::optional<link_id> take_link(const core::endpoint_id& endpoint, const session& caller,
                                      core::time_point now);
+    void open_links_ahead(core::time_point now);
     void open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now);
     void prepare_link(session_id id, session& caller, link_id number, core::time_point now);
     void send_statement(session& caller, link_id number, core::time_point now);
@@ -163,7 +164,11 @@
     // Whether the budget allows one more read to run twice.
     bool take_hedge();
     void hedge(session_id id, session& caller, core::time_point now);
+    // Links to an endpoint that this host may keep open.
+    [[nodiscard]] std::uint32_t links_kept(const core::service_name& service) const;
+    // Links that it may open while its work needs them and others leave them free.
     [[nodiscard]] std::uint32_t links_allowed(const core::service_name& service) const;
+    void close_borrowed_links(core::time_point now);
 
     // relay_links.cpp: answers and failures of links.
     void preparation_answered(link_id id, link_step step, const database_answer& answer,
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -17,12 +17,14 @@
 constexpr core::milliseconds usual_lag{200};
 // Links kept open at each endpoint from the start, so that the first statements do not wait for one.
 constexpr std::uint32_t links_ahead = 1;
+// A host takes at most half of a database's connections.
+constexpr std::uint32_t most_of_one_host_divisor = 2;
+// Links beyond the host's share go back when they were not used for this long.
+constexpr core::milliseconds borrowed_idle{400};
 // A fresh position is asked for when the newest is older than this part of what a reader may see.
 constexpr int ask_at_age_divisor = 2;
 // An eighth of the latency target is spent on waiting rather than on bytes between zones.
 constexpr int other_zone_cost_divisor = 8;
-// Statements that wait do so here, in the order of their priority, and not in the database's queue.
-constexpr std::uint32_t statements_at_once = 2;
 
 } // namespace
 
@@ -30,15 +32,36 @@
     return (statement.m_access == access_kind::write ? "w_" : "r_") + statement.m_shape;
 }
 
+std::uint32_t relay_core::links_kept(const core::service_name& service) const {
+    const documents::service_rule* rule = m_configuration.service(service);
+    if (rule == nullptr || rule->m_connections <= m_limits.m_reserved_connections) {
+        return 0;
+    }
+    return (rule->m_connections - m_limits.m_reserved_connections) / m_limits.m_entry_hosts;
+}
+
+// Transactions that pause hold a link without using a slot, so the busiest host may need several times its share. The
+// database itself refuses a connection beyond its limit, which costs nobody's work.
 std::uint32_t relay_core::links_allowed(const core::service_name& service) const {
     const documents::service_rule* rule = m_configuration.service(service);
-    if (rule == nullptr) {
-        return 1;
+    return std::max({1U, links_kept(service), rule == nullptr ? 0 : rule->m_connections / most_of_one_host_divisor});
+}
+
+void relay_core::close_borrowed_links(core::time_point now) {
+    std::vector<link_id> unused;
+    std::map<core::endpoint_id, std::uint32_t> left;
+    for (const auto& [number, one] : m_links) {
+        const endpoint_view& view = m_endpoints.at(one.m_endpoint);
+        std::uint32_t& open = left.try_emplace(one.m_endpoint, view.m_links).first->second;
+        const bool borrowed = open > links_kept(view.m_report.m_service);
+        if (borrowed && one.m_phase == link_phase::idle && one.m_heard + borrowed_idle < now) {
+            unused.push_back(number);
+            --open;
+        }
+    }
+    for (const link_id number : unused) {
+        drop_link(number);
     }
-    const std::uint32_t shared = rule->m_connections > m_limits.m_reserved_connections
-                                     ? rule->m_connections - m_limits.m_reserved_connections
-                                     : 1;
-    return std::max(1U, shared / m_limits.m_entry_hosts);
 }
 
 bool relay_core::needs_primary(const session& caller, const documents::route_rule& route) const {
@@ -70,7 +93,6 @@
     request.m_needs_primary = needs_primary(caller, *route);
     request.m_avoided = &work.m_avoided;
     request.m_links_per_endpoint = links_allowed(route->m_service);
-    request.m_statements_per_endpoint = statements_at_once;
     request.m_other_zone_cost_ms = static_cast<double>((route->m_target_latency / other_zone_cost_divisor).count());
     if (!request.m_needs_primary && !require_position(caller, *route, request, now)) {
         work.m_last_refusal = refusal::lagging;
@@ -159,8 +181,9 @@
 
 void relay_core::open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now) {
     const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end() || !found->second.m_suspect.passed(now)) {
-        return; // a suspect endpoint is tried again when its back-off has ended
+    if (found == m_endpoints.end() || !found->second.m_suspect.passed(now) ||
+        !found->second.m_full.passed(now)) {
+        return; // tried again when the back-off has ended
     }
     endpoint_view& view = found->second;
     const std::uint32_t allowed = links_allowed(view.m_report.m_service);
@@ -327,6 +350,15 @@
          {link_step::probe, link_step::rollback}, now);
 }
 
+void relay_core::open_links_ahead(core::time_point now) {
+    for (const auto& [id, view] : m_endpoints) {
+        const std::uint32_t wanted = std::min(links_ahead, links_kept(view.m_report.m_service));
+        if (view.m_links < wanted && view.m_report.m_state != registry::report_state::gone) {
+            open_links(id, wanted - view.m_links, now);
+        }
+    }
+}
+
 void relay_core::endpoints_changed(const std::vector<registry::endpoint_report>& listed,
                                    core::time_point now) {
     std::set<core::endpoint_id> present;
@@ -363,11 +395,7 @@
         }
         one = m_endpoints.erase(one);
     }
-    for (const core::endpoint_id& id : present) {
-        if (m_endpoints.at(id).m_links < links_ahead && configured()) {
-            open_links(id, links_ahead - m_endpoints.at(id).m_links, now);
-        }
-    }
+    open_links_ahead(now);
     dispatch_waiting(now);
 }
 
@@ -376,11 +404,7 @@
         return;
     }
     m_configuration = std::move(next);
-    for (const auto& [id, view] : m_endpoints) {
-        if (view.m_links < links_ahead) {
-            open_links(id, links_ahead - view.m_links, now);
-        }
-    }
+    open_links_ahead(now);
     dispatch_waiting(now);
 }
 
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -11,6 +11,8 @@
 constexpr core::milliseconds largest_back_off{1600};
 // A database without a free slot is asked again after a few of its service times.
 constexpr core::milliseconds shedding_pause{30};
+// Other hosts give links back within this time when their load falls.
+constexpr core::milliseconds full_pause{150};
 constexpr core::milliseconds least_lagging_pause{50};
 constexpr core::milliseconds largest_lagging_pause{800};
 // Covers the time until the endpoint's own report of its new role arrives.
@@ -19,7 +21,7 @@
 // A link whose caller has gone gets this long to finish, then it is closed.
 constexpr core::milliseconds detached_limit{3000};
 constexpr core::milliseconds clean_up_limit{400};
-constexpr core::milliseconds sighting_age{1000};
+constexpr core::milliseconds sighting_age{600};
 constexpr double answer_weight = 0.15;
 // Reads that run a second time for want of an answer are at most this share of all statements: under overload each
 // would add to the queue that delays it.
@@ -298,6 +300,12 @@
     if (found == m_links.end()) {
         return;
     }
+    if (reason == refusal::too_many_connections) {
+        endpoint_view& view = m_endpoints.at(found->second.m_endpoint);
+        view.m_full.m_at = now + full_pause;
+        drop_link(id);
+        return;
+    }
     lose_link(id, reason ? to_string(*reason) : "connection lost", now);
 }
 
@@ -500,6 +508,7 @@
     for (const link_id id : links) {
         check_link(id, now);
     }
+    close_borrowed_links(now);
     std::vector<session_id> sessions;
     sessions.reserve(m_active.size());
     for (const auto& [id, unused] : m_active) {
