Serve shorter kinds of work first; no second run at the same endpoint; a full database is alive

Ruled out: replicas that were paused by a former leader (their positions move on by a few commits a second). Change: order by priority, then by the time that statements of the route take; a second run only elsewhere; half of the slots a host; a refused connection counts as a sign of life.

--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -99,10 +99,10 @@
     handlers.m_answered = [this, id = target.m_id](const relay::database_answer& answer) {
         answered(id, answer);
     };
-    handlers.m_failed = [this, id = target.m_id](std::optional<relay::refusal>, const std::string& reason) {
+    handlers.m_failed = [this, id = target.m_id](std::optional<relay::refusal> refused, const std::string& reason) {
         core::log_line(core::log_level::info, "promotion",
                        "database link ended endpoint=" + id.value() + " reason=" + reason);
-        failed(id);
+        failed(id, refused == relay::refusal::too_many_connections);
     };
     own.m_link = std::make_unique<entry::database_link>(m_loop, m_protocol, target, std::move(handlers));
     return own;
@@ -149,7 +149,7 @@
     m_core.step_answered(done.m_service, done.m_answer, core::now());
 }
 
-void promotion_runner::failed(const core::endpoint_id& id) {
+void promotion_runner::failed(const core::endpoint_id& id, bool full) {
     const auto found = m_links.find(id);
     if (found == m_links.end()) {
         return;
@@ -160,6 +160,7 @@
         promotion::step_answer answer;
         answer.m_endpoint = id;
         answer.m_kind = step.m_kind;
+        answer.m_is_full = full;
         m_core.step_answered(step.m_service, answer, core::now());
     }
 }
@@ -175,7 +176,7 @@
         }
     }
     for (const core::endpoint_id& id : overdue) {
-        failed(id);
+        failed(id, false);
     }
 }
 
--- a/src/fleet/promotion_runner.h
+++ b/src/fleet/promotion_runner.h
@@ -55,7 +55,7 @@
 
     endpoint_link& link_to(const registry::endpoint_report& target);
     void answered(const core::endpoint_id& id, const relay::database_answer& answer);
-    void failed(const core::endpoint_id& id);
+    void failed(const core::endpoint_id& id, bool full);
     void drop_overdue(core::time_point now);
     [[nodiscard]] std::vector<promotion::service_view>
     views(const documents::configuration& chosen, const registry::endpoint_registry& endpoints,
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -337,6 +337,10 @@
     if (answer.m_endpoint != one.m_primary) {
         return;
     }
+    if (answer.m_is_full) {
+        one.m_failing_since.reset();
+        return;
+    }
     one.m_probe_accepted = answer.m_answered && answer.m_is_primary;
     if (answer.m_answered) {
         one.m_failing_since.reset();
--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -90,6 +90,7 @@
     step_kind m_kind = step_kind::probe;
     bool m_answered = false; // the database was reached and answered
     bool m_is_primary = false;
+    bool m_is_full = false; // it is alive, and has no connection left for this host
     std::optional<endpoint_status> m_status;          // of every kind but a probe
     std::optional<core::history_position> m_position; // of a probe that a primary accepted
 };
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -14,8 +14,9 @@
 constexpr double primary_penalty_ms = 5.0;
 
 bool has_free_link(const endpoint_view& view, const placement_request& request) {
-    // More statements than slots wait here, in the order of their priority, and not in the database's queue.
-    const std::uint32_t at_once = std::max(least_at_once, view.m_report.m_slots);
+    // Statements wait here, in the order of their priority, and not in the database's queue, where each would hold one
+    // of its connections. Half of the slots from each host fill all of them as soon as two hosts have work.
+    const std::uint32_t at_once = std::max(least_at_once, (view.m_report.m_slots + 1) / 2);
     return view.m_busy < request.m_links_per_endpoint && view.m_running < at_once;
 }
 
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -145,6 +145,8 @@
     void dispatch(session_id id, core::time_point now);
     void dispatch_waiting(core::time_point now);
     [[nodiscard]] bool needs_primary(const session& caller, const documents::route_rule& route) const;
+    std::optional<placement_request> request_of(const session& caller, const documents::route_rule& route,
+                                                core::time_point now);
     // False: not provable now; a probe was started.
     bool require_position(const session& caller, const documents::route_rule& route,
                           placement_request& request, core::time_point now);
@@ -177,6 +179,7 @@
                             core::time_point now);
     void statement_succeeded(session_id owner, link_id id, const expected_answer& expected,
                              const database_answer& answer, core::time_point now);
+    void note_answer_time(const session& caller, core::duration taken);
     void statement_refused(session_id owner, link_id id, const database_answer& answer, core::time_point now);
     bool repeat(session_id owner, session& caller, refusal reason, const std::string& text,
                 core::time_point now);
@@ -208,6 +211,7 @@
     std::map<core::service_name, freshness> m_freshness;
     std::map<core::service_name, link_id> m_probes; // in progress
     std::uint64_t m_last_link = 0;
+    std::map<std::string, double> m_expected_ms; // of a statement, by the name of its route's database
     double m_hedges = 0.0; // that may be started now
     relay_counters m_counters;
 };
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -87,43 +87,69 @@
     if (!work.m_not_before.passed(now)) {
         return;
     }
-    placement_request request;
-    request.m_service = route->m_service;
-    request.m_zone = m_limits.m_zone;
-    request.m_needs_primary = needs_primary(caller, *route);
-    request.m_avoided = &work.m_avoided;
-    request.m_links_per_endpoint = links_allowed(route->m_service);
-    request.m_other_zone_cost_ms = static_cast<double>((route->m_target_latency / other_zone_cost_divisor).count());
-    if (!request.m_needs_primary && !require_position(caller, *route, request, now)) {
+    const auto request = request_of(caller, *route, now);
+    if (!request) {
         work.m_last_refusal = refusal::lagging;
         work.m_last_reason = "freshness cannot be proven";
         return;
     }
-    const placement_outcome outcome = choose_endpoint(m_endpoints, request, now);
+    const placement_outcome outcome = choose_endpoint(m_endpoints, *request, now);
     if (!outcome.m_chosen) {
-        work.m_last_reason = outcome.m_known ? "all connections are in use" : "no usable endpoint";
+        work.m_last_reason = outcome.m_known ? "the endpoints are busy" : "no usable endpoint";
         return;
     }
-    if (const auto number = take_link(outcome.m_chosen->m_endpoint, caller, now)) {
-        caller.m_link = number;
-        m_links.at(*number).m_session = id;
-        prepare_link(id, caller, *number, now);
+    const auto number = take_link(outcome.m_chosen->m_endpoint, caller, now);
+    if (!number) {
+        work.m_last_reason = "no free connection to " + outcome.m_chosen->m_endpoint.value();
+        return;
     }
+    caller.m_link = number;
+    m_links.at(*number).m_session = id;
+    prepare_link(id, caller, *number, now);
 }
 
+// Nothing when what the caller must see cannot be proven now; a probe was started then.
+std::optional<placement_request> relay_core::request_of(const session& caller, const documents::route_rule& route,
+                                                        core::time_point now) {
+    placement_request request;
+    request.m_service = route.m_service;
+    request.m_zone = m_limits.m_zone;
+    request.m_needs_primary = needs_primary(caller, route);
+    request.m_avoided = &caller.m_operation->m_avoided;
+    request.m_links_per_endpoint = links_allowed(route.m_service);
+    request.m_other_zone_cost_ms = static_cast<double>((route.m_target_latency / other_zone_cost_divisor).count());
+    if (!request.m_needs_primary && !require_position(caller, route, request, now)) {
+        return std::nullopt;
+    }
+    return request;
+}
+
+// In the order of priority, then of the time that statements of a route take: when a database is overloaded, as a
+// primary whose replicas lag, the order serves the most callers in time.
 void relay_core::dispatch_waiting(core::time_point now) {
-    std::vector<std::pair<std::pair<std::uint32_t, core::time_point>, session_id>> waiting;
+    struct place_in_queue {
+        std::uint32_t m_priority = 0;
+        double m_expected_ms = 0.0;
+        core::time_point m_arrived{};
+        session_id m_id;
+
+        auto operator<=>(const place_in_queue&) const = default;
+    };
+    std::vector<place_in_queue> waiting;
     for (const auto& [id, unused] : m_active) {
         const session& caller = m_sessions.at(id);
         if (!caller.m_operation || caller.m_operation->m_phase != operation_phase::waiting) {
             continue;
         }
         const documents::route_rule* route = route_of(caller);
-        const std::uint32_t priority = route == nullptr ? 0 : route->m_priority;
-        waiting.push_back({{priority, caller.m_operation->m_arrived}, id});
+        const auto expected = m_expected_ms.find(caller.m_database);
+        waiting.push_back({route == nullptr ? 0 : route->m_priority,
+                           expected == m_expected_ms.end() ? 0.0 : expected->second,
+                           caller.m_operation->m_arrived, id});
     }
     std::ranges::sort(waiting);
-    for (const auto& [order, id] : waiting) {
+    for (const place_in_queue& place : waiting) {
+        const session_id id = place.m_id;
         const auto found = m_sessions.find(id);
         if (found != m_sessions.end() && found->second.m_operation &&
             found->second.m_operation->m_phase == operation_phase::waiting) {
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -27,6 +27,7 @@
 // would add to the queue that delays it.
 constexpr double hedges_per_statement = 0.03;
 constexpr double most_hedges = 5.0;
+constexpr core::milliseconds hedge_again{50};
 
 bool is_commit(const session& caller) {
     return caller.m_operation->m_statement.m_kind == statement_kind::commit;
@@ -179,6 +180,7 @@
     ++m_counters.m_succeeded;
     m_hedges = std::min(most_hedges, m_hedges + hedges_per_statement);
     const endpoint_view& view = m_endpoints.at(on.m_endpoint);
+    note_answer_time(caller, now - expected.m_sent);
     const bool commits = is_commit(caller);
     const bool wrote = caller.m_operation->m_writes || (commits && caller.m_transaction.m_wrote);
     ++(view.m_report.m_is_primary ? m_counters.m_primary_reads : m_counters.m_replica_reads);
@@ -210,6 +212,14 @@
     }
 }
 
+void relay_core::note_answer_time(const session& caller, core::duration taken) {
+    const double taken_ms = std::chrono::duration<double, std::milli>(taken).count();
+    const auto [known, added] = m_expected_ms.try_emplace(caller.m_database, taken_ms);
+    if (!added) {
+        known->second += answer_weight * (taken_ms - known->second);
+    }
+}
+
 void relay_core::statement_refused(session_id owner, link_id id, const database_answer& answer,
                                    core::time_point now) {
     link& on = m_links.at(id);
@@ -468,7 +478,7 @@
     }
     const bool may_hedge = work.m_phase == operation_phase::running && !work.m_writes &&
                            caller.m_state == transaction_state::idle && work.m_attempts == 1;
-    if (may_hedge && work.m_hedge.passed(now) && take_hedge()) {
+    if (may_hedge && work.m_hedge.passed(now)) {
         hedge(id, caller, now);
     }
 }
@@ -485,11 +495,19 @@
 void relay_core::hedge(session_id id, session& caller, core::time_point now) {
     operation& work = *caller.m_operation;
     const core::endpoint_id slow = m_links.at(*caller.m_link).m_endpoint;
+    work.m_avoided.insert(slow);
+    const documents::route_rule* route = route_of(caller);
+    const auto request = route == nullptr ? std::nullopt : request_of(caller, *route, now);
+    const auto other = request ? choose_endpoint(m_endpoints, *request, now) : placement_outcome{};
+    // At the same endpoint it would only wait behind itself.
+    if (!other.m_chosen || other.m_chosen->m_endpoint == slow || !take_hedge()) {
+        work.m_hedge.m_at = now + hedge_again;
+        return;
+    }
     endpoint_view& view = m_endpoints.at(slow);
     const double waited =
         std::chrono::duration<double, std::milli>(now - work.m_hedge.m_at).count() + view.m_answer_ms;
     view.m_answer_ms += answer_weight * std::max(0.0, waited - view.m_answer_ms);
-    work.m_avoided.insert(slow);
     record("repeated", caller, slow.value(), "no answer for half of the latency target", now);
     detach(caller, now);
     work.m_phase = operation_phase::waiting;
