Do not replace a primary while most entry hosts are cut off from the leader

Change: a replacement needs as many reporting entry hosts as silent ones; hosts count as silent for 10 s.

--- a/src/fleet/news_source.cpp
+++ b/src/fleet/news_source.cpp
@@ -10,7 +10,7 @@
 
 // Followers ask every half a second. Their share of connections is kept for some seconds after they fall
 // silent, because a host that is cut off from here may still use it.
-constexpr core::milliseconds follower_lifetime{6000};
+constexpr core::milliseconds follower_lifetime{10000};
 
 } // namespace
 
--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -68,6 +68,11 @@
     std::vector<promotion::service_view> services;
     for (const documents::service_rule& rule : chosen.m_services) {
         services.push_back({rule.m_name, rule.m_synchronous_replicas, {}, {}, {}});
+        for (const auto& [host, follower] : followers) {
+            const bool reports = follower.m_heard + view_lifetime > now;
+            services.back().m_reporting_hosts += follower.m_is_entry && reports ? 1 : 0;
+            services.back().m_silent_hosts += follower.m_is_entry && !reports ? 1 : 0;
+        }
     }
     for (const registry::endpoint_report& report : endpoints.listed()) {
         for (promotion::service_view& service : services) {
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -39,6 +39,11 @@
     return found == service.m_endpoints.end() ? nullptr : &*found;
 }
 
+entry_views views_of(const service_view& service, const core::endpoint_id& primary) {
+    const auto seen = service.m_entry_views.find(primary);
+    return seen == service.m_entry_views.end() ? entry_views{} : seen->second;
+}
+
 bool has_successor(const service_view& service, const core::endpoint_id& primary) {
     return std::ranges::any_of(service.m_endpoints, [&](const endpoint_report& one) {
         return one.m_id != primary && one.m_state == report_state::ready;
@@ -150,8 +155,11 @@
     if (!one.m_failing_since || !has_successor(service, one.m_primary)) {
         return false;
     }
-    const auto seen = service.m_entry_views.find(one.m_primary);
-    const entry_views views = seen == service.m_entry_views.end() ? entry_views{} : seen->second;
+    const entry_views views = views_of(service, one.m_primary);
+    // Hosts that are cut off from the leader may be on the primary's side: a successor would take the service from them.
+    if (service.m_silent_hosts > service.m_reporting_hosts) {
+        return false;
+    }
     const core::duration failing = now - *one.m_failing_since;
     if (views.m_answered == 0) {
         return failing >= lost_after;
@@ -167,7 +175,13 @@
 
 void promotion_core::begin_pause(watch& one, const service_view& service, const char* reason,
                                  core::time_point now) {
-    m_ports.record({"replacement", service.m_name, one.m_primary, reason});
+    const entry_views views = views_of(service, one.m_primary);
+    const auto failing = one.m_failing_since.value_or(now);
+    m_ports.record({"replacement", service.m_name, one.m_primary,
+                    reason + std::string(" answered_entry_hosts=") + std::to_string(views.m_answered) +
+                        " failing_entry_hosts=" + std::to_string(views.m_failing) +
+                        " silent_entry_hosts=" + std::to_string(service.m_silent_hosts) + " probes_failing_ms=" +
+                        std::to_string(std::chrono::duration_cast<core::milliseconds>(now - failing).count())});
     one.m_positions.clear();
     one.m_paused = true;
     one.m_needed.reset();
--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -57,6 +57,9 @@
     std::vector<registry::endpoint_report> m_endpoints;
     std::map<core::endpoint_id, core::time_point> m_heard; // when each last reported
     std::map<core::endpoint_id, entry_views> m_entry_views;
+    // Entry hosts that report to the leader, and those that did so lately and have fallen silent.
+    std::uint32_t m_reporting_hosts = 0;
+    std::uint32_t m_silent_hosts = 0;
 };
 
 struct promotion_event {
