Serve counters and latency histograms of entry and control hosts

Change: session_metrics (Boost.Accumulators and buckets), a page of control hosts, the page writer shared with the HTTP path; the HTTP server is plumbing and moves to src/transport.

--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -8,6 +8,7 @@
 #include "entry/caller_sessions.h"
 #include "entry/database_link.h"
 #include "fleet/news_follower.h"
+#include "metrics/session_metrics.h"
 #include "settings/fleet_settings.h"
 
 #include <atomic>
@@ -34,7 +35,8 @@
     void shut_down(std::function<void()> stopped);
     // May be called from any thread.
     [[nodiscard]] bool ready() const { return m_ready.load(); }
-    [[nodiscard]] const relay::relay_counters& counters() const { return m_core.counters(); }
+    // Figures of this host in the text exposition format.
+    [[nodiscard]] std::string metrics_page() const { return m_metrics.page(m_core, m_callers.turned_away()); }
 
 private:
     void answer(relay::session_id session, const relay::session_answer& answer) override;
@@ -43,6 +45,7 @@
     void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
     void close_link(relay::link_id link) override;
     void record(const relay::relay_event& event) override;
+    void count(const relay::answered_statement& statement) override { m_metrics.answered(statement); }
 
     fleet::follower_handlers news_handlers();
     void document_arrived(documents::document_version version, const std::string& bytes);
@@ -56,6 +59,7 @@
     settings::fleet_settings m_settings;
     const session_protocol& m_protocol;
     documents::document_decoder m_decoder;
+    metrics::session_metrics m_metrics;
     relay::relay_core m_core;
     caller_sessions m_callers;
     fleet::news_follower m_news;
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "fleet/admission_choice.h"
+#include "metrics/page_writer.h"
 
 #include <algorithm>
 #include <random>
@@ -148,6 +149,7 @@
         m_fence_term = m_raft->term();
         m_orders = 0;
     }
+    ++m_all_orders;
     return promotion::fence((m_fence_term.value() << count_bits) + ++m_orders);
 }
 
@@ -280,4 +282,18 @@
     m_source.report_merged(m_news.endpoints().find(endpoint)->m_report, true);
 }
 
+std::string control_node::metrics_page() const {
+    metrics::page_writer page;
+    page.line("control_leads", {}, m_raft->holds_lease(core::now()) ? 1 : 0);
+    page.line("control_term", {}, static_cast<double>(m_raft->term().value()));
+    page.line("control_voters", {}, static_cast<double>(m_raft->members().m_voters.size()));
+    page.line("control_learners", {}, static_cast<double>(m_raft->members().m_learners.size()));
+    page.line("control_log_committed", {}, static_cast<double>(m_raft->committed().value()));
+    page.line("configuration_version", {}, static_cast<double>(m_documents.version().value()));
+    page.line("entry_hosts", {}, m_source.entry_hosts());
+    page.line("endpoints", {}, static_cast<double>(m_news.endpoints().listed().size()));
+    page.line("promotion_orders_total", {}, static_cast<double>(m_all_orders));
+    return page.take();
+}
+
 } // namespace mangoquay::fleet
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -52,6 +52,9 @@
     // `started_ms` tells which incarnation leaves, when its message says so.
     void leave(const core::endpoint_id& endpoint, std::optional<std::int64_t> started_ms);
 
+    // Figures of this host in the text exposition format.
+    [[nodiscard]] std::string metrics_page() const;
+
 private:
     void tick();
     void join_if_alone(core::time_point now);
@@ -79,6 +82,7 @@
     core::time_point m_next_join{};
     bool m_announcing = false;
     std::uint32_t m_orders = 0; // given in m_fence_term
+    std::uint64_t m_all_orders = 0;
     consensus::raft_term m_fence_term;
 };
 
--- a/src/fleet/news_follower.h
+++ b/src/fleet/news_follower.h
@@ -47,6 +47,7 @@
     void add_control_host(const core::entry_host_id& host);
 
     [[nodiscard]] registry::endpoint_registry& endpoints() { return m_registry; }
+    [[nodiscard]] const registry::endpoint_registry& endpoints() const { return m_registry; }
     [[nodiscard]] const std::set<core::entry_host_id>& control_hosts() const { return m_control_hosts; }
     // When a control host last answered.
     [[nodiscard]] std::optional<core::time_point> heard() const { return m_heard; }
--- a/src/metrics/metrics_registry.cpp
+++ b/src/metrics/metrics_registry.cpp
@@ -1,6 +1,8 @@
 // Figures in Boost accumulators, printed in the usual text exposition format.
 #include "metrics/metrics_registry.h"
 
+#include "metrics/page_writer.h"
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
@@ -10,7 +12,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <mutex>
 #include <optional>
 
@@ -41,33 +42,6 @@
     return std::chrono::duration<double, std::milli>(length).count();
 }
 
-class page_writer {
-public:
-    void line(const std::string& name, const std::map<std::string, std::string>& labels, double value) {
-        std::array<char, 32> text{};
-        (void)std::snprintf(text.data(), text.size(), "%.10g", value);
-        m_text += "mangoquay_" + name + label_text(labels) + " " + text.data() + "\n";
-    }
-    std::string take() { return std::move(m_text); }
-
-private:
-    static std::string label_text(const std::map<std::string, std::string>& labels) {
-        std::string text;
-        for (const auto& [name, value] : labels) {
-            text += (text.empty() ? "{" : ",") + name + "=\"";
-            for (const char character : value) {
-                const bool escape = character == '"' || character == '\\';
-                text += escape ? "\\" : "";
-                text += character == '\n' ? std::string("\\n") : std::string(1, character);
-            }
-            text += "\"";
-        }
-        return text.empty() ? text : text + "}";
-    }
-
-    std::string m_text;
-};
-
 } // namespace
 
 struct metrics_registry::figures {
--- /dev/null
+++ b/src/metrics/session_metrics.cpp
@@ -0,0 +1,75 @@
+// Collection and printing of statement figures.
+#include "metrics/session_metrics.h"
+
+#include <algorithm>
+
+namespace mangoquay::metrics {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr double reported_quantile = 0.99;
+constexpr std::array kind_names{"latest", "bounded_age", "read_your_writes"};
+
+} // namespace
+
+session_metrics::kind_figures::kind_figures() : m_milliseconds(acc::quantile_probability = reported_quantile) {}
+
+session_metrics::session_metrics() = default;
+
+void session_metrics::answered(const relay::answered_statement& statement) {
+    if (statement.m_refusal) {
+        ++m_refusals.at(static_cast<std::size_t>(*statement.m_refusal));
+        return;
+    }
+    kind_figures& figures = m_kinds.at(static_cast<std::size_t>(statement.m_consistency));
+    const double taken = std::chrono::duration<double, std::milli>(statement.m_taken).count();
+    figures.m_milliseconds(taken);
+    const auto bucket = std::ranges::lower_bound(bucket_bounds, taken) - bucket_bounds.begin();
+    ++figures.m_buckets.at(static_cast<std::size_t>(bucket));
+}
+
+void session_metrics::print_latency(page_writer& page) const {
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        const kind_figures& figures = m_kinds.at(kind);
+        const auto count = static_cast<double>(acc::count(figures.m_milliseconds));
+        std::map<std::string, std::string> labels{{"consistency", kind_names.at(kind)}};
+        page.line("session_statement_latency_ms_count", labels, count);
+        page.line("session_statement_latency_ms_mean", labels, count > 0 ? acc::mean(figures.m_milliseconds) : 0);
+        page.line("session_statement_latency_ms_p99", labels,
+                  count > 0 ? acc::p_square_quantile(figures.m_milliseconds) : 0);
+        page.line("session_statement_latency_ms_max", labels, count > 0 ? acc::max(figures.m_milliseconds) : 0);
+        std::uint64_t below = 0;
+        for (std::size_t bucket = 0; bucket < bucket_bounds.size(); ++bucket) {
+            below += figures.m_buckets.at(bucket);
+            labels["le"] = std::to_string(static_cast<int>(bucket_bounds.at(bucket)));
+            page.line("session_statement_latency_ms_bucket", labels, static_cast<double>(below));
+        }
+        labels["le"] = "+Inf";
+        page.line("session_statement_latency_ms_bucket", labels, count);
+    }
+}
+
+std::string session_metrics::page(const relay::relay_core& core, std::uint64_t sessions_turned_away) const {
+    page_writer page;
+    const relay::relay_counters& counted = core.counters();
+    page.line("sessions", {}, static_cast<double>(core.sessions()));
+    page.line("sessions_turned_away_total", {}, static_cast<double>(sessions_turned_away));
+    page.line("statements_in_progress", {}, static_cast<double>(core.active()));
+    page.line("database_links", {}, static_cast<double>(core.links()));
+    page.line("database_links_opened_total", {}, static_cast<double>(counted.m_links_opened));
+    page.line("session_statements_total", {}, static_cast<double>(counted.m_statements));
+    page.line("statement_attempts_repeated_total", {}, static_cast<double>(counted.m_repeated));
+    page.line("primary_position_probes_total", {}, static_cast<double>(counted.m_probes));
+    page.line("statements_served_total", {{"served_by", "replica"}}, static_cast<double>(counted.m_replica_reads));
+    page.line("statements_served_total", {{"served_by", "primary"}}, static_cast<double>(counted.m_primary_reads));
+    page.line("configuration_version", {}, static_cast<double>(core.version().value()));
+    for (std::size_t reason = 0; reason < refusals; ++reason) {
+        page.line("statements_refused_total", {{"reason", to_string(static_cast<relay::refusal>(reason))}},
+                  static_cast<double>(m_refusals.at(reason)));
+    }
+    print_latency(page);
+    return page.take();
+}
+
+} // namespace mangoquay::metrics
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -39,6 +39,13 @@
     std::uint32_t m_attempts = 0;
 };
 
+// A statement that the caller has its answer to.
+struct answered_statement {
+    documents::consistency m_consistency = documents::consistency::latest;
+    std::optional<refusal> m_refusal;
+    core::duration m_taken{};
+};
+
 class relay_ports {
 public:
     relay_ports() = default;
@@ -56,6 +63,8 @@
     // No event of the link follows.
     virtual void close_link(link_id link) = 0;
     virtual void record(const relay_event& event) = 0;
+    // For metrics.
+    virtual void count(const answered_statement& statement) = 0;
 };
 
 struct relay_limits {
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -210,6 +210,9 @@
 // Answers the statement in progress. The caller's transaction state is that of the session after it.
 void relay_core::finish(session_id id, session& caller, session_answer answer, core::time_point now) {
     answer.m_request = caller.m_operation->m_statement.m_id;
+    const documents::route_rule* route = route_of(caller);
+    m_ports.count({route == nullptr ? documents::consistency::latest : route->m_consistency, answer.m_refusal,
+                   now - caller.m_operation->m_arrived});
     if (answer.m_refusal && caller.m_state == transaction_state::open) {
         caller.m_state = transaction_state::failed;
     }
--- a/platform/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,5 @@
 // ulfius around one handler.
-#include "platform/http_server.h"
+#include "transport/http_server.h"
 
 #include "transport/socket_options.h"
 
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-namespace mangoquay::platform {
+namespace mangoquay::transport {
 namespace {
 
 // Configurations of several hundred routes are below 256 KiB (sheet); four times that is refused later, not
@@ -74,7 +74,7 @@
 
 std::string http_server::start() {
     instance& own = *m_instance;
-    const auto bound = transport::to_socket_address(own.m_address);
+    const auto bound = to_socket_address(own.m_address);
     if (!bound) {
         return "not an IP number: " + own.m_address.m_host;
     }
@@ -107,4 +107,4 @@
     return {};
 }
 
-} // namespace mangoquay::platform
+} // namespace mangoquay::transport
--- a/platform/http_server.h
+++ b/src/transport/http_server.h
@@ -1,4 +1,4 @@
-// A small HTTP/1.1 server through ulfius for the platform's calls.
+// A small HTTP/1.1 server through ulfius: one handler for all paths.
 //
 // Owns: the ulfius instance and its threads. The handler runs on those threads.
 #pragma once
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-namespace mangoquay::platform {
+namespace mangoquay::transport {
 
 struct http_request {
     std::string m_method;
@@ -48,4 +48,4 @@
     std::unique_ptr<instance> m_instance;
 };
 
-} // namespace mangoquay::platform
+} // namespace mangoquay::transport
--- /dev/null
+++ b/src/transport/page_server.cpp
@@ -0,0 +1,36 @@
+// Waits for the loop to make the page.
+#include "transport/page_server.h"
+
+#include "core/clock.h"
+
+#include <future>
+#include <memory>
+#include <utility>
+
+namespace mangoquay::transport {
+namespace {
+
+// A loop that is busy for longer has more to do than to be measured.
+constexpr core::milliseconds page_limit{1000};
+
+} // namespace
+
+page_server::page_server(event_loop& loop, const std::optional<control::socket_address>& address,
+                         page_source source)
+    : m_loop(loop), m_source(std::move(source)) {
+    if (address) {
+        m_server.emplace(*address, http_server::threads::shared, [this](const http_request&) { return answer(); });
+    }
+}
+
+http_response page_server::answer() {
+    const auto made = std::make_shared<std::promise<std::string>>();
+    auto page = made->get_future();
+    m_loop.post([this, made] { made->set_value(m_source()); });
+    if (page.wait_for(page_limit) != std::future_status::ready) {
+        return {503, {}, {}, "text/plain"};
+    }
+    return {200, page.get(), {}, "text/plain; charset=utf-8"};
+}
+
+} // namespace mangoquay::transport
--- a/test/support/relay_world.h
+++ b/test/support/relay_world.h
@@ -102,6 +102,7 @@
     void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
     void close_link(relay::link_id link) override;
     void record(const relay::relay_event&) override {}
+    void count(const relay::answered_statement&) override {}
 
     void at(core::duration delay, std::function<void()> work);
     [[nodiscard]] std::uint64_t draw(std::uint64_t below);
