--- a/src/fleet/news_follower.cpp
+++ b/src/fleet/news_follower.cpp
@@ -12,6 +12,8 @@
 
 // Changes are pushed; this period only repairs what a lost link dropped.
 constexpr core::milliseconds ask_period{500};
+// Until a first configuration has arrived.
+constexpr core::milliseconds first_ask_period{100};
 // A control host that is no member any more and has not answered for this long is forgotten.
 constexpr core::milliseconds forget_after{20000};
 
@@ -57,7 +59,8 @@
     });
     m_registry.forget_old(now);
     ask();
-    m_loop.after(ask_period, [this] { tick(); });
+    const bool knows = m_handlers.m_version().value() > 0;
+    m_loop.after(knows ? ask_period : first_ask_period, [this] { tick(); });
 }
 
 void news_follower::ask() {
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::uint32_t least_at_once = 2;
 constexpr core::milliseconds down_after_step{400}; // of the back-off: the third failure in a row
+// Opening a link takes about 12 ms (sheet), and an endpoint that does not answer becomes suspect within a second.
+constexpr double patience_ms = 100.0;
 constexpr double suspect_penalty_ms = 2000.0;
 constexpr double recent_position_penalty_ms = 400.0;
 constexpr double avoided_penalty_ms = 1000.0;
@@ -22,6 +24,10 @@
     return view.m_busy < request.m_links_per_endpoint && view.m_running < at_once;
 }
 
+bool has_idle_link(const endpoint_view& view) {
+    return view.m_links > view.m_busy + view.m_opening;
+}
+
 bool probably_lags(const endpoint_view& view, const placement_request& request) {
     if (!request.m_position || (view.m_position && *view.m_position >= *request.m_position)) {
         return false;
@@ -59,8 +65,13 @@
         return outcome;
     }
     outcome.m_known = !is_down(*primary, now);
-    if (has_free_link(*primary, request) && primary->m_shedding.passed(now)) {
+    if (!has_free_link(*primary, request) || !primary->m_shedding.passed(now)) {
+        return outcome;
+    }
+    if (has_idle_link(*primary)) {
         outcome.m_chosen = placement{primary->m_report.m_id, "primary"};
+    } else {
+        outcome.m_preferred = primary->m_report.m_id;
     }
     return outcome;
 }
@@ -94,25 +105,30 @@
     }
     placement_outcome outcome;
     double least = 0.0;
+    double least_idle = 0.0;
     for (const auto& [id, view] : views) {
-        if (view.m_report.m_service != request.m_service ||
-            view.m_report.m_state == registry::report_state::gone) {
+        if (view.m_report.m_service != request.m_service || view.m_report.m_state == registry::report_state::gone) {
             continue;
         }
         outcome.m_known = outcome.m_known || !is_down(view, now);
-        if (!serves_reads(view, now)) {
-            continue;
-        }
-        if (!has_free_link(view, request)) {
+        if (!serves_reads(view, now) || !has_free_link(view, request)) {
             continue;
         }
         const bool avoided = request.m_avoided != nullptr && request.m_avoided->contains(id);
         const double cost = cost_of(view, request, now) + (avoided ? avoided_penalty_ms : 0.0);
-        if (!outcome.m_chosen || cost < least) {
+        if (!outcome.m_preferred || cost < least) {
             least = cost;
+            outcome.m_preferred = id;
+        }
+        if (has_idle_link(view) && (!outcome.m_chosen || cost < least_idle)) {
+            least_idle = cost;
             outcome.m_chosen = placement{id, view.m_report.m_is_primary ? "primary" : "replica"};
         }
     }
+    // Waiting for the better endpoint's link takes less than the worse endpoint's penalty.
+    if (outcome.m_chosen && least + patience_ms < least_idle) {
+        outcome.m_chosen.reset();
+    }
     return outcome;
 }
 
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -159,8 +159,8 @@
     // False: not provable now; a probe was started.
     bool require_position(const session& caller, const documents::route_rule& route,
                           placement_request& request, core::time_point now);
-    std::optional<link_id> take_link(const core::endpoint_id& endpoint, const session& caller,
-                                     core::time_point now);
+    [[nodiscard]] std::optional<link_id> take_link(const core::endpoint_id& endpoint,
+                                                   const session& caller) const;
     void open_links_ahead(core::time_point now);
     void open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now);
     void prepare_link(session_id id, session& caller, link_id number, core::time_point now);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -96,11 +96,15 @@
     }
     const placement_outcome outcome = choose_endpoint(m_endpoints, *request, now);
     work.m_unservable = !outcome.m_known;
+    if (outcome.m_preferred && (!outcome.m_chosen || *outcome.m_preferred != outcome.m_chosen->m_endpoint) &&
+        m_endpoints.at(*outcome.m_preferred).m_opening == 0) {
+        open_links(*outcome.m_preferred, 1, now);
+    }
     if (!outcome.m_chosen) {
         work.m_last_reason = outcome.m_known ? "the endpoints are busy" : "no usable endpoint";
         return;
     }
-    const auto number = take_link(outcome.m_chosen->m_endpoint, caller, now);
+    const auto number = take_link(outcome.m_chosen->m_endpoint, caller);
     if (!number) {
         work.m_last_reason = "no free connection to " + outcome.m_chosen->m_endpoint.value();
         return;
@@ -187,24 +191,15 @@
     return true;
 }
 
-// An idle link, preferably one that holds the session's values; otherwise a new one is opened for a later
-// dispatch.
-std::optional<link_id> relay_core::take_link(const core::endpoint_id& endpoint, const session& caller,
-                                             core::time_point now) {
+// An idle link, preferably one that holds the session's values.
+std::optional<link_id> relay_core::take_link(const core::endpoint_id& endpoint, const session& caller) const {
     std::optional<link_id> best;
-    std::uint32_t opening = 0;
     for (const auto& [number, one] : m_links) {
-        if (one.m_endpoint != endpoint) {
-            continue;
-        }
-        opening += one.m_phase == link_phase::opening ? 1 : 0;
-        if (one.m_phase == link_phase::idle && (!best || one.m_values == caller.m_values)) {
+        if (one.m_endpoint == endpoint && one.m_phase == link_phase::idle &&
+            (!best || one.m_values == caller.m_values)) {
             best = number;
         }
     }
-    if (!best && opening == 0) {
-        open_links(endpoint, 1, now);
-    }
     return best;
 }
 
@@ -223,6 +218,7 @@
         opened.m_answer_by.m_at = now + opening_limit;
         m_links.emplace(number, std::move(opened));
         ++view.m_links;
+        ++view.m_opening;
         ++m_counters.m_links_opened;
         m_ports.open_link(number, view.m_report);
     }
@@ -366,8 +362,11 @@
         return;
     }
     const core::endpoint_id endpoint = primary->m_report.m_id;
-    const auto number = take_link(endpoint, session{}, now);
+    const auto number = take_link(endpoint, session{});
     if (!number) {
+        if (primary->m_opening == 0) {
+            open_links(endpoint, 1, now);
+        }
         return;
     }
     link& on = m_links.at(*number);
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -43,6 +43,7 @@
     }
     link& on = found->second;
     on.m_phase = link_phase::idle;
+    --m_endpoints.at(on.m_endpoint).m_opening;
     on.m_heard = now;
     on.m_answer_by.m_at = core::time_point::max();
     endpoint_view& view = m_endpoints.at(on.m_endpoint);
@@ -425,6 +426,7 @@
     std::erase_if(m_probes, [id](const auto& one) { return one.second == id; });
     endpoint_view& view = m_endpoints.at(found->second.m_endpoint);
     --view.m_links;
+    view.m_opening -= found->second.m_phase == link_phase::opening ? 1 : 0;
     set_running(found->second, false);
     if (found->second.m_phase == link_phase::busy) {
         --view.m_busy;
--- a/test/support/promotion_world.cpp
+++ b/test/support/promotion_world.cpp
@@ -142,7 +142,7 @@
     }
 }
 
-void promotion_world::replicate(database& from, database& to) {
+void promotion_world::replicate(const database& from, database& to) const {
     const bool paused = to.m_held_term > from.m_term && !m_options.m_planted.m_skip_pause;
     if (!paused) {
         to.m_log = from.m_log;
--- a/test/support/promotion_world.h
+++ b/test/support/promotion_world.h
@@ -75,7 +75,7 @@
     database* leader();
     void lead_anew();
     void write();
-    void replicate(database& from, database& to);
+    void replicate(const database& from, database& to) const;
     void carry_out(const core::endpoint_id& target, std::uint64_t number);
     void apply_step(database& own, promotion::step_kind kind, core::term term,
                     promotion::step_answer& answer);
