Adapt how many statements a host lets an endpoint have at once

Ruled out: a fixed limit of one (three hosts of a zone could not fill the slots of a quiet replica). Change: additive increase, multiplicative decrease by answers that take over a third of their target.

--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -6,7 +6,12 @@
 namespace mangoquay::relay {
 namespace {
 
-constexpr std::uint32_t least_at_once = 2;
+// Additive increase, multiplicative decrease: settles where about a quarter of the answers take more than a third of
+// their latency target, whatever the number of hosts that share the endpoint.
+constexpr double least_window = 1.0;
+constexpr double window_increase = 0.15;
+constexpr double window_decrease = 0.8;
+constexpr int slow_part_of_target = 3;
 constexpr core::milliseconds down_after_step{400}; // of the back-off: the third failure in a row
 // Opening a link takes about 12 ms (sheet), and an endpoint that does not answer becomes suspect within a second.
 constexpr double patience_ms = 100.0;
@@ -17,10 +22,9 @@
 constexpr double primary_penalty_ms = 5.0;
 
 bool has_free_link(const endpoint_view& view, const placement_request& request) {
-    // Statements wait here, in the order of their priority, and not in the database's queue, where each would
-    // hold one of its connections. Half of the slots from each host fill all of them as soon as two hosts
-    // have work.
-    const std::uint32_t at_once = std::max(least_at_once, (view.m_report.m_slots + 1) / 2);
+    // Statements wait here, in the order of their priority, and not in the database's queue, where each would hold one
+    // of its connections.
+    const auto at_once = static_cast<std::uint32_t>(view.m_window);
     return view.m_busy < request.m_links_per_endpoint && view.m_running < at_once;
 }
 
@@ -78,6 +82,15 @@
 
 } // namespace
 
+void adapt_window(endpoint_view& view, core::duration taken, core::milliseconds target) {
+    const double slots = std::max(least_window, static_cast<double>(view.m_report.m_slots));
+    if (taken * slow_part_of_target > target) {
+        view.m_window = std::max(least_window, view.m_window * window_decrease);
+    } else {
+        view.m_window = std::min(slots, view.m_window + window_increase);
+    }
+}
+
 const endpoint_view* find_primary(const endpoint_views& views, const core::service_name& service,
                                   core::time_point now) {
     const endpoint_view* best = nullptr;
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -28,6 +28,8 @@
     core::deadline m_lagging;        // it lacked a position that was asked for: gets no reads until then
     core::duration m_lagging_step{}; // doubles with each such refusal in a row
     core::deadline m_refuted;        // it is no primary, whatever it reports
+    // Statements that this host lets the endpoint have at once: shrinks while answers are slow.
+    double m_window = 2.0;
     double m_answer_ms = 15.0; // exponentially weighted; starts near the work of the sheets' short requests
     std::optional<core::history_position> m_position; // last seen
     core::time_point m_position_at{};
@@ -52,6 +54,10 @@
     const char* m_reason = "";
 };
 
+// Answers the load pattern of an overloaded endpoint that many hosts share: each keeps less of its work in the
+// endpoint's queue, so what is urgent does not wait behind what is not.
+void adapt_window(endpoint_view& view, core::duration taken, core::milliseconds target);
+
 // The primary by the endpoints' own reports, or nothing. Of several the one of the latest term that was seen.
 const endpoint_view* find_primary(const endpoint_views& views, const core::service_name& service,
                                   core::time_point now);
