Bound the lines about ended links; do not hold callers at a host that has found no configuration

Cause: on the grown deployment hosts wrote a line for each refused connection, and hosts that restarted while all control hosts were down held each caller for 1.5 s.

--- a/src/entry/caller_sessions.cpp
+++ b/src/entry/caller_sessions.cpp
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -38,7 +39,9 @@
     handlers.m_received = [this, id](std::string& bytes) { received(id, bytes); };
     handlers.m_closed = [this, id](const std::string&) { end(id); };
     connection& opened = m_connections[id];
-    opened.m_start_by = core::deadline_after(core::now(), startup_patience);
+    // A host that has had no configuration for so long since its start does not hold callers back.
+    opened.m_start_by = std::min(core::deadline_after(core::now(), startup_patience),
+                                 core::deadline_after(m_started_at, startup_patience));
     opened.m_stream = std::make_unique<transport::byte_stream>(m_loop, socket, std::move(handlers));
 }
 
--- a/src/entry/caller_sessions.h
+++ b/src/entry/caller_sessions.h
@@ -57,6 +57,7 @@
     transport::stream_listener m_listener;
     relay::relay_core* m_core = nullptr;
     std::unordered_map<relay::session_id, connection> m_connections;
+    core::time_point m_started_at = core::now();
     std::uint64_t m_last_session = 0;
     std::uint64_t m_turned_away = 0;
     bool m_waiting_timer = false;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -131,8 +131,7 @@
     };
     handlers.m_failed = [this, link, id = target.m_id](std::optional<relay::refusal> reason,
                                                        const std::string& text) {
-        core::log_line(core::log_level::info, "entry",
-                       "database link ended endpoint=" + id.value() + " reason=" + text);
+        write_bounded("entry", "database link ended endpoint=" + id.value() + " reason=\"" + text + "\"");
         const auto failed = std::move(m_links[link]); // outlives the call that ends it
         m_links.erase(link);
         m_core.link_failed(link, reason, core::now());
@@ -154,16 +153,20 @@
     if (usual) {
         return;
     }
+    write_bounded("relay", std::string(event.m_what) + " request=" + event.m_request +
+                               " endpoint=" + event.m_endpoint + " reason=\"" + event.m_reason +
+                               "\" age_ms=" + std::to_string(event.m_age_ms) +
+                               " attempts=" + std::to_string(event.m_attempts) +
+                               " configuration=" + std::to_string(m_core.version().value()));
+}
+
+void entry_node::write_bounded(const char* prefix, const std::string& text) {
     if (m_lines >= most_lines && m_settings.m_log_level != core::log_level::debug) {
         ++m_lines_left_out;
         return;
     }
     ++m_lines;
-    core::log_line(core::log_level::info, "relay",
-                   std::string(event.m_what) + " request=" + event.m_request +
-                       " endpoint=" + event.m_endpoint + " reason=\"" + event.m_reason + "\" age_ms=" +
-                       std::to_string(event.m_age_ms) + " attempts=" + std::to_string(event.m_attempts) +
-                       " configuration=" + std::to_string(m_core.version().value()));
+    core::log_line(core::log_level::info, prefix, text);
 }
 
 void entry_node::write_summary() {
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -53,6 +53,8 @@
     void tick();
     void tell_failing_primaries(core::time_point now);
     void drain_step();
+    // At most so many lines between two summaries; the others are counted.
+    void write_bounded(const char* prefix, const std::string& text);
     void write_summary();
 
     transport::event_loop& m_loop;
--- a/src/metrics/session_metrics.cpp
+++ b/src/metrics/session_metrics.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-session_metrics::kind_figures::kind_figures() : m_milliseconds(acc::quantile_probability = reported_quantile) {}
+session_metrics::kind_figures::kind_figures()
+    : m_milliseconds(acc::quantile_probability = reported_quantile) {}
 
 session_metrics::session_metrics() = default;
 
@@ -35,10 +36,12 @@
         const auto count = static_cast<double>(acc::count(figures.m_milliseconds));
         std::map<std::string, std::string> labels{{"consistency", kind_names.at(kind)}};
         page.line("session_statement_latency_ms_count", labels, count);
-        page.line("session_statement_latency_ms_mean", labels, count > 0 ? acc::mean(figures.m_milliseconds) : 0);
+        page.line("session_statement_latency_ms_mean", labels,
+                  count > 0 ? acc::mean(figures.m_milliseconds) : 0);
         page.line("session_statement_latency_ms_p99", labels,
                   count > 0 ? acc::p_square_quantile(figures.m_milliseconds) : 0);
-        page.line("session_statement_latency_ms_max", labels, count > 0 ? acc::max(figures.m_milliseconds) : 0);
+        page.line("session_statement_latency_ms_max", labels,
+                  count > 0 ? acc::max(figures.m_milliseconds) : 0);
         std::uint64_t below = 0;
         for (std::size_t bucket = 0; bucket < bucket_bounds.size(); ++bucket) {
             below += figures.m_buckets.at(bucket);
@@ -61,8 +64,10 @@
     page.line("session_statements_total", {}, static_cast<double>(counted.m_statements));
     page.line("statement_attempts_repeated_total", {}, static_cast<double>(counted.m_repeated));
     page.line("primary_position_probes_total", {}, static_cast<double>(counted.m_probes));
-    page.line("statements_served_total", {{"served_by", "replica"}}, static_cast<double>(counted.m_replica_reads));
-    page.line("statements_served_total", {{"served_by", "primary"}}, static_cast<double>(counted.m_primary_reads));
+    page.line("statements_served_total", {{"served_by", "replica"}},
+              static_cast<double>(counted.m_replica_reads));
+    page.line("statements_served_total", {{"served_by", "primary"}},
+              static_cast<double>(counted.m_primary_reads));
     page.line("configuration_version", {}, static_cast<double>(core.version().value()));
     for (std::size_t reason = 0; reason < refusals; ++reason) {
         page.line("statements_refused_total", {{"reason", to_string(static_cast<relay::refusal>(reason))}},
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -6,14 +6,15 @@
 namespace mangoquay::relay {
 namespace {
 
-// Additive increase, multiplicative decrease: settles where about a quarter of the answers take more than a third of
-// their latency target, whatever the number of hosts that share the endpoint.
+// Additive increase, multiplicative decrease: settles where about a quarter of the answers take more than a
+// third of their latency target, whatever the number of hosts that share the endpoint.
 constexpr double least_window = 1.0;
 constexpr double window_increase = 0.15;
 constexpr double window_decrease = 0.8;
 constexpr int slow_part_of_target = 3;
 constexpr core::milliseconds down_after_step{400}; // of the back-off: the third failure in a row
-// Opening a link takes about 12 ms (sheet), and an endpoint that does not answer becomes suspect within a second.
+// Opening a link takes about 12 ms (sheet), and an endpoint that does not answer becomes suspect within a
+// second.
 constexpr double patience_ms = 100.0;
 constexpr double suspect_penalty_ms = 2000.0;
 constexpr double recent_position_penalty_ms = 400.0;
@@ -22,8 +23,8 @@
 constexpr double primary_penalty_ms = 5.0;
 
 bool has_free_link(const endpoint_view& view, const placement_request& request) {
-    // Statements wait here, in the order of their priority, and not in the database's queue, where each would hold one
-    // of its connections.
+    // Statements wait here, in the order of their priority, and not in the database's queue, where each would
+    // hold one of its connections.
     const auto at_once = static_cast<std::uint32_t>(view.m_window);
     return view.m_busy < request.m_links_per_endpoint && view.m_running < at_once;
 }
@@ -120,7 +121,8 @@
     double least = 0.0;
     double least_idle = 0.0;
     for (const auto& [id, view] : views) {
-        if (view.m_report.m_service != request.m_service || view.m_report.m_state == registry::report_state::gone) {
+        if (view.m_report.m_service != request.m_service ||
+            view.m_report.m_state == registry::report_state::gone) {
             continue;
         }
         outcome.m_known = outcome.m_known || !is_down(view, now);
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -17,8 +17,8 @@
 // What this host has learnt about an endpoint from its own traffic.
 struct endpoint_view {
     registry::endpoint_report m_report;
-    std::uint32_t m_links = 0;       // open and opening
-    std::uint32_t m_busy = 0;        // of them
+    std::uint32_t m_links = 0; // open and opening
+    std::uint32_t m_busy = 0;  // of them
     std::uint32_t m_opening = 0;
     std::uint32_t m_running = 0;     // statements sent and not answered; a transaction that pauses has none
     core::deadline m_suspect;        // after a failure: avoided while others can serve
@@ -54,8 +54,8 @@
     const char* m_reason = "";
 };
 
-// Answers the load pattern of an overloaded endpoint that many hosts share: each keeps less of its work in the
-// endpoint's queue, so what is urgent does not wait behind what is not.
+// Answers the load pattern of an overloaded endpoint that many hosts share: each keeps less of its work in
+// the endpoint's queue, so what is urgent does not wait behind what is not.
 void adapt_window(endpoint_view& view, core::duration taken, core::milliseconds target);
 
 // The primary by the endpoints' own reports, or nothing. Of several the one of the latest term that was seen.
@@ -65,7 +65,8 @@
 // Nothing when no endpoint can take the statement now; the reason is for the log.
 struct placement_outcome {
     std::optional<placement> m_chosen; // it has an idle link
-    std::optional<core::endpoint_id> m_preferred; // would be chosen if it had one: a link to it is worth opening
+    std::optional<core::endpoint_id>
+        m_preferred;      // would be chosen if it had one: a link to it is worth opening
     bool m_known = false; // an endpoint that could serve it exists, but has no free link or is avoided
 };
 placement_outcome choose_endpoint(const endpoint_views& views, const placement_request& request,
--- a/src/transport/page_server.cpp
+++ b/src/transport/page_server.cpp
@@ -19,7 +19,8 @@
                          page_source source)
     : m_loop(loop), m_source(std::move(source)) {
     if (address) {
-        m_server.emplace(*address, http_server::threads::shared, [this](const http_request&) { return answer(); });
+        m_server.emplace(*address, http_server::threads::shared,
+                         [this](const http_request&) { return answer(); });
     }
 }
 
