--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -134,15 +134,15 @@
         one.m_probing = false;
         one.m_probe_accepted = false;
     }
-    if (one.m_paused && one.m_probe_accepted) {
-        if (!one.m_fenced && one.m_settled.passed(now)) {
+    if (one.m_paused && one.m_probe_accepted && one.m_settled.passed(now)) {
+        // Without synchronous replicas a late order loses nothing that was promised, and the fence itself may
+        // come late.
+        if (!one.m_fenced && service.m_synchronous_replicas > 0) {
             one.m_target = primary->m_id;
             give_order(one, service, phase::fencing, now);
             return;
         }
-        if (one.m_fenced && one.m_settled.passed(now)) {
-            resume_all(one, service, now);
-        }
+        resume_all(one, service, now);
     }
     resume_again(one, service, now);
     probe(one, service, *primary, now);
@@ -337,11 +337,10 @@
     case order_outcome::refused:
         one.m_rejected[one.m_target] = core::deadline_after(now, rejected_for);
         m_ports.record({"promotion refused", service, one.m_target, ""});
-        // The others are compared again: the refused one may be down.
-        one.m_phase = phase::pausing;
-        one.m_positions.erase(one.m_target);
-        one.m_asked.erase(one.m_target);
-        one.m_phase_limit = core::deadline_after(now, pause_limit);
+        // The target may have been promoted by an earlier order and have gone since: all positions are asked
+        // for again.
+        enter(one, phase::watching, core::milliseconds(0), now);
+        one.m_failing_since = now - mostly_lost_after;
         break;
     case order_outcome::unknown:
         one.m_phase_limit = core::deadline_after(now, probe_period);
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -16,6 +16,10 @@
 // A read that has waited for this share of its latency target is sent to a second endpoint.
 constexpr int hedge_after_divisor = 2;
 
+// A replaced primary serves again after one to two seconds; a queue moves on within some statements.
+constexpr core::milliseconds retry_when_down{500};
+constexpr core::milliseconds retry_when_busy{100};
+
 constexpr const char* no_signature = "-";
 
 core::time_point earlier(core::time_point left, core::time_point right) {
@@ -200,6 +204,10 @@
     session_answer answer;
     answer.m_refusal = reason;
     answer.m_text = text;
+    if (promises_not_run(reason) && reason != refusal::unknown_statement) {
+        const bool down = caller.m_operation->m_unservable;
+        answer.m_retry_after = down ? retry_when_down : retry_when_busy;
+    }
     const bool kept =
         promises_not_run(reason) || reason == refusal::malformed || reason == refusal::unknown_database;
     ++(kept ? m_counters.m_refused : m_counters.m_uncertain);
--- a/src/relay/statement.h
+++ b/src/relay/statement.h
@@ -3,6 +3,7 @@
 // The adapter of a protocol decodes into these types and encodes from them; the relay core decides over them.
 #pragma once
 
+#include "core/clock.h"
 #include "core/history_position.h"
 
 #include <cstdint>
@@ -68,6 +69,8 @@
     std::vector<std::string> m_rows;
     std::optional<refusal> m_refusal;
     std::string m_text; // the database's signature of a success, or the text of a refusal
+    // Of a refusal that promises not run: when the caller does well to come back.
+    std::optional<core::milliseconds> m_retry_after;
     transaction_state m_state = transaction_state::idle;
     std::optional<core::history_position> m_position;
 };
--- a/test/correctness/promotion_safety.cpp
+++ b/test/correctness/promotion_safety.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(replacements_hold_with_a_synchronous_replica);
     CPPUNIT_TEST(leaving_primaries_are_replaced);
     CPPUNIT_TEST(replacements_hold_with_nine_databases);
+    CPPUNIT_TEST(seeds_that_failed_hold);
+    CPPUNIT_TEST(an_order_that_shuts_out_others_may_itself_come_late);
     CPPUNIT_TEST(a_reused_fence_is_noticed);
     CPPUNIT_TEST(a_missing_quorum_is_noticed);
     CPPUNIT_TEST(missing_entry_hosts_are_noticed);
@@ -88,6 +90,20 @@
         options.m_synchronous_replicas = 1;
         check_holds(options);
     }
+    // 13: positions of an earlier pause; 2639: positions taken before a promotion that an earlier order
+    // caused.
+    static void seeds_that_failed_hold() {
+        for (const std::uint64_t seed : {13, 2639}) {
+            CPPUNIT_ASSERT_EQUAL(std::string(), violation_of({.m_seed = seed, .m_synchronous_replicas = 1}));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), violation_of({.m_seed = 1004})); // a lost request to resume
+    }
+    // The order that names the present primary is carried out after that primary was replaced by an older
+    // late order.
+    static void an_order_that_shuts_out_others_may_itself_come_late() {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(), violation_of({.m_seed = 18974053, .m_synchronous_replicas = 1, .m_databases = 9}));
+    }
     static void a_reused_fence_is_noticed() { check_notices({.m_planted = {.m_reuse_fences = true}}); }
     static void a_missing_quorum_is_noticed() {
         check_notices({.m_synchronous_replicas = 1, .m_planted = {.m_ignore_quorum = true}});
