--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -67,11 +67,19 @@
     virtual void count(const answered_statement& statement) = 0;
 };
 
+// Rules that a replay of a recorded load switches off to show what each is worth; all on in the program.
+struct relay_rules {
+    bool m_shorter_first = true; // kinds of work that take less time go first at equal priority
+    bool m_adapt_window = true;  // fewer statements at an endpoint whose answers are slow
+    bool m_borrow_links = true;  // more links than the host's share while its work needs them
+};
+
 struct relay_limits {
     core::availability_zone m_zone;
     // Kept free at each database for control hosts and for hosts that are just starting.
     std::uint32_t m_reserved_connections = 3;
     std::uint32_t m_entry_hosts = 8; // that share the connections, until control hosts say how many there are
+    relay_rules m_rules;
 };
 
 struct relay_counters {
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -182,7 +182,8 @@
     m_hedges = std::min(most_hedges, m_hedges + hedges_per_statement);
     const endpoint_view& view = m_endpoints.at(on.m_endpoint);
     note_answer_time(caller, now - expected.m_sent);
-    if (const documents::route_rule* route = route_of(caller)) {
+    const documents::route_rule* route = route_of(caller);
+    if (route != nullptr && m_limits.m_rules.m_adapt_window) {
         adapt_window(m_endpoints.at(on.m_endpoint), now - expected.m_sent, route->m_target_latency);
     }
     const bool commits = is_commit(caller);
--- /dev/null
+++ b/test/support/load_replay.h
@@ -0,0 +1,39 @@
+// Replays a load pattern against several entry hosts that share one primary whose replicas lag: arrivals, service times
+// and slots in, statements served within their latency target out. Time is simulated and nothing is random.
+#pragma once
+
+#include "relay/relay_core.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangoquay::test {
+
+struct load_kind {
+    std::string m_name;
+    double m_per_second = 0; // at all hosts together
+    core::milliseconds m_work{};
+    core::milliseconds m_target{};
+    std::uint32_t m_priority = 1;
+    core::milliseconds m_pause{}; // not 0: a transaction of two reads with this pause between them
+};
+
+struct load_pattern {
+    std::vector<load_kind> m_kinds;
+    std::size_t m_hosts = 6;
+    std::uint32_t m_slots = 5;
+    std::uint32_t m_connections = 32;
+    // Of all arrivals the first host gets this many times the share of the others.
+    std::uint32_t m_first_host_weight = 1;
+    core::milliseconds m_length{8000};
+};
+
+// Operations that ended within their target, by kind.
+std::map<std::string, int> replay_load(const load_pattern& pattern, const relay::relay_rules& rules);
+
+} // namespace mangoquay::test
