Let urgent statements go beside the window of others

Cause: the replay of an overloaded primary served 33 of about 240 urgent statements in time: each waited for its own host's statements that were sent before, and then in the database's queue. Change: routes of a higher priority than others may have two statements more at an endpoint.

--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -9,6 +9,7 @@
 // Additive increase, multiplicative decrease: settles where about a quarter of the answers take more than a
 // third of their latency target, whatever the number of hosts that share the endpoint.
 constexpr double least_window = 1.0;
+constexpr std::uint32_t urgent_beside_window = 2;
 constexpr double window_increase = 0.15;
 constexpr double window_decrease = 0.8;
 constexpr int slow_part_of_target = 3;
@@ -25,7 +26,8 @@
 bool has_free_link(const endpoint_view& view, const placement_request& request) {
     // Statements wait here, in the order of their priority, and not in the database's queue, where each would
     // hold one of its connections.
-    const auto at_once = static_cast<std::uint32_t>(view.m_window);
+    // Urgent ones do not wait for this host's own that were sent before.
+    const auto at_once = static_cast<std::uint32_t>(view.m_window) + (request.m_urgent ? urgent_beside_window : 0);
     return view.m_busy < request.m_links_per_endpoint && view.m_running < at_once;
 }
 
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -221,6 +221,7 @@
     relay_ports& m_ports;
     relay_limits m_limits;
     documents::configuration m_configuration;
+    std::uint32_t m_least_priority = 0; // the largest number among the routes
     std::unordered_map<session_id, session> m_sessions;
     std::map<session_id, int> m_active; // sessions with a statement or transaction in progress
     std::map<link_id, link> m_links;
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -122,6 +122,7 @@
     request.m_service = route.m_service;
     request.m_zone = m_limits.m_zone;
     request.m_needs_primary = needs_primary(caller, route);
+    request.m_urgent = route.m_priority < m_least_priority;
     request.m_avoided = &caller.m_operation->m_avoided;
     request.m_links_per_endpoint = links_allowed(route.m_service);
     request.m_other_zone_cost_ms =
@@ -433,6 +434,10 @@
         return;
     }
     m_configuration = std::move(next);
+    m_least_priority = 0;
+    for (const documents::route_rule& route : m_configuration.m_routes) {
+        m_least_priority = std::max(m_least_priority, route.m_priority);
+    }
     open_links_ahead(now);
     dispatch_waiting(now);
 }
