--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -9,8 +9,9 @@
 
 // A statement is answered this long before its limit, so that the answer arrives in time.
 constexpr core::milliseconds answer_margin{15};
-// A caller is refused rather than held when half of its latency target passed without an endpoint.
-constexpr int refuse_after_divisor = 2;
+// A caller is refused rather than held when so much of its latency target passed without an endpoint: what is left is
+// about what an overloaded database takes.
+constexpr double refuse_after_part = 0.4;
 // A replacement of a primary takes seconds: the caller does better to come back than to wait here.
 constexpr int refuse_unservable_divisor = 5;
 // A read that has waited for this share of its latency target is sent to a second endpoint.
@@ -22,6 +23,10 @@
 
 constexpr const char* no_signature = "-";
 
+core::duration part_of(core::milliseconds whole, double part) {
+    return std::chrono::duration_cast<core::duration>(whole * part);
+}
+
 core::time_point earlier(core::time_point left, core::time_point right) {
     return left < right ? left : right;
 }
@@ -180,7 +185,7 @@
         work.m_writes = prepared->second.m_access == access_kind::write;
     }
     work.m_limit.m_at = now + route->m_statement_limit - answer_margin;
-    work.m_refuse.m_at = earlier(now + route->m_target_latency / refuse_after_divisor, work.m_limit.m_at);
+    work.m_refuse.m_at = earlier(now + part_of(route->m_target_latency, refuse_after_part), work.m_limit.m_at);
     work.m_refuse_unservable.m_at =
         earlier(now + route->m_target_latency / refuse_unservable_divisor, work.m_limit.m_at);
     m_active[id] = 0;
