Keep the endpoints of a control host over a restart

Ruled out: keeping them at entry hosts (no disk). Change: control hosts write their list beside the log, on a thread of its own, and use it as a hint at the next start.

--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -58,7 +58,8 @@
           })),
       m_news(loop, bus, network, {m_self, chosen.m_peer_address, false}, news_handlers()),
       m_source(bus, network, m_documents, m_news.endpoints()),
-      m_promotions(loop, protocol, executor, m_self, [this] { return next_fence(); }) {
+      m_promotions(loop, protocol, executor, m_self, [this] { return next_fence(); }),
+      m_kept(chosen.m_data_folder.string()) {
     m_raft->on_commit([this](core::revision, const std::string& payload) { committed(payload); });
     m_raft->on_install([this](core::revision, const std::string& state) { committed(state); });
     m_raft->on_snapshot_needed(
@@ -90,7 +91,7 @@
 follower_handlers control_node::news_handlers() {
     follower_handlers handlers;
     handlers.m_document = [](documents::document_version, const std::string&) {};
-    handlers.m_endpoints_changed = [] {};
+    handlers.m_endpoints_changed = [this] { endpoints_changed(); };
     handlers.m_entry_hosts = [](std::uint32_t) {};
     handlers.m_sightings = [] { return std::vector<relay::primary_sighting>{}; };
     handlers.m_ready = [] { return true; };
@@ -102,7 +103,10 @@
 consensus::status control_node::start() {
     m_leader_seen = core::now();
     m_news.start(m_settings.m_known_control);
-    auto started = m_raft->start();
+    auto started = m_raft->start(); // creates the data folder
+    for (const registry::endpoint_report& report : m_kept.load()) {
+        m_news.endpoints().merge(report, core::now());
+    }
     if (started) {
         tick();
     }
@@ -268,6 +272,13 @@
                            " sequence=" + std::to_string(report.m_sequence));
     }
     m_source.report_merged(report, changed);
+    if (changed) {
+        endpoints_changed();
+    }
+}
+
+void control_node::endpoints_changed() {
+    m_kept.save(m_news.endpoints().listed());
 }
 
 void control_node::leave(const core::endpoint_id& endpoint, std::optional<std::int64_t> started_ms) {
@@ -280,6 +291,7 @@
     }
     core::log_line(core::log_level::info, "fleet", "endpoint left endpoint=" + endpoint.value());
     m_source.report_merged(m_news.endpoints().find(endpoint)->m_report, true);
+    endpoints_changed();
 }
 
 std::string control_node::metrics_page() const {
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -9,6 +9,7 @@
 #include "fleet/news_follower.h"
 #include "fleet/news_source.h"
 #include "fleet/promotion_runner.h"
+#include "fleet/registry_store.h"
 #include "settings/fleet_settings.h"
 
 #include <functional>
@@ -61,6 +62,7 @@
     void join_asked(const core::entry_host_id& from, const wire::cell_joinT& request);
     void committed(const std::string& payload);
     void announce_document();
+    void endpoints_changed();
     void lead(core::time_point now);
     [[nodiscard]] std::optional<promotion::fence> next_fence();
     [[nodiscard]] call_outcome leader_needed() const;
@@ -77,6 +79,7 @@
     news_follower m_news;
     news_source m_source;
     promotion_runner m_promotions;
+    registry_store m_kept;
     documents::configuration m_configuration; // the committed document, decoded
     core::time_point m_leader_seen{};
     core::time_point m_next_join{};
