--- a/src/fleet/registry_store.cpp
+++ b/src/fleet/registry_store.cpp
@@ -30,10 +30,12 @@
 
 std::optional<std::vector<registry::endpoint_report>> decode_reports(const std::string& bytes) {
     const std::size_t digest_bytes = core::sha256("").size();
-    if (bytes.size() < digest_bytes || core::sha256(bytes.substr(digest_bytes)) != bytes.substr(0, digest_bytes)) {
+    if (bytes.size() < digest_bytes ||
+        core::sha256(bytes.substr(digest_bytes)) != bytes.substr(0, digest_bytes)) {
         return std::nullopt;
     }
-    const std::vector<std::uint8_t> content(bytes.begin() + static_cast<std::ptrdiff_t>(digest_bytes), bytes.end());
+    const std::vector<std::uint8_t> content(bytes.begin() + static_cast<std::ptrdiff_t>(digest_bytes),
+                                            bytes.end());
     const auto envelope = transport::unpack_envelope(content);
     if (!envelope || envelope->body.Asfleet_update() == nullptr) {
         return std::nullopt;
@@ -99,7 +101,8 @@
         }
         const auto written = consensus::replace_file(m_folder, file_name, content);
         if (!written) {
-            core::log_line(core::log_level::warning, "fleet", "endpoints not kept reason=" + written.reason());
+            core::log_line(core::log_level::warning, "fleet",
+                           "endpoints not kept reason=" + written.reason());
         }
     }
 }
--- a/src/fleet/registry_store.h
+++ b/src/fleet/registry_store.h
@@ -1,9 +1,9 @@
 // Keeps the endpoint registry of a control host over a restart of its process.
 //
-// After a restart of all hosts the databases would only be known again as their reports come in, more than a second
-// later. What was kept is a hint, never proof: each endpoint is asked for its id when a host connects, each role shows in
-// its own answers, and its next report replaces the record. Owns: a file and the thread that writes it, so that a slow
-// disk stops nothing. A damaged file is left out.
+// After a restart of all hosts the databases would only be known again as their reports come in, more than a
+// second later. What was kept is a hint, never proof: each endpoint is asked for its id when a host connects,
+// each role shows in its own answers, and its next report replaces the record. Owns: a file and the thread
+// that writes it, so that a slow disk stops nothing. A damaged file is left out.
 #pragma once
 
 #include "registry/endpoint_registry.h"
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -27,7 +27,8 @@
     // Statements wait here, in the order of their priority, and not in the database's queue, where each would
     // hold one of its connections.
     // Urgent ones do not wait for this host's own that were sent before.
-    const auto at_once = static_cast<std::uint32_t>(view.m_window) + (request.m_urgent ? urgent_beside_window : 0);
+    const auto at_once =
+        static_cast<std::uint32_t>(view.m_window) + (request.m_urgent ? urgent_beside_window : 0);
     return view.m_busy < request.m_links_per_endpoint && view.m_running < at_once;
 }
 
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -41,7 +41,7 @@
     core::service_name m_service;
     core::availability_zone m_zone; // of this host
     bool m_needs_primary = false;
-    bool m_urgent = false; // of a higher priority than other routes
+    bool m_urgent = false;                            // of a higher priority than other routes
     std::optional<core::history_position> m_position; // that the endpoint must hold
     bool m_position_is_recent = false;                // replicas have probably not received it yet
     const std::set<core::endpoint_id>* m_avoided = nullptr;
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -44,8 +44,9 @@
 // share. The database itself refuses a connection beyond its limit, which costs nobody's work.
 std::uint32_t relay_core::links_allowed(const core::service_name& service) const {
     const documents::service_rule* rule = m_configuration.service(service);
-    const std::uint32_t borrowed =
-        rule == nullptr || !m_limits.m_rules.m_borrow_links ? 0 : rule->m_connections / most_of_one_host_divisor;
+    const std::uint32_t borrowed = rule == nullptr || !m_limits.m_rules.m_borrow_links
+                                       ? 0
+                                       : rule->m_connections / most_of_one_host_divisor;
     return std::max({1U, links_kept(service), borrowed});
 }
 
@@ -152,9 +153,10 @@
         }
         const documents::route_rule* route = route_of(caller);
         const auto expected = m_expected_ms.find(caller.m_database);
-        waiting.push_back({route == nullptr ? 0 : route->m_priority,
-                           expected == m_expected_ms.end() || !m_limits.m_rules.m_shorter_first ? 0.0 : expected->second,
-                           caller.m_operation->m_arrived, id});
+        waiting.push_back(
+            {route == nullptr ? 0 : route->m_priority,
+             expected == m_expected_ms.end() || !m_limits.m_rules.m_shorter_first ? 0.0 : expected->second,
+             caller.m_operation->m_arrived, id});
     }
     std::ranges::sort(waiting);
     for (const place_in_queue& place : waiting) {
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -53,6 +53,10 @@
         view.m_position = position;
         view.m_position_at = now;
     }
+    // The first reads after a start need a position of the primary.
+    if (view.m_report.m_is_primary && !m_freshness[view.m_report.m_service].newest()) {
+        start_probe(view.m_report.m_service, now);
+    }
     dispatch_waiting(now);
 }
 
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -9,8 +9,8 @@
 
 // A statement is answered this long before its limit, so that the answer arrives in time.
 constexpr core::milliseconds answer_margin{15};
-// A caller is refused rather than held when so much of its latency target passed without an endpoint: what is left is
-// about what an overloaded database takes.
+// A caller is refused rather than held when so much of its latency target passed without an endpoint: what is
+// left is about what an overloaded database takes.
 constexpr double refuse_after_part = 0.4;
 // A replacement of a primary takes seconds: the caller does better to come back than to wait here.
 constexpr int refuse_unservable_divisor = 5;
@@ -185,7 +185,8 @@
         work.m_writes = prepared->second.m_access == access_kind::write;
     }
     work.m_limit.m_at = now + route->m_statement_limit - answer_margin;
-    work.m_refuse.m_at = earlier(now + part_of(route->m_target_latency, refuse_after_part), work.m_limit.m_at);
+    work.m_refuse.m_at =
+        earlier(now + part_of(route->m_target_latency, refuse_after_part), work.m_limit.m_at);
     work.m_refuse_unservable.m_at =
         earlier(now + route->m_target_latency / refuse_unservable_divisor, work.m_limit.m_at);
     m_active[id] = 0;
--- a/test/correctness/relay_load_patterns.cpp
+++ b/test/correctness/relay_load_patterns.cpp
@@ -1,5 +1,6 @@
-// What each rule of waiting and placing is worth under the load that it answers: the recorded load is replayed with the
-// rule and without it. The rates are those of the users' sheets for one service whose primary serves alone.
+// What each rule of waiting and placing is worth under the load that it answers: the recorded load is
+// replayed with the rule and without it. The rates are those of the users' sheets for one service whose
+// primary serves alone.
 #include "support/load_replay.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -20,7 +21,8 @@
     return sum;
 }
 
-void print(const char* load, const std::map<std::string, int>& with, const std::map<std::string, int>& without) {
+void print(const char* load, const std::map<std::string, int>& with,
+           const std::map<std::string, int>& without) {
     std::cerr << load << ":";
     for (const auto& [kind, count] : with) {
         const auto before = without.find(kind);
@@ -36,7 +38,8 @@
     CPPUNIT_TEST(transactions_that_pause_do_not_block_their_host);
     CPPUNIT_TEST_SUITE_END();
 
-    // 92 bookings and 30 views a second at the crest, 28 and 47 ms of work, five slots: 1.2 times what they carry.
+    // 92 bookings and 30 views a second at the crest, 28 and 47 ms of work, five slots: 1.2 times what they
+    // carry.
     static void an_overloaded_primary_serves_more_with_shorter_work_first() {
         load_pattern pattern;
         pattern.m_kinds = {{"booking", 150, milliseconds(28), milliseconds(400), 2, {}},
@@ -48,7 +51,8 @@
         print("shorter first", after, before);
         CPPUNIT_ASSERT(total(after) > total(before));
     }
-    // Eleven hosts before three slots: without the rule their statements queue at the database, whatever their priority.
+    // Eleven hosts before three slots: without the rule their statements queue at the database, whatever
+    // their priority.
     static void urgent_work_is_in_time_at_a_primary_that_many_hosts_share() {
         load_pattern pattern;
         pattern.m_hosts = 11;
@@ -63,7 +67,8 @@
         print("adapted window", after, before);
         CPPUNIT_ASSERT(after.at("hold") > before.at("hold"));
     }
-    // The balancer's hash gives one host four times the share of the others; transactions hold links for 600 ms.
+    // The balancer's hash gives one host four times the share of the others; transactions hold links for 600
+    // ms.
     static void transactions_that_pause_do_not_block_their_host() {
         load_pattern pattern;
         pattern.m_first_host_weight = 5;
--- a/test/error/kept_endpoints.cpp
+++ b/test/error/kept_endpoints.cpp
@@ -1,5 +1,5 @@
-// Endpoints that a control host kept over a restart: what was written comes back, and damaged bytes give nothing rather
-// than a wrong address.
+// Endpoints that a control host kept over a restart: what was written comes back, and damaged bytes give
+// nothing rather than a wrong address.
 #include "fleet/registry_store.h"
 #include "support/temporary_folder.h"
 
--- a/test/support/load_replay.cpp
+++ b/test/support/load_replay.cpp
@@ -88,7 +88,8 @@
     return chosen;
 }
 
-replay_host::replay_host(replay& world, std::size_t number, const relay::relay_rules& rules, std::uint32_t hosts)
+replay_host::replay_host(replay& world, std::size_t number, const relay::relay_rules& rules,
+                         std::uint32_t hosts)
     : m_world(world), m_number(number) {
     relay::relay_limits limits;
     limits.m_entry_hosts = hosts;
@@ -123,8 +124,8 @@
                 return;
             }
             bool& open = m_links[link];
-            open = request.m_kind == request_kind::begin || (open && request.m_kind != request_kind::rollback &&
-                                                             request.m_argument != "COMMIT");
+            open = request.m_kind == request_kind::begin ||
+                   (open && request.m_kind != request_kind::rollback && request.m_argument != "COMMIT");
             relay::database_answer answer;
             answer.m_text = "signature";
             answer.m_state = open ? transaction_state::open : transaction_state::idle;
@@ -154,10 +155,12 @@
     if (++own.m_next == own.m_script.size()) {
         const core::duration pauses_taken = kind.m_pause * (own.m_script.size() > 1 ? 2 : 0);
         const bool in_time = m_world.m_now - own.m_started - pauses_taken <= kind.m_target;
-        m_world.at(core::milliseconds(0), [this, session, in_time] { m_world.ended(*this, session, in_time); });
+        m_world.at(core::milliseconds(0),
+                   [this, session, in_time] { m_world.ended(*this, session, in_time); });
         return;
     }
-    m_world.at(pauses ? kind.m_pause : core::milliseconds(1), [this, session] { m_world.next(*this, session); });
+    m_world.at(pauses ? kind.m_pause : core::milliseconds(1),
+               [this, session] { m_world.next(*this, session); });
 }
 
 replay::replay(const load_pattern& pattern, const relay::relay_rules& rules) : m_pattern(pattern) {
@@ -185,8 +188,8 @@
     tick_all();
     for (std::size_t kind = 0; kind < m_pattern.m_kinds.size(); ++kind) {
         const double gap_ms = 1000.0 / m_pattern.m_kinds[kind].m_per_second;
-        for (double when = 200.0 + static_cast<double>(kind); when < static_cast<double>(m_pattern.m_length.count());
-             when += gap_ms) {
+        for (double when = 200.0 + static_cast<double>(kind);
+             when < static_cast<double>(m_pattern.m_length.count()); when += gap_ms) {
             at(core::milliseconds(static_cast<std::int64_t>(when)), [this, kind] { start(kind); });
         }
     }
@@ -202,7 +205,8 @@
 
 void replay::start(std::size_t kind) {
     const std::size_t shares = m_hosts.size() - 1 + m_pattern.m_first_host_weight;
-    const std::size_t share = ++m_arrivals * 7919 % shares; // spreads the arrivals without a pattern of its own
+    const std::size_t share =
+        ++m_arrivals * 7919 % shares; // spreads the arrivals without a pattern of its own
     replay_host& host = *m_hosts[share < m_hosts.size() ? share : 0];
     const relay::session_id session(++m_last_session);
     host.m_core->session_opened(session, m_pattern.m_kinds[kind].m_name);
@@ -210,8 +214,8 @@
     begun.m_kind = kind;
     begun.m_started = m_now;
     const bool transaction = m_pattern.m_kinds[kind].m_pause.count() > 0;
-    begun.m_script = transaction ? std::vector{statement_kind::begin, statement_kind::read, statement_kind::read,
-                                               statement_kind::commit}
+    begun.m_script = transaction ? std::vector{statement_kind::begin, statement_kind::read,
+                                               statement_kind::read, statement_kind::commit}
                                  : std::vector{statement_kind::read};
     host.m_operations[session] = begun;
     next(host, session);
--- a/test/support/load_replay.h
+++ b/test/support/load_replay.h
@@ -1,5 +1,6 @@
-// Replays a load pattern against several entry hosts that share one primary whose replicas lag: arrivals, service times
-// and slots in, statements served within their latency target out. Time is simulated and nothing is random.
+// Replays a load pattern against several entry hosts that share one primary whose replicas lag: arrivals,
+// service times and slots in, statements served within their latency target out. Time is simulated and
+// nothing is random.
 #pragma once
 
 #include "relay/relay_core.h"
