Split the relay core by duty; drop unused parameters and second copies

Change: relay_answers, relay_endpoints, relay_ticks; no behaviour changes. Before/after: relay tests pass before and after.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -202,7 +202,7 @@
         m_core.abort_idle_transactions(now);
     }
     if (m_drain_sessions.passed(now)) {
-        left = m_core.close_idle_sessions(sessions_closed_per_step, now);
+        left = m_core.close_idle_sessions(sessions_closed_per_step);
     }
     if (!m_accepting_ended && m_drain_sessions.passed(now) &&
         (left == 0 || m_drain_transactions.passed(now))) {
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -18,6 +18,9 @@
 
 namespace mangoquay::relay {
 
+// A rollback needs no slot; a link that does not answer it by then is closed.
+inline constexpr core::milliseconds clean_up_limit{400};
+
 enum class link_phase : std::uint8_t { opening, idle, busy };
 
 enum class link_step : std::uint8_t {
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -14,6 +14,9 @@
 
 namespace mangoquay::relay {
 
+// Weight of the newest answer in moving averages: about the last seven answers count.
+inline constexpr double answer_weight = 0.15;
+
 // What this host has learnt about an endpoint from its own traffic.
 struct endpoint_view {
     registry::endpoint_report m_report;
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -115,7 +115,7 @@
     void session_closed(session_id id, core::time_point now);
     // Closes sessions without a statement or transaction in progress, at most `most` of them, and marks the
     // others to be closed when theirs has ended. Returns how many sessions are left.
-    std::size_t close_idle_sessions(std::size_t most, core::time_point now);
+    std::size_t close_idle_sessions(std::size_t most);
     // Ends open transactions that have no statement in progress.
     void abort_idle_transactions(core::time_point now);
 
@@ -162,6 +162,7 @@
     void dispatch(session_id id, core::time_point now);
     void dispatch_waiting(core::time_point now);
     [[nodiscard]] bool needs_primary(const session& caller, const documents::route_rule& route) const;
+    // Nothing when what the caller must see cannot be proven now; a probe was started then.
     std::optional<placement_request> request_of(const session& caller, const documents::route_rule& route,
                                                 core::time_point now);
     // False: not provable now; a probe was started.
@@ -169,50 +170,57 @@
                           placement_request& request, core::time_point now);
     [[nodiscard]] std::optional<link_id> take_link(const core::endpoint_id& endpoint,
                                                    const session& caller) const;
-    void open_links_ahead(core::time_point now);
-    void open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now);
-    void prepare_link(session_id id, session& caller, link_id number, core::time_point now);
+    void prepare_link(session& caller, link_id number, core::time_point now);
     void send_statement(session& caller, link_id number, core::time_point now);
     // What the link lacks of the session's values and prepared statements; the link's record is updated.
     static std::vector<database_request> missing_values(const session& caller, link& on);
-    std::optional<std::pair<link_step, database_request>>
-    transaction_start(const session& caller, const link& on, core::time_point now);
+    std::optional<std::pair<link_step, database_request>> transaction_start(const session& caller,
+                                                                            core::time_point now);
     void occupy(link& on);
     void set_running(link& on, bool running);
     void start_probe(const core::service_name& service, core::time_point now);
-    // Whether the budget allows one more read to run twice.
-    bool take_hedge();
-    void hedge(session_id id, session& caller, core::time_point now);
+    void send(link_id id, link& on, const std::vector<database_request>& requests,
+              const std::vector<link_step>& steps, core::time_point now);
+
+    // relay_endpoints.cpp: links that are kept to endpoints.
+    void open_links_ahead(core::time_point now);
+    void open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now);
     // Links to an endpoint that this host may keep open.
     [[nodiscard]] std::uint32_t links_kept(const core::service_name& service) const;
     // Links that it may open while its work needs them and others leave them free.
     [[nodiscard]] std::uint32_t links_allowed(const core::service_name& service) const;
     void close_borrowed_links(core::time_point now);
 
-    // relay_links.cpp: answers and failures of links.
+    // relay_answers.cpp: what answers mean.
     void preparation_answered(link_id id, link_step step, const database_answer& answer,
                               core::time_point now);
     void statement_answered(link_id id, const expected_answer& expected, const database_answer& answer,
                             core::time_point now);
     void statement_succeeded(session_id owner, link_id id, const expected_answer& expected,
                              const database_answer& answer, core::time_point now);
-    void note_answer_time(const session& caller, core::duration taken);
     void statement_refused(session_id owner, link_id id, const database_answer& answer, core::time_point now);
+    // False: the caller was refused instead.
     bool repeat(session_id owner, session& caller, refusal reason, const std::string& text,
                 core::time_point now);
+    void note_answer_time(const session& caller, core::duration taken);
     void note_refusal(const core::endpoint_id& endpoint, refusal reason, core::time_point now);
-    void note_failure(const core::endpoint_id& endpoint, core::time_point now);
     void observe(const link& on, const expected_answer& expected, const database_answer& answer,
                  core::time_point now);
+
+    // relay_links.cpp: losing and giving back of links.
+    void note_failure(const core::endpoint_id& endpoint, core::time_point now);
     void lose_link(link_id id, const std::string& reason, core::time_point now);
     void link_lost_by(session_id owner, const std::string& reason, core::time_point now);
     void release(link_id id, core::time_point now);
     void detach(session& caller, core::time_point now);
     void drop_link(link_id id);
-    void send(link_id id, link& on, const std::vector<database_request>& requests,
-              const std::vector<link_step>& steps, core::time_point now);
+
+    // relay_ticks.cpp: limits that pass.
     void check_link(link_id id, core::time_point now);
     void check_session(session_id id, core::time_point now);
+    // Whether the budget allows one more read to run twice.
+    bool take_hedge();
+    void hedge(session_id id, session& caller, core::time_point now);
 
     [[nodiscard]] const documents::route_rule* route_of(const session& caller) const;
     void record(const char* what, const session& caller, const std::string& endpoint,
@@ -223,7 +231,7 @@
     documents::configuration m_configuration;
     std::uint32_t m_least_priority = 0; // the largest number among the routes
     std::unordered_map<session_id, session> m_sessions;
-    std::map<session_id, int> m_active; // sessions with a statement or transaction in progress
+    std::set<session_id> m_active; // sessions with a statement or transaction in progress
     std::map<link_id, link> m_links;
     endpoint_views m_endpoints;
     std::map<core::service_name, freshness> m_freshness;
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -117,7 +117,7 @@
     caller.m_transaction.m_read_only = statement.m_kind == statement_kind::begin_read_only;
     caller.m_transaction.m_arrived = now;
     caller.m_transaction.m_idle_limit = idle_limit(now);
-    m_active[id] = 0;
+    m_active.insert(id);
     succeed_locally(id, caller, statement);
 }
 
@@ -189,7 +189,7 @@
         earlier(now + part_of(route->m_target_latency, refuse_after_part), work.m_limit.m_at);
     work.m_refuse_unservable.m_at =
         earlier(now + route->m_target_latency / refuse_unservable_divisor, work.m_limit.m_at);
-    m_active[id] = 0;
+    m_active.insert(id);
     dispatch(id, now);
 }
 
@@ -264,7 +264,7 @@
     dispatch_waiting(now);
 }
 
-std::size_t relay_core::close_idle_sessions(std::size_t most, core::time_point) {
+std::size_t relay_core::close_idle_sessions(std::size_t most) {
     std::size_t closed = 0;
     for (auto one = m_sessions.begin(); one != m_sessions.end();) {
         const bool idle = !one->second.m_operation && one->second.m_waiting.empty() &&
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -81,4 +81,9 @@
     bool m_closing = false; // is closed once nothing is in progress
 };
 
+// Whether the statement in progress is a commit.
+inline bool is_commit(const session& caller) {
+    return caller.m_operation->m_statement.m_kind == statement_kind::commit;
+}
+
 } // namespace mangoquay::relay
--- a/test/support/load_replay.cpp
+++ b/test/support/load_replay.cpp
@@ -53,7 +53,7 @@
         m_events.emplace(std::pair{m_now + delay, ++m_event_number}, std::move(work));
     }
     void start(std::size_t kind);
-    void next(replay_host& host, relay::session_id session);
+    void next(replay_host& host, relay::session_id session) const;
     void ended(replay_host& host, relay::session_id session, bool served);
     // Runs the work as soon as a slot is free, in the order of arrival.
     void occupy(core::duration work, std::function<void()> done);
@@ -221,7 +221,7 @@
     next(host, session);
 }
 
-void replay::next(replay_host& host, relay::session_id session) {
+void replay::next(replay_host& host, relay::session_id session) const {
     const auto found = host.m_operations.find(session);
     if (found == host.m_operations.end()) {
         return;
