--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -1,6 +1,8 @@
 // Phases of a replacement: watch, stop the old primary, compare replicas, order, confirm.
 #include "promotion/promotion_core.h"
 
+#include "promotion/promotion_limits.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -11,33 +13,6 @@
 using registry::endpoint_report;
 using registry::report_state;
 
-// An empty transaction takes no slot at the database.
-constexpr core::milliseconds probe_period{150};
-// Probes fail for this long before a primary without contact to any entry host counts as lost: two lost
-// answers.
-constexpr core::milliseconds lost_after{450};
-// Some entry hosts still reach it, most do not.
-constexpr core::milliseconds mostly_lost_after{2000};
-// Reports of a new primary take up to a second to arrive after a start or a promotion that was not ours.
-constexpr core::milliseconds missing_limit{1500};
-constexpr core::milliseconds pause_limit{350};
-constexpr core::milliseconds step_down_limit{500};
-// Replicas lag by 60 to 150 ms (sheet); a longer wait costs more writes than it saves.
-constexpr core::milliseconds catch_up_limit{800};
-// An executor that is slow or cut off is asked again under a higher fence.
-constexpr core::milliseconds order_limit{1500};
-// A promotion takes about a second (sheet).
-constexpr core::milliseconds confirm_limit{3000};
-// An order of an earlier leader that was accepted just before takes effect within this time.
-constexpr core::milliseconds settle_limit{1500};
-constexpr core::milliseconds resume_period{500};
-constexpr core::milliseconds resume_limit{10000};
-constexpr core::milliseconds confirm_probe_period{100};
-constexpr core::milliseconds rejected_for{3000};
-constexpr core::milliseconds catch_up_poll{40};
-// Two missed reports.
-constexpr core::milliseconds watched_credit{2500};
-
 const endpoint_report* find(const service_view& service, const core::endpoint_id& id) {
     const auto found = std::ranges::find(service.m_endpoints, id, &endpoint_report::m_id);
     return found == service.m_endpoints.end() ? nullptr : &*found;
@@ -312,121 +287,6 @@
     probe(one, service, *target, now);
 }
 
-void promotion_core::order_answered(const core::service_name& service, fence number, order_outcome outcome,
-                                    core::time_point now) {
-    const auto found = m_watches.find(service);
-    if (!m_leading || found == m_watches.end() || found->second.m_fence != number) {
-        return;
-    }
-    watch& one = found->second;
-    one.m_fenced = outcome == order_outcome::accepted; // all earlier fences are lower
-    one.m_settled = core::deadline_after(now, settle_limit);
-    if (one.m_phase == phase::fencing) {
-        one.m_probe_accepted = one.m_fenced;
-        enter(one, phase::watching, core::milliseconds(0), now);
-        return;
-    }
-    if (one.m_phase != phase::ordering) {
-        return;
-    }
-    switch (outcome) {
-    case order_outcome::accepted:
-        m_ports.record({"promotion accepted", service, one.m_target, ""});
-        enter(one, phase::confirming, confirm_limit, now);
-        break;
-    case order_outcome::refused:
-        one.m_rejected[one.m_target] = core::deadline_after(now, rejected_for);
-        m_ports.record({"promotion refused", service, one.m_target, ""});
-        // The target may have been promoted by an earlier order and have gone since: all positions are asked
-        // for again.
-        enter(one, phase::watching, core::milliseconds(0), now);
-        one.m_failing_since = now - mostly_lost_after;
-        break;
-    case order_outcome::unknown:
-        one.m_phase_limit = core::deadline_after(now, probe_period);
-        break;
-    }
-}
-
-void promotion_core::step_answered(const core::service_name& service, const step_answer& answer,
-                                   core::time_point now) {
-    const auto found = m_watches.find(service);
-    if (!m_leading || found == m_watches.end()) {
-        return;
-    }
-    watch& one = found->second;
-    if (answer.m_status) {
-        one.m_newest = std::max(one.m_newest, answer.m_status->m_term);
-    }
-    if (answer.m_position) {
-        one.m_newest = std::max(one.m_newest, answer.m_position->m_term);
-    }
-    if (answer.m_kind == step_kind::probe) {
-        one.m_probing = false;
-    }
-    if (answer.m_kind == step_kind::resume && answer.m_answered) {
-        one.m_to_resume.erase(answer.m_endpoint);
-    }
-    if (one.m_phase == phase::watching && answer.m_kind == step_kind::probe) {
-        probe_answered(one, answer, now);
-    } else if (one.m_phase == phase::confirming && answer.m_is_primary && answer.m_endpoint == one.m_target) {
-        one.m_primary = one.m_target;
-        finish(one, service, "promotion confirmed", now);
-    } else if (one.m_phase == phase::pausing && answer.m_kind == step_kind::pause && answer.m_status) {
-        pause_answered(service, one, answer, now);
-    } else if (one.m_phase == phase::catching_up && answer.m_status) {
-        one.m_positions[answer.m_endpoint] = answer.m_status->m_received;
-    } else if (one.m_phase == phase::stepping_down && answer.m_kind == step_kind::step_down &&
-               answer.m_status) {
-        one.m_needed = answer.m_status->m_received;
-        one.m_positions.clear();
-        enter(one, phase::catching_up, catch_up_limit, now);
-    }
-}
-
-// A pause holds only under a term above the newest one, which a new leader may not know yet.
-void promotion_core::pause_answered(const core::service_name& service, watch& one, const step_answer& answer,
-                                    core::time_point now) {
-    if (answer.m_status->m_is_primary) { // an earlier leader's successor, whose report has not arrived yet
-        one.m_primary = answer.m_endpoint;
-        finish(one, service, "replacement given up: another endpoint is the primary", now);
-        return;
-    }
-    if (answer.m_term != one.m_pause_term) {
-        return; // an earlier request, under a term that did not hold
-    }
-    if (answer.m_status->m_term < one.m_pause_term) {
-        one.m_positions[answer.m_endpoint] = answer.m_status->m_received;
-        return;
-    }
-    one.m_pause_term = core::term(one.m_newest.value() + 1);
-    one.m_positions.clear();
-    for (const auto& [id, report] : one.m_asked) {
-        m_ports.run_step(service, report, step_kind::pause, one.m_pause_term);
-    }
-}
-
-void promotion_core::probe_answered(watch& one, const step_answer& answer, core::time_point now) {
-    if (answer.m_endpoint != one.m_primary) {
-        return;
-    }
-    if (answer.m_is_full) {
-        one.m_failing_since.reset();
-        return;
-    }
-    one.m_probe_accepted = answer.m_answered && answer.m_is_primary;
-    if (answer.m_answered) {
-        one.m_failing_since.reset();
-    } else {
-        one.m_failing_since = one.m_failing_since.value_or(now);
-    }
-    if (!answer.m_answered || answer.m_is_primary) {
-        one.m_missing_since.reset();
-    } else {
-        one.m_missing_since = one.m_missing_since.value_or(now);
-    }
-}
-
 void promotion_core::finish(watch& one, const core::service_name& service, const char* what,
                             core::time_point now) {
     m_ports.record({what, service, one.m_target, ""});
