Name the tests of the adapter after it; log a committed configuration that cannot be read

Cause: read as a newcomer: tests that speak the platform's words were not to be told by their names, and one decoding failure had no line.

--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -129,6 +129,9 @@
         m_announcing = false;
         if (auto decoded = m_decoder(m_documents.bytes())) {
             m_configuration = std::move(*decoded);
+        } else { // committed by a host of another version
+            core::log_line(core::log_level::error, "fleet",
+                           "committed configuration cannot be read reason=" + decoded.reason());
         }
         m_source.document_changed();
     });
--- a/test/correctness/configuration_documents.cpp
+++ b/test/correctness/platform_configuration.cpp
@@ -26,8 +26,8 @@
     return static_cast<bool>(platform::decode_configuration(document.dump()));
 }
 
-class configuration_documents : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(configuration_documents);
+class platform_configuration : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(platform_configuration);
     CPPUNIT_TEST(a_valid_document_is_read_in_full);
     CPPUNIT_TEST(invalid_documents_are_refused);
     CPPUNIT_TEST(a_cut_document_is_refused);
@@ -108,6 +108,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(configuration_documents);
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_configuration);
 
 } // namespace
--- a/test/correctness/line_protocol_texts.cpp
+++ b/test/correctness/platform_line_protocol.cpp
@@ -16,8 +16,8 @@
     return out;
 }
 
-class line_protocol_texts : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(line_protocol_texts);
+class platform_line_protocol : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(platform_line_protocol);
     CPPUNIT_TEST(a_read_carries_the_position_that_it_needs);
     CPPUNIT_TEST(statements_of_the_relay_carry_no_id);
     CPPUNIT_TEST(a_startup_names_service_and_expected_endpoint);
@@ -98,6 +98,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(line_protocol_texts);
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_line_protocol);
 
 } // namespace
--- a/test/error/line_protocol_input.cpp
+++ b/test/error/platform_line_input.cpp
@@ -42,8 +42,8 @@
                         });
 }
 
-class line_protocol_input : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(line_protocol_input);
+class platform_line_input : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(platform_line_input);
     CPPUNIT_TEST(any_bytes_decode_to_complete_lines);
     CPPUNIT_TEST(any_answer_bytes_are_survived);
     CPPUNIT_TEST(a_split_message_decodes_like_a_whole_one);
@@ -109,6 +109,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(line_protocol_input);
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_line_input);
 
 } // namespace
