Fetch configuration documents from one control host, deflated and one at a time

Each of six control hosts pushed each version to each entry host: 6 x 6 documents of about 20 kB fill a link of 250 kB/s for seconds. Ruled out: processor time of the entry hosts (0.006 of 0.12 cores), endpoints without slots (the requests never reached one). Change: control hosts announce versions; a follower fetches the newest from one of them, one fetch at a time with a pause between two (documents/document_fetch), and documents travel deflated (zlib).

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that building, testing and linting need.
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config ccache curl jq clang-format clang-tidy flatbuffers-compiler
-    libulfius-dev libmicrohttpd-dev libgnutls28-dev libpq-dev libcurl4-gnutls-dev libeasyloggingpp-dev libflatbuffers-dev
+    libulfius-dev libmicrohttpd-dev libgnutls28-dev libpq-dev zlib1g-dev libcurl4-gnutls-dev libeasyloggingpp-dev libflatbuffers-dev
     libboost-dev nlohmann-json3-dev libcppunit-dev librapidcheck-dev)
 missing=()
 for package in "${packages[@]}"; do
--- /dev/null
+++ b/src/core/deflate.cpp
@@ -0,0 +1,44 @@
+// Calls of zlib.
+#include "core/deflate.h"
+
+#include <zlib.h>
+
+#include <string>
+
+namespace mangoquay::core {
+namespace {
+
+const Bytef* as_zlib(std::string_view bytes) {
+    return reinterpret_cast<const Bytef*>(bytes.data()); // NOLINT(*-reinterpret-cast): zlib's byte type
+}
+
+Bytef* as_zlib(std::string& bytes) {
+    return reinterpret_cast<Bytef*>(bytes.data()); // NOLINT(*-reinterpret-cast): zlib's byte type
+}
+
+} // namespace
+
+std::string deflate(std::string_view bytes) {
+    uLongf length = compressBound(bytes.size());
+    std::string packed(length, '\0');
+    compress(as_zlib(packed), &length, as_zlib(bytes),
+             bytes.size()); // cannot fail: the buffer is large enough
+    packed.resize(length);
+    return packed;
+}
+
+result<std::string> inflate(std::string_view bytes, std::size_t length) {
+    if (length > largest_inflated_bytes) {
+        return result<std::string>::failure("length " + std::to_string(length) + " is beyond the limit");
+    }
+    std::string plain(length, '\0');
+    uLongf written = length;
+    const int code = uncompress(as_zlib(plain), &written, as_zlib(bytes), bytes.size());
+    if (code != Z_OK || written != length) {
+        return result<std::string>::failure("zlib code " + std::to_string(code) + ", " +
+                                            std::to_string(written) + " bytes");
+    }
+    return plain;
+}
+
+} // namespace mangoquay::core
--- a/src/fleet/news_follower.cpp
+++ b/src/fleet/news_follower.cpp
@@ -1,6 +1,7 @@
 // Questions to control hosts and the merge of their answers.
 #include "fleet/news_follower.h"
 
+#include "core/deflate.h"
 #include "core/log.h"
 #include "registry/registry_wire.h"
 
@@ -27,7 +28,7 @@
                              transport::peer_network& network, follower_identity identity,
                              follower_handlers handlers)
     : m_loop(loop), m_bus(bus), m_network(network), m_identity(std::move(identity)),
-      m_handlers(std::move(handlers)) {
+      m_handlers(std::move(handlers)), m_fetch(m_identity.m_self) {
     m_bus.on<wire::fleet_updateT>([this](const auto& from, const auto& news) { updated(from, news); });
 }
 
@@ -54,6 +55,7 @@
         const bool forgotten = m_control_hosts.size() > 1 && m_answered[host] + forget_after < now;
         if (forgotten) {
             core::log_line(core::log_level::info, "fleet", "control host forgotten host=" + host.value());
+            m_fetch.forget(host);
         }
         return forgotten;
     });
@@ -63,7 +65,7 @@
     m_loop.after(knows ? ask_period : first_ask_period, [this] { tick(); });
 }
 
-void news_follower::ask() {
+wire::fleet_followT news_follower::question() const {
     wire::fleet_followT question;
     question.is_entry = m_identity.m_is_entry;
     question.ready = m_handlers.m_ready();
@@ -78,9 +80,45 @@
         view->failing = seen.m_failing;
         question.primaries.push_back(std::move(view));
     }
+    return question;
+}
+
+void news_follower::ask() {
+    const wire::fleet_followT asked = question();
     for (const core::entry_host_id& host : m_control_hosts) {
-        m_bus.send(host, question);
+        m_bus.send(host, asked);
+    }
+    fetch();
+}
+
+void news_follower::fetch() {
+    const core::time_point now = core::now();
+    if (const auto host = m_fetch.next(m_handlers.m_version(), now)) {
+        wire::fleet_followT asked = question();
+        asked.wants_document = true;
+        m_bus.send(*host, std::move(asked));
+    }
+    const core::deadline again = m_fetch.again(m_handlers.m_version());
+    if (again.m_at != core::time_point::max() && !std::exchange(m_fetch_timer, true)) {
+        m_loop.at(again.m_at, [this] {
+            m_fetch_timer = false;
+            fetch();
+        });
+    }
+}
+
+void news_follower::document_arrived(const wire::fleet_updateT& news) {
+    const documents::document_version version(news.document_version);
+    const auto inflated =
+        core::inflate(std::string(news.document.begin(), news.document.end()), news.document_bytes);
+    if (!inflated) {
+        core::log_line(core::log_level::error, "fleet",
+                       "configuration cannot be inflated version=" + std::to_string(version.value()) +
+                           " reason=" + inflated.reason());
+        return;
     }
+    m_fetch.arrived(core::now());
+    m_handlers.m_document(version, *inflated);
 }
 
 void news_follower::updated(const core::entry_host_id& from, const wire::fleet_updateT& news) {
@@ -102,12 +140,13 @@
         m_handlers.m_entry_hosts(largest->second);
     }
     if (!news.document.empty()) {
-        m_handlers.m_document(documents::document_version(news.document_version),
-                              std::string(news.document.begin(), news.document.end()));
+        document_arrived(news);
     }
     if (changed) {
         m_handlers.m_endpoints_changed();
     }
+    m_fetch.announced(from, documents::document_version(news.document_version));
+    fetch();
 }
 
 } // namespace mangoquay::fleet
--- a/src/fleet/news_follower.h
+++ b/src/fleet/news_follower.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "documents/configuration.h"
+#include "documents/document_fetch.h"
 #include "registry/endpoint_registry.h"
 #include "relay/relay_core.h"
 #include "transport/message_bus.h"
@@ -54,6 +55,10 @@
 
 private:
     void tick();
+    [[nodiscard]] wire::fleet_followT question() const;
+    // Asks one control host for a document that it announced, when it is time to.
+    void fetch();
+    void document_arrived(const wire::fleet_updateT& news);
     void updated(const core::entry_host_id& from, const wire::fleet_updateT& news);
 
     transport::event_loop& m_loop;
@@ -65,6 +70,8 @@
     std::map<core::entry_host_id, core::time_point> m_answered;
     std::map<core::entry_host_id, std::uint32_t> m_entry_hosts; // as each control host counts them
     registry::endpoint_registry m_registry;
+    documents::document_fetch m_fetch;
+    bool m_fetch_timer = false;
     std::optional<core::time_point> m_heard;
 };
 
--- a/src/fleet/news_source.cpp
+++ b/src/fleet/news_source.cpp
@@ -1,6 +1,7 @@
 // News for followers.
 #include "fleet/news_source.h"
 
+#include "core/deflate.h"
 #include "registry/registry_wire.h"
 
 #include <algorithm>
@@ -48,8 +49,8 @@
     }
     news.entry_hosts = entry_hosts();
     news.document_version = m_documents.version().value();
-    if (question.document_version < news.document_version) {
-        news.document.assign(m_documents.bytes().begin(), m_documents.bytes().end());
+    if (question.wants_document && question.document_version < news.document_version) {
+        add_document(news);
     }
     if (question.registry_digest != m_registry.digest()) {
         for (const auto& [id, entry] : m_registry.entries()) {
@@ -60,15 +61,25 @@
     m_bus.send(from, std::move(news));
 }
 
+// Each follower hears of a change from all control hosts and fetches the document from one: several copies of
+// several versions would fill a thin link for seconds.
 void news_source::document_changed() {
     for (const auto& [host, follower] : m_followers) {
         wire::fleet_updateT news;
         news.document_version = m_documents.version().value();
-        news.document.assign(m_documents.bytes().begin(), m_documents.bytes().end());
         m_bus.send(host, std::move(news));
     }
 }
 
+void news_source::add_document(wire::fleet_updateT& news) {
+    if (m_deflated_version != m_documents.version()) {
+        m_deflated = core::deflate(m_documents.bytes());
+        m_deflated_version = m_documents.version();
+    }
+    news.document.assign(m_deflated.begin(), m_deflated.end());
+    news.document_bytes = static_cast<std::uint32_t>(m_documents.bytes().size());
+}
+
 void news_source::report_merged(const registry::endpoint_report& report, bool changed) {
     for (const auto& [host, follower] : m_followers) {
         if (changed || !follower.m_is_entry) {
--- a/src/fleet/news_source.h
+++ b/src/fleet/news_source.h
@@ -1,6 +1,7 @@
 // Answers the followers of a control host and pushes changes to them.
 //
-// Owns: the followers, volatile. A follower that lacks something gets it in one message.
+// Owns: the followers, volatile. Versions of documents are announced to all; the document itself goes to a
+// follower that asks for it.
 #pragma once
 
 #include "core/clock.h"
@@ -46,12 +47,16 @@
 
 private:
     void forget_silent(core::time_point now);
+    void add_document(wire::fleet_updateT& news);
 
     transport::message_bus& m_bus;
     transport::peer_network& m_network;
     const documents::document_register& m_documents;
     registry::endpoint_registry& m_registry;
     std::map<core::entry_host_id, follower_record> m_followers;
+    // The newest document that was asked for, deflated once for all followers.
+    std::string m_deflated;
+    documents::document_version m_deflated_version;
 };
 
 } // namespace mangoquay::fleet
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -4040,6 +4040,7 @@
   uint64_t document_version = 0;
   uint64_t registry_digest = 0;
   std::vector<std::unique_ptr<mangoquay::wire::primary_viewT>> primaries{};
+  bool wants_document = false;
   fleet_followT() = default;
   fleet_followT(const fleet_followT &o);
   fleet_followT(fleet_followT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4057,7 +4058,8 @@
     VT_PEER_PORT = 10,
     VT_DOCUMENT_VERSION = 12,
     VT_REGISTRY_DIGEST = 14,
-    VT_PRIMARIES = 16
+    VT_PRIMARIES = 16,
+    VT_WANTS_DOCUMENT = 18
   };
   bool is_entry() const {
     return GetField<uint8_t>(VT_IS_ENTRY, 0) != 0;
@@ -4080,6 +4082,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *primaries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *>(VT_PRIMARIES);
   }
+  bool wants_document() const {
+    return GetField<uint8_t>(VT_WANTS_DOCUMENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_IS_ENTRY, 1) &&
@@ -4092,6 +4097,7 @@
            VerifyOffset(verifier, VT_PRIMARIES) &&
            verifier.VerifyVector(primaries()) &&
            verifier.VerifyVectorOfTables(primaries()) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_DOCUMENT, 1) &&
            verifier.EndTable();
   }
   fleet_followT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4124,6 +4130,9 @@
   void add_primaries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>>> primaries) {
     fbb_.AddOffset(fleet_follow::VT_PRIMARIES, primaries);
   }
+  void add_wants_document(bool wants_document) {
+    fbb_.AddElement<uint8_t>(fleet_follow::VT_WANTS_DOCUMENT, static_cast<uint8_t>(wants_document), 0);
+  }
   explicit fleet_followBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4143,13 +4152,15 @@
     uint16_t peer_port = 0,
     uint64_t document_version = 0,
     uint64_t registry_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>>> primaries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>>> primaries = 0,
+    bool wants_document = false) {
   fleet_followBuilder builder_(_fbb);
   builder_.add_registry_digest(registry_digest);
   builder_.add_document_version(document_version);
   builder_.add_primaries(primaries);
   builder_.add_peer_host(peer_host);
   builder_.add_peer_port(peer_port);
+  builder_.add_wants_document(wants_document);
   builder_.add_ready(ready);
   builder_.add_is_entry(is_entry);
   return builder_.Finish();
@@ -4168,7 +4179,8 @@
     uint16_t peer_port = 0,
     uint64_t document_version = 0,
     uint64_t registry_digest = 0,
-    const std::vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *primaries = nullptr) {
+    const std::vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *primaries = nullptr,
+    bool wants_document = false) {
   auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
   auto primaries__ = primaries ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>>(*primaries) : 0;
   return mangoquay::wire::Createfleet_follow(
@@ -4179,7 +4191,8 @@
       peer_port,
       document_version,
       registry_digest,
-      primaries__);
+      primaries__,
+      wants_document);
 }
 
 flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4191,6 +4204,7 @@
   std::vector<std::unique_ptr<mangoquay::wire::endpoint_entryT>> endpoints{};
   std::vector<std::string> control_hosts{};
   uint32_t entry_hosts = 0;
+  uint32_t document_bytes = 0;
   fleet_updateT() = default;
   fleet_updateT(const fleet_updateT &o);
   fleet_updateT(fleet_updateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4206,7 +4220,8 @@
     VT_DOCUMENT = 6,
     VT_ENDPOINTS = 8,
     VT_CONTROL_HOSTS = 10,
-    VT_ENTRY_HOSTS = 12
+    VT_ENTRY_HOSTS = 12,
+    VT_DOCUMENT_BYTES = 14
   };
   uint64_t document_version() const {
     return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
@@ -4223,6 +4238,9 @@
   uint32_t entry_hosts() const {
     return GetField<uint32_t>(VT_ENTRY_HOSTS, 0);
   }
+  uint32_t document_bytes() const {
+    return GetField<uint32_t>(VT_DOCUMENT_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
@@ -4235,6 +4253,7 @@
            verifier.VerifyVector(control_hosts()) &&
            verifier.VerifyVectorOfStrings(control_hosts()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_HOSTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_DOCUMENT_BYTES, 4) &&
            verifier.EndTable();
   }
   fleet_updateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4261,6 +4280,9 @@
   void add_entry_hosts(uint32_t entry_hosts) {
     fbb_.AddElement<uint32_t>(fleet_update::VT_ENTRY_HOSTS, entry_hosts, 0);
   }
+  void add_document_bytes(uint32_t document_bytes) {
+    fbb_.AddElement<uint32_t>(fleet_update::VT_DOCUMENT_BYTES, document_bytes, 0);
+  }
   explicit fleet_updateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4278,9 +4300,11 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control_hosts = 0,
-    uint32_t entry_hosts = 0) {
+    uint32_t entry_hosts = 0,
+    uint32_t document_bytes = 0) {
   fleet_updateBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_document_bytes(document_bytes);
   builder_.add_entry_hosts(entry_hosts);
   builder_.add_control_hosts(control_hosts);
   builder_.add_endpoints(endpoints);
@@ -4299,7 +4323,8 @@
     const std::vector<uint8_t> *document = nullptr,
     const std::vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> *endpoints = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *control_hosts = nullptr,
-    uint32_t entry_hosts = 0) {
+    uint32_t entry_hosts = 0,
+    uint32_t document_bytes = 0) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>(*endpoints) : 0;
   auto control_hosts__ = control_hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control_hosts) : 0;
@@ -4309,7 +4334,8 @@
       document__,
       endpoints__,
       control_hosts__,
-      entry_hosts);
+      entry_hosts,
+      document_bytes);
 }
 
 flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5921,7 +5947,8 @@
         peer_host(o.peer_host),
         peer_port(o.peer_port),
         document_version(o.document_version),
-        registry_digest(o.registry_digest) {
+        registry_digest(o.registry_digest),
+        wants_document(o.wants_document) {
   primaries.reserve(o.primaries.size());
   for (const auto &primaries_ : o.primaries) { primaries.emplace_back((primaries_) ? new mangoquay::wire::primary_viewT(*primaries_) : nullptr); }
 }
@@ -5934,6 +5961,7 @@
   std::swap(document_version, o.document_version);
   std::swap(registry_digest, o.registry_digest);
   std::swap(primaries, o.primaries);
+  std::swap(wants_document, o.wants_document);
   return *this;
 }
 
@@ -5953,6 +5981,7 @@
   { auto _e = document_version(); _o->document_version = _e; }
   { auto _e = registry_digest(); _o->registry_digest = _e; }
   { auto _e = primaries(); if (_e) { _o->primaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->primaries[_i] = std::unique_ptr<mangoquay::wire::primary_viewT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = wants_document(); _o->wants_document = _e; }
 }
 
 inline flatbuffers::Offset<fleet_follow> fleet_follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5970,6 +5999,7 @@
   auto _document_version = _o->document_version;
   auto _registry_digest = _o->registry_digest;
   auto _primaries = _o->primaries.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>> (_o->primaries.size(), [](size_t i, _VectorArgs *__va) { return Createprimary_view(*__va->__fbb, __va->__o->primaries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _wants_document = _o->wants_document;
   return mangoquay::wire::Createfleet_follow(
       _fbb,
       _is_entry,
@@ -5978,14 +6008,16 @@
       _peer_port,
       _document_version,
       _registry_digest,
-      _primaries);
+      _primaries,
+      _wants_document);
 }
 
 inline fleet_updateT::fleet_updateT(const fleet_updateT &o)
       : document_version(o.document_version),
         document(o.document),
         control_hosts(o.control_hosts),
-        entry_hosts(o.entry_hosts) {
+        entry_hosts(o.entry_hosts),
+        document_bytes(o.document_bytes) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangoquay::wire::endpoint_entryT(*endpoints_) : nullptr); }
 }
@@ -5996,6 +6028,7 @@
   std::swap(endpoints, o.endpoints);
   std::swap(control_hosts, o.control_hosts);
   std::swap(entry_hosts, o.entry_hosts);
+  std::swap(document_bytes, o.document_bytes);
   return *this;
 }
 
@@ -6013,6 +6046,7 @@
   { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<mangoquay::wire::endpoint_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = control_hosts(); if (_e) { _o->control_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->control_hosts[_i] = _e->Get(_i)->str(); } } }
   { auto _e = entry_hosts(); _o->entry_hosts = _e; }
+  { auto _e = document_bytes(); _o->document_bytes = _e; }
 }
 
 inline flatbuffers::Offset<fleet_update> fleet_update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6028,13 +6062,15 @@
   auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return Createendpoint_entry(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _control_hosts = _o->control_hosts.size() ? _fbb.CreateVectorOfStrings(_o->control_hosts) : 0;
   auto _entry_hosts = _o->entry_hosts;
+  auto _document_bytes = _o->document_bytes;
   return mangoquay::wire::Createfleet_update(
       _fbb,
       _document_version,
       _document,
       _endpoints,
       _control_hosts,
-      _entry_hosts);
+      _entry_hosts,
+      _document_bytes);
 }
 
 inline cell_joinT *cell_join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/test/correctness/document_fetch_rules.cpp
@@ -0,0 +1,102 @@
+// A burst of configuration changes before hosts with thin links: each change announced by six control hosts
+// must not put six copies of every version on each host's link (four seconds without service were seen).
+#include "documents/document_fetch.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace mangoquay;
+using documents::document_fetch;
+using documents::document_version;
+
+namespace {
+
+const core::time_point start{std::chrono::hours(1)};
+const core::entry_host_id self("10.1.0.9");
+constexpr int control_hosts = 6;
+
+core::entry_host_id control_host(int number) {
+    return core::entry_host_id("10.2.0." + std::to_string(number));
+}
+
+class document_fetch_rules : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(document_fetch_rules);
+    CPPUNIT_TEST(a_lone_change_is_fetched_at_once_from_one_host);
+    CPPUNIT_TEST(a_burst_of_changes_costs_few_copies_and_ends_with_the_newest);
+    CPPUNIT_TEST(a_host_that_does_not_answer_is_passed_over);
+    CPPUNIT_TEST(nothing_is_fetched_that_is_held_already);
+    CPPUNIT_TEST(a_forgotten_host_is_not_asked);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void a_lone_change_is_fetched_at_once_from_one_host() {
+        document_fetch fetch(self);
+        int asked = 0;
+        for (int host = 0; host < control_hosts; ++host) {
+            fetch.announced(control_host(host), document_version(4));
+            asked += fetch.next(document_version(3), start) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(1, asked);
+    }
+
+    // 25 changes 60 ms apart, each announced by every control host; an answer takes 5 ms.
+    static void a_burst_of_changes_costs_few_copies_and_ends_with_the_newest() {
+        document_fetch fetch(self);
+        document_version held(1);
+        document_version newest(1);
+        int copies = 0;
+        core::time_point now = start;
+        std::optional<core::time_point> answered_at;
+        for (int step = 0; step < 3000; ++step, now += core::milliseconds(1)) {
+            if (step % 60 == 0 && step < 1500) {
+                newest = document_version(newest.value() + 3);
+                for (int host = 0; host < control_hosts; ++host) {
+                    fetch.announced(control_host(host), newest);
+                }
+            }
+            if (answered_at && now >= *answered_at) {
+                held = newest;
+                fetch.arrived(now);
+                answered_at.reset();
+            }
+            if (fetch.next(held, now)) {
+                ++copies;
+                answered_at = now + core::milliseconds(5);
+            }
+        }
+        CPPUNIT_ASSERT(held == newest);
+        CPPUNIT_ASSERT(copies <=
+                       1500 / documents::fetch_pause.count() + 1); // 150 when every change is pushed
+    }
+
+    static void a_host_that_does_not_answer_is_passed_over() {
+        document_fetch fetch(self);
+        fetch.announced(control_host(1), document_version(4));
+        fetch.announced(control_host(2), document_version(4));
+        const auto first = fetch.next(document_version(3), start);
+        CPPUNIT_ASSERT(first.has_value());
+        const core::time_point later = start + documents::fetch_limit;
+        CPPUNIT_ASSERT(!fetch.next(document_version(3), later - core::milliseconds(1)));
+        const auto second = fetch.next(document_version(3), later);
+        CPPUNIT_ASSERT(second.has_value());
+        CPPUNIT_ASSERT(*first != *second);
+    }
+
+    static void nothing_is_fetched_that_is_held_already() {
+        document_fetch fetch(self);
+        fetch.announced(control_host(1), document_version(4));
+        CPPUNIT_ASSERT(!fetch.next(document_version(4), start));
+        CPPUNIT_ASSERT(fetch.again(document_version(4)).m_at == core::time_point::max());
+    }
+
+    static void a_forgotten_host_is_not_asked() {
+        document_fetch fetch(self);
+        fetch.announced(control_host(1), document_version(4));
+        fetch.forget(control_host(1));
+        CPPUNIT_ASSERT(!fetch.next(document_version(3), start));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(document_fetch_rules);
+
+} // namespace
