--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mangoquay::entry {
@@ -39,8 +40,12 @@
     : m_loop(loop), m_settings(chosen), m_protocol(protocol), m_decoder(decoder),
       m_core(*this, relay::relay_limits{.m_zone = chosen.m_zone}),
       m_callers(loop, protocol, limits_from(chosen)),
-      m_news(loop, bus, network, {fleet::host_id(chosen.m_peer_address), chosen.m_peer_address, true},
-             news_handlers()) {}
+      m_news(loop, bus, network,
+             {fleet::host_id(chosen.m_peer_address), chosen.m_peer_address, true, chosen.m_zone},
+             news_handlers()),
+      m_exchange(loop, bus, protocol, exchange_handlers()) {
+    network.on_peer_lost([this](const core::entry_host_id& host) { m_exchange.host_lost(host); });
+}
 
 entry_node::~entry_node() = default;
 
@@ -51,18 +56,73 @@
     };
     handlers.m_endpoints_changed = [this] { endpoints_changed(); };
     handlers.m_entry_hosts = [this](std::uint32_t count) { m_core.entry_hosts_counted(count); };
+    handlers.m_ready_hosts = [this](const lending::hosts_by_zone& hosts) {
+        m_ready_hosts = hosts;
+        share_links();
+    };
     handlers.m_sightings = [this] { return m_core.sightings(core::now()); };
     handlers.m_ready = [this] { return ready(); };
     handlers.m_version = [this] { return m_core.version(); };
     return handlers;
 }
 
+borrowed_link_handlers entry_node::exchange_handlers() {
+    borrowed_link_handlers handlers;
+    handlers.m_opened = [this](relay::link_id link, const lending::loan_offer& offer) {
+        m_core.link_lent(link, offer, core::now());
+    };
+    handlers.m_answered = [this](relay::link_id link, const relay::database_answer& answer) {
+        m_core.link_answered(link, answer, core::now());
+    };
+    handlers.m_refused = [this](relay::link_id link, lending::loan_refusal reason) {
+        m_core.loan_refused(link, reason, core::now());
+    };
+    handlers.m_lost = [this](relay::link_id link, const std::string& reason) {
+        write_bounded("entry", "borrowed link lost reason=\"" + reason + "\"");
+        m_core.loan_lost(link, reason, core::now());
+    };
+    handlers.m_database_lost = [this](const core::endpoint_id& endpoint, const std::string& reason) {
+        write_bounded("entry",
+                      "lent database link ended endpoint=" + endpoint.value() + " reason=\"" + reason + "\"");
+    };
+    return handlers;
+}
+
+void entry_node::share_links() {
+    const core::entry_host_id self = fleet::host_id(m_settings.m_peer_address);
+    std::vector<registry::endpoint_report> shared;
+    for (const registry::endpoint_report& report : m_news.endpoints().listed()) {
+        if (m_core.shares_links(report.m_service)) {
+            shared.push_back(report);
+        }
+    }
+    lending::lenders_by_endpoint lenders = lending::choose_lenders(m_ready_hosts, shared);
+    std::map<core::endpoint_id, std::uint32_t> kept;
+    std::vector<lending::lent_endpoint> own;
+    for (const registry::endpoint_report& report : shared) {
+        const std::vector<core::entry_host_id>& hosts = lenders[report.m_id];
+        if (hosts.empty()) {
+            continue;
+        }
+        const std::uint32_t usable = m_core.usable_connections(report.m_service);
+        kept[report.m_id] = lending::links_kept_by(self, report, m_ready_hosts, usable);
+        if (std::ranges::find(hosts, self) != hosts.end()) {
+            const auto links = lending::links_lent_by_each(report, m_ready_hosts, usable, hosts.size());
+            own.push_back(lending::share_of(report, links, hosts.size()));
+        }
+    }
+    m_exchange.lenders_changed(std::move(lenders));
+    m_core.lent_endpoints(kept, core::now());
+    m_exchange.assign(own);
+}
+
 std::string entry_node::start() {
     const auto listening = m_callers.listen(*m_settings.m_caller_address, m_core);
     if (!listening) {
         return "cannot listen for callers reason=" + listening.reason();
     }
     m_news.start(m_settings.m_known_control);
+    m_exchange.start();
     m_next_summary = core::now() + summary_period;
     tick();
     return {};
@@ -86,6 +146,7 @@
 
 void entry_node::endpoints_changed() {
     m_core.endpoints_changed(m_news.endpoints().listed(), core::now());
+    share_links();
     m_ready = m_core.configured() && !m_stopped;
 }
 
@@ -140,11 +201,19 @@
 }
 
 void entry_node::send(relay::link_id link, const std::vector<relay::database_request>& requests) {
-    m_links.at(link)->send(requests);
+    if (m_exchange.send(link, requests)) {
+        return;
+    }
+    // A borrowed link that is lost is not held any more; the report of its loss is on its way to the core.
+    if (const auto own = m_links.find(link); own != m_links.end()) {
+        own->second->send(requests);
+    }
 }
 
 void entry_node::close_link(relay::link_id link) {
-    m_links.erase(link);
+    if (!m_exchange.close(link)) {
+        m_links.erase(link);
+    }
 }
 
 void entry_node::record(const relay::relay_event& event) {
@@ -178,6 +247,9 @@
                        std::to_string(counted.m_succeeded) + " refused=" + std::to_string(counted.m_refused) +
                        " uncertain=" + std::to_string(counted.m_uncertain) + " repeated=" +
                        std::to_string(counted.m_repeated) + " probes=" + std::to_string(counted.m_probes) +
+                       " borrowed=" + std::to_string(counted.m_links_borrowed) +
+                       " lent=" + std::to_string(m_exchange.lender().counters().m_granted) +
+                       " lends=" + std::to_string(m_exchange.lender().links()) +
                        " lines_left_out=" + std::to_string(std::exchange(m_lines_left_out, 0)));
     m_lines = 0;
 }
@@ -186,6 +258,7 @@
     const core::time_point now = core::now();
     m_stopped = std::move(stopped);
     m_ready = false;
+    m_exchange.stop_lending();
     m_news.ask();
     const auto limit = m_settings.m_stop_limit;
     m_drain_sessions = core::deadline_after(now, std::min<core::milliseconds>(balancer_notice, limit / 2));
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -7,6 +7,7 @@
 
 #include "entry/caller_sessions.h"
 #include "entry/database_link.h"
+#include "entry/link_exchange.h"
 #include "fleet/news_follower.h"
 #include "metrics/session_metrics.h"
 #include "settings/fleet_settings.h"
@@ -42,12 +43,22 @@
     void answer(relay::session_id session, const relay::session_answer& answer) override;
     void close_session(relay::session_id session) override;
     void open_link(relay::link_id link, const registry::endpoint_report& target) override;
+    void borrow_link(relay::link_id link, const core::endpoint_id& endpoint,
+                     const lending::loan_terms& terms) override {
+        m_exchange.borrow(link, endpoint, terms);
+    }
+    void give_back(relay::link_id link, bool holds_values) override {
+        m_exchange.give_back(link, holds_values);
+    }
     void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
     void close_link(relay::link_id link) override;
     void record(const relay::relay_event& event) override;
     void count(const relay::answered_statement& statement) override { m_metrics.answered(statement); }
 
     fleet::follower_handlers news_handlers();
+    borrowed_link_handlers exchange_handlers();
+    // Which hosts lend links to which endpoints, this one included.
+    void share_links();
     void document_arrived(documents::document_version version, const std::string& bytes);
     void endpoints_changed();
     void tick();
@@ -65,6 +76,8 @@
     relay::relay_core m_core;
     caller_sessions m_callers;
     fleet::news_follower m_news;
+    link_exchange m_exchange;
+    lending::hosts_by_zone m_ready_hosts;
     std::map<relay::link_id, std::unique_ptr<database_link>> m_links;
     std::atomic<bool> m_ready{false};
     std::set<core::endpoint_id> m_failing; // primaries that control hosts were told of
--- /dev/null
+++ b/src/entry/link_exchange.h
@@ -0,0 +1,93 @@
+// Shell of lending: joins the lender and the borrower of this host with peer links and database connections.
+//
+// Owns both cores and the connections that are lent. Runs on the event loop's thread.
+#pragma once
+
+#include "entry/database_link.h"
+#include "lending/borrower.h"
+#include "lending/lender.h"
+#include "transport/message_bus.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace mangoquay::entry {
+
+// What happens to borrowed links. None is called from inside a call of link_exchange.
+struct borrowed_link_handlers {
+    std::function<void(relay::link_id, const lending::loan_offer&)> m_opened;
+    std::function<void(relay::link_id, const relay::database_answer&)> m_answered;
+    std::function<void(relay::link_id, lending::loan_refusal)> m_refused;
+    std::function<void(relay::link_id, const std::string& reason)> m_lost;
+    // A connection of this host to a database ended.
+    std::function<void(const core::endpoint_id&, const std::string& reason)> m_database_lost;
+};
+
+class link_exchange final : private lending::lender_ports, private lending::borrower_ports {
+public:
+    link_exchange(transport::event_loop& loop, transport::message_bus& bus, const session_protocol& protocol,
+                  borrowed_link_handlers handlers);
+    ~link_exchange() override;
+    link_exchange(const link_exchange&) = delete;
+    link_exchange& operator=(const link_exchange&) = delete;
+    link_exchange(link_exchange&&) = delete;
+    link_exchange& operator=(link_exchange&&) = delete;
+
+    void start() { tick(); }
+    void stop_lending() { m_lender.stop_lending(core::now()); }
+    void assign(const std::vector<lending::lent_endpoint>& endpoints) {
+        m_lender.assign(endpoints, core::now());
+    }
+    void lenders_changed(lending::lenders_by_endpoint lenders) {
+        m_borrower.lenders_changed(std::move(lenders));
+    }
+    void host_lost(const core::entry_host_id& host);
+
+    void borrow(relay::link_id link, const core::endpoint_id& endpoint, const lending::loan_terms& terms) {
+        m_borrower.open(link, endpoint, terms, core::now());
+    }
+    // False: the link is not a borrowed one.
+    bool send(relay::link_id link, const std::vector<relay::database_request>& requests);
+    void give_back(relay::link_id link, bool holds_values);
+    bool close(relay::link_id link);
+
+    [[nodiscard]] const lending::lender& lender() const { return m_lender; }
+
+private:
+    void open_link(lending::lender_link_id link, const registry::endpoint_report& target) override;
+    void send(lending::lender_link_id link, const std::vector<relay::database_request>& requests) override;
+    void close_link(lending::lender_link_id link) override;
+    void grant(const core::entry_host_id& borrower, lending::loan_id loan,
+               const lending::loan_offer& offer) override;
+    void refuse(const core::entry_host_id& borrower, lending::loan_id loan,
+                lending::loan_refusal reason) override;
+    void answer(const core::entry_host_id& borrower, lending::loan_id loan, std::uint32_t number,
+                const relay::database_answer& answer) override;
+    void lost(const core::entry_host_id& borrower, lending::loan_id loan, const std::string& reason) override;
+
+    void ask(const core::entry_host_id& lender, lending::loan_id loan, const core::endpoint_id& endpoint,
+             const lending::loan_terms& terms) override;
+    void work(const core::entry_host_id& lender, lending::loan_id loan, std::uint32_t number,
+              const std::vector<relay::database_request>& requests) override;
+    void end(const core::entry_host_id& lender, lending::loan_id loan, bool reusable,
+             bool holds_values) override;
+    void opened(relay::link_id link, const lending::loan_offer& offer) override;
+    void answered(relay::link_id link, const relay::database_answer& answer) override;
+    void refused(relay::link_id link, lending::loan_refusal reason) override;
+    void lost(relay::link_id link, const std::string& reason) override;
+
+    void listen_to_borrowers();
+    void listen_to_lenders();
+    void tick();
+
+    transport::event_loop& m_loop;
+    transport::message_bus& m_bus;
+    const session_protocol& m_protocol;
+    borrowed_link_handlers m_handlers;
+    lending::lender m_lender;
+    lending::borrower m_borrower;
+    std::map<lending::lender_link_id, std::unique_ptr<database_link>> m_links;
+};
+
+} // namespace mangoquay::entry
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -56,7 +56,7 @@
               m_news.add_control_host(to);
               m_bus.send(to, consensus::to_wire(message));
           })),
-      m_news(loop, bus, network, {m_self, chosen.m_peer_address, false}, news_handlers()),
+      m_news(loop, bus, network, {m_self, chosen.m_peer_address, false, chosen.m_zone}, news_handlers()),
       m_source(bus, network, m_documents, m_news.endpoints()),
       m_promotions(loop, protocol, executor, m_self, [this] { return next_fence(); }),
       m_kept(chosen.m_data_folder.string()) {
@@ -93,6 +93,7 @@
     handlers.m_document = [](documents::document_version, const std::string&) {};
     handlers.m_endpoints_changed = [this] { endpoints_changed(); };
     handlers.m_entry_hosts = [](std::uint32_t) {};
+    handlers.m_ready_hosts = [](const lending::hosts_by_zone&) {};
     handlers.m_sightings = [] { return std::vector<relay::primary_sighting>{}; };
     handlers.m_ready = [] { return true; };
     // Documents come by the log: never ask for one.
--- a/src/fleet/news_follower.cpp
+++ b/src/fleet/news_follower.cpp
@@ -17,6 +17,9 @@
 constexpr core::milliseconds first_ask_period{100};
 // A control host that is no member any more and has not answered for this long is forgotten.
 constexpr core::milliseconds forget_after{20000};
+// Each control host confirms its list twice a second; one that is silent for longer may be cut off with a
+// list that is out of date.
+constexpr core::milliseconds list_lifetime{2000};
 
 } // namespace
 
@@ -56,6 +59,7 @@
         if (forgotten) {
             core::log_line(core::log_level::info, "fleet", "control host forgotten host=" + host.value());
             m_fetch.forget(host);
+            m_ready_lists.erase(host);
         }
         return forgotten;
     });
@@ -71,6 +75,7 @@
     question.ready = m_handlers.m_ready();
     question.peer_host = m_identity.m_peer_address.m_host;
     question.peer_port = m_identity.m_peer_address.m_port;
+    question.zone = m_identity.m_zone.value();
     question.document_version = m_handlers.m_version().value();
     question.registry_digest = m_registry.digest();
     for (const relay::primary_sighting& seen : m_handlers.m_sightings()) {
@@ -84,8 +89,10 @@
 }
 
 void news_follower::ask() {
-    const wire::fleet_followT asked = question();
+    wire::fleet_followT asked = question();
     for (const core::entry_host_id& host : m_control_hosts) {
+        const auto known = m_ready_lists.find(host);
+        asked.ready_hosts_digest = known == m_ready_lists.end() ? 0 : known->second.m_digest;
         m_bus.send(host, asked);
     }
     fetch();
@@ -121,6 +128,42 @@
     m_handlers.m_document(version, *inflated);
 }
 
+void news_follower::ready_hosts_arrived(const core::entry_host_id& from, const wire::fleet_updateT& news) {
+    const core::time_point now = core::now();
+    ready_list& list = m_ready_lists[from];
+    list.m_confirmed = now;
+    if (!news.ready_hosts.empty()) {
+        list.m_digest = news.ready_hosts_digest;
+        list.m_hosts.clear();
+        for (const auto& zone : news.ready_hosts) {
+            for (const std::string& host : zone->hosts) {
+                const core::entry_host_id id(host);
+                list.m_hosts[core::availability_zone(zone->zone)].insert(id);
+                if (id != m_identity.m_self) {
+                    m_network.set_address(id, {host, m_identity.m_peer_address.m_port});
+                }
+            }
+        }
+    }
+    lending::hosts_by_zone merged = merged_ready_hosts(now);
+    if (merged != m_ready_hosts) {
+        m_ready_hosts = std::move(merged);
+        m_handlers.m_ready_hosts(m_ready_hosts);
+    }
+}
+
+lending::hosts_by_zone news_follower::merged_ready_hosts(core::time_point now) const {
+    lending::hosts_by_zone merged;
+    for (const auto& [control, list] : m_ready_lists) {
+        if (list.m_confirmed + list_lifetime > now) {
+            for (const auto& [zone, hosts] : list.m_hosts) {
+                merged[zone].insert(hosts.begin(), hosts.end());
+            }
+        }
+    }
+    return merged;
+}
+
 void news_follower::updated(const core::entry_host_id& from, const wire::fleet_updateT& news) {
     const core::time_point now = core::now();
     m_heard = now;
@@ -142,6 +185,9 @@
     if (!news.document.empty()) {
         document_arrived(news);
     }
+    if (news.ready_hosts_digest != 0) {
+        ready_hosts_arrived(from, news);
+    }
     if (changed) {
         m_handlers.m_endpoints_changed();
     }
--- a/src/fleet/news_follower.h
+++ b/src/fleet/news_follower.h
@@ -7,6 +7,7 @@
 
 #include "documents/configuration.h"
 #include "documents/document_fetch.h"
+#include "lending/lender_choice.h"
 #include "registry/endpoint_registry.h"
 #include "relay/relay_core.h"
 #include "transport/message_bus.h"
@@ -26,12 +27,15 @@
     core::entry_host_id m_self;
     control::socket_address m_peer_address;
     bool m_is_entry = false;
+    core::availability_zone m_zone;
 };
 
 struct follower_handlers {
     std::function<void(documents::document_version, const std::string& bytes)> m_document;
     std::function<void()> m_endpoints_changed;
     std::function<void(std::uint32_t)> m_entry_hosts;
+    // The entry hosts that take callers have changed.
+    std::function<void(const lending::hosts_by_zone&)> m_ready_hosts;
     std::function<std::vector<relay::primary_sighting>()> m_sightings;
     std::function<bool()> m_ready;
     std::function<documents::document_version()> m_version;
@@ -59,6 +63,9 @@
     // Asks one control host for a document that it announced, when it is time to.
     void fetch();
     void document_arrived(const wire::fleet_updateT& news);
+    void ready_hosts_arrived(const core::entry_host_id& from, const wire::fleet_updateT& news);
+    // What the control hosts that answered of late say together.
+    [[nodiscard]] lending::hosts_by_zone merged_ready_hosts(core::time_point now) const;
     void updated(const core::entry_host_id& from, const wire::fleet_updateT& news);
 
     transport::event_loop& m_loop;
@@ -69,6 +76,13 @@
     std::set<core::entry_host_id> m_control_hosts;
     std::map<core::entry_host_id, core::time_point> m_answered;
     std::map<core::entry_host_id, std::uint32_t> m_entry_hosts; // as each control host counts them
+    struct ready_list {
+        std::uint64_t m_digest = 0;
+        core::time_point m_confirmed{};
+        lending::hosts_by_zone m_hosts;
+    };
+    std::map<core::entry_host_id, ready_list> m_ready_lists; // by control host
+    lending::hosts_by_zone m_ready_hosts;
     registry::endpoint_registry m_registry;
     documents::document_fetch m_fetch;
     bool m_fetch_timer = false;
--- a/src/fleet/news_source.cpp
+++ b/src/fleet/news_source.cpp
@@ -5,6 +5,8 @@
 #include "registry/registry_wire.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace mangoquay::fleet {
 namespace {
@@ -12,6 +14,10 @@
 // Followers ask every half a second. Their share of connections is kept for some seconds after they fall
 // silent, because a host that is cut off from here may still use it.
 constexpr core::milliseconds follower_lifetime{10000};
+// A host that takes callers says so every half a second.
+constexpr core::milliseconds ready_lifetime{1600};
+// After a start it takes two questions of each host until the list of hosts is complete.
+constexpr core::milliseconds complete_after{1200};
 
 } // namespace
 
@@ -38,6 +44,8 @@
     }
     follower_record& follower = m_followers[from];
     follower.m_is_entry = question.is_entry;
+    follower.m_ready = question.ready;
+    follower.m_zone = core::availability_zone(question.zone);
     follower.m_heard = now;
     follower.m_primaries.clear();
     for (const auto& view : question.primaries) {
@@ -58,9 +66,37 @@
                 std::make_unique<wire::endpoint_entryT>(registry::to_wire(entry.m_report)));
         }
     }
+    if (question.is_entry) {
+        add_ready_hosts(news, question.ready_hosts_digest, now);
+    }
     m_bus.send(from, std::move(news));
 }
 
+void news_source::add_ready_hosts(wire::fleet_updateT& news, std::uint64_t known_digest,
+                                  core::time_point now) const {
+    if (m_started + complete_after > now) {
+        return;
+    }
+    std::map<core::availability_zone, std::vector<std::string>> zones;
+    std::string all;
+    for (const auto& [host, follower] : m_followers) {
+        if (follower.m_is_entry && follower.m_ready && follower.m_heard + ready_lifetime > now) {
+            zones[follower.m_zone].push_back(host.value());
+            all += follower.m_zone.value() + " " + host.value() + "\n";
+        }
+    }
+    news.ready_hosts_digest = std::hash<std::string>{}(all);
+    if (news.ready_hosts_digest == known_digest) {
+        return;
+    }
+    for (auto& [zone, hosts] : zones) {
+        auto entry = std::make_unique<wire::zone_hostsT>();
+        entry->zone = zone.value();
+        entry->hosts = std::move(hosts);
+        news.ready_hosts.push_back(std::move(entry));
+    }
+}
+
 // Each follower hears of a change from all control hosts and fetches the document from one: several copies of
 // several versions would fill a thin link for seconds.
 void news_source::document_changed() {
--- a/src/fleet/news_source.h
+++ b/src/fleet/news_source.h
@@ -24,6 +24,8 @@
 
 struct follower_record {
     bool m_is_entry = false;
+    bool m_ready = false; // takes callers
+    core::availability_zone m_zone;
     core::time_point m_heard{};
     std::map<core::endpoint_id, primary_view> m_primaries;
 };
@@ -48,11 +50,14 @@
 private:
     void forget_silent(core::time_point now);
     void add_document(wire::fleet_updateT& news);
+    // Unless the follower has the list.
+    void add_ready_hosts(wire::fleet_updateT& news, std::uint64_t known_digest, core::time_point now) const;
 
     transport::message_bus& m_bus;
     transport::peer_network& m_network;
     const documents::document_register& m_documents;
     registry::endpoint_registry& m_registry;
+    core::time_point m_started = core::now();
     std::map<core::entry_host_id, follower_record> m_followers;
     // The newest document that was asked for, deflated once for all followers.
     std::string m_deflated;
--- /dev/null
+++ b/src/lending/lender.cpp
@@ -0,0 +1,397 @@
+// The queue of each database and the loans.
+#include "lending/lender.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace mangoquay::lending {
+namespace {
+
+// A new connection takes about 12 ms (sheet); a lost opening packet is repeated only after a second.
+constexpr core::milliseconds opening_limit{700};
+// Other lenders give connections back within this time, and a database drops those of a lost host after 3 s
+// (sheet).
+constexpr core::milliseconds full_pause{200};
+constexpr core::milliseconds least_back_off{100};
+constexpr core::milliseconds largest_back_off{1600};
+// A transaction may pause for 3 s and a statement run for as long (sheet); a borrower that is silent for
+// longer than both is gone.
+constexpr core::milliseconds silent_borrower_limit{7000};
+// One more than its share of the slots: a lender whose callers are busier than others' uses what they leave,
+// and the database always has its next statement at hand.
+constexpr std::uint32_t places_beyond_share = 3;
+// A reset needs no slot, so a database that is reached answers within a round trip.
+constexpr core::milliseconds reset_limit{400};
+
+auto order_of(bool needs_slot, bool urgent, double expected_ms, core::time_point arrived) {
+    return std::tuple(needs_slot, !urgent, expected_ms, arrived);
+}
+
+bool is_statement(const relay::database_request& request) {
+    return request.m_kind == relay::request_kind::forward || request.m_kind == relay::request_kind::execute;
+}
+
+} // namespace
+
+lent_endpoint share_of(const registry::endpoint_report& report, std::uint32_t links, std::size_t lenders) {
+    const auto slots = static_cast<std::uint32_t>((report.m_slots + lenders - 1) / lenders);
+    return {report, links, slots + places_beyond_share};
+}
+
+void lender::assign(const std::vector<lent_endpoint>& endpoints, core::time_point now) {
+    for (auto& [id, record] : m_endpoints) {
+        record.m_listed = false;
+    }
+    for (const lent_endpoint& one : endpoints) {
+        endpoint_record& record = m_endpoints[one.m_report.m_id];
+        if (record.m_lent.m_report.m_started_ms != one.m_report.m_started_ms) {
+            record.m_failed = {};
+            record.m_failed_step = {};
+        }
+        record.m_lent = one;
+        record.m_listed = true;
+    }
+    std::vector<lender_link_id> unused;
+    for (const auto& [id, on] : m_links) {
+        if (on.m_state == link_state::idle && !m_endpoints.at(on.m_endpoint).m_listed) {
+            unused.push_back(id);
+        }
+    }
+    std::ranges::for_each(unused, [this](lender_link_id id) { drop_link(id); });
+    for (auto& [id, record] : m_endpoints) {
+        if (!record.m_listed) {
+            refuse_all(record, loan_refusal::not_lending);
+        } else if (record.m_open == 0) {
+            open_link(id, record, now); // the first borrower does not wait for it
+        }
+    }
+    std::erase_if(m_endpoints,
+                  [](const auto& one) { return !one.second.m_listed && one.second.m_open == 0; });
+}
+
+void lender::stop_lending(core::time_point /*now*/) {
+    m_stopping = true;
+    for (auto& [id, record] : m_endpoints) {
+        refuse_all(record, loan_refusal::not_lending);
+    }
+}
+
+void lender::asked(const core::entry_host_id& borrower, loan_id loan, const core::endpoint_id& endpoint,
+                   const loan_terms& terms, core::time_point now) {
+    const pending_loan wanted{{borrower, loan}, terms, now, core::deadline_after(now, terms.m_wait)};
+    const auto found = m_endpoints.find(endpoint);
+    if (m_stopping || found == m_endpoints.end() || !found->second.m_listed) {
+        refuse(wanted, loan_refusal::not_lending);
+        return;
+    }
+    endpoint_record& record = found->second;
+    if (record.m_open == record.m_opening && !record.m_failed.passed(now)) {
+        refuse(wanted, loan_refusal::unreachable);
+        return;
+    }
+    if (expected_wait(record, wanted) > terms.m_wait) {
+        refuse(wanted, loan_refusal::busy);
+        return;
+    }
+    record.m_waiting.push_back(wanted);
+    serve(endpoint, now);
+}
+
+core::duration lender::expected_wait(const endpoint_record& record, const pending_loan& one) {
+    if (record.m_running < record.m_lent.m_running || !one.m_terms.m_needs_slot) {
+        return {};
+    }
+    double before_ms = 0.0;
+    for (const pending_loan& other : record.m_waiting) {
+        if (other.m_terms.m_urgent > one.m_terms.m_urgent ||
+            (other.m_terms.m_urgent == one.m_terms.m_urgent &&
+             other.m_terms.m_expected_ms <= one.m_terms.m_expected_ms)) {
+            before_ms += other.m_terms.m_expected_ms;
+        }
+    }
+    return std::chrono::duration_cast<core::duration>(
+        std::chrono::duration<double, std::milli>(before_ms / std::max(1U, record.m_lent.m_running)));
+}
+
+void lender::serve(const core::endpoint_id& endpoint, core::time_point now) {
+    endpoint_record& record = m_endpoints.at(endpoint);
+    while (!record.m_waiting.empty()) {
+        const auto first = std::ranges::min_element(record.m_waiting, {}, [](const pending_loan& one) {
+            return order_of(one.m_terms.m_needs_slot, one.m_terms.m_urgent, one.m_terms.m_expected_ms,
+                            one.m_arrived);
+        });
+        // What is urgent does not wait for what was sent before.
+        const std::uint32_t places = record.m_lent.m_running + (first->m_terms.m_urgent ? 1 : 0);
+        if (first->m_terms.m_needs_slot && record.m_running >= places) {
+            return;
+        }
+        const auto id = idle_link(endpoint);
+        if (!id) {
+            if (record.m_opening < record.m_waiting.size()) {
+                open_link(endpoint, record, now);
+            }
+            return;
+        }
+        const pending_loan given = *first;
+        record.m_waiting.erase(first);
+        grant(given, *id, now);
+    }
+}
+
+// The one used last: it has most likely not gone silent.
+std::optional<lender_link_id> lender::idle_link(const core::endpoint_id& endpoint) const {
+    std::optional<lender_link_id> best;
+    for (const auto& [id, on] : m_links) {
+        if (on.m_endpoint == endpoint && on.m_state == link_state::idle &&
+            (!best || m_links.at(*best).m_heard < on.m_heard)) {
+            best = id;
+        }
+    }
+    return best;
+}
+
+void lender::open_link(const core::endpoint_id& endpoint, endpoint_record& record, core::time_point now) {
+    if (m_stopping || record.m_open >= record.m_lent.m_links || !record.m_full.passed(now) ||
+        !record.m_failed.passed(now)) {
+        return;
+    }
+    const lender_link_id id(++m_last_link);
+    link_record opened;
+    opened.m_endpoint = endpoint;
+    opened.m_limit = core::deadline_after(now, opening_limit);
+    m_links.emplace(id, std::move(opened));
+    ++record.m_open;
+    ++record.m_opening;
+    ++m_counters.m_links_opened;
+    m_ports.open_link(id, record.m_lent.m_report);
+}
+
+void lender::grant(const pending_loan& given, lender_link_id id, core::time_point now) {
+    link_record& on = m_links.at(id);
+    on.m_state = link_state::lent;
+    on.m_key = given.m_key;
+    on.m_next_work = 0;
+    on.m_next_answer = 0;
+    on.m_limit = core::deadline_after(now, silent_borrower_limit);
+    set_takes_place(on, given.m_terms.m_needs_slot);
+    m_loans[given.m_key] = id;
+    ++m_counters.m_granted;
+    const endpoint_record& record = m_endpoints.at(on.m_endpoint);
+    m_ports.grant(given.m_key.first, given.m_key.second,
+                  {now - on.m_heard, record.m_position, static_cast<std::uint32_t>(record.m_waiting.size())});
+}
+
+void lender::refuse(const pending_loan& refused, loan_refusal reason) {
+    ++m_counters.m_refused;
+    m_ports.refuse(refused.m_key.first, refused.m_key.second, reason);
+}
+
+void lender::refuse_all(endpoint_record& record, loan_refusal reason) {
+    for (const pending_loan& one : std::exchange(record.m_waiting, {})) {
+        refuse(one, reason);
+    }
+}
+
+void lender::set_takes_place(link_record& on, bool takes) {
+    if (on.m_takes_place != takes) {
+        on.m_takes_place = takes;
+        m_endpoints.at(on.m_endpoint).m_running += takes ? 1 : -1;
+    }
+}
+
+void lender::worked(const core::entry_host_id& borrower, loan_id loan, std::uint32_t number,
+                    const std::vector<relay::database_request>& requests, core::time_point now) {
+    const auto found = m_loans.find({borrower, loan});
+    if (found == m_loans.end()) {
+        m_ports.lost(borrower, loan, "no such loan");
+        return;
+    }
+    const lender_link_id id = found->second;
+    link_record& on = m_links.at(id);
+    if (number != on.m_next_work) {
+        const core::endpoint_id endpoint = on.m_endpoint;
+        m_ports.lost(borrower, loan, "a message of the loan was lost");
+        end_loan(id);
+        drop_link(id);
+        serve(endpoint, now);
+        return;
+    }
+    ++on.m_next_work;
+    on.m_limit = core::deadline_after(now, silent_borrower_limit);
+    for (const relay::database_request& request : requests) {
+        on.m_expected.push_back(is_statement(request));
+    }
+    if (std::ranges::any_of(requests, is_statement)) {
+        set_takes_place(on, true);
+    }
+    m_ports.send(id, requests);
+}
+
+void lender::ended(const core::entry_host_id& borrower, loan_id loan, bool reusable, bool holds_values,
+                   core::time_point now) {
+    const loan_key key{borrower, loan};
+    const auto found = m_loans.find(key);
+    if (found == m_loans.end()) {
+        for (auto& [endpoint, record] : m_endpoints) {
+            std::erase_if(record.m_waiting, [&key](const pending_loan& one) { return one.m_key == key; });
+        }
+        return;
+    }
+    const lender_link_id id = found->second;
+    const core::endpoint_id endpoint = m_links.at(id).m_endpoint;
+    end_loan(id);
+    link_record& on = m_links.at(id);
+    if (!reusable || !on.m_expected.empty() || !m_endpoints.at(endpoint).m_listed) {
+        drop_link(id);
+    } else if (holds_values) {
+        on.m_state = link_state::resetting;
+        on.m_limit = core::deadline_after(now, reset_limit);
+        on.m_expected.push_back(false);
+        m_ports.send(id, {{.m_kind = relay::request_kind::reset}});
+    } else {
+        on.m_state = link_state::idle;
+    }
+    serve(endpoint, now);
+}
+
+void lender::host_lost(const core::entry_host_id& host, core::time_point now) {
+    std::vector<lender_link_id> lent;
+    for (const auto& [key, id] : m_loans) {
+        if (key.first == host) {
+            lent.push_back(id);
+        }
+    }
+    for (const lender_link_id id : lent) {
+        end_loan(id);
+        drop_link(id);
+    }
+    for (auto& [endpoint, record] : m_endpoints) {
+        std::erase_if(record.m_waiting, [&host](const pending_loan& one) { return one.m_key.first == host; });
+    }
+    if (!lent.empty()) {
+        tick(now);
+    }
+}
+
+void lender::link_opened(lender_link_id id, std::optional<core::history_position> position,
+                         core::time_point now) {
+    const auto found = m_links.find(id);
+    if (found == m_links.end()) {
+        return;
+    }
+    link_record& on = found->second;
+    endpoint_record& record = m_endpoints.at(on.m_endpoint);
+    --record.m_opening;
+    record.m_failed_step = {};
+    on.m_state = link_state::idle;
+    on.m_heard = now;
+    if (position) {
+        record.m_position = position;
+    }
+    serve(on.m_endpoint, now);
+}
+
+void lender::link_answered(lender_link_id id, const relay::database_answer& answer, core::time_point now) {
+    const auto found = m_links.find(id);
+    if (found == m_links.end()) {
+        return;
+    }
+    link_record& on = found->second;
+    if (on.m_expected.empty()) {
+        link_failed(id, std::nullopt, "unexpected answer", now);
+        return;
+    }
+    const bool was_statement = on.m_expected.front();
+    on.m_expected.pop_front();
+    on.m_heard = now;
+    endpoint_record& record = m_endpoints.at(on.m_endpoint);
+    if (answer.m_position) {
+        record.m_position = answer.m_position;
+    }
+    const core::endpoint_id endpoint = on.m_endpoint;
+    if (on.m_state == link_state::resetting) {
+        if (answer.m_refusal) {
+            drop_link(id);
+        } else {
+            on.m_state = link_state::idle;
+        }
+    } else {
+        // Between the answer to a preparation and the statement that it was for, the link keeps its place.
+        if (was_statement && std::ranges::find(on.m_expected, true) == on.m_expected.end()) {
+            set_takes_place(on, false);
+        }
+        m_ports.answer(on.m_key.first, on.m_key.second, on.m_next_answer++, answer);
+    }
+    serve(endpoint, now);
+}
+
+void lender::link_failed(lender_link_id id, std::optional<relay::refusal> reason, const std::string& text,
+                         core::time_point now) {
+    const auto found = m_links.find(id);
+    if (found == m_links.end()) {
+        return;
+    }
+    const link_record failed = found->second;
+    endpoint_record& record = m_endpoints.at(failed.m_endpoint);
+    if (failed.m_state == link_state::lent) {
+        m_ports.lost(failed.m_key.first, failed.m_key.second, text);
+        end_loan(id);
+    }
+    drop_link(id);
+    if (reason == relay::refusal::too_many_connections) {
+        record.m_full.m_at = now + full_pause;
+    } else if (failed.m_state == link_state::opening) {
+        record.m_failed_step =
+            std::clamp<core::duration>(record.m_failed_step * 2, least_back_off, largest_back_off);
+        record.m_failed.m_at = now + record.m_failed_step;
+        if (record.m_open == record.m_opening) {
+            refuse_all(record, loan_refusal::unreachable);
+        }
+    }
+    serve(failed.m_endpoint, now);
+}
+
+void lender::end_loan(lender_link_id id) {
+    link_record& on = m_links.at(id);
+    set_takes_place(on, false);
+    m_loans.erase(on.m_key);
+    on.m_key = {};
+}
+
+void lender::drop_link(lender_link_id id) {
+    const auto found = m_links.find(id);
+    endpoint_record& record = m_endpoints.at(found->second.m_endpoint);
+    set_takes_place(found->second, false);
+    record.m_opening -= found->second.m_state == link_state::opening ? 1 : 0;
+    --record.m_open;
+    m_links.erase(found);
+    m_ports.close_link(id);
+}
+
+void lender::tick(core::time_point now) {
+    std::vector<std::pair<lender_link_id, link_state>> overdue;
+    for (const auto& [id, on] : m_links) {
+        if (on.m_state != link_state::idle && on.m_limit.passed(now)) {
+            overdue.emplace_back(id, on.m_state);
+        }
+    }
+    for (const auto& [id, state] : overdue) {
+        link_failed(id, std::nullopt,
+                    state == link_state::lent ? "the borrower is silent" : "no answer in time", now);
+    }
+    for (auto& [endpoint, record] : m_endpoints) {
+        std::vector<pending_loan> left;
+        for (const pending_loan& one : std::exchange(record.m_waiting, {})) {
+            if (one.m_limit.passed(now)) {
+                refuse(one, loan_refusal::busy);
+            } else {
+                left.push_back(one);
+            }
+        }
+        record.m_waiting = std::move(left);
+        serve(endpoint, now);
+    }
+}
+
+} // namespace mangoquay::lending
--- /dev/null
+++ b/src/lending/lender.h
@@ -0,0 +1,153 @@
+// Lends this host's links to databases to the hosts that need them, itself included.
+//
+// Answers the load pattern of many hosts before few connections: one queue for each database at each of its
+// lenders, in the order of priority and then of expected work, with no more statements at the database than
+// its slots carry. A transaction that pauses holds a link, but no place among the running ones.
+//
+// Owns: links, loans and those that wait. Deterministic: no socket, clock or log; it acts through
+// lender_ports, whose functions must not call back.
+//
+// Invariants:
+// - a link is lent to one borrower at a time and only while nothing is in progress on it;
+// - a link whose loan ends otherwise than reusable is closed, which ends its transaction at the database;
+// - work of a loan that does not carry the next number is not sent: a message before it was lost.
+#pragma once
+
+#include "lending/lender_choice.h"
+#include "lending/loan.h"
+#include "registry/endpoint_registry.h"
+#include "relay/statement.h"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace mangoquay::lending {
+
+using lender_link_id = core::strong_value<struct lender_link_id_tag, std::uint64_t>;
+
+class lender_ports {
+public:
+    lender_ports() = default;
+    virtual ~lender_ports() = default;
+    lender_ports(const lender_ports&) = delete;
+    lender_ports& operator=(const lender_ports&) = delete;
+    lender_ports(lender_ports&&) = delete;
+    lender_ports& operator=(lender_ports&&) = delete;
+
+    // Answered by link_opened() or link_failed().
+    virtual void open_link(lender_link_id link, const registry::endpoint_report& target) = 0;
+    virtual void send(lender_link_id link, const std::vector<relay::database_request>& requests) = 0;
+    // No event of the link follows.
+    virtual void close_link(lender_link_id link) = 0;
+
+    virtual void grant(const core::entry_host_id& borrower, loan_id loan, const loan_offer& offer) = 0;
+    virtual void refuse(const core::entry_host_id& borrower, loan_id loan, loan_refusal reason) = 0;
+    virtual void answer(const core::entry_host_id& borrower, loan_id loan, std::uint32_t number,
+                        const relay::database_answer& answer) = 0;
+    virtual void lost(const core::entry_host_id& borrower, loan_id loan, const std::string& reason) = 0;
+};
+
+// A database whose links this host lends.
+struct lent_endpoint {
+    registry::endpoint_report m_report;
+    std::uint32_t m_links = 0;   // that this host may keep open
+    std::uint32_t m_running = 1; // statements of this host's loans that may be at the database at once
+
+    friend bool operator==(const lent_endpoint&, const lent_endpoint&) = default;
+};
+
+// The part of one of `lenders` hosts that lend an endpoint's links, with `links` of them.
+lent_endpoint share_of(const registry::endpoint_report& report, std::uint32_t links, std::size_t lenders);
+
+struct lender_counters {
+    std::uint64_t m_granted = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_links_opened = 0;
+};
+
+class lender {
+public:
+    explicit lender(lender_ports& ports) : m_ports(ports) {}
+
+    // Links to databases that are not listed any more are closed when their loans have ended.
+    void assign(const std::vector<lent_endpoint>& endpoints, core::time_point now);
+    // New loans are refused from now on; present ones go on.
+    void stop_lending(core::time_point now);
+
+    void asked(const core::entry_host_id& borrower, loan_id loan, const core::endpoint_id& endpoint,
+               const loan_terms& terms, core::time_point now);
+    void worked(const core::entry_host_id& borrower, loan_id loan, std::uint32_t number,
+                const std::vector<relay::database_request>& requests, core::time_point now);
+    // Also withdraws a request that has not been granted.
+    void ended(const core::entry_host_id& borrower, loan_id loan, bool reusable, bool holds_values,
+               core::time_point now);
+    void host_lost(const core::entry_host_id& host, core::time_point now);
+
+    void link_opened(lender_link_id id, std::optional<core::history_position> position, core::time_point now);
+    void link_answered(lender_link_id id, const relay::database_answer& answer, core::time_point now);
+    void link_failed(lender_link_id id, std::optional<relay::refusal> reason, const std::string& text,
+                     core::time_point now);
+
+    void tick(core::time_point now);
+
+    [[nodiscard]] std::size_t loans() const { return m_loans.size(); }
+    [[nodiscard]] std::size_t links() const { return m_links.size(); }
+    [[nodiscard]] const lender_counters& counters() const { return m_counters; }
+
+private:
+    using loan_key = std::pair<core::entry_host_id, loan_id>;
+
+    struct pending_loan {
+        loan_key m_key;
+        loan_terms m_terms;
+        core::time_point m_arrived{};
+        core::deadline m_limit;
+    };
+    enum class link_state : std::uint8_t { opening, idle, lent, resetting };
+    struct link_record {
+        core::endpoint_id m_endpoint;
+        link_state m_state = link_state::opening;
+        loan_key m_key;                  // while lent
+        std::uint32_t m_next_work = 0;   // number of the borrower's next message
+        std::uint32_t m_next_answer = 0; // number of the next one to it
+        bool m_takes_place = false;  // among the running ones: a statement is on its way or at the database
+        std::deque<bool> m_expected; // for each request without an answer: whether it is a statement
+        core::time_point m_heard{};  // the database's last answer
+        core::deadline m_limit;      // of the opening, of a silent borrower, of the reset
+    };
+    struct endpoint_record {
+        lent_endpoint m_lent;
+        bool m_listed = true;
+        std::uint32_t m_open = 0; // links, opening ones included
+        std::uint32_t m_opening = 0;
+        std::uint32_t m_running = 0; // links that take a place
+        core::deadline m_full;       // all its connections are taken: none is opened until then
+        core::deadline m_failed;     // its connections fail
+        core::duration m_failed_step{};
+        std::optional<core::history_position> m_position;
+        std::vector<pending_loan> m_waiting;
+    };
+
+    void serve(const core::endpoint_id& endpoint, core::time_point now);
+    [[nodiscard]] std::optional<lender_link_id> idle_link(const core::endpoint_id& endpoint) const;
+    void open_link(const core::endpoint_id& endpoint, endpoint_record& record, core::time_point now);
+    void grant(const pending_loan& given, lender_link_id id, core::time_point now);
+    void refuse(const pending_loan& refused, loan_refusal reason);
+    void refuse_all(endpoint_record& record, loan_refusal reason);
+    // Of what comes before it in the queue.
+    [[nodiscard]] static core::duration expected_wait(const endpoint_record& record, const pending_loan& one);
+    void set_takes_place(link_record& on, bool takes);
+    void end_loan(lender_link_id id);
+    void drop_link(lender_link_id id);
+
+    lender_ports& m_ports;
+    bool m_stopping = false;
+    std::map<core::endpoint_id, endpoint_record> m_endpoints;
+    std::map<lender_link_id, link_record> m_links;
+    std::map<loan_key, lender_link_id> m_loans; // granted
+    std::uint64_t m_last_link = 0;
+    lender_counters m_counters;
+};
+
+} // namespace mangoquay::lending
--- /dev/null
+++ b/src/lending/lender_choice.cpp
@@ -0,0 +1,85 @@
+// Rendezvous hashing within a zone.
+#include "lending/lender_choice.h"
+
+#include "membership/owner_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoquay::lending {
+namespace {
+
+constexpr std::uint32_t kept_fifths = 3;
+
+using host_set = std::set<core::entry_host_id>;
+
+// All hosts, for a zone that has none of its own.
+host_set all_of(const hosts_by_zone& hosts) {
+    host_set all;
+    for (const auto& [zone, members] : hosts) {
+        all.insert(members.begin(), members.end());
+    }
+    return all;
+}
+
+std::vector<core::entry_host_id> by_score(const host_set& hosts, const core::endpoint_id& endpoint) {
+    std::vector<core::entry_host_id> ranked(hosts.begin(), hosts.end());
+    std::ranges::sort(ranked, std::greater{}, [&endpoint](const core::entry_host_id& host) {
+        return membership::rendezvous_score(host, endpoint);
+    });
+    return ranked;
+}
+
+} // namespace
+
+std::uint32_t links_kept_by(const core::entry_host_id& host, const registry::endpoint_report& endpoint,
+                            const hosts_by_zone& hosts, std::uint32_t usable) {
+    const auto own = hosts.find(endpoint.m_zone);
+    if (own == hosts.end() || !own->second.contains(host)) {
+        return 0;
+    }
+    const auto neighbours = static_cast<std::uint32_t>(own->second.size());
+    const std::uint32_t kept = usable * kept_fifths / 5;
+    const std::vector<core::entry_host_id> ranked = by_score(own->second, endpoint.m_id);
+    const auto rank = static_cast<std::uint32_t>(std::ranges::find(ranked, host) - ranked.begin());
+    return kept / neighbours + (rank < kept % neighbours ? 1 : 0);
+}
+
+std::uint32_t links_lent_by_each(const registry::endpoint_report& endpoint, const hosts_by_zone& hosts,
+                                 std::uint32_t usable, std::size_t lenders) {
+    const auto own = hosts.find(endpoint.m_zone);
+    const bool any_kept = own != hosts.end() && !own->second.empty();
+    const std::uint32_t kept = any_kept ? usable * kept_fifths / 5 : 0;
+    return std::max(1U, (usable - kept) / static_cast<std::uint32_t>(std::max<std::size_t>(1, lenders)));
+}
+
+lenders_by_endpoint choose_lenders(const hosts_by_zone& hosts,
+                                   const std::vector<registry::endpoint_report>& endpoints) {
+    std::map<core::availability_zone, std::vector<core::endpoint_id>> by_zone;
+    for (const registry::endpoint_report& report : endpoints) {
+        by_zone[report.m_zone].push_back(report.m_id);
+    }
+    lenders_by_endpoint chosen;
+    const host_set everyone = all_of(hosts);
+    for (auto& [zone, members] : by_zone) {
+        std::ranges::sort(members);
+        const auto own = hosts.find(zone);
+        const host_set& candidates = own == hosts.end() || own->second.empty() ? everyone : own->second;
+        const std::size_t count = std::clamp(candidates.size() / members.size(), least_lenders, most_lenders);
+        const std::size_t bound =
+            candidates.empty() ? 0 : (count * members.size() + candidates.size() - 1) / candidates.size() + 1;
+        std::map<core::entry_host_id, std::size_t> load;
+        for (const core::endpoint_id& endpoint : members) {
+            std::vector<core::entry_host_id>& lenders = chosen[endpoint];
+            for (const core::entry_host_id& host : by_score(candidates, endpoint)) {
+                if (lenders.size() < count && load[host] < bound) {
+                    ++load[host];
+                    lenders.push_back(host);
+                }
+            }
+        }
+    }
+    return chosen;
+}
+
+} // namespace mangoquay::lending
--- /dev/null
+++ b/src/lending/lending_wire.cpp
@@ -0,0 +1,118 @@
+// Conversions; values of enumerations are checked.
+#include "lending/lending_wire.h"
+
+#include "wire/positions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoquay::lending {
+namespace {
+
+// Only these are lent out; the steps of a promotion are for control hosts.
+constexpr auto last_kind = relay::request_kind::rollback;
+constexpr auto last_refusal = relay::refusal::malformed;
+constexpr auto last_state = relay::transaction_state::failed;
+
+template <class Enumeration>
+bool in_range(std::uint8_t value, Enumeration last) {
+    return value <= static_cast<std::uint8_t>(last);
+}
+
+} // namespace
+
+wire::loan_requestT to_wire(loan_id loan, const core::endpoint_id& endpoint, const loan_terms& terms) {
+    wire::loan_requestT message;
+    message.loan = loan.value();
+    message.endpoint = endpoint.value();
+    message.urgent = terms.m_urgent;
+    message.needs_slot = terms.m_needs_slot;
+    message.expected_us = static_cast<std::uint32_t>(std::clamp(terms.m_expected_ms, 0.0, 60'000.0) * 1000.0);
+    message.wait_us =
+        static_cast<std::uint32_t>(std::chrono::duration_cast<core::microseconds>(terms.m_wait).count());
+    return message;
+}
+
+loan_terms from_wire(const wire::loan_requestT& message) {
+    return {message.urgent, message.needs_slot, static_cast<double>(message.expected_us) / 1000.0,
+            core::microseconds(message.wait_us)};
+}
+
+wire::loan_grantT to_wire(loan_id loan, const loan_offer& offer) {
+    wire::loan_grantT message;
+    message.loan = loan.value();
+    message.silent_ms =
+        static_cast<std::uint32_t>(std::chrono::duration_cast<core::milliseconds>(offer.m_silent).count());
+    message.position = wire::to_wire(offer.m_position);
+    message.waiting = offer.m_waiting;
+    return message;
+}
+
+loan_offer from_wire(const wire::loan_grantT& message) {
+    return {core::milliseconds(message.silent_ms), wire::position_from_wire(message.position.get()),
+            message.waiting};
+}
+
+wire::loan_workT to_wire(loan_id loan, std::uint32_t number,
+                         const std::vector<relay::database_request>& requests) {
+    wire::loan_workT message;
+    message.loan = loan.value();
+    message.number = number;
+    for (const relay::database_request& request : requests) {
+        auto one = std::make_unique<wire::link_requestT>();
+        one->kind = static_cast<std::uint8_t>(request.m_kind);
+        one->id = request.m_id;
+        one->least_position = wire::to_wire(request.m_least_position);
+        one->name = request.m_name;
+        one->argument = request.m_argument;
+        one->access = static_cast<std::uint8_t>(request.m_access);
+        message.requests.push_back(std::move(one));
+    }
+    return message;
+}
+
+std::optional<std::vector<relay::database_request>> from_wire(const wire::loan_workT& message) {
+    std::vector<relay::database_request> requests;
+    for (const auto& one : message.requests) {
+        if (!in_range(one->kind, last_kind) || !in_range(one->access, relay::access_kind::write)) {
+            return std::nullopt;
+        }
+        requests.push_back({.m_kind = static_cast<relay::request_kind>(one->kind),
+                            .m_id = one->id,
+                            .m_least_position = wire::position_from_wire(one->least_position.get()),
+                            .m_name = one->name,
+                            .m_argument = one->argument,
+                            .m_access = static_cast<relay::access_kind>(one->access)});
+    }
+    return requests;
+}
+
+wire::loan_answerT to_wire(loan_id loan, std::uint32_t number, const relay::database_answer& answer) {
+    wire::loan_answerT message;
+    message.loan = loan.value();
+    message.number = number;
+    message.rows = answer.m_rows;
+    message.has_refusal = answer.m_refusal.has_value();
+    message.refusal = static_cast<std::uint8_t>(answer.m_refusal.value_or(relay::refusal::busy));
+    message.text = answer.m_text;
+    message.state = static_cast<std::uint8_t>(answer.m_state);
+    message.position = wire::to_wire(answer.m_position);
+    return message;
+}
+
+std::optional<relay::database_answer> from_wire(const wire::loan_answerT& message) {
+    if (!in_range(message.refusal, last_refusal) || !in_range(message.state, last_state)) {
+        return std::nullopt;
+    }
+    relay::database_answer answer;
+    answer.m_rows = message.rows;
+    if (message.has_refusal) {
+        answer.m_refusal = static_cast<relay::refusal>(message.refusal);
+    }
+    answer.m_text = message.text;
+    answer.m_state = static_cast<relay::transaction_state>(message.state);
+    answer.m_position = wire::position_from_wire(message.position.get());
+    return answer;
+}
+
+} // namespace mangoquay::lending
--- /dev/null
+++ b/src/lending/lending_wire.h
@@ -0,0 +1,26 @@
+// Requests, answers and loans in their FlatBuffers form.
+#pragma once
+
+#include "lending/loan.h"
+#include "relay/statement.h"
+#include "wire/mangoquay_generated.h"
+
+#include <vector>
+
+namespace mangoquay::lending {
+
+wire::loan_requestT to_wire(loan_id loan, const core::endpoint_id& endpoint, const loan_terms& terms);
+loan_terms from_wire(const wire::loan_requestT& message);
+
+wire::loan_grantT to_wire(loan_id loan, const loan_offer& offer);
+loan_offer from_wire(const wire::loan_grantT& message);
+
+wire::loan_workT to_wire(loan_id loan, std::uint32_t number,
+                         const std::vector<relay::database_request>& requests);
+// Nothing when a value is out of range: the sender is of another version.
+std::optional<std::vector<relay::database_request>> from_wire(const wire::loan_workT& message);
+
+wire::loan_answerT to_wire(loan_id loan, std::uint32_t number, const relay::database_answer& answer);
+std::optional<relay::database_answer> from_wire(const wire::loan_answerT& message);
+
+} // namespace mangoquay::lending
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -41,7 +41,10 @@
     core::endpoint_id m_endpoint;
     link_phase m_phase = link_phase::opening;
     std::optional<session_id> m_session;
-    bool m_running = false; // a caller's statement was sent and is not answered
+    bool m_lent = false;                   // by a host that keeps it, for one piece of work
+    std::optional<session_id> m_wanted_by; // while a loan is asked for: empty for a probe
+    core::time_point m_asked_at{};         // when the loan was asked for
+    bool m_running = false;                // a caller's statement was sent and is not answered
     std::deque<expected_answer> m_expected;
     std::map<std::string, std::string> m_values;
     std::set<std::string> m_prepared; // names given by prepared_name()
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -13,6 +13,8 @@
 constexpr double window_increase = 0.15;
 constexpr double window_decrease = 0.8;
 constexpr int slow_part_of_target = 3;
+// The lenders keep the queue; this bounds what one host adds to it.
+constexpr std::uint32_t most_loans = 32;
 constexpr core::milliseconds down_after_step{400}; // of the back-off: the third failure in a row
 // Opening a link takes about 12 ms (sheet), and an endpoint that does not answer becomes suspect within a
 // second.
@@ -24,6 +26,9 @@
 constexpr double primary_penalty_ms = 5.0;
 
 bool has_free_link(const endpoint_view& view, const placement_request& request) {
+    if (view.m_lent && view.m_loans < most_loans) {
+        return true;
+    }
     // Statements wait here, in the order of their priority, and not in the database's queue, where each would
     // hold one of its connections.
     // Urgent ones do not wait for this host's own that were sent before.
@@ -32,10 +37,14 @@
     return view.m_busy < request.m_links_per_endpoint && view.m_running < at_once;
 }
 
-bool has_idle_link(const endpoint_view& view) {
+bool has_own_idle_link(const endpoint_view& view) {
     return view.m_links > view.m_busy + view.m_opening;
 }
 
+bool has_idle_link(const endpoint_view& view) {
+    return view.m_lent || has_own_idle_link(view);
+}
+
 bool probably_lags(const endpoint_view& view, const placement_request& request) {
     if (!request.m_position || (view.m_position && *view.m_position >= *request.m_position)) {
         return false;
@@ -50,7 +59,8 @@
 
 double cost_of(const endpoint_view& view, const placement_request& request, core::time_point now) {
     const double slots = std::max(1.0, static_cast<double>(view.m_report.m_slots));
-    double cost = view.m_answer_ms * (1.0 + static_cast<double>(view.m_busy) / slots);
+    double cost = view.m_answer_ms * (1.0 + static_cast<double>(view.m_busy + view.m_loans) / slots);
+    cost += view.m_lent && !has_own_idle_link(view) ? view.m_grant_ms : 0.0;
     cost += view.m_report.m_zone == request.m_zone ? 0.0 : request.m_other_zone_cost_ms;
     cost += view.m_suspect.passed(now) ? 0.0 : suspect_penalty_ms;
     if (view.m_report.m_is_primary) {
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -20,6 +20,7 @@
 // What this host has learnt about an endpoint from its own traffic.
 struct endpoint_view {
     registry::endpoint_report m_report;
+    // This host's own; lent ones are counted apart.
     std::uint32_t m_links = 0; // open and opening
     std::uint32_t m_busy = 0;  // of them
     std::uint32_t m_opening = 0;
@@ -34,6 +35,11 @@
     // Statements that this host lets the endpoint have at once: shrinks while answers are slow.
     double m_window = 2.0;
     double m_answer_ms = 15.0; // exponentially weighted; starts near the work of the sheets' short requests
+    bool m_lent = false;       // hosts that keep links to it lend them
+    std::uint32_t m_own_kept = 0;                     // links that this host keeps itself beside that
+    std::uint32_t m_loans = 0;                        // held and asked for
+    double m_grant_ms = 0.0;                          // until a link is lent; exponentially weighted
+    core::time_point m_heard{};                       // the last answer on any link
     std::optional<core::history_position> m_position; // last seen
     core::time_point m_position_at{};
 };
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -61,6 +61,7 @@
     endpoint_view& view = m_endpoints.at(on.m_endpoint);
     view.m_suspect = {};
     view.m_suspect_step = {};
+    view.m_heard = now;
     if (answer.m_position) {
         view.m_position = answer.m_position;
         view.m_position_at = now;
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include "documents/configuration.h"
+#include "lending/loan.h"
 #include "relay/freshness.h"
 #include "relay/link.h"
 #include "relay/placement.h"
@@ -59,6 +60,12 @@
     virtual void close_session(session_id session) = 0;
     // Answered by link_opened() or link_failed().
     virtual void open_link(link_id link, const registry::endpoint_report& target) = 0;
+    // Asks a host that keeps connections to the endpoint for one. Answered by link_lent() or loan_refused();
+    // a link that was lent ends by loan_lost() or link_failed().
+    virtual void borrow_link(link_id link, const core::endpoint_id& endpoint,
+                             const lending::loan_terms& terms) = 0;
+    // Of a link that was lent and has nothing in progress. No event of the link follows.
+    virtual void give_back(link_id link, bool holds_values) = 0;
     virtual void send(link_id link, const std::vector<database_request>& requests) = 0;
     // No event of the link follows.
     virtual void close_link(link_id link) = 0;
@@ -90,6 +97,7 @@
     std::uint64_t m_repeated = 0;  // attempts after the first
     std::uint64_t m_probes = 0;    // for the primary's position
     std::uint64_t m_links_opened = 0;
+    std::uint64_t m_links_borrowed = 0;
     std::uint64_t m_replica_reads = 0;
     std::uint64_t m_primary_reads = 0;
 };
@@ -108,6 +116,13 @@
     void configure(documents::configuration next, core::time_point now);
     void endpoints_changed(const std::vector<registry::endpoint_report>& listed, core::time_point now);
     void entry_hosts_counted(std::uint32_t count) { m_limits.m_entry_hosts = std::max(1U, count); }
+    // Whether the service's connections are too few for each host to keep its own.
+    [[nodiscard]] bool shares_links(const core::service_name& service) const;
+    // Connections of one of its databases that entry hosts may use together.
+    [[nodiscard]] std::uint32_t usable_connections(const core::service_name& service) const;
+    // The endpoints whose links are lent from now on, with the links that this host keeps itself. It opens
+    // its own to all others.
+    void lent_endpoints(const std::map<core::endpoint_id, std::uint32_t>& kept, core::time_point now);
 
     // False: no route has that name.
     bool session_opened(session_id id, const std::string& database);
@@ -123,6 +138,10 @@
     void link_answered(link_id id, const database_answer& answer, core::time_point now);
     // `reason` tells a refused connection from one that broke.
     void link_failed(link_id id, std::optional<refusal> reason, core::time_point now);
+    void link_lent(link_id id, const lending::loan_offer& offer, core::time_point now);
+    void loan_refused(link_id id, lending::loan_refusal reason, core::time_point now);
+    // Its lender or the lender's connection is gone, which says nothing about the endpoint.
+    void loan_lost(link_id id, const std::string& reason, core::time_point now);
 
     void tick(core::time_point now);
 
@@ -187,10 +206,21 @@
     void open_links(const core::endpoint_id& endpoint, std::uint32_t wanted, core::time_point now);
     // Links to an endpoint that this host may keep open.
     [[nodiscard]] std::uint32_t links_kept(const core::service_name& service) const;
+    [[nodiscard]] std::uint32_t links_kept(const endpoint_view& view) const;
     // Links that it may open while its work needs them and others leave them free.
     [[nodiscard]] std::uint32_t links_allowed(const core::service_name& service) const;
     void close_borrowed_links(core::time_point now);
 
+    // relay_loans.cpp: links that other hosts lend.
+    void borrow(session_id id, session& caller, const documents::route_rule& route,
+                const core::endpoint_id& endpoint, core::time_point now);
+    void borrow_for_probe(const endpoint_view& primary, core::time_point now);
+    link_id add_loan(const core::endpoint_id& endpoint, const lending::loan_terms& terms);
+    // Of a statement that does not wait for one any more.
+    void cancel_loan(session& caller);
+    void use_loan(link_id id, core::time_point now);
+    void send_probe(link_id id, core::time_point now);
+
     // relay_answers.cpp: what answers mean.
     void preparation_answered(link_id id, link_step step, const database_answer& answer,
                               core::time_point now);
@@ -209,7 +239,9 @@
 
     // relay_links.cpp: losing and giving back of links.
     void note_failure(const core::endpoint_id& endpoint, core::time_point now);
-    void lose_link(link_id id, const std::string& reason, core::time_point now);
+    enum class blame : std::uint8_t { endpoint, lender };
+    void lose_link(link_id id, const std::string& reason, core::time_point now,
+                   blame blamed = blame::endpoint);
     void link_lost_by(session_id owner, const std::string& reason, core::time_point now);
     void release(link_id id, core::time_point now);
     void detach(session& caller, core::time_point now);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -44,7 +44,7 @@
         refuse(id, caller, refusal::unknown_database, "the route was removed", now);
         return;
     }
-    if (!work.m_not_before.passed(now)) {
+    if (work.m_loan || !work.m_not_before.passed(now)) {
         return;
     }
     const auto request = request_of(caller, *route, now);
@@ -64,6 +64,10 @@
         return;
     }
     const auto number = take_link(outcome.m_chosen->m_endpoint, caller);
+    if (!number && m_endpoints.at(outcome.m_chosen->m_endpoint).m_lent) {
+        borrow(id, caller, *route, outcome.m_chosen->m_endpoint, now);
+        return;
+    }
     if (!number) {
         work.m_last_reason = "no free connection to " + outcome.m_chosen->m_endpoint.value();
         return;
@@ -156,7 +160,7 @@
 std::optional<link_id> relay_core::take_link(const core::endpoint_id& endpoint, const session& caller) const {
     std::optional<link_id> best;
     for (const auto& [number, one] : m_links) {
-        if (one.m_endpoint == endpoint && one.m_phase == link_phase::idle &&
+        if (one.m_endpoint == endpoint && one.m_phase == link_phase::idle && !one.m_lent &&
             (!best || one.m_values == caller.m_values)) {
             best = number;
         }
@@ -220,7 +224,7 @@
 void relay_core::occupy(link& on) {
     if (on.m_phase == link_phase::idle) {
         on.m_phase = link_phase::busy;
-        ++m_endpoints.at(on.m_endpoint).m_busy;
+        m_endpoints.at(on.m_endpoint).m_busy += on.m_lent ? 0 : 1;
     }
 }
 
@@ -277,7 +281,7 @@
 }
 
 void relay_core::set_running(link& on, bool running) {
-    if (on.m_running != running) {
+    if (on.m_running != running && !on.m_lent) {
         on.m_running = running;
         endpoint_view& view = m_endpoints.at(on.m_endpoint);
         view.m_running += running ? 1 : -1;
@@ -303,18 +307,26 @@
     }
     const core::endpoint_id endpoint = primary->m_report.m_id;
     const auto number = take_link(endpoint, session{});
+    if (!number && primary->m_lent) {
+        borrow_for_probe(*primary, now);
+        return;
+    }
     if (!number) {
         if (primary->m_opening == 0) {
             open_links(endpoint, 1, now);
         }
         return;
     }
-    link& on = m_links.at(*number);
+    m_probes[service] = *number;
+    send_probe(*number, now);
+}
+
+void relay_core::send_probe(link_id id, core::time_point now) {
+    link& on = m_links.at(id);
     occupy(on);
     on.m_answer_by.m_at = now + preparation_limit;
-    m_probes[service] = *number;
     ++m_counters.m_probes;
-    send(*number, on, {{.m_kind = request_kind::begin}, {.m_kind = request_kind::rollback}},
+    send(id, on, {{.m_kind = request_kind::begin}, {.m_kind = request_kind::rollback}},
          {link_step::probe, link_step::rollback}, now);
 }
 
--- a/src/relay/relay_endpoints.cpp
+++ b/src/relay/relay_endpoints.cpp
@@ -14,17 +14,40 @@
 constexpr std::uint32_t links_ahead = 1;
 // A host takes at most half of a database's connections.
 constexpr std::uint32_t most_of_one_host_divisor = 2;
+// Transactions pause on a link, so a host with fewer could not run anything beside one.
+constexpr std::uint32_t least_own_links = 1;
 // Links beyond the host's share go back when they were not used for this long.
 constexpr core::milliseconds borrowed_idle{400};
 
 } // namespace
 
-std::uint32_t relay_core::links_kept(const core::service_name& service) const {
+std::uint32_t relay_core::usable_connections(const core::service_name& service) const {
     const documents::service_rule* rule = m_configuration.service(service);
-    if (rule == nullptr || rule->m_connections <= m_limits.m_reserved_connections) {
-        return 0;
+    return rule == nullptr || rule->m_connections <= m_limits.m_reserved_connections
+               ? 0
+               : rule->m_connections - m_limits.m_reserved_connections;
+}
+
+std::uint32_t relay_core::links_kept(const core::service_name& service) const {
+    return usable_connections(service) / m_limits.m_entry_hosts;
+}
+
+bool relay_core::shares_links(const core::service_name& service) const {
+    return m_configuration.service(service) != nullptr && links_kept(service) < least_own_links;
+}
+
+std::uint32_t relay_core::links_kept(const endpoint_view& view) const {
+    return view.m_lent ? view.m_own_kept : links_kept(view.m_report.m_service);
+}
+
+void relay_core::lent_endpoints(const std::map<core::endpoint_id, std::uint32_t>& kept,
+                                core::time_point now) {
+    for (auto& [id, view] : m_endpoints) {
+        const auto found = kept.find(id);
+        view.m_lent = found != kept.end();
+        view.m_own_kept = view.m_lent ? found->second : 0;
     }
-    return (rule->m_connections - m_limits.m_reserved_connections) / m_limits.m_entry_hosts;
+    open_links_ahead(now);
 }
 
 // Transactions that pause hold a link without using a slot, so the busiest host may need several times its
@@ -43,8 +66,8 @@
     for (const auto& [number, one] : m_links) {
         const endpoint_view& view = m_endpoints.at(one.m_endpoint);
         std::uint32_t& open = left.try_emplace(one.m_endpoint, view.m_links).first->second;
-        const bool borrowed = open > links_kept(view.m_report.m_service);
-        if (borrowed && one.m_phase == link_phase::idle && one.m_heard + borrowed_idle < now) {
+        const bool borrowed = open > links_kept(view);
+        if (borrowed && !one.m_lent && one.m_phase == link_phase::idle && one.m_heard + borrowed_idle < now) {
             unused.push_back(number);
             --open;
         }
@@ -61,7 +84,7 @@
         return; // tried again when the back-off has ended
     }
     endpoint_view& view = found->second;
-    const std::uint32_t allowed = links_allowed(view.m_report.m_service);
+    const std::uint32_t allowed = view.m_lent ? view.m_own_kept : links_allowed(view.m_report.m_service);
     for (; wanted > 0 && view.m_links < allowed; --wanted) {
         const link_id number(++m_last_link);
         link opened;
@@ -77,7 +100,7 @@
 
 void relay_core::open_links_ahead(core::time_point now) {
     for (const auto& [id, view] : m_endpoints) {
-        const std::uint32_t wanted = std::min(links_ahead, links_kept(view.m_report.m_service));
+        const std::uint32_t wanted = std::min(links_ahead, links_kept(view));
         if (view.m_links < wanted && view.m_report.m_state != registry::report_state::gone) {
             open_links(id, wanted - view.m_links, now);
         }
@@ -100,7 +123,7 @@
     }
     for (auto one = m_endpoints.begin(); one != m_endpoints.end();) {
         // Links that are in use finish their work; the record stays until they are gone.
-        if (present.contains(one->first) || one->second.m_busy > 0) {
+        if (present.contains(one->first) || one->second.m_busy + one->second.m_loans > 0) {
             if (!present.contains(one->first)) {
                 one->second.m_report.m_state = registry::report_state::gone;
                 one->second.m_report.m_is_primary = false;
@@ -115,8 +138,10 @@
             }
         }
         for (const link_id number : idle) {
-            m_links.erase(number);
-            m_ports.close_link(number);
+            if (const auto owner = m_links.at(number).m_wanted_by) {
+                m_sessions.at(*owner).m_operation->m_loan.reset();
+            }
+            drop_link(number);
         }
         one = m_endpoints.erase(one);
     }
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -30,6 +30,7 @@
     endpoint_view& view = m_endpoints.at(on.m_endpoint);
     view.m_suspect = {};
     view.m_suspect_step = {};
+    view.m_heard = now;
     if (position) {
         view.m_position = position;
         view.m_position_at = now;
@@ -63,11 +64,11 @@
 }
 
 // The link is useless: its connection broke, an answer is overdue or came out of turn.
-void relay_core::lose_link(link_id id, const std::string& reason, core::time_point now) {
+void relay_core::lose_link(link_id id, const std::string& reason, core::time_point now, blame blamed) {
     const link lost = m_links.at(id);
     drop_link(id);
     const bool was_idle = lost.m_phase == link_phase::idle;
-    if (!was_idle) {
+    if (!was_idle && blamed == blame::endpoint) {
         note_failure(lost.m_endpoint, now);
     }
     if (lost.m_session) {
@@ -148,12 +149,19 @@
     link& on = m_links.at(id);
     std::erase_if(m_probes, [id](const auto& one) { return one.second == id; });
     endpoint_view& view = m_endpoints.at(on.m_endpoint);
-    if (on.m_phase == link_phase::busy) {
+    if (on.m_phase == link_phase::busy && !on.m_lent) {
         --view.m_busy;
     }
     on.m_phase = link_phase::idle;
     on.m_session.reset();
     on.m_answer_by.m_at = core::time_point::max();
+    if (on.m_lent) {
+        const bool holds_values = !on.m_values.empty() || !on.m_prepared.empty();
+        --view.m_loans;
+        m_links.erase(id);
+        m_ports.give_back(id, holds_values);
+        return;
+    }
     if (view.m_report.m_state == registry::report_state::gone) {
         drop_link(id);
     }
@@ -167,11 +175,13 @@
     }
     std::erase_if(m_probes, [id](const auto& one) { return one.second == id; });
     endpoint_view& view = m_endpoints.at(found->second.m_endpoint);
-    --view.m_links;
-    view.m_opening -= found->second.m_phase == link_phase::opening ? 1 : 0;
-    set_running(found->second, false);
-    if (found->second.m_phase == link_phase::busy) {
-        --view.m_busy;
+    if (found->second.m_lent) {
+        --view.m_loans;
+    } else {
+        --view.m_links;
+        view.m_opening -= found->second.m_phase == link_phase::opening ? 1 : 0;
+        view.m_busy -= found->second.m_phase == link_phase::busy ? 1 : 0;
+        set_running(found->second, false);
     }
     m_links.erase(found);
     m_ports.close_link(id);
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -231,6 +231,7 @@
         caller.m_state = transaction_state::failed;
     }
     answer.m_state = caller.m_state;
+    cancel_loan(caller);
     caller.m_operation.reset();
     if (caller.m_state == transaction_state::idle) {
         m_active.erase(id);
@@ -258,6 +259,7 @@
     if (found == m_sessions.end()) {
         return;
     }
+    cancel_loan(found->second);
     detach(found->second, now);
     m_active.erase(id);
     m_sessions.erase(found);
--- a/src/relay/relay_ticks.cpp
+++ b/src/relay/relay_ticks.cpp
@@ -120,11 +120,7 @@
         if (!view.m_report.m_is_primary) {
             continue;
         }
-        const core::endpoint_id& endpoint = id;
-        const bool heard = std::ranges::any_of(m_links, [&endpoint, now](const auto& one) {
-            return one.second.m_endpoint == endpoint && one.second.m_phase != link_phase::opening &&
-                   one.second.m_heard + sighting_age > now;
-        });
+        const bool heard = view.m_heard + sighting_age > now;
         seen.push_back({id, heard, view.m_suspect_step.count() > 0});
     }
     return seen;
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -45,8 +45,9 @@
     // The same while no endpoint is known that could serve it.
     core::deadline m_refuse_unservable;
     bool m_unservable = false;
-    core::deadline m_not_before; // of the next attempt
-    core::deadline m_hedge;      // a read without an answer by then runs elsewhere as well
+    core::deadline m_not_before;   // of the next attempt
+    std::optional<link_id> m_loan; // a link that is asked for and not lent yet
+    core::deadline m_hedge;        // a read without an answer by then runs elsewhere as well
     operation_phase m_phase = operation_phase::waiting;
     std::uint32_t m_attempts = 0; // that were sent to a database
     // A read that runs inside a plain transaction of the relay's own, which only a primary accepts.
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -129,6 +129,10 @@
 struct endpoint_entryBuilder;
 struct endpoint_entryT;
 
+struct zone_hosts;
+struct zone_hostsBuilder;
+struct zone_hostsT;
+
 struct primary_view;
 struct primary_viewBuilder;
 struct primary_viewT;
@@ -145,6 +149,38 @@
 struct cell_joinBuilder;
 struct cell_joinT;
 
+struct loan_request;
+struct loan_requestBuilder;
+struct loan_requestT;
+
+struct loan_grant;
+struct loan_grantBuilder;
+struct loan_grantT;
+
+struct loan_refusal;
+struct loan_refusalBuilder;
+struct loan_refusalT;
+
+struct link_request;
+struct link_requestBuilder;
+struct link_requestT;
+
+struct loan_work;
+struct loan_workBuilder;
+struct loan_workT;
+
+struct loan_answer;
+struct loan_answerBuilder;
+struct loan_answerT;
+
+struct loan_end;
+struct loan_endBuilder;
+struct loan_endT;
+
+struct loan_lost;
+struct loan_lostBuilder;
+struct loan_lostT;
+
 struct envelope;
 struct envelopeBuilder;
 struct envelopeT;
@@ -170,11 +206,18 @@
   fleet_follow = 17,
   fleet_update = 18,
   cell_join = 19,
+  loan_request = 20,
+  loan_grant = 21,
+  loan_refusal = 22,
+  loan_work = 23,
+  loan_answer = 24,
+  loan_end = 25,
+  loan_lost = 26,
   MIN = NONE,
-  MAX = cell_join
+  MAX = loan_lost
 };
 
-inline const message (&EnumValuesmessage())[20] {
+inline const message (&EnumValuesmessage())[27] {
   static const message values[] = {
     message::NONE,
     message::raft_message,
@@ -195,13 +238,20 @@
     message::replace_control_host,
     message::fleet_follow,
     message::fleet_update,
-    message::cell_join
+    message::cell_join,
+    message::loan_request,
+    message::loan_grant,
+    message::loan_refusal,
+    message::loan_work,
+    message::loan_answer,
+    message::loan_end,
+    message::loan_lost
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[21] = {
+  static const char * const names[28] = {
     "NONE",
     "raft_message",
     "heartbeat",
@@ -222,13 +272,20 @@
     "fleet_follow",
     "fleet_update",
     "cell_join",
+    "loan_request",
+    "loan_grant",
+    "loan_refusal",
+    "loan_work",
+    "loan_answer",
+    "loan_end",
+    "loan_lost",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::cell_join)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::loan_lost)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -313,6 +370,34 @@
   static const message enum_value = message::cell_join;
 };
 
+template<> struct messageTraits<mangoquay::wire::loan_request> {
+  static const message enum_value = message::loan_request;
+};
+
+template<> struct messageTraits<mangoquay::wire::loan_grant> {
+  static const message enum_value = message::loan_grant;
+};
+
+template<> struct messageTraits<mangoquay::wire::loan_refusal> {
+  static const message enum_value = message::loan_refusal;
+};
+
+template<> struct messageTraits<mangoquay::wire::loan_work> {
+  static const message enum_value = message::loan_work;
+};
+
+template<> struct messageTraits<mangoquay::wire::loan_answer> {
+  static const message enum_value = message::loan_answer;
+};
+
+template<> struct messageTraits<mangoquay::wire::loan_end> {
+  static const message enum_value = message::loan_end;
+};
+
+template<> struct messageTraits<mangoquay::wire::loan_lost> {
+  static const message enum_value = message::loan_lost;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -393,6 +478,34 @@
   static const message enum_value = message::cell_join;
 };
 
+template<> struct messageUnionTraits<mangoquay::wire::loan_requestT> {
+  static const message enum_value = message::loan_request;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::loan_grantT> {
+  static const message enum_value = message::loan_grant;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::loan_refusalT> {
+  static const message enum_value = message::loan_refusal;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::loan_workT> {
+  static const message enum_value = message::loan_work;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::loan_answerT> {
+  static const message enum_value = message::loan_answer;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::loan_endT> {
+  static const message enum_value = message::loan_end;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::loan_lostT> {
+  static const message enum_value = message::loan_lost;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -575,6 +688,62 @@
     return type == message::cell_join ?
       reinterpret_cast<const mangoquay::wire::cell_joinT *>(value) : nullptr;
   }
+  mangoquay::wire::loan_requestT *Asloan_request() {
+    return type == message::loan_request ?
+      reinterpret_cast<mangoquay::wire::loan_requestT *>(value) : nullptr;
+  }
+  const mangoquay::wire::loan_requestT *Asloan_request() const {
+    return type == message::loan_request ?
+      reinterpret_cast<const mangoquay::wire::loan_requestT *>(value) : nullptr;
+  }
+  mangoquay::wire::loan_grantT *Asloan_grant() {
+    return type == message::loan_grant ?
+      reinterpret_cast<mangoquay::wire::loan_grantT *>(value) : nullptr;
+  }
+  const mangoquay::wire::loan_grantT *Asloan_grant() const {
+    return type == message::loan_grant ?
+      reinterpret_cast<const mangoquay::wire::loan_grantT *>(value) : nullptr;
+  }
+  mangoquay::wire::loan_refusalT *Asloan_refusal() {
+    return type == message::loan_refusal ?
+      reinterpret_cast<mangoquay::wire::loan_refusalT *>(value) : nullptr;
+  }
+  const mangoquay::wire::loan_refusalT *Asloan_refusal() const {
+    return type == message::loan_refusal ?
+      reinterpret_cast<const mangoquay::wire::loan_refusalT *>(value) : nullptr;
+  }
+  mangoquay::wire::loan_workT *Asloan_work() {
+    return type == message::loan_work ?
+      reinterpret_cast<mangoquay::wire::loan_workT *>(value) : nullptr;
+  }
+  const mangoquay::wire::loan_workT *Asloan_work() const {
+    return type == message::loan_work ?
+      reinterpret_cast<const mangoquay::wire::loan_workT *>(value) : nullptr;
+  }
+  mangoquay::wire::loan_answerT *Asloan_answer() {
+    return type == message::loan_answer ?
+      reinterpret_cast<mangoquay::wire::loan_answerT *>(value) : nullptr;
+  }
+  const mangoquay::wire::loan_answerT *Asloan_answer() const {
+    return type == message::loan_answer ?
+      reinterpret_cast<const mangoquay::wire::loan_answerT *>(value) : nullptr;
+  }
+  mangoquay::wire::loan_endT *Asloan_end() {
+    return type == message::loan_end ?
+      reinterpret_cast<mangoquay::wire::loan_endT *>(value) : nullptr;
+  }
+  const mangoquay::wire::loan_endT *Asloan_end() const {
+    return type == message::loan_end ?
+      reinterpret_cast<const mangoquay::wire::loan_endT *>(value) : nullptr;
+  }
+  mangoquay::wire::loan_lostT *Asloan_lost() {
+    return type == message::loan_lost ?
+      reinterpret_cast<mangoquay::wire::loan_lostT *>(value) : nullptr;
+  }
+  const mangoquay::wire::loan_lostT *Asloan_lost() const {
+    return type == message::loan_lost ?
+      reinterpret_cast<const mangoquay::wire::loan_lostT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -3937,6 +4106,90 @@
 
 flatbuffers::Offset<endpoint_entry> Createendpoint_entry(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct zone_hostsT : public flatbuffers::NativeTable {
+  typedef zone_hosts TableType;
+  std::string zone{};
+  std::vector<std::string> hosts{};
+};
+
+struct zone_hosts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef zone_hostsT NativeTableType;
+  typedef zone_hostsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_HOSTS = 6
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *hosts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HOSTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_HOSTS) &&
+           verifier.VerifyVector(hosts()) &&
+           verifier.VerifyVectorOfStrings(hosts()) &&
+           verifier.EndTable();
+  }
+  zone_hostsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(zone_hostsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<zone_hosts> Pack(flatbuffers::FlatBufferBuilder &_fbb, const zone_hostsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct zone_hostsBuilder {
+  typedef zone_hosts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(zone_hosts::VT_ZONE, zone);
+  }
+  void add_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts) {
+    fbb_.AddOffset(zone_hosts::VT_HOSTS, hosts);
+  }
+  explicit zone_hostsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<zone_hosts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<zone_hosts>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<zone_hosts> Createzone_hosts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts = 0) {
+  zone_hostsBuilder builder_(_fbb);
+  builder_.add_hosts(hosts);
+  builder_.add_zone(zone);
+  return builder_.Finish();
+}
+
+struct zone_hosts::Traits {
+  using type = zone_hosts;
+  static auto constexpr Create = Createzone_hosts;
+};
+
+inline flatbuffers::Offset<zone_hosts> Createzone_hostsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *hosts = nullptr) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
+  return mangoquay::wire::Createzone_hosts(
+      _fbb,
+      zone__,
+      hosts__);
+}
+
+flatbuffers::Offset<zone_hosts> Createzone_hosts(flatbuffers::FlatBufferBuilder &_fbb, const zone_hostsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct primary_viewT : public flatbuffers::NativeTable {
   typedef primary_view TableType;
   std::string endpoint{};
@@ -4041,6 +4294,8 @@
   uint64_t registry_digest = 0;
   std::vector<std::unique_ptr<mangoquay::wire::primary_viewT>> primaries{};
   bool wants_document = false;
+  std::string zone{};
+  uint64_t ready_hosts_digest = 0;
   fleet_followT() = default;
   fleet_followT(const fleet_followT &o);
   fleet_followT(fleet_followT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4059,7 +4314,9 @@
     VT_DOCUMENT_VERSION = 12,
     VT_REGISTRY_DIGEST = 14,
     VT_PRIMARIES = 16,
-    VT_WANTS_DOCUMENT = 18
+    VT_WANTS_DOCUMENT = 18,
+    VT_ZONE = 20,
+    VT_READY_HOSTS_DIGEST = 22
   };
   bool is_entry() const {
     return GetField<uint8_t>(VT_IS_ENTRY, 0) != 0;
@@ -4085,6 +4342,12 @@
   bool wants_document() const {
     return GetField<uint8_t>(VT_WANTS_DOCUMENT, 0) != 0;
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint64_t ready_hosts_digest() const {
+    return GetField<uint64_t>(VT_READY_HOSTS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_IS_ENTRY, 1) &&
@@ -4098,6 +4361,9 @@
            verifier.VerifyVector(primaries()) &&
            verifier.VerifyVectorOfTables(primaries()) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_DOCUMENT, 1) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint64_t>(verifier, VT_READY_HOSTS_DIGEST, 8) &&
            verifier.EndTable();
   }
   fleet_followT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4133,6 +4399,12 @@
   void add_wants_document(bool wants_document) {
     fbb_.AddElement<uint8_t>(fleet_follow::VT_WANTS_DOCUMENT, static_cast<uint8_t>(wants_document), 0);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(fleet_follow::VT_ZONE, zone);
+  }
+  void add_ready_hosts_digest(uint64_t ready_hosts_digest) {
+    fbb_.AddElement<uint64_t>(fleet_follow::VT_READY_HOSTS_DIGEST, ready_hosts_digest, 0);
+  }
   explicit fleet_followBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4153,10 +4425,14 @@
     uint64_t document_version = 0,
     uint64_t registry_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>>> primaries = 0,
-    bool wants_document = false) {
+    bool wants_document = false,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint64_t ready_hosts_digest = 0) {
   fleet_followBuilder builder_(_fbb);
+  builder_.add_ready_hosts_digest(ready_hosts_digest);
   builder_.add_registry_digest(registry_digest);
   builder_.add_document_version(document_version);
+  builder_.add_zone(zone);
   builder_.add_primaries(primaries);
   builder_.add_peer_host(peer_host);
   builder_.add_peer_port(peer_port);
@@ -4180,9 +4456,12 @@
     uint64_t document_version = 0,
     uint64_t registry_digest = 0,
     const std::vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *primaries = nullptr,
-    bool wants_document = false) {
+    bool wants_document = false,
+    const char *zone = nullptr,
+    uint64_t ready_hosts_digest = 0) {
   auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
   auto primaries__ = primaries ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>>(*primaries) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return mangoquay::wire::Createfleet_follow(
       _fbb,
       is_entry,
@@ -4192,7 +4471,9 @@
       document_version,
       registry_digest,
       primaries__,
-      wants_document);
+      wants_document,
+      zone__,
+      ready_hosts_digest);
 }
 
 flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4205,6 +4486,8 @@
   std::vector<std::string> control_hosts{};
   uint32_t entry_hosts = 0;
   uint32_t document_bytes = 0;
+  std::vector<std::unique_ptr<mangoquay::wire::zone_hostsT>> ready_hosts{};
+  uint64_t ready_hosts_digest = 0;
   fleet_updateT() = default;
   fleet_updateT(const fleet_updateT &o);
   fleet_updateT(fleet_updateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4221,7 +4504,9 @@
     VT_ENDPOINTS = 8,
     VT_CONTROL_HOSTS = 10,
     VT_ENTRY_HOSTS = 12,
-    VT_DOCUMENT_BYTES = 14
+    VT_DOCUMENT_BYTES = 14,
+    VT_READY_HOSTS = 16,
+    VT_READY_HOSTS_DIGEST = 18
   };
   uint64_t document_version() const {
     return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
@@ -4241,6 +4526,12 @@
   uint32_t document_bytes() const {
     return GetField<uint32_t>(VT_DOCUMENT_BYTES, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> *ready_hosts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> *>(VT_READY_HOSTS);
+  }
+  uint64_t ready_hosts_digest() const {
+    return GetField<uint64_t>(VT_READY_HOSTS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
@@ -4254,6 +4545,10 @@
            verifier.VerifyVectorOfStrings(control_hosts()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_HOSTS, 4) &&
            VerifyField<uint32_t>(verifier, VT_DOCUMENT_BYTES, 4) &&
+           VerifyOffset(verifier, VT_READY_HOSTS) &&
+           verifier.VerifyVector(ready_hosts()) &&
+           verifier.VerifyVectorOfTables(ready_hosts()) &&
+           VerifyField<uint64_t>(verifier, VT_READY_HOSTS_DIGEST, 8) &&
            verifier.EndTable();
   }
   fleet_updateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4283,6 +4578,12 @@
   void add_document_bytes(uint32_t document_bytes) {
     fbb_.AddElement<uint32_t>(fleet_update::VT_DOCUMENT_BYTES, document_bytes, 0);
   }
+  void add_ready_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>>> ready_hosts) {
+    fbb_.AddOffset(fleet_update::VT_READY_HOSTS, ready_hosts);
+  }
+  void add_ready_hosts_digest(uint64_t ready_hosts_digest) {
+    fbb_.AddElement<uint64_t>(fleet_update::VT_READY_HOSTS_DIGEST, ready_hosts_digest, 0);
+  }
   explicit fleet_updateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4301,9 +4602,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control_hosts = 0,
     uint32_t entry_hosts = 0,
-    uint32_t document_bytes = 0) {
+    uint32_t document_bytes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>>> ready_hosts = 0,
+    uint64_t ready_hosts_digest = 0) {
   fleet_updateBuilder builder_(_fbb);
+  builder_.add_ready_hosts_digest(ready_hosts_digest);
   builder_.add_document_version(document_version);
+  builder_.add_ready_hosts(ready_hosts);
   builder_.add_document_bytes(document_bytes);
   builder_.add_entry_hosts(entry_hosts);
   builder_.add_control_hosts(control_hosts);
@@ -4324,10 +4629,13 @@
     const std::vector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> *endpoints = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *control_hosts = nullptr,
     uint32_t entry_hosts = 0,
-    uint32_t document_bytes = 0) {
+    uint32_t document_bytes = 0,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> *ready_hosts = nullptr,
+    uint64_t ready_hosts_digest = 0) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>(*endpoints) : 0;
   auto control_hosts__ = control_hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control_hosts) : 0;
+  auto ready_hosts__ = ready_hosts ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::zone_hosts>>(*ready_hosts) : 0;
   return mangoquay::wire::Createfleet_update(
       _fbb,
       document_version,
@@ -4335,7 +4643,9 @@
       endpoints__,
       control_hosts__,
       entry_hosts,
-      document_bytes);
+      document_bytes,
+      ready_hosts__,
+      ready_hosts_digest);
 }
 
 flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4421,1685 +4731,3008 @@
 
 flatbuffers::Offset<cell_join> Createcell_join(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct envelopeT : public flatbuffers::NativeTable {
-  typedef envelope TableType;
-  mangoquay::wire::messageUnion body{};
+struct loan_requestT : public flatbuffers::NativeTable {
+  typedef loan_request TableType;
+  uint64_t loan = 0;
+  std::string endpoint{};
+  bool urgent = false;
+  uint32_t expected_us = 0;
+  bool needs_slot = false;
+  uint32_t wait_us = 0;
 };
 
-struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef envelopeT NativeTableType;
-  typedef envelopeBuilder Builder;
+struct loan_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef loan_requestT NativeTableType;
+  typedef loan_requestBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BODY_TYPE = 4,
-    VT_BODY = 6
+    VT_LOAN = 4,
+    VT_ENDPOINT = 6,
+    VT_URGENT = 8,
+    VT_EXPECTED_US = 10,
+    VT_NEEDS_SLOT = 12,
+    VT_WAIT_US = 14
   };
-  mangoquay::wire::message body_type() const {
-    return static_cast<mangoquay::wire::message>(GetField<uint8_t>(VT_BODY_TYPE, 0));
-  }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
-  }
-  template<typename T> const T *body_as() const;
-  const mangoquay::wire::raft_message *body_as_raft_message() const {
-    return body_type() == mangoquay::wire::message::raft_message ? static_cast<const mangoquay::wire::raft_message *>(body()) : nullptr;
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
   }
-  const mangoquay::wire::heartbeat *body_as_heartbeat() const {
-    return body_type() == mangoquay::wire::message::heartbeat ? static_cast<const mangoquay::wire::heartbeat *>(body()) : nullptr;
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
   }
-  const mangoquay::wire::lease_grant *body_as_lease_grant() const {
-    return body_type() == mangoquay::wire::message::lease_grant ? static_cast<const mangoquay::wire::lease_grant *>(body()) : nullptr;
+  bool urgent() const {
+    return GetField<uint8_t>(VT_URGENT, 0) != 0;
   }
-  const mangoquay::wire::log_batch *body_as_log_batch() const {
-    return body_type() == mangoquay::wire::message::log_batch ? static_cast<const mangoquay::wire::log_batch *>(body()) : nullptr;
+  uint32_t expected_us() const {
+    return GetField<uint32_t>(VT_EXPECTED_US, 0);
   }
-  const mangoquay::wire::state_snapshot *body_as_state_snapshot() const {
-    return body_type() == mangoquay::wire::message::state_snapshot ? static_cast<const mangoquay::wire::state_snapshot *>(body()) : nullptr;
+  bool needs_slot() const {
+    return GetField<uint8_t>(VT_NEEDS_SLOT, 0) != 0;
   }
-  const mangoquay::wire::submit_command *body_as_submit_command() const {
-    return body_type() == mangoquay::wire::message::submit_command ? static_cast<const mangoquay::wire::submit_command *>(body()) : nullptr;
+  uint32_t wait_us() const {
+    return GetField<uint32_t>(VT_WAIT_US, 0);
   }
-  const mangoquay::wire::command_outcome *body_as_command_outcome() const {
-    return body_type() == mangoquay::wire::message::command_outcome ? static_cast<const mangoquay::wire::command_outcome *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint8_t>(verifier, VT_URGENT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_EXPECTED_US, 4) &&
+           VerifyField<uint8_t>(verifier, VT_NEEDS_SLOT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_US, 4) &&
+           verifier.EndTable();
   }
-  const mangoquay::wire::execute *body_as_execute() const {
-    return body_type() == mangoquay::wire::message::execute ? static_cast<const mangoquay::wire::execute *>(body()) : nullptr;
+  loan_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(loan_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<loan_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct loan_requestBuilder {
+  typedef loan_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(loan_request::VT_LOAN, loan, 0);
   }
-  const mangoquay::wire::execute_answer *body_as_execute_answer() const {
-    return body_type() == mangoquay::wire::message::execute_answer ? static_cast<const mangoquay::wire::execute_answer *>(body()) : nullptr;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(loan_request::VT_ENDPOINT, endpoint);
   }
-  const mangoquay::wire::position_query *body_as_position_query() const {
-    return body_type() == mangoquay::wire::message::position_query ? static_cast<const mangoquay::wire::position_query *>(body()) : nullptr;
+  void add_urgent(bool urgent) {
+    fbb_.AddElement<uint8_t>(loan_request::VT_URGENT, static_cast<uint8_t>(urgent), 0);
   }
-  const mangoquay::wire::position_answer *body_as_position_answer() const {
-    return body_type() == mangoquay::wire::message::position_answer ? static_cast<const mangoquay::wire::position_answer *>(body()) : nullptr;
+  void add_expected_us(uint32_t expected_us) {
+    fbb_.AddElement<uint32_t>(loan_request::VT_EXPECTED_US, expected_us, 0);
   }
-  const mangoquay::wire::probe *body_as_probe() const {
-    return body_type() == mangoquay::wire::message::probe ? static_cast<const mangoquay::wire::probe *>(body()) : nullptr;
+  void add_needs_slot(bool needs_slot) {
+    fbb_.AddElement<uint8_t>(loan_request::VT_NEEDS_SLOT, static_cast<uint8_t>(needs_slot), 0);
   }
-  const mangoquay::wire::probe_answer *body_as_probe_answer() const {
-    return body_type() == mangoquay::wire::message::probe_answer ? static_cast<const mangoquay::wire::probe_answer *>(body()) : nullptr;
+  void add_wait_us(uint32_t wait_us) {
+    fbb_.AddElement<uint32_t>(loan_request::VT_WAIT_US, wait_us, 0);
   }
-  const mangoquay::wire::status_query *body_as_status_query() const {
-    return body_type() == mangoquay::wire::message::status_query ? static_cast<const mangoquay::wire::status_query *>(body()) : nullptr;
+  explicit loan_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const mangoquay::wire::status_answer *body_as_status_answer() const {
-    return body_type() == mangoquay::wire::message::status_answer ? static_cast<const mangoquay::wire::status_answer *>(body()) : nullptr;
+  flatbuffers::Offset<loan_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<loan_request>(end);
+    return o;
   }
-  const mangoquay::wire::replace_control_host *body_as_replace_control_host() const {
-    return body_type() == mangoquay::wire::message::replace_control_host ? static_cast<const mangoquay::wire::replace_control_host *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<loan_request> Createloan_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    bool urgent = false,
+    uint32_t expected_us = 0,
+    bool needs_slot = false,
+    uint32_t wait_us = 0) {
+  loan_requestBuilder builder_(_fbb);
+  builder_.add_loan(loan);
+  builder_.add_wait_us(wait_us);
+  builder_.add_expected_us(expected_us);
+  builder_.add_endpoint(endpoint);
+  builder_.add_needs_slot(needs_slot);
+  builder_.add_urgent(urgent);
+  return builder_.Finish();
+}
+
+struct loan_request::Traits {
+  using type = loan_request;
+  static auto constexpr Create = Createloan_request;
+};
+
+inline flatbuffers::Offset<loan_request> Createloan_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    const char *endpoint = nullptr,
+    bool urgent = false,
+    uint32_t expected_us = 0,
+    bool needs_slot = false,
+    uint32_t wait_us = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return mangoquay::wire::Createloan_request(
+      _fbb,
+      loan,
+      endpoint__,
+      urgent,
+      expected_us,
+      needs_slot,
+      wait_us);
+}
+
+flatbuffers::Offset<loan_request> Createloan_request(flatbuffers::FlatBufferBuilder &_fbb, const loan_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct loan_grantT : public flatbuffers::NativeTable {
+  typedef loan_grant TableType;
+  uint64_t loan = 0;
+  uint32_t silent_ms = 0;
+  std::unique_ptr<mangoquay::wire::wire_positionT> position{};
+  uint32_t waiting = 0;
+  loan_grantT() = default;
+  loan_grantT(const loan_grantT &o);
+  loan_grantT(loan_grantT&&) FLATBUFFERS_NOEXCEPT = default;
+  loan_grantT &operator=(loan_grantT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct loan_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef loan_grantT NativeTableType;
+  typedef loan_grantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOAN = 4,
+    VT_SILENT_MS = 6,
+    VT_POSITION = 8,
+    VT_WAITING = 10
+  };
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
   }
-  const mangoquay::wire::fleet_follow *body_as_fleet_follow() const {
-    return body_type() == mangoquay::wire::message::fleet_follow ? static_cast<const mangoquay::wire::fleet_follow *>(body()) : nullptr;
+  uint32_t silent_ms() const {
+    return GetField<uint32_t>(VT_SILENT_MS, 0);
   }
-  const mangoquay::wire::fleet_update *body_as_fleet_update() const {
-    return body_type() == mangoquay::wire::message::fleet_update ? static_cast<const mangoquay::wire::fleet_update *>(body()) : nullptr;
+  const mangoquay::wire::wire_position *position() const {
+    return GetPointer<const mangoquay::wire::wire_position *>(VT_POSITION);
   }
-  const mangoquay::wire::cell_join *body_as_cell_join() const {
-    return body_type() == mangoquay::wire::message::cell_join ? static_cast<const mangoquay::wire::cell_join *>(body()) : nullptr;
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           Verifymessage(verifier, body(), body_type()) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SILENT_MS, 4) &&
+           VerifyOffset(verifier, VT_POSITION) &&
+           verifier.VerifyTable(position()) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            verifier.EndTable();
   }
-  envelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(envelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const envelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  loan_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(loan_grantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<loan_grant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const mangoquay::wire::raft_message *envelope::body_as<mangoquay::wire::raft_message>() const {
-  return body_as_raft_message();
-}
+struct loan_grantBuilder {
+  typedef loan_grant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(loan_grant::VT_LOAN, loan, 0);
+  }
+  void add_silent_ms(uint32_t silent_ms) {
+    fbb_.AddElement<uint32_t>(loan_grant::VT_SILENT_MS, silent_ms, 0);
+  }
+  void add_position(flatbuffers::Offset<mangoquay::wire::wire_position> position) {
+    fbb_.AddOffset(loan_grant::VT_POSITION, position);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(loan_grant::VT_WAITING, waiting, 0);
+  }
+  explicit loan_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<loan_grant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<loan_grant>(end);
+    return o;
+  }
+};
 
-template<> inline const mangoquay::wire::heartbeat *envelope::body_as<mangoquay::wire::heartbeat>() const {
-  return body_as_heartbeat();
+inline flatbuffers::Offset<loan_grant> Createloan_grant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    uint32_t silent_ms = 0,
+    flatbuffers::Offset<mangoquay::wire::wire_position> position = 0,
+    uint32_t waiting = 0) {
+  loan_grantBuilder builder_(_fbb);
+  builder_.add_loan(loan);
+  builder_.add_waiting(waiting);
+  builder_.add_position(position);
+  builder_.add_silent_ms(silent_ms);
+  return builder_.Finish();
 }
 
-template<> inline const mangoquay::wire::lease_grant *envelope::body_as<mangoquay::wire::lease_grant>() const {
-  return body_as_lease_grant();
-}
+struct loan_grant::Traits {
+  using type = loan_grant;
+  static auto constexpr Create = Createloan_grant;
+};
 
-template<> inline const mangoquay::wire::log_batch *envelope::body_as<mangoquay::wire::log_batch>() const {
-  return body_as_log_batch();
-}
+flatbuffers::Offset<loan_grant> Createloan_grant(flatbuffers::FlatBufferBuilder &_fbb, const loan_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-template<> inline const mangoquay::wire::state_snapshot *envelope::body_as<mangoquay::wire::state_snapshot>() const {
-  return body_as_state_snapshot();
-}
-
-template<> inline const mangoquay::wire::submit_command *envelope::body_as<mangoquay::wire::submit_command>() const {
-  return body_as_submit_command();
-}
+struct loan_refusalT : public flatbuffers::NativeTable {
+  typedef loan_refusal TableType;
+  uint64_t loan = 0;
+  uint8_t reason = 0;
+};
 
-template<> inline const mangoquay::wire::command_outcome *envelope::body_as<mangoquay::wire::command_outcome>() const {
-  return body_as_command_outcome();
-}
+struct loan_refusal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef loan_refusalT NativeTableType;
+  typedef loan_refusalBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOAN = 4,
+    VT_REASON = 6
+  };
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  uint8_t reason() const {
+    return GetField<uint8_t>(VT_REASON, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REASON, 1) &&
+           verifier.EndTable();
+  }
+  loan_refusalT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(loan_refusalT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<loan_refusal> Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_refusalT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-template<> inline const mangoquay::wire::execute *envelope::body_as<mangoquay::wire::execute>() const {
-  return body_as_execute();
-}
+struct loan_refusalBuilder {
+  typedef loan_refusal Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(loan_refusal::VT_LOAN, loan, 0);
+  }
+  void add_reason(uint8_t reason) {
+    fbb_.AddElement<uint8_t>(loan_refusal::VT_REASON, reason, 0);
+  }
+  explicit loan_refusalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<loan_refusal> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<loan_refusal>(end);
+    return o;
+  }
+};
 
-template<> inline const mangoquay::wire::execute_answer *envelope::body_as<mangoquay::wire::execute_answer>() const {
-  return body_as_execute_answer();
+inline flatbuffers::Offset<loan_refusal> Createloan_refusal(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    uint8_t reason = 0) {
+  loan_refusalBuilder builder_(_fbb);
+  builder_.add_loan(loan);
+  builder_.add_reason(reason);
+  return builder_.Finish();
 }
 
-template<> inline const mangoquay::wire::position_query *envelope::body_as<mangoquay::wire::position_query>() const {
-  return body_as_position_query();
-}
+struct loan_refusal::Traits {
+  using type = loan_refusal;
+  static auto constexpr Create = Createloan_refusal;
+};
 
-template<> inline const mangoquay::wire::position_answer *envelope::body_as<mangoquay::wire::position_answer>() const {
-  return body_as_position_answer();
-}
+flatbuffers::Offset<loan_refusal> Createloan_refusal(flatbuffers::FlatBufferBuilder &_fbb, const loan_refusalT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-template<> inline const mangoquay::wire::probe *envelope::body_as<mangoquay::wire::probe>() const {
-  return body_as_probe();
-}
+struct link_requestT : public flatbuffers::NativeTable {
+  typedef link_request TableType;
+  uint8_t kind = 0;
+  std::string id{};
+  std::unique_ptr<mangoquay::wire::wire_positionT> least_position{};
+  std::string name{};
+  std::string argument{};
+  uint8_t access = 0;
+  link_requestT() = default;
+  link_requestT(const link_requestT &o);
+  link_requestT(link_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  link_requestT &operator=(link_requestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct link_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef link_requestT NativeTableType;
+  typedef link_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_ID = 6,
+    VT_LEAST_POSITION = 8,
+    VT_NAME = 10,
+    VT_ARGUMENT = 12,
+    VT_ACCESS = 14
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const mangoquay::wire::wire_position *least_position() const {
+    return GetPointer<const mangoquay::wire::wire_position *>(VT_LEAST_POSITION);
+  }
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *argument() const {
+    return GetPointer<const flatbuffers::String *>(VT_ARGUMENT);
+  }
+  uint8_t access() const {
+    return GetField<uint8_t>(VT_ACCESS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_LEAST_POSITION) &&
+           verifier.VerifyTable(least_position()) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_ARGUMENT) &&
+           verifier.VerifyString(argument()) &&
+           VerifyField<uint8_t>(verifier, VT_ACCESS, 1) &&
+           verifier.EndTable();
+  }
+  link_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(link_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<link_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-template<> inline const mangoquay::wire::probe_answer *envelope::body_as<mangoquay::wire::probe_answer>() const {
-  return body_as_probe_answer();
-}
+struct link_requestBuilder {
+  typedef link_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(link_request::VT_KIND, kind, 0);
+  }
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(link_request::VT_ID, id);
+  }
+  void add_least_position(flatbuffers::Offset<mangoquay::wire::wire_position> least_position) {
+    fbb_.AddOffset(link_request::VT_LEAST_POSITION, least_position);
+  }
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(link_request::VT_NAME, name);
+  }
+  void add_argument(flatbuffers::Offset<flatbuffers::String> argument) {
+    fbb_.AddOffset(link_request::VT_ARGUMENT, argument);
+  }
+  void add_access(uint8_t access) {
+    fbb_.AddElement<uint8_t>(link_request::VT_ACCESS, access, 0);
+  }
+  explicit link_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<link_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<link_request>(end);
+    return o;
+  }
+};
 
-template<> inline const mangoquay::wire::status_query *envelope::body_as<mangoquay::wire::status_query>() const {
-  return body_as_status_query();
+inline flatbuffers::Offset<link_request> Createlink_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<mangoquay::wire::wire_position> least_position = 0,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> argument = 0,
+    uint8_t access = 0) {
+  link_requestBuilder builder_(_fbb);
+  builder_.add_argument(argument);
+  builder_.add_name(name);
+  builder_.add_least_position(least_position);
+  builder_.add_id(id);
+  builder_.add_access(access);
+  builder_.add_kind(kind);
+  return builder_.Finish();
 }
 
-template<> inline const mangoquay::wire::status_answer *envelope::body_as<mangoquay::wire::status_answer>() const {
-  return body_as_status_answer();
-}
+struct link_request::Traits {
+  using type = link_request;
+  static auto constexpr Create = Createlink_request;
+};
 
-template<> inline const mangoquay::wire::replace_control_host *envelope::body_as<mangoquay::wire::replace_control_host>() const {
-  return body_as_replace_control_host();
+inline flatbuffers::Offset<link_request> Createlink_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    const char *id = nullptr,
+    flatbuffers::Offset<mangoquay::wire::wire_position> least_position = 0,
+    const char *name = nullptr,
+    const char *argument = nullptr,
+    uint8_t access = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto argument__ = argument ? _fbb.CreateString(argument) : 0;
+  return mangoquay::wire::Createlink_request(
+      _fbb,
+      kind,
+      id__,
+      least_position,
+      name__,
+      argument__,
+      access);
 }
 
-template<> inline const mangoquay::wire::fleet_follow *envelope::body_as<mangoquay::wire::fleet_follow>() const {
-  return body_as_fleet_follow();
-}
+flatbuffers::Offset<link_request> Createlink_request(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-template<> inline const mangoquay::wire::fleet_update *envelope::body_as<mangoquay::wire::fleet_update>() const {
-  return body_as_fleet_update();
-}
+struct loan_workT : public flatbuffers::NativeTable {
+  typedef loan_work TableType;
+  uint64_t loan = 0;
+  uint32_t number = 0;
+  std::vector<std::unique_ptr<mangoquay::wire::link_requestT>> requests{};
+  loan_workT() = default;
+  loan_workT(const loan_workT &o);
+  loan_workT(loan_workT&&) FLATBUFFERS_NOEXCEPT = default;
+  loan_workT &operator=(loan_workT o) FLATBUFFERS_NOEXCEPT;
+};
 
-template<> inline const mangoquay::wire::cell_join *envelope::body_as<mangoquay::wire::cell_join>() const {
-  return body_as_cell_join();
-}
+struct loan_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef loan_workT NativeTableType;
+  typedef loan_workBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOAN = 4,
+    VT_NUMBER = 6,
+    VT_REQUESTS = 8
+  };
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  uint32_t number() const {
+    return GetField<uint32_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>> *requests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>> *>(VT_REQUESTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_NUMBER, 4) &&
+           VerifyOffset(verifier, VT_REQUESTS) &&
+           verifier.VerifyVector(requests()) &&
+           verifier.VerifyVectorOfTables(requests()) &&
+           verifier.EndTable();
+  }
+  loan_workT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(loan_workT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<loan_work> Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_workT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-struct envelopeBuilder {
-  typedef envelope Table;
+struct loan_workBuilder {
+  typedef loan_work Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_body_type(mangoquay::wire::message body_type) {
-    fbb_.AddElement<uint8_t>(envelope::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(loan_work::VT_LOAN, loan, 0);
   }
-  void add_body(flatbuffers::Offset<void> body) {
-    fbb_.AddOffset(envelope::VT_BODY, body);
+  void add_number(uint32_t number) {
+    fbb_.AddElement<uint32_t>(loan_work::VT_NUMBER, number, 0);
   }
-  explicit envelopeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>>> requests) {
+    fbb_.AddOffset(loan_work::VT_REQUESTS, requests);
+  }
+  explicit loan_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<envelope> Finish() {
+  flatbuffers::Offset<loan_work> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<envelope>(end);
+    auto o = flatbuffers::Offset<loan_work>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<envelope> Createenvelope(
+inline flatbuffers::Offset<loan_work> Createloan_work(
     flatbuffers::FlatBufferBuilder &_fbb,
-    mangoquay::wire::message body_type = mangoquay::wire::message::NONE,
-    flatbuffers::Offset<void> body = 0) {
-  envelopeBuilder builder_(_fbb);
-  builder_.add_body(body);
-  builder_.add_body_type(body_type);
+    uint64_t loan = 0,
+    uint32_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>>> requests = 0) {
+  loan_workBuilder builder_(_fbb);
+  builder_.add_loan(loan);
+  builder_.add_requests(requests);
+  builder_.add_number(number);
   return builder_.Finish();
 }
 
-struct envelope::Traits {
-  using type = envelope;
-  static auto constexpr Create = Createenvelope;
+struct loan_work::Traits {
+  using type = loan_work;
+  static auto constexpr Create = Createloan_work;
 };
 
-flatbuffers::Offset<envelope> Createenvelope(flatbuffers::FlatBufferBuilder &_fbb, const envelopeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-inline wire_positionT *wire_position::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<wire_positionT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void wire_position::UnPackTo(wire_positionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = term(); _o->term = _e; }
-  { auto _e = lsn(); _o->lsn = _e; }
-}
-
-inline flatbuffers::Offset<wire_position> wire_position::Pack(flatbuffers::FlatBufferBuilder &_fbb, const wire_positionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createwire_position(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<wire_position> Createwire_position(flatbuffers::FlatBufferBuilder &_fbb, const wire_positionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const wire_positionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _term = _o->term;
-  auto _lsn = _o->lsn;
-  return mangoquay::wire::Createwire_position(
+inline flatbuffers::Offset<loan_work> Createloan_workDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    uint32_t number = 0,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::link_request>> *requests = nullptr) {
+  auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::link_request>>(*requests) : 0;
+  return mangoquay::wire::Createloan_work(
       _fbb,
-      _term,
-      _lsn);
+      loan,
+      number,
+      requests__);
 }
 
-inline cellT *cell::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<cellT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+flatbuffers::Offset<loan_work> Createloan_work(flatbuffers::FlatBufferBuilder &_fbb, const loan_workT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline void cell::UnPackTo(cellT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = is_null(); _o->is_null = _e; }
-  { auto _e = text(); if (_e) _o->text = _e->str(); }
-}
+struct loan_answerT : public flatbuffers::NativeTable {
+  typedef loan_answer TableType;
+  uint64_t loan = 0;
+  uint32_t number = 0;
+  std::vector<std::string> rows{};
+  bool has_refusal = false;
+  uint8_t refusal = 0;
+  std::string text{};
+  uint8_t state = 0;
+  std::unique_ptr<mangoquay::wire::wire_positionT> position{};
+  loan_answerT() = default;
+  loan_answerT(const loan_answerT &o);
+  loan_answerT(loan_answerT&&) FLATBUFFERS_NOEXCEPT = default;
+  loan_answerT &operator=(loan_answerT o) FLATBUFFERS_NOEXCEPT;
+};
 
-inline flatbuffers::Offset<cell> cell::Pack(flatbuffers::FlatBufferBuilder &_fbb, const cellT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createcell(_fbb, _o, _rehasher);
-}
+struct loan_answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef loan_answerT NativeTableType;
+  typedef loan_answerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOAN = 4,
+    VT_NUMBER = 6,
+    VT_ROWS = 8,
+    VT_HAS_REFUSAL = 10,
+    VT_REFUSAL = 12,
+    VT_TEXT = 14,
+    VT_STATE = 16,
+    VT_POSITION = 18
+  };
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  uint32_t number() const {
+    return GetField<uint32_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *rows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ROWS);
+  }
+  bool has_refusal() const {
+    return GetField<uint8_t>(VT_HAS_REFUSAL, 0) != 0;
+  }
+  uint8_t refusal() const {
+    return GetField<uint8_t>(VT_REFUSAL, 0);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  const mangoquay::wire::wire_position *position() const {
+    return GetPointer<const mangoquay::wire::wire_position *>(VT_POSITION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_NUMBER, 4) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.VerifyVectorOfStrings(rows()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_REFUSAL, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REFUSAL, 1) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyOffset(verifier, VT_POSITION) &&
+           verifier.VerifyTable(position()) &&
+           verifier.EndTable();
+  }
+  loan_answerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(loan_answerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<loan_answer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline flatbuffers::Offset<cell> Createcell(flatbuffers::FlatBufferBuilder &_fbb, const cellT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const cellT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _is_null = _o->is_null;
-  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
-  return mangoquay::wire::Createcell(
-      _fbb,
-      _is_null,
+struct loan_answerBuilder {
+  typedef loan_answer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(loan_answer::VT_LOAN, loan, 0);
+  }
+  void add_number(uint32_t number) {
+    fbb_.AddElement<uint32_t>(loan_answer::VT_NUMBER, number, 0);
+  }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> rows) {
+    fbb_.AddOffset(loan_answer::VT_ROWS, rows);
+  }
+  void add_has_refusal(bool has_refusal) {
+    fbb_.AddElement<uint8_t>(loan_answer::VT_HAS_REFUSAL, static_cast<uint8_t>(has_refusal), 0);
+  }
+  void add_refusal(uint8_t refusal) {
+    fbb_.AddElement<uint8_t>(loan_answer::VT_REFUSAL, refusal, 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(loan_answer::VT_TEXT, text);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(loan_answer::VT_STATE, state, 0);
+  }
+  void add_position(flatbuffers::Offset<mangoquay::wire::wire_position> position) {
+    fbb_.AddOffset(loan_answer::VT_POSITION, position);
+  }
+  explicit loan_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<loan_answer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<loan_answer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<loan_answer> Createloan_answer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    uint32_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> rows = 0,
+    bool has_refusal = false,
+    uint8_t refusal = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    uint8_t state = 0,
+    flatbuffers::Offset<mangoquay::wire::wire_position> position = 0) {
+  loan_answerBuilder builder_(_fbb);
+  builder_.add_loan(loan);
+  builder_.add_position(position);
+  builder_.add_text(text);
+  builder_.add_rows(rows);
+  builder_.add_number(number);
+  builder_.add_state(state);
+  builder_.add_refusal(refusal);
+  builder_.add_has_refusal(has_refusal);
+  return builder_.Finish();
+}
+
+struct loan_answer::Traits {
+  using type = loan_answer;
+  static auto constexpr Create = Createloan_answer;
+};
+
+inline flatbuffers::Offset<loan_answer> Createloan_answerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    uint32_t number = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *rows = nullptr,
+    bool has_refusal = false,
+    uint8_t refusal = 0,
+    const char *text = nullptr,
+    uint8_t state = 0,
+    flatbuffers::Offset<mangoquay::wire::wire_position> position = 0) {
+  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*rows) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return mangoquay::wire::Createloan_answer(
+      _fbb,
+      loan,
+      number,
+      rows__,
+      has_refusal,
+      refusal,
+      text__,
+      state,
+      position);
+}
+
+flatbuffers::Offset<loan_answer> Createloan_answer(flatbuffers::FlatBufferBuilder &_fbb, const loan_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct loan_endT : public flatbuffers::NativeTable {
+  typedef loan_end TableType;
+  uint64_t loan = 0;
+  bool reusable = false;
+  bool holds_values = false;
+};
+
+struct loan_end FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef loan_endT NativeTableType;
+  typedef loan_endBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOAN = 4,
+    VT_REUSABLE = 6,
+    VT_HOLDS_VALUES = 8
+  };
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  bool reusable() const {
+    return GetField<uint8_t>(VT_REUSABLE, 0) != 0;
+  }
+  bool holds_values() const {
+    return GetField<uint8_t>(VT_HOLDS_VALUES, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REUSABLE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HOLDS_VALUES, 1) &&
+           verifier.EndTable();
+  }
+  loan_endT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(loan_endT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<loan_end> Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_endT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct loan_endBuilder {
+  typedef loan_end Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(loan_end::VT_LOAN, loan, 0);
+  }
+  void add_reusable(bool reusable) {
+    fbb_.AddElement<uint8_t>(loan_end::VT_REUSABLE, static_cast<uint8_t>(reusable), 0);
+  }
+  void add_holds_values(bool holds_values) {
+    fbb_.AddElement<uint8_t>(loan_end::VT_HOLDS_VALUES, static_cast<uint8_t>(holds_values), 0);
+  }
+  explicit loan_endBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<loan_end> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<loan_end>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<loan_end> Createloan_end(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    bool reusable = false,
+    bool holds_values = false) {
+  loan_endBuilder builder_(_fbb);
+  builder_.add_loan(loan);
+  builder_.add_holds_values(holds_values);
+  builder_.add_reusable(reusable);
+  return builder_.Finish();
+}
+
+struct loan_end::Traits {
+  using type = loan_end;
+  static auto constexpr Create = Createloan_end;
+};
+
+flatbuffers::Offset<loan_end> Createloan_end(flatbuffers::FlatBufferBuilder &_fbb, const loan_endT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct loan_lostT : public flatbuffers::NativeTable {
+  typedef loan_lost TableType;
+  uint64_t loan = 0;
+  std::string text{};
+};
+
+struct loan_lost FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef loan_lostT NativeTableType;
+  typedef loan_lostBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOAN = 4,
+    VT_TEXT = 6
+  };
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+  loan_lostT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(loan_lostT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<loan_lost> Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_lostT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct loan_lostBuilder {
+  typedef loan_lost Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(loan_lost::VT_LOAN, loan, 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(loan_lost::VT_TEXT, text);
+  }
+  explicit loan_lostBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<loan_lost> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<loan_lost>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<loan_lost> Createloan_lost(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  loan_lostBuilder builder_(_fbb);
+  builder_.add_loan(loan);
+  builder_.add_text(text);
+  return builder_.Finish();
+}
+
+struct loan_lost::Traits {
+  using type = loan_lost;
+  static auto constexpr Create = Createloan_lost;
+};
+
+inline flatbuffers::Offset<loan_lost> Createloan_lostDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t loan = 0,
+    const char *text = nullptr) {
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return mangoquay::wire::Createloan_lost(
+      _fbb,
+      loan,
+      text__);
+}
+
+flatbuffers::Offset<loan_lost> Createloan_lost(flatbuffers::FlatBufferBuilder &_fbb, const loan_lostT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct envelopeT : public flatbuffers::NativeTable {
+  typedef envelope TableType;
+  mangoquay::wire::messageUnion body{};
+};
+
+struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef envelopeT NativeTableType;
+  typedef envelopeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BODY_TYPE = 4,
+    VT_BODY = 6
+  };
+  mangoquay::wire::message body_type() const {
+    return static_cast<mangoquay::wire::message>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const mangoquay::wire::raft_message *body_as_raft_message() const {
+    return body_type() == mangoquay::wire::message::raft_message ? static_cast<const mangoquay::wire::raft_message *>(body()) : nullptr;
+  }
+  const mangoquay::wire::heartbeat *body_as_heartbeat() const {
+    return body_type() == mangoquay::wire::message::heartbeat ? static_cast<const mangoquay::wire::heartbeat *>(body()) : nullptr;
+  }
+  const mangoquay::wire::lease_grant *body_as_lease_grant() const {
+    return body_type() == mangoquay::wire::message::lease_grant ? static_cast<const mangoquay::wire::lease_grant *>(body()) : nullptr;
+  }
+  const mangoquay::wire::log_batch *body_as_log_batch() const {
+    return body_type() == mangoquay::wire::message::log_batch ? static_cast<const mangoquay::wire::log_batch *>(body()) : nullptr;
+  }
+  const mangoquay::wire::state_snapshot *body_as_state_snapshot() const {
+    return body_type() == mangoquay::wire::message::state_snapshot ? static_cast<const mangoquay::wire::state_snapshot *>(body()) : nullptr;
+  }
+  const mangoquay::wire::submit_command *body_as_submit_command() const {
+    return body_type() == mangoquay::wire::message::submit_command ? static_cast<const mangoquay::wire::submit_command *>(body()) : nullptr;
+  }
+  const mangoquay::wire::command_outcome *body_as_command_outcome() const {
+    return body_type() == mangoquay::wire::message::command_outcome ? static_cast<const mangoquay::wire::command_outcome *>(body()) : nullptr;
+  }
+  const mangoquay::wire::execute *body_as_execute() const {
+    return body_type() == mangoquay::wire::message::execute ? static_cast<const mangoquay::wire::execute *>(body()) : nullptr;
+  }
+  const mangoquay::wire::execute_answer *body_as_execute_answer() const {
+    return body_type() == mangoquay::wire::message::execute_answer ? static_cast<const mangoquay::wire::execute_answer *>(body()) : nullptr;
+  }
+  const mangoquay::wire::position_query *body_as_position_query() const {
+    return body_type() == mangoquay::wire::message::position_query ? static_cast<const mangoquay::wire::position_query *>(body()) : nullptr;
+  }
+  const mangoquay::wire::position_answer *body_as_position_answer() const {
+    return body_type() == mangoquay::wire::message::position_answer ? static_cast<const mangoquay::wire::position_answer *>(body()) : nullptr;
+  }
+  const mangoquay::wire::probe *body_as_probe() const {
+    return body_type() == mangoquay::wire::message::probe ? static_cast<const mangoquay::wire::probe *>(body()) : nullptr;
+  }
+  const mangoquay::wire::probe_answer *body_as_probe_answer() const {
+    return body_type() == mangoquay::wire::message::probe_answer ? static_cast<const mangoquay::wire::probe_answer *>(body()) : nullptr;
+  }
+  const mangoquay::wire::status_query *body_as_status_query() const {
+    return body_type() == mangoquay::wire::message::status_query ? static_cast<const mangoquay::wire::status_query *>(body()) : nullptr;
+  }
+  const mangoquay::wire::status_answer *body_as_status_answer() const {
+    return body_type() == mangoquay::wire::message::status_answer ? static_cast<const mangoquay::wire::status_answer *>(body()) : nullptr;
+  }
+  const mangoquay::wire::replace_control_host *body_as_replace_control_host() const {
+    return body_type() == mangoquay::wire::message::replace_control_host ? static_cast<const mangoquay::wire::replace_control_host *>(body()) : nullptr;
+  }
+  const mangoquay::wire::fleet_follow *body_as_fleet_follow() const {
+    return body_type() == mangoquay::wire::message::fleet_follow ? static_cast<const mangoquay::wire::fleet_follow *>(body()) : nullptr;
+  }
+  const mangoquay::wire::fleet_update *body_as_fleet_update() const {
+    return body_type() == mangoquay::wire::message::fleet_update ? static_cast<const mangoquay::wire::fleet_update *>(body()) : nullptr;
+  }
+  const mangoquay::wire::cell_join *body_as_cell_join() const {
+    return body_type() == mangoquay::wire::message::cell_join ? static_cast<const mangoquay::wire::cell_join *>(body()) : nullptr;
+  }
+  const mangoquay::wire::loan_request *body_as_loan_request() const {
+    return body_type() == mangoquay::wire::message::loan_request ? static_cast<const mangoquay::wire::loan_request *>(body()) : nullptr;
+  }
+  const mangoquay::wire::loan_grant *body_as_loan_grant() const {
+    return body_type() == mangoquay::wire::message::loan_grant ? static_cast<const mangoquay::wire::loan_grant *>(body()) : nullptr;
+  }
+  const mangoquay::wire::loan_refusal *body_as_loan_refusal() const {
+    return body_type() == mangoquay::wire::message::loan_refusal ? static_cast<const mangoquay::wire::loan_refusal *>(body()) : nullptr;
+  }
+  const mangoquay::wire::loan_work *body_as_loan_work() const {
+    return body_type() == mangoquay::wire::message::loan_work ? static_cast<const mangoquay::wire::loan_work *>(body()) : nullptr;
+  }
+  const mangoquay::wire::loan_answer *body_as_loan_answer() const {
+    return body_type() == mangoquay::wire::message::loan_answer ? static_cast<const mangoquay::wire::loan_answer *>(body()) : nullptr;
+  }
+  const mangoquay::wire::loan_end *body_as_loan_end() const {
+    return body_type() == mangoquay::wire::message::loan_end ? static_cast<const mangoquay::wire::loan_end *>(body()) : nullptr;
+  }
+  const mangoquay::wire::loan_lost *body_as_loan_lost() const {
+    return body_type() == mangoquay::wire::message::loan_lost ? static_cast<const mangoquay::wire::loan_lost *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           Verifymessage(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  envelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(envelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const envelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const mangoquay::wire::raft_message *envelope::body_as<mangoquay::wire::raft_message>() const {
+  return body_as_raft_message();
+}
+
+template<> inline const mangoquay::wire::heartbeat *envelope::body_as<mangoquay::wire::heartbeat>() const {
+  return body_as_heartbeat();
+}
+
+template<> inline const mangoquay::wire::lease_grant *envelope::body_as<mangoquay::wire::lease_grant>() const {
+  return body_as_lease_grant();
+}
+
+template<> inline const mangoquay::wire::log_batch *envelope::body_as<mangoquay::wire::log_batch>() const {
+  return body_as_log_batch();
+}
+
+template<> inline const mangoquay::wire::state_snapshot *envelope::body_as<mangoquay::wire::state_snapshot>() const {
+  return body_as_state_snapshot();
+}
+
+template<> inline const mangoquay::wire::submit_command *envelope::body_as<mangoquay::wire::submit_command>() const {
+  return body_as_submit_command();
+}
+
+template<> inline const mangoquay::wire::command_outcome *envelope::body_as<mangoquay::wire::command_outcome>() const {
+  return body_as_command_outcome();
+}
+
+template<> inline const mangoquay::wire::execute *envelope::body_as<mangoquay::wire::execute>() const {
+  return body_as_execute();
+}
+
+template<> inline const mangoquay::wire::execute_answer *envelope::body_as<mangoquay::wire::execute_answer>() const {
+  return body_as_execute_answer();
+}
+
+template<> inline const mangoquay::wire::position_query *envelope::body_as<mangoquay::wire::position_query>() const {
+  return body_as_position_query();
+}
+
+template<> inline const mangoquay::wire::position_answer *envelope::body_as<mangoquay::wire::position_answer>() const {
+  return body_as_position_answer();
+}
+
+template<> inline const mangoquay::wire::probe *envelope::body_as<mangoquay::wire::probe>() const {
+  return body_as_probe();
+}
+
+template<> inline const mangoquay::wire::probe_answer *envelope::body_as<mangoquay::wire::probe_answer>() const {
+  return body_as_probe_answer();
+}
+
+template<> inline const mangoquay::wire::status_query *envelope::body_as<mangoquay::wire::status_query>() const {
+  return body_as_status_query();
+}
+
+template<> inline const mangoquay::wire::status_answer *envelope::body_as<mangoquay::wire::status_answer>() const {
+  return body_as_status_answer();
+}
+
+template<> inline const mangoquay::wire::replace_control_host *envelope::body_as<mangoquay::wire::replace_control_host>() const {
+  return body_as_replace_control_host();
+}
+
+template<> inline const mangoquay::wire::fleet_follow *envelope::body_as<mangoquay::wire::fleet_follow>() const {
+  return body_as_fleet_follow();
+}
+
+template<> inline const mangoquay::wire::fleet_update *envelope::body_as<mangoquay::wire::fleet_update>() const {
+  return body_as_fleet_update();
+}
+
+template<> inline const mangoquay::wire::cell_join *envelope::body_as<mangoquay::wire::cell_join>() const {
+  return body_as_cell_join();
+}
+
+template<> inline const mangoquay::wire::loan_request *envelope::body_as<mangoquay::wire::loan_request>() const {
+  return body_as_loan_request();
+}
+
+template<> inline const mangoquay::wire::loan_grant *envelope::body_as<mangoquay::wire::loan_grant>() const {
+  return body_as_loan_grant();
+}
+
+template<> inline const mangoquay::wire::loan_refusal *envelope::body_as<mangoquay::wire::loan_refusal>() const {
+  return body_as_loan_refusal();
+}
+
+template<> inline const mangoquay::wire::loan_work *envelope::body_as<mangoquay::wire::loan_work>() const {
+  return body_as_loan_work();
+}
+
+template<> inline const mangoquay::wire::loan_answer *envelope::body_as<mangoquay::wire::loan_answer>() const {
+  return body_as_loan_answer();
+}
+
+template<> inline const mangoquay::wire::loan_end *envelope::body_as<mangoquay::wire::loan_end>() const {
+  return body_as_loan_end();
+}
+
+template<> inline const mangoquay::wire::loan_lost *envelope::body_as<mangoquay::wire::loan_lost>() const {
+  return body_as_loan_lost();
+}
+
+struct envelopeBuilder {
+  typedef envelope Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_body_type(mangoquay::wire::message body_type) {
+    fbb_.AddElement<uint8_t>(envelope::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  }
+  void add_body(flatbuffers::Offset<void> body) {
+    fbb_.AddOffset(envelope::VT_BODY, body);
+  }
+  explicit envelopeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<envelope> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<envelope>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<envelope> Createenvelope(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    mangoquay::wire::message body_type = mangoquay::wire::message::NONE,
+    flatbuffers::Offset<void> body = 0) {
+  envelopeBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_body_type(body_type);
+  return builder_.Finish();
+}
+
+struct envelope::Traits {
+  using type = envelope;
+  static auto constexpr Create = Createenvelope;
+};
+
+flatbuffers::Offset<envelope> Createenvelope(flatbuffers::FlatBufferBuilder &_fbb, const envelopeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+inline wire_positionT *wire_position::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<wire_positionT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void wire_position::UnPackTo(wire_positionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = lsn(); _o->lsn = _e; }
+}
+
+inline flatbuffers::Offset<wire_position> wire_position::Pack(flatbuffers::FlatBufferBuilder &_fbb, const wire_positionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createwire_position(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<wire_position> Createwire_position(flatbuffers::FlatBufferBuilder &_fbb, const wire_positionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const wire_positionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _term = _o->term;
+  auto _lsn = _o->lsn;
+  return mangoquay::wire::Createwire_position(
+      _fbb,
+      _term,
+      _lsn);
+}
+
+inline cellT *cell::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<cellT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void cell::UnPackTo(cellT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = is_null(); _o->is_null = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+}
+
+inline flatbuffers::Offset<cell> cell::Pack(flatbuffers::FlatBufferBuilder &_fbb, const cellT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcell(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<cell> Createcell(flatbuffers::FlatBufferBuilder &_fbb, const cellT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const cellT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _is_null = _o->is_null;
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return mangoquay::wire::Createcell(
+      _fbb,
+      _is_null,
       _text);
 }
 
-inline rowT::rowT(const rowT &o) {
-  cells.reserve(o.cells.size());
-  for (const auto &cells_ : o.cells) { cells.emplace_back((cells_) ? new mangoquay::wire::cellT(*cells_) : nullptr); }
+inline rowT::rowT(const rowT &o) {
+  cells.reserve(o.cells.size());
+  for (const auto &cells_ : o.cells) { cells.emplace_back((cells_) ? new mangoquay::wire::cellT(*cells_) : nullptr); }
+}
+
+inline rowT &rowT::operator=(rowT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(cells, o.cells);
+  return *this;
+}
+
+inline rowT *row::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<rowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void row::UnPackTo(rowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = cells(); if (_e) { _o->cells.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cells[_i] = std::unique_ptr<mangoquay::wire::cellT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<row> row::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<row> Createrow(flatbuffers::FlatBufferBuilder &_fbb, const rowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _cells = _o->cells.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::cell>> (_o->cells.size(), [](size_t i, _VectorArgs *__va) { return Createcell(*__va->__fbb, __va->__o->cells[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mangoquay::wire::Createrow(
+      _fbb,
+      _cells);
+}
+
+inline raft_entryT *raft_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_entryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_entry::UnPackTo(raft_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = payload(); if (_e) { _o->payload.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->payload.begin()); } }
+  { auto _e = kind(); _o->kind = _e; }
+}
+
+inline flatbuffers::Offset<raft_entry> raft_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_entry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_entry> Createraft_entry(flatbuffers::FlatBufferBuilder &_fbb, const raft_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _term = _o->term;
+  auto _payload = _o->payload.size() ? _fbb.CreateVector(_o->payload) : 0;
+  auto _kind = _o->kind;
+  return mangoquay::wire::Createraft_entry(
+      _fbb,
+      _term,
+      _payload,
+      _kind);
+}
+
+inline raft_memberT *raft_member::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_memberT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_member::UnPackTo(raft_memberT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = disk(); if (_e) _o->disk = _e->str(); }
+}
+
+inline flatbuffers::Offset<raft_member> raft_member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_memberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_member(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_member> Createraft_member(flatbuffers::FlatBufferBuilder &_fbb, const raft_memberT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_memberT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _disk = _o->disk.empty() ? 0 : _fbb.CreateString(_o->disk);
+  return mangoquay::wire::Createraft_member(
+      _fbb,
+      _host,
+      _disk);
+}
+
+inline raft_membersT::raft_membersT(const raft_membersT &o) {
+  voters.reserve(o.voters.size());
+  for (const auto &voters_ : o.voters) { voters.emplace_back((voters_) ? new mangoquay::wire::raft_memberT(*voters_) : nullptr); }
+  learners.reserve(o.learners.size());
+  for (const auto &learners_ : o.learners) { learners.emplace_back((learners_) ? new mangoquay::wire::raft_memberT(*learners_) : nullptr); }
+}
+
+inline raft_membersT &raft_membersT::operator=(raft_membersT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(voters, o.voters);
+  std::swap(learners, o.learners);
+  return *this;
+}
+
+inline raft_membersT *raft_members::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_membersT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_members::UnPackTo(raft_membersT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = voters(); if (_e) { _o->voters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->voters[_i] = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = learners(); if (_e) { _o->learners.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->learners[_i] = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<raft_members> raft_members::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_membersT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_members(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_members> Createraft_members(flatbuffers::FlatBufferBuilder &_fbb, const raft_membersT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_membersT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _voters = _o->voters.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_member>> (_o->voters.size(), [](size_t i, _VectorArgs *__va) { return Createraft_member(*__va->__fbb, __va->__o->voters[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _learners = _o->learners.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_member>> (_o->learners.size(), [](size_t i, _VectorArgs *__va) { return Createraft_member(*__va->__fbb, __va->__o->learners[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mangoquay::wire::Createraft_members(
+      _fbb,
+      _voters,
+      _learners);
+}
+
+inline raft_recordT::raft_recordT(const raft_recordT &o)
+      : batch_start(o.batch_start),
+        index(o.index),
+        entry((o.entry) ? new mangoquay::wire::raft_entryT(*o.entry) : nullptr) {
+}
+
+inline raft_recordT &raft_recordT::operator=(raft_recordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(batch_start, o.batch_start);
+  std::swap(index, o.index);
+  std::swap(entry, o.entry);
+  return *this;
+}
+
+inline raft_recordT *raft_record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_recordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_record::UnPackTo(raft_recordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = batch_start(); _o->batch_start = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = entry(); if (_e) _o->entry = std::unique_ptr<mangoquay::wire::raft_entryT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<raft_record> raft_record::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_record(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_record> Createraft_record(flatbuffers::FlatBufferBuilder &_fbb, const raft_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_recordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _batch_start = _o->batch_start;
+  auto _index = _o->index;
+  auto _entry = _o->entry ? Createraft_entry(_fbb, _o->entry.get(), _rehasher) : 0;
+  return mangoquay::wire::Createraft_record(
+      _fbb,
+      _batch_start,
+      _index,
+      _entry);
+}
+
+inline raft_hard_stateT::raft_hard_stateT(const raft_hard_stateT &o)
+      : disk(o.disk),
+        term(o.term),
+        vote((o.vote) ? new mangoquay::wire::raft_memberT(*o.vote) : nullptr) {
+}
+
+inline raft_hard_stateT &raft_hard_stateT::operator=(raft_hard_stateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(disk, o.disk);
+  std::swap(term, o.term);
+  std::swap(vote, o.vote);
+  return *this;
+}
+
+inline raft_hard_stateT *raft_hard_state::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_hard_stateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_hard_state::UnPackTo(raft_hard_stateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = disk(); if (_e) _o->disk = _e->str(); }
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = vote(); if (_e) _o->vote = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<raft_hard_state> raft_hard_state::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_hard_stateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_hard_state(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_hard_state> Createraft_hard_state(flatbuffers::FlatBufferBuilder &_fbb, const raft_hard_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_hard_stateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _disk = _o->disk.empty() ? 0 : _fbb.CreateString(_o->disk);
+  auto _term = _o->term;
+  auto _vote = _o->vote ? Createraft_member(_fbb, _o->vote.get(), _rehasher) : 0;
+  return mangoquay::wire::Createraft_hard_state(
+      _fbb,
+      _disk,
+      _term,
+      _vote);
+}
+
+inline raft_snapshotT *raft_snapshot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_snapshotT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_snapshot::UnPackTo(raft_snapshotT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->members.begin()); } }
+  { auto _e = state(); if (_e) { _o->state.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->state.begin()); } }
+}
+
+inline flatbuffers::Offset<raft_snapshot> raft_snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_snapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_snapshot(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_snapshot> Createraft_snapshot(flatbuffers::FlatBufferBuilder &_fbb, const raft_snapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_snapshotT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _index = _o->index;
+  auto _term = _o->term;
+  auto _members = _o->members.size() ? _fbb.CreateVector(_o->members) : 0;
+  auto _state = _o->state.size() ? _fbb.CreateVector(_o->state) : 0;
+  return mangoquay::wire::Createraft_snapshot(
+      _fbb,
+      _index,
+      _term,
+      _members,
+      _state);
+}
+
+inline raft_messageT::raft_messageT(const raft_messageT &o)
+      : kind(o.kind),
+        from_disk(o.from_disk),
+        to_disk(o.to_disk),
+        term(o.term),
+        index(o.index),
+        log_term(o.log_term),
+        commit(o.commit),
+        granted(o.granted),
+        round(o.round),
+        snapshot(o.snapshot),
+        members(o.members),
+        offset(o.offset),
+        total(o.total) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new mangoquay::wire::raft_entryT(*entries_) : nullptr); }
+}
+
+inline raft_messageT &raft_messageT::operator=(raft_messageT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(kind, o.kind);
+  std::swap(from_disk, o.from_disk);
+  std::swap(to_disk, o.to_disk);
+  std::swap(term, o.term);
+  std::swap(index, o.index);
+  std::swap(log_term, o.log_term);
+  std::swap(commit, o.commit);
+  std::swap(entries, o.entries);
+  std::swap(granted, o.granted);
+  std::swap(round, o.round);
+  std::swap(snapshot, o.snapshot);
+  std::swap(members, o.members);
+  std::swap(offset, o.offset);
+  std::swap(total, o.total);
+  return *this;
+}
+
+inline raft_messageT *raft_message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<raft_messageT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void raft_message::UnPackTo(raft_messageT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = from_disk(); if (_e) _o->from_disk = _e->str(); }
+  { auto _e = to_disk(); if (_e) _o->to_disk = _e->str(); }
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = log_term(); _o->log_term = _e; }
+  { auto _e = commit(); _o->commit = _e; }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<mangoquay::wire::raft_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = snapshot(); if (_e) { _o->snapshot.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->snapshot.begin()); } }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->members.begin()); } }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = total(); _o->total = _e; }
+}
+
+inline flatbuffers::Offset<raft_message> raft_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_messageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createraft_message(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<raft_message> Createraft_message(flatbuffers::FlatBufferBuilder &_fbb, const raft_messageT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_messageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _from_disk = _o->from_disk.empty() ? 0 : _fbb.CreateString(_o->from_disk);
+  auto _to_disk = _o->to_disk.empty() ? 0 : _fbb.CreateString(_o->to_disk);
+  auto _term = _o->term;
+  auto _index = _o->index;
+  auto _log_term = _o->log_term;
+  auto _commit = _o->commit;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_entry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return Createraft_entry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _granted = _o->granted;
+  auto _round = _o->round;
+  auto _snapshot = _o->snapshot.size() ? _fbb.CreateVector(_o->snapshot) : 0;
+  auto _members = _o->members.size() ? _fbb.CreateVector(_o->members) : 0;
+  auto _offset = _o->offset;
+  auto _total = _o->total;
+  return mangoquay::wire::Createraft_message(
+      _fbb,
+      _kind,
+      _from_disk,
+      _to_disk,
+      _term,
+      _index,
+      _log_term,
+      _commit,
+      _entries,
+      _granted,
+      _round,
+      _snapshot,
+      _members,
+      _offset,
+      _total);
+}
+
+inline endpoint_healthT::endpoint_healthT(const endpoint_healthT &o)
+      : endpoint(o.endpoint),
+        reachable(o.reachable),
+        lock_held(o.lock_held),
+        position((o.position) ? new mangoquay::wire::wire_positionT(*o.position) : nullptr),
+        follows(o.follows),
+        writes_stalled(o.writes_stalled),
+        writes_in_flight(o.writes_in_flight) {
 }
 
-inline rowT &rowT::operator=(rowT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(cells, o.cells);
+inline endpoint_healthT &endpoint_healthT::operator=(endpoint_healthT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(endpoint, o.endpoint);
+  std::swap(reachable, o.reachable);
+  std::swap(lock_held, o.lock_held);
+  std::swap(position, o.position);
+  std::swap(follows, o.follows);
+  std::swap(writes_stalled, o.writes_stalled);
+  std::swap(writes_in_flight, o.writes_in_flight);
   return *this;
 }
 
-inline rowT *row::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<rowT>();
+inline endpoint_healthT *endpoint_health::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<endpoint_healthT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void row::UnPackTo(rowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void endpoint_health::UnPackTo(endpoint_healthT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = cells(); if (_e) { _o->cells.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cells[_i] = std::unique_ptr<mangoquay::wire::cellT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = reachable(); _o->reachable = _e; }
+  { auto _e = lock_held(); _o->lock_held = _e; }
+  { auto _e = position(); if (_e) _o->position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
+  { auto _e = follows(); if (_e) _o->follows = _e->str(); }
+  { auto _e = writes_stalled(); _o->writes_stalled = _e; }
+  { auto _e = writes_in_flight(); _o->writes_in_flight = _e; }
 }
 
-inline flatbuffers::Offset<row> row::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createrow(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<endpoint_health> endpoint_health::Pack(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_healthT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createendpoint_health(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<row> Createrow(flatbuffers::FlatBufferBuilder &_fbb, const rowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<endpoint_health> Createendpoint_health(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_healthT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _cells = _o->cells.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::cell>> (_o->cells.size(), [](size_t i, _VectorArgs *__va) { return Createcell(*__va->__fbb, __va->__o->cells[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return mangoquay::wire::Createrow(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const endpoint_healthT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _reachable = _o->reachable;
+  auto _lock_held = _o->lock_held;
+  auto _position = _o->position ? Createwire_position(_fbb, _o->position.get(), _rehasher) : 0;
+  auto _follows = _o->follows.empty() ? 0 : _fbb.CreateString(_o->follows);
+  auto _writes_stalled = _o->writes_stalled;
+  auto _writes_in_flight = _o->writes_in_flight;
+  return mangoquay::wire::Createendpoint_health(
       _fbb,
-      _cells);
+      _endpoint,
+      _reachable,
+      _lock_held,
+      _position,
+      _follows,
+      _writes_stalled,
+      _writes_in_flight);
 }
 
-inline raft_entryT *raft_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<raft_entryT>();
+inline unsettled_dayT *unsettled_day::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<unsettled_dayT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void raft_entry::UnPackTo(raft_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void unsettled_day::UnPackTo(unsettled_dayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = term(); _o->term = _e; }
-  { auto _e = payload(); if (_e) { _o->payload.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->payload.begin()); } }
-  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = day(); if (_e) _o->day = _e->str(); }
+  { auto _e = writes(); _o->writes = _e; }
 }
 
-inline flatbuffers::Offset<raft_entry> raft_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createraft_entry(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<unsettled_day> unsettled_day::Pack(flatbuffers::FlatBufferBuilder &_fbb, const unsettled_dayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createunsettled_day(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<raft_entry> Createraft_entry(flatbuffers::FlatBufferBuilder &_fbb, const raft_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<unsettled_day> Createunsettled_day(flatbuffers::FlatBufferBuilder &_fbb, const unsettled_dayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _term = _o->term;
-  auto _payload = _o->payload.size() ? _fbb.CreateVector(_o->payload) : 0;
-  auto _kind = _o->kind;
-  return mangoquay::wire::Createraft_entry(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const unsettled_dayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _day = _o->day.empty() ? 0 : _fbb.CreateString(_o->day);
+  auto _writes = _o->writes;
+  return mangoquay::wire::Createunsettled_day(
       _fbb,
-      _term,
-      _payload,
-      _kind);
+      _service,
+      _day,
+      _writes);
 }
 
-inline raft_memberT *raft_member::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<raft_memberT>();
+inline heartbeatT::heartbeatT(const heartbeatT &o)
+      : host(o.host),
+        incarnation(o.incarnation),
+        number(o.number),
+        applied_revision(o.applied_revision),
+        renewed_endpoints(o.renewed_endpoints),
+        leaving(o.leaving),
+        peer_host(o.peer_host),
+        peer_port(o.peer_port) {
+  health.reserve(o.health.size());
+  for (const auto &health_ : o.health) { health.emplace_back((health_) ? new mangoquay::wire::endpoint_healthT(*health_) : nullptr); }
+  unsettled.reserve(o.unsettled.size());
+  for (const auto &unsettled_ : o.unsettled) { unsettled.emplace_back((unsettled_) ? new mangoquay::wire::unsettled_dayT(*unsettled_) : nullptr); }
+}
+
+inline heartbeatT &heartbeatT::operator=(heartbeatT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(host, o.host);
+  std::swap(incarnation, o.incarnation);
+  std::swap(number, o.number);
+  std::swap(applied_revision, o.applied_revision);
+  std::swap(health, o.health);
+  std::swap(unsettled, o.unsettled);
+  std::swap(renewed_endpoints, o.renewed_endpoints);
+  std::swap(leaving, o.leaving);
+  std::swap(peer_host, o.peer_host);
+  std::swap(peer_port, o.peer_port);
+  return *this;
+}
+
+inline heartbeatT *heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<heartbeatT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void raft_member::UnPackTo(raft_memberT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void heartbeat::UnPackTo(heartbeatT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = host(); if (_e) _o->host = _e->str(); }
-  { auto _e = disk(); if (_e) _o->disk = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = applied_revision(); _o->applied_revision = _e; }
+  { auto _e = health(); if (_e) { _o->health.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->health[_i] = std::unique_ptr<mangoquay::wire::endpoint_healthT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = unsettled(); if (_e) { _o->unsettled.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unsettled[_i] = std::unique_ptr<mangoquay::wire::unsettled_dayT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = renewed_endpoints(); if (_e) { _o->renewed_endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewed_endpoints[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
+  { auto _e = peer_port(); _o->peer_port = _e; }
 }
 
-inline flatbuffers::Offset<raft_member> raft_member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_memberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createraft_member(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<heartbeat> heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createheartbeat(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<raft_member> Createraft_member(flatbuffers::FlatBufferBuilder &_fbb, const raft_memberT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<heartbeat> Createheartbeat(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_memberT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const heartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
-  auto _disk = _o->disk.empty() ? 0 : _fbb.CreateString(_o->disk);
-  return mangoquay::wire::Createraft_member(
+  auto _incarnation = _o->incarnation;
+  auto _number = _o->number;
+  auto _applied_revision = _o->applied_revision;
+  auto _health = _o->health.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_health>> (_o->health.size(), [](size_t i, _VectorArgs *__va) { return Createendpoint_health(*__va->__fbb, __va->__o->health[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _unsettled = _o->unsettled.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::unsettled_day>> (_o->unsettled.size(), [](size_t i, _VectorArgs *__va) { return Createunsettled_day(*__va->__fbb, __va->__o->unsettled[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _renewed_endpoints = _o->renewed_endpoints.size() ? _fbb.CreateVectorOfStrings(_o->renewed_endpoints) : 0;
+  auto _leaving = _o->leaving;
+  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
+  auto _peer_port = _o->peer_port;
+  return mangoquay::wire::Createheartbeat(
       _fbb,
       _host,
-      _disk);
+      _incarnation,
+      _number,
+      _applied_revision,
+      _health,
+      _unsettled,
+      _renewed_endpoints,
+      _leaving,
+      _peer_host,
+      _peer_port);
 }
 
-inline raft_membersT::raft_membersT(const raft_membersT &o) {
-  voters.reserve(o.voters.size());
-  for (const auto &voters_ : o.voters) { voters.emplace_back((voters_) ? new mangoquay::wire::raft_memberT(*voters_) : nullptr); }
-  learners.reserve(o.learners.size());
-  for (const auto &learners_ : o.learners) { learners.emplace_back((learners_) ? new mangoquay::wire::raft_memberT(*learners_) : nullptr); }
+inline lease_grantT *lease_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<lease_grantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-inline raft_membersT &raft_membersT::operator=(raft_membersT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(voters, o.voters);
-  std::swap(learners, o.learners);
-  return *this;
+inline void lease_grant::UnPackTo(lease_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = accepted(); _o->accepted = _e; }
+  { auto _e = leader(); if (_e) _o->leader = _e->str(); }
+  { auto _e = committed_revision(); _o->committed_revision = _e; }
 }
 
-inline raft_membersT *raft_members::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<raft_membersT>();
+inline flatbuffers::Offset<lease_grant> lease_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const lease_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlease_grant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<lease_grant> Createlease_grant(flatbuffers::FlatBufferBuilder &_fbb, const lease_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const lease_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _incarnation = _o->incarnation;
+  auto _accepted = _o->accepted;
+  auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
+  auto _committed_revision = _o->committed_revision;
+  return mangoquay::wire::Createlease_grant(
+      _fbb,
+      _number,
+      _incarnation,
+      _accepted,
+      _leader,
+      _committed_revision);
+}
+
+inline log_batchT::log_batchT(const log_batchT &o)
+      : first_revision(o.first_revision),
+        committed_revision(o.committed_revision) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new mangoquay::wire::raft_entryT(*entries_) : nullptr); }
+}
+
+inline log_batchT &log_batchT::operator=(log_batchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(first_revision, o.first_revision);
+  std::swap(entries, o.entries);
+  std::swap(committed_revision, o.committed_revision);
+  return *this;
+}
+
+inline log_batchT *log_batch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<log_batchT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void raft_members::UnPackTo(raft_membersT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void log_batch::UnPackTo(log_batchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = voters(); if (_e) { _o->voters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->voters[_i] = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = learners(); if (_e) { _o->learners.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->learners[_i] = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = first_revision(); _o->first_revision = _e; }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<mangoquay::wire::raft_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = committed_revision(); _o->committed_revision = _e; }
 }
 
-inline flatbuffers::Offset<raft_members> raft_members::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_membersT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createraft_members(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<log_batch> log_batch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const log_batchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlog_batch(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<raft_members> Createraft_members(flatbuffers::FlatBufferBuilder &_fbb, const raft_membersT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<log_batch> Createlog_batch(flatbuffers::FlatBufferBuilder &_fbb, const log_batchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_membersT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _voters = _o->voters.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_member>> (_o->voters.size(), [](size_t i, _VectorArgs *__va) { return Createraft_member(*__va->__fbb, __va->__o->voters[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _learners = _o->learners.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_member>> (_o->learners.size(), [](size_t i, _VectorArgs *__va) { return Createraft_member(*__va->__fbb, __va->__o->learners[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return mangoquay::wire::Createraft_members(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const log_batchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _first_revision = _o->first_revision;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_entry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return Createraft_entry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _committed_revision = _o->committed_revision;
+  return mangoquay::wire::Createlog_batch(
       _fbb,
-      _voters,
-      _learners);
-}
-
-inline raft_recordT::raft_recordT(const raft_recordT &o)
-      : batch_start(o.batch_start),
-        index(o.index),
-        entry((o.entry) ? new mangoquay::wire::raft_entryT(*o.entry) : nullptr) {
-}
-
-inline raft_recordT &raft_recordT::operator=(raft_recordT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(batch_start, o.batch_start);
-  std::swap(index, o.index);
-  std::swap(entry, o.entry);
-  return *this;
+      _first_revision,
+      _entries,
+      _committed_revision);
 }
 
-inline raft_recordT *raft_record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<raft_recordT>();
+inline state_snapshotT *state_snapshot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<state_snapshotT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void raft_record::UnPackTo(raft_recordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void state_snapshot::UnPackTo(state_snapshotT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = batch_start(); _o->batch_start = _e; }
-  { auto _e = index(); _o->index = _e; }
-  { auto _e = entry(); if (_e) _o->entry = std::unique_ptr<mangoquay::wire::raft_entryT>(_e->UnPack(_resolver)); }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = state(); if (_e) { _o->state.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->state.begin()); } }
 }
 
-inline flatbuffers::Offset<raft_record> raft_record::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createraft_record(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<state_snapshot> state_snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const state_snapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstate_snapshot(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<raft_record> Createraft_record(flatbuffers::FlatBufferBuilder &_fbb, const raft_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<state_snapshot> Createstate_snapshot(flatbuffers::FlatBufferBuilder &_fbb, const state_snapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_recordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _batch_start = _o->batch_start;
-  auto _index = _o->index;
-  auto _entry = _o->entry ? Createraft_entry(_fbb, _o->entry.get(), _rehasher) : 0;
-  return mangoquay::wire::Createraft_record(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const state_snapshotT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _revision = _o->revision;
+  auto _state = _o->state.size() ? _fbb.CreateVector(_o->state) : 0;
+  return mangoquay::wire::Createstate_snapshot(
       _fbb,
-      _batch_start,
-      _index,
-      _entry);
-}
-
-inline raft_hard_stateT::raft_hard_stateT(const raft_hard_stateT &o)
-      : disk(o.disk),
-        term(o.term),
-        vote((o.vote) ? new mangoquay::wire::raft_memberT(*o.vote) : nullptr) {
-}
-
-inline raft_hard_stateT &raft_hard_stateT::operator=(raft_hard_stateT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(disk, o.disk);
-  std::swap(term, o.term);
-  std::swap(vote, o.vote);
-  return *this;
+      _revision,
+      _state);
 }
 
-inline raft_hard_stateT *raft_hard_state::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<raft_hard_stateT>();
+inline submit_commandT *submit_command::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<submit_commandT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void raft_hard_state::UnPackTo(raft_hard_stateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void submit_command::UnPackTo(submit_commandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = disk(); if (_e) _o->disk = _e->str(); }
-  { auto _e = term(); _o->term = _e; }
-  { auto _e = vote(); if (_e) _o->vote = std::unique_ptr<mangoquay::wire::raft_memberT>(_e->UnPack(_resolver)); }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = command(); if (_e) { _o->command.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->command.begin()); } }
 }
 
-inline flatbuffers::Offset<raft_hard_state> raft_hard_state::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_hard_stateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createraft_hard_state(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<submit_command> submit_command::Pack(flatbuffers::FlatBufferBuilder &_fbb, const submit_commandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createsubmit_command(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<raft_hard_state> Createraft_hard_state(flatbuffers::FlatBufferBuilder &_fbb, const raft_hard_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<submit_command> Createsubmit_command(flatbuffers::FlatBufferBuilder &_fbb, const submit_commandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_hard_stateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _disk = _o->disk.empty() ? 0 : _fbb.CreateString(_o->disk);
-  auto _term = _o->term;
-  auto _vote = _o->vote ? Createraft_member(_fbb, _o->vote.get(), _rehasher) : 0;
-  return mangoquay::wire::Createraft_hard_state(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const submit_commandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _command = _o->command.size() ? _fbb.CreateVector(_o->command) : 0;
+  return mangoquay::wire::Createsubmit_command(
       _fbb,
-      _disk,
-      _term,
-      _vote);
+      _number,
+      _command);
 }
 
-inline raft_snapshotT *raft_snapshot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<raft_snapshotT>();
+inline command_outcomeT *command_outcome::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<command_outcomeT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void raft_snapshot::UnPackTo(raft_snapshotT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void command_outcome::UnPackTo(command_outcomeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = index(); _o->index = _e; }
-  { auto _e = term(); _o->term = _e; }
-  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->members.begin()); } }
-  { auto _e = state(); if (_e) { _o->state.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->state.begin()); } }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = accepted(); _o->accepted = _e; }
+  { auto _e = redirect(); if (_e) _o->redirect = _e->str(); }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = message(); if (_e) _o->message = _e->str(); }
 }
 
-inline flatbuffers::Offset<raft_snapshot> raft_snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_snapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createraft_snapshot(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<command_outcome> command_outcome::Pack(flatbuffers::FlatBufferBuilder &_fbb, const command_outcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcommand_outcome(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<raft_snapshot> Createraft_snapshot(flatbuffers::FlatBufferBuilder &_fbb, const raft_snapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<command_outcome> Createcommand_outcome(flatbuffers::FlatBufferBuilder &_fbb, const command_outcomeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_snapshotT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _index = _o->index;
-  auto _term = _o->term;
