-  auto _members = _o->members.size() ? _fbb.CreateVector(_o->members) : 0;
-  auto _state = _o->state.size() ? _fbb.CreateVector(_o->state) : 0;
-  return mangoquay::wire::Createraft_snapshot(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const command_outcomeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _accepted = _o->accepted;
+  auto _redirect = _o->redirect.empty() ? 0 : _fbb.CreateString(_o->redirect);
+  auto _revision = _o->revision;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _message = _o->message.empty() ? 0 : _fbb.CreateString(_o->message);
+  return mangoquay::wire::Createcommand_outcome(
       _fbb,
-      _index,
-      _term,
-      _members,
-      _state);
+      _number,
+      _accepted,
+      _redirect,
+      _revision,
+      _reason,
+      _message);
 }
 
-inline raft_messageT::raft_messageT(const raft_messageT &o)
-      : kind(o.kind),
-        from_disk(o.from_disk),
-        to_disk(o.to_disk),
-        term(o.term),
-        index(o.index),
-        log_term(o.log_term),
-        commit(o.commit),
-        granted(o.granted),
-        round(o.round),
-        snapshot(o.snapshot),
-        members(o.members),
-        offset(o.offset),
-        total(o.total) {
-  entries.reserve(o.entries.size());
-  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new mangoquay::wire::raft_entryT(*entries_) : nullptr); }
+inline executeT::executeT(const executeT &o)
+      : request(o.request),
+        endpoint(o.endpoint),
+        owner_epoch(o.owner_epoch),
+        service(o.service),
+        group(o.group),
+        caller(o.caller),
+        kind(o.kind),
+        sql(o.sql),
+        work_class(o.work_class),
+        remaining_us(o.remaining_us),
+        has_max_age(o.has_max_age),
+        max_age_ms(o.max_age_ms),
+        least_position((o.least_position) ? new mangoquay::wire::wire_positionT(*o.least_position) : nullptr),
+        idempotency_key(o.idempotency_key),
+        not_repeatable(o.not_repeatable),
+        business_day(o.business_day),
+        transaction(o.transaction),
+        wait_us(o.wait_us) {
+  parameters.reserve(o.parameters.size());
+  for (const auto &parameters_ : o.parameters) { parameters.emplace_back((parameters_) ? new mangoquay::wire::cellT(*parameters_) : nullptr); }
 }
 
-inline raft_messageT &raft_messageT::operator=(raft_messageT o) FLATBUFFERS_NOEXCEPT {
+inline executeT &executeT::operator=(executeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(request, o.request);
+  std::swap(endpoint, o.endpoint);
+  std::swap(owner_epoch, o.owner_epoch);
+  std::swap(service, o.service);
+  std::swap(group, o.group);
+  std::swap(caller, o.caller);
   std::swap(kind, o.kind);
-  std::swap(from_disk, o.from_disk);
-  std::swap(to_disk, o.to_disk);
-  std::swap(term, o.term);
-  std::swap(index, o.index);
-  std::swap(log_term, o.log_term);
-  std::swap(commit, o.commit);
-  std::swap(entries, o.entries);
-  std::swap(granted, o.granted);
-  std::swap(round, o.round);
-  std::swap(snapshot, o.snapshot);
-  std::swap(members, o.members);
-  std::swap(offset, o.offset);
-  std::swap(total, o.total);
+  std::swap(sql, o.sql);
+  std::swap(parameters, o.parameters);
+  std::swap(work_class, o.work_class);
+  std::swap(remaining_us, o.remaining_us);
+  std::swap(has_max_age, o.has_max_age);
+  std::swap(max_age_ms, o.max_age_ms);
+  std::swap(least_position, o.least_position);
+  std::swap(idempotency_key, o.idempotency_key);
+  std::swap(not_repeatable, o.not_repeatable);
+  std::swap(business_day, o.business_day);
+  std::swap(transaction, o.transaction);
+  std::swap(wait_us, o.wait_us);
   return *this;
 }
 
-inline raft_messageT *raft_message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<raft_messageT>();
+inline executeT *execute::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<executeT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
-
-inline void raft_message::UnPackTo(raft_messageT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = kind(); _o->kind = _e; }
-  { auto _e = from_disk(); if (_e) _o->from_disk = _e->str(); }
-  { auto _e = to_disk(); if (_e) _o->to_disk = _e->str(); }
-  { auto _e = term(); _o->term = _e; }
-  { auto _e = index(); _o->index = _e; }
-  { auto _e = log_term(); _o->log_term = _e; }
-  { auto _e = commit(); _o->commit = _e; }
-  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<mangoquay::wire::raft_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = granted(); _o->granted = _e; }
-  { auto _e = round(); _o->round = _e; }
-  { auto _e = snapshot(); if (_e) { _o->snapshot.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->snapshot.begin()); } }
-  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->members.begin()); } }
-  { auto _e = offset(); _o->offset = _e; }
-  { auto _e = total(); _o->total = _e; }
+
+inline void execute::UnPackTo(executeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = owner_epoch(); _o->owner_epoch = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = caller(); if (_e) _o->caller = _e->str(); }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = sql(); if (_e) _o->sql = _e->str(); }
+  { auto _e = parameters(); if (_e) { _o->parameters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parameters[_i] = std::unique_ptr<mangoquay::wire::cellT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = work_class(); _o->work_class = _e; }
+  { auto _e = remaining_us(); _o->remaining_us = _e; }
+  { auto _e = has_max_age(); _o->has_max_age = _e; }
+  { auto _e = max_age_ms(); _o->max_age_ms = _e; }
+  { auto _e = least_position(); if (_e) _o->least_position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
+  { auto _e = idempotency_key(); if (_e) _o->idempotency_key = _e->str(); }
+  { auto _e = not_repeatable(); _o->not_repeatable = _e; }
+  { auto _e = business_day(); if (_e) _o->business_day = _e->str(); }
+  { auto _e = transaction(); if (_e) _o->transaction = _e->str(); }
+  { auto _e = wait_us(); _o->wait_us = _e; }
 }
 
-inline flatbuffers::Offset<raft_message> raft_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const raft_messageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createraft_message(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<execute> execute::Pack(flatbuffers::FlatBufferBuilder &_fbb, const executeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createexecute(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<raft_message> Createraft_message(flatbuffers::FlatBufferBuilder &_fbb, const raft_messageT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<execute> Createexecute(flatbuffers::FlatBufferBuilder &_fbb, const executeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const raft_messageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const executeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _owner_epoch = _o->owner_epoch;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
+  auto _caller = _o->caller.empty() ? 0 : _fbb.CreateString(_o->caller);
   auto _kind = _o->kind;
-  auto _from_disk = _o->from_disk.empty() ? 0 : _fbb.CreateString(_o->from_disk);
-  auto _to_disk = _o->to_disk.empty() ? 0 : _fbb.CreateString(_o->to_disk);
-  auto _term = _o->term;
-  auto _index = _o->index;
-  auto _log_term = _o->log_term;
-  auto _commit = _o->commit;
-  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_entry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return Createraft_entry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _granted = _o->granted;
-  auto _round = _o->round;
-  auto _snapshot = _o->snapshot.size() ? _fbb.CreateVector(_o->snapshot) : 0;
-  auto _members = _o->members.size() ? _fbb.CreateVector(_o->members) : 0;
-  auto _offset = _o->offset;
-  auto _total = _o->total;
-  return mangoquay::wire::Createraft_message(
+  auto _sql = _o->sql.empty() ? 0 : _fbb.CreateString(_o->sql);
+  auto _parameters = _o->parameters.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::cell>> (_o->parameters.size(), [](size_t i, _VectorArgs *__va) { return Createcell(*__va->__fbb, __va->__o->parameters[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _work_class = _o->work_class;
+  auto _remaining_us = _o->remaining_us;
+  auto _has_max_age = _o->has_max_age;
+  auto _max_age_ms = _o->max_age_ms;
+  auto _least_position = _o->least_position ? Createwire_position(_fbb, _o->least_position.get(), _rehasher) : 0;
+  auto _idempotency_key = _o->idempotency_key.empty() ? 0 : _fbb.CreateString(_o->idempotency_key);
+  auto _not_repeatable = _o->not_repeatable;
+  auto _business_day = _o->business_day.empty() ? 0 : _fbb.CreateString(_o->business_day);
+  auto _transaction = _o->transaction.empty() ? 0 : _fbb.CreateString(_o->transaction);
+  auto _wait_us = _o->wait_us;
+  return mangoquay::wire::Createexecute(
       _fbb,
+      _request,
+      _endpoint,
+      _owner_epoch,
+      _service,
+      _group,
+      _caller,
       _kind,
-      _from_disk,
-      _to_disk,
-      _term,
-      _index,
-      _log_term,
-      _commit,
-      _entries,
-      _granted,
-      _round,
-      _snapshot,
-      _members,
-      _offset,
-      _total);
+      _sql,
+      _parameters,
+      _work_class,
+      _remaining_us,
+      _has_max_age,
+      _max_age_ms,
+      _least_position,
+      _idempotency_key,
+      _not_repeatable,
+      _business_day,
+      _transaction,
+      _wait_us);
 }
 
-inline endpoint_healthT::endpoint_healthT(const endpoint_healthT &o)
-      : endpoint(o.endpoint),
-        reachable(o.reachable),
-        lock_held(o.lock_held),
+inline execute_answerT::execute_answerT(const execute_answerT &o)
+      : request(o.request),
+        verdict(o.verdict),
+        reason(o.reason),
+        message(o.message),
+        has_retry(o.has_retry),
+        retry_after_ms(o.retry_after_ms),
+        columns(o.columns),
+        rows_affected(o.rows_affected),
+        endpoint(o.endpoint),
         position((o.position) ? new mangoquay::wire::wire_positionT(*o.position) : nullptr),
-        follows(o.follows),
-        writes_stalled(o.writes_stalled),
-        writes_in_flight(o.writes_in_flight) {
+        endpoint_position((o.endpoint_position) ? new mangoquay::wire::wire_positionT(*o.endpoint_position) : nullptr) {
+  rows.reserve(o.rows.size());
+  for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new mangoquay::wire::rowT(*rows_) : nullptr); }
 }
 
-inline endpoint_healthT &endpoint_healthT::operator=(endpoint_healthT o) FLATBUFFERS_NOEXCEPT {
+inline execute_answerT &execute_answerT::operator=(execute_answerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(request, o.request);
+  std::swap(verdict, o.verdict);
+  std::swap(reason, o.reason);
+  std::swap(message, o.message);
+  std::swap(has_retry, o.has_retry);
+  std::swap(retry_after_ms, o.retry_after_ms);
+  std::swap(columns, o.columns);
+  std::swap(rows, o.rows);
+  std::swap(rows_affected, o.rows_affected);
   std::swap(endpoint, o.endpoint);
-  std::swap(reachable, o.reachable);
-  std::swap(lock_held, o.lock_held);
   std::swap(position, o.position);
-  std::swap(follows, o.follows);
-  std::swap(writes_stalled, o.writes_stalled);
-  std::swap(writes_in_flight, o.writes_in_flight);
+  std::swap(endpoint_position, o.endpoint_position);
   return *this;
 }
 
-inline endpoint_healthT *endpoint_health::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<endpoint_healthT>();
+inline execute_answerT *execute_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<execute_answerT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void endpoint_health::UnPackTo(endpoint_healthT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void execute_answer::UnPackTo(execute_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = verdict(); _o->verdict = _e; }
+  { auto _e = reason(); _o->reason = _e; }
+  { auto _e = message(); if (_e) _o->message = _e->str(); }
+  { auto _e = has_retry(); _o->has_retry = _e; }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = columns(); if (_e) { _o->columns.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->columns[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<mangoquay::wire::rowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = rows_affected(); _o->rows_affected = _e; }
   { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
-  { auto _e = reachable(); _o->reachable = _e; }
-  { auto _e = lock_held(); _o->lock_held = _e; }
   { auto _e = position(); if (_e) _o->position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
-  { auto _e = follows(); if (_e) _o->follows = _e->str(); }
-  { auto _e = writes_stalled(); _o->writes_stalled = _e; }
-  { auto _e = writes_in_flight(); _o->writes_in_flight = _e; }
+  { auto _e = endpoint_position(); if (_e) _o->endpoint_position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
 }
 
-inline flatbuffers::Offset<endpoint_health> endpoint_health::Pack(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_healthT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createendpoint_health(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<execute_answer> execute_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const execute_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createexecute_answer(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<endpoint_health> Createendpoint_health(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_healthT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<execute_answer> Createexecute_answer(flatbuffers::FlatBufferBuilder &_fbb, const execute_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const endpoint_healthT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const execute_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _verdict = _o->verdict;
+  auto _reason = _o->reason;
+  auto _message = _o->message.empty() ? 0 : _fbb.CreateString(_o->message);
+  auto _has_retry = _o->has_retry;
+  auto _retry_after_ms = _o->retry_after_ms;
+  auto _columns = _o->columns.size() ? _fbb.CreateVectorOfStrings(_o->columns) : 0;
+  auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::row>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return Createrow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _rows_affected = _o->rows_affected;
   auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
-  auto _reachable = _o->reachable;
-  auto _lock_held = _o->lock_held;
   auto _position = _o->position ? Createwire_position(_fbb, _o->position.get(), _rehasher) : 0;
-  auto _follows = _o->follows.empty() ? 0 : _fbb.CreateString(_o->follows);
-  auto _writes_stalled = _o->writes_stalled;
-  auto _writes_in_flight = _o->writes_in_flight;
-  return mangoquay::wire::Createendpoint_health(
+  auto _endpoint_position = _o->endpoint_position ? Createwire_position(_fbb, _o->endpoint_position.get(), _rehasher) : 0;
+  return mangoquay::wire::Createexecute_answer(
       _fbb,
+      _request,
+      _verdict,
+      _reason,
+      _message,
+      _has_retry,
+      _retry_after_ms,
+      _columns,
+      _rows,
+      _rows_affected,
       _endpoint,
-      _reachable,
-      _lock_held,
       _position,
-      _follows,
-      _writes_stalled,
-      _writes_in_flight);
-}
-
-inline unsettled_dayT *unsettled_day::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<unsettled_dayT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void unsettled_day::UnPackTo(unsettled_dayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = service(); if (_e) _o->service = _e->str(); }
-  { auto _e = day(); if (_e) _o->day = _e->str(); }
-  { auto _e = writes(); _o->writes = _e; }
-}
-
-inline flatbuffers::Offset<unsettled_day> unsettled_day::Pack(flatbuffers::FlatBufferBuilder &_fbb, const unsettled_dayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createunsettled_day(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<unsettled_day> Createunsettled_day(flatbuffers::FlatBufferBuilder &_fbb, const unsettled_dayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const unsettled_dayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
-  auto _day = _o->day.empty() ? 0 : _fbb.CreateString(_o->day);
-  auto _writes = _o->writes;
-  return mangoquay::wire::Createunsettled_day(
-      _fbb,
-      _service,
-      _day,
-      _writes);
-}
-
-inline heartbeatT::heartbeatT(const heartbeatT &o)
-      : host(o.host),
-        incarnation(o.incarnation),
-        number(o.number),
-        applied_revision(o.applied_revision),
-        renewed_endpoints(o.renewed_endpoints),
-        leaving(o.leaving),
-        peer_host(o.peer_host),
-        peer_port(o.peer_port) {
-  health.reserve(o.health.size());
-  for (const auto &health_ : o.health) { health.emplace_back((health_) ? new mangoquay::wire::endpoint_healthT(*health_) : nullptr); }
-  unsettled.reserve(o.unsettled.size());
-  for (const auto &unsettled_ : o.unsettled) { unsettled.emplace_back((unsettled_) ? new mangoquay::wire::unsettled_dayT(*unsettled_) : nullptr); }
-}
-
-inline heartbeatT &heartbeatT::operator=(heartbeatT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(host, o.host);
-  std::swap(incarnation, o.incarnation);
-  std::swap(number, o.number);
-  std::swap(applied_revision, o.applied_revision);
-  std::swap(health, o.health);
-  std::swap(unsettled, o.unsettled);
-  std::swap(renewed_endpoints, o.renewed_endpoints);
-  std::swap(leaving, o.leaving);
-  std::swap(peer_host, o.peer_host);
-  std::swap(peer_port, o.peer_port);
-  return *this;
+      _endpoint_position);
 }
 
-inline heartbeatT *heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<heartbeatT>();
+inline position_queryT *position_query::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<position_queryT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void heartbeat::UnPackTo(heartbeatT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void position_query::UnPackTo(position_queryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = host(); if (_e) _o->host = _e->str(); }
-  { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = number(); _o->number = _e; }
-  { auto _e = applied_revision(); _o->applied_revision = _e; }
-  { auto _e = health(); if (_e) { _o->health.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->health[_i] = std::unique_ptr<mangoquay::wire::endpoint_healthT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = unsettled(); if (_e) { _o->unsettled.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unsettled[_i] = std::unique_ptr<mangoquay::wire::unsettled_dayT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = renewed_endpoints(); if (_e) { _o->renewed_endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewed_endpoints[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = leaving(); _o->leaving = _e; }
-  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
-  { auto _e = peer_port(); _o->peer_port = _e; }
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
 }
 
-inline flatbuffers::Offset<heartbeat> heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createheartbeat(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<position_query> position_query::Pack(flatbuffers::FlatBufferBuilder &_fbb, const position_queryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createposition_query(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<heartbeat> Createheartbeat(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<position_query> Createposition_query(flatbuffers::FlatBufferBuilder &_fbb, const position_queryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const heartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
-  auto _incarnation = _o->incarnation;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const position_queryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _number = _o->number;
-  auto _applied_revision = _o->applied_revision;
-  auto _health = _o->health.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_health>> (_o->health.size(), [](size_t i, _VectorArgs *__va) { return Createendpoint_health(*__va->__fbb, __va->__o->health[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _unsettled = _o->unsettled.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::unsettled_day>> (_o->unsettled.size(), [](size_t i, _VectorArgs *__va) { return Createunsettled_day(*__va->__fbb, __va->__o->unsettled[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _renewed_endpoints = _o->renewed_endpoints.size() ? _fbb.CreateVectorOfStrings(_o->renewed_endpoints) : 0;
-  auto _leaving = _o->leaving;
-  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
-  auto _peer_port = _o->peer_port;
-  return mangoquay::wire::Createheartbeat(
+  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  return mangoquay::wire::Createposition_query(
       _fbb,
-      _host,
-      _incarnation,
       _number,
-      _applied_revision,
-      _health,
-      _unsettled,
-      _renewed_endpoints,
-      _leaving,
-      _peer_host,
-      _peer_port);
+      _group,
+      _endpoint);
 }
 
-inline lease_grantT *lease_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<lease_grantT>();
+inline position_answerT::position_answerT(const position_answerT &o)
+      : number(o.number),
+        group(o.group),
+        known(o.known),
+        position((o.position) ? new mangoquay::wire::wire_positionT(*o.position) : nullptr) {
+}
+
+inline position_answerT &position_answerT::operator=(position_answerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(group, o.group);
+  std::swap(known, o.known);
+  std::swap(position, o.position);
+  return *this;
+}
+
+inline position_answerT *position_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<position_answerT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void lease_grant::UnPackTo(lease_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void position_answer::UnPackTo(position_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = number(); _o->number = _e; }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = accepted(); _o->accepted = _e; }
-  { auto _e = leader(); if (_e) _o->leader = _e->str(); }
-  { auto _e = committed_revision(); _o->committed_revision = _e; }
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = known(); _o->known = _e; }
+  { auto _e = position(); if (_e) _o->position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
 }
 
-inline flatbuffers::Offset<lease_grant> lease_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const lease_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createlease_grant(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<position_answer> position_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const position_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createposition_answer(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<lease_grant> Createlease_grant(flatbuffers::FlatBufferBuilder &_fbb, const lease_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<position_answer> Createposition_answer(flatbuffers::FlatBufferBuilder &_fbb, const position_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const lease_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const position_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _number = _o->number;
-  auto _incarnation = _o->incarnation;
-  auto _accepted = _o->accepted;
-  auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
-  auto _committed_revision = _o->committed_revision;
-  return mangoquay::wire::Createlease_grant(
+  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
+  auto _known = _o->known;
+  auto _position = _o->position ? Createwire_position(_fbb, _o->position.get(), _rehasher) : 0;
+  return mangoquay::wire::Createposition_answer(
       _fbb,
       _number,
-      _incarnation,
-      _accepted,
-      _leader,
-      _committed_revision);
-}
-
-inline log_batchT::log_batchT(const log_batchT &o)
-      : first_revision(o.first_revision),
-        committed_revision(o.committed_revision) {
-  entries.reserve(o.entries.size());
-  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new mangoquay::wire::raft_entryT(*entries_) : nullptr); }
-}
-
-inline log_batchT &log_batchT::operator=(log_batchT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(first_revision, o.first_revision);
-  std::swap(entries, o.entries);
-  std::swap(committed_revision, o.committed_revision);
-  return *this;
+      _group,
+      _known,
+      _position);
 }
 
-inline log_batchT *log_batch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<log_batchT>();
+inline probeT *probe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<probeT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void log_batch::UnPackTo(log_batchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void probe::UnPackTo(probeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = first_revision(); _o->first_revision = _e; }
-  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<mangoquay::wire::raft_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = committed_revision(); _o->committed_revision = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
 }
 
-inline flatbuffers::Offset<log_batch> log_batch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const log_batchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createlog_batch(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<probe> probe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const probeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createprobe(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<log_batch> Createlog_batch(flatbuffers::FlatBufferBuilder &_fbb, const log_batchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<probe> Createprobe(flatbuffers::FlatBufferBuilder &_fbb, const probeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const log_batchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _first_revision = _o->first_revision;
-  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::raft_entry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return Createraft_entry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _committed_revision = _o->committed_revision;
-  return mangoquay::wire::Createlog_batch(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const probeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  return mangoquay::wire::Createprobe(
       _fbb,
-      _first_revision,
-      _entries,
-      _committed_revision);
+      _number,
+      _endpoint);
 }
 
-inline state_snapshotT *state_snapshot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<state_snapshotT>();
+inline probe_answerT *probe_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<probe_answerT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void state_snapshot::UnPackTo(state_snapshotT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void probe_answer::UnPackTo(probe_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = revision(); _o->revision = _e; }
-  { auto _e = state(); if (_e) { _o->state.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->state.begin()); } }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = reachable(); _o->reachable = _e; }
 }
 
-inline flatbuffers::Offset<state_snapshot> state_snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const state_snapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createstate_snapshot(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<probe_answer> probe_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const probe_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createprobe_answer(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<state_snapshot> Createstate_snapshot(flatbuffers::FlatBufferBuilder &_fbb, const state_snapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<probe_answer> Createprobe_answer(flatbuffers::FlatBufferBuilder &_fbb, const probe_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const state_snapshotT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _revision = _o->revision;
-  auto _state = _o->state.size() ? _fbb.CreateVector(_o->state) : 0;
-  return mangoquay::wire::Createstate_snapshot(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const probe_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _reachable = _o->reachable;
+  return mangoquay::wire::Createprobe_answer(
       _fbb,
-      _revision,
-      _state);
+      _number,
+      _endpoint,
+      _reachable);
 }
 
-inline submit_commandT *submit_command::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<submit_commandT>();
+inline status_queryT *status_query::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<status_queryT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void submit_command::UnPackTo(submit_commandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void status_query::UnPackTo(status_queryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = number(); _o->number = _e; }
-  { auto _e = command(); if (_e) { _o->command.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->command.begin()); } }
 }
 
-inline flatbuffers::Offset<submit_command> submit_command::Pack(flatbuffers::FlatBufferBuilder &_fbb, const submit_commandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createsubmit_command(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<status_query> status_query::Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_queryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstatus_query(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<submit_command> Createsubmit_command(flatbuffers::FlatBufferBuilder &_fbb, const submit_commandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<status_query> Createstatus_query(flatbuffers::FlatBufferBuilder &_fbb, const status_queryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const submit_commandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const status_queryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _number = _o->number;
-  auto _command = _o->command.size() ? _fbb.CreateVector(_o->command) : 0;
-  return mangoquay::wire::Createsubmit_command(
+  return mangoquay::wire::Createstatus_query(
       _fbb,
-      _number,
-      _command);
+      _number);
 }
 
-inline command_outcomeT *command_outcome::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<command_outcomeT>();
+inline status_answerT *status_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<status_answerT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void command_outcome::UnPackTo(command_outcomeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void status_answer::UnPackTo(status_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = number(); _o->number = _e; }
-  { auto _e = accepted(); _o->accepted = _e; }
-  { auto _e = redirect(); if (_e) _o->redirect = _e->str(); }
-  { auto _e = revision(); _o->revision = _e; }
-  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
-  { auto _e = message(); if (_e) _o->message = _e->str(); }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
 }
 
-inline flatbuffers::Offset<command_outcome> command_outcome::Pack(flatbuffers::FlatBufferBuilder &_fbb, const command_outcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createcommand_outcome(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<status_answer> status_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstatus_answer(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<command_outcome> Createcommand_outcome(flatbuffers::FlatBufferBuilder &_fbb, const command_outcomeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<status_answer> Createstatus_answer(flatbuffers::FlatBufferBuilder &_fbb, const status_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const command_outcomeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const status_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _number = _o->number;
-  auto _accepted = _o->accepted;
-  auto _redirect = _o->redirect.empty() ? 0 : _fbb.CreateString(_o->redirect);
-  auto _revision = _o->revision;
-  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
-  auto _message = _o->message.empty() ? 0 : _fbb.CreateString(_o->message);
-  return mangoquay::wire::Createcommand_outcome(
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return mangoquay::wire::Createstatus_answer(
       _fbb,
       _number,
-      _accepted,
-      _redirect,
-      _revision,
-      _reason,
-      _message);
+      _text);
 }
 
-inline executeT::executeT(const executeT &o)
-      : request(o.request),
-        endpoint(o.endpoint),
-        owner_epoch(o.owner_epoch),
-        service(o.service),
-        group(o.group),
-        caller(o.caller),
-        kind(o.kind),
-        sql(o.sql),
-        work_class(o.work_class),
-        remaining_us(o.remaining_us),
-        has_max_age(o.has_max_age),
-        max_age_ms(o.max_age_ms),
-        least_position((o.least_position) ? new mangoquay::wire::wire_positionT(*o.least_position) : nullptr),
-        idempotency_key(o.idempotency_key),
-        not_repeatable(o.not_repeatable),
-        business_day(o.business_day),
-        transaction(o.transaction),
-        wait_us(o.wait_us) {
-  parameters.reserve(o.parameters.size());
-  for (const auto &parameters_ : o.parameters) { parameters.emplace_back((parameters_) ? new mangoquay::wire::cellT(*parameters_) : nullptr); }
+inline replace_control_hostT *replace_control_host::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<replace_control_hostT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void replace_control_host::UnPackTo(replace_control_hostT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = old_host(); if (_e) _o->old_host = _e->str(); }
+  { auto _e = new_host(); if (_e) _o->new_host = _e->str(); }
 }
 
-inline executeT &executeT::operator=(executeT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(request, o.request);
-  std::swap(endpoint, o.endpoint);
-  std::swap(owner_epoch, o.owner_epoch);
-  std::swap(service, o.service);
-  std::swap(group, o.group);
-  std::swap(caller, o.caller);
-  std::swap(kind, o.kind);
-  std::swap(sql, o.sql);
-  std::swap(parameters, o.parameters);
-  std::swap(work_class, o.work_class);
-  std::swap(remaining_us, o.remaining_us);
-  std::swap(has_max_age, o.has_max_age);
-  std::swap(max_age_ms, o.max_age_ms);
-  std::swap(least_position, o.least_position);
-  std::swap(idempotency_key, o.idempotency_key);
-  std::swap(not_repeatable, o.not_repeatable);
-  std::swap(business_day, o.business_day);
-  std::swap(transaction, o.transaction);
-  std::swap(wait_us, o.wait_us);
-  return *this;
+inline flatbuffers::Offset<replace_control_host> replace_control_host::Pack(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createreplace_control_host(_fbb, _o, _rehasher);
 }
 
-inline executeT *execute::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<executeT>();
+inline flatbuffers::Offset<replace_control_host> Createreplace_control_host(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const replace_control_hostT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _old_host = _o->old_host.empty() ? 0 : _fbb.CreateString(_o->old_host);
+  auto _new_host = _o->new_host.empty() ? 0 : _fbb.CreateString(_o->new_host);
+  return mangoquay::wire::Createreplace_control_host(
+      _fbb,
+      _number,
+      _old_host,
+      _new_host);
+}
+
+inline endpoint_entryT *endpoint_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<endpoint_entryT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void execute::UnPackTo(executeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void endpoint_entry::UnPackTo(endpoint_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = request(); _o->request = _e; }
-  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
-  { auto _e = owner_epoch(); _o->owner_epoch = _e; }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = service(); if (_e) _o->service = _e->str(); }
-  { auto _e = group(); if (_e) _o->group = _e->str(); }
-  { auto _e = caller(); if (_e) _o->caller = _e->str(); }
-  { auto _e = kind(); _o->kind = _e; }
-  { auto _e = sql(); if (_e) _o->sql = _e->str(); }
-  { auto _e = parameters(); if (_e) { _o->parameters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parameters[_i] = std::unique_ptr<mangoquay::wire::cellT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = work_class(); _o->work_class = _e; }
-  { auto _e = remaining_us(); _o->remaining_us = _e; }
-  { auto _e = has_max_age(); _o->has_max_age = _e; }
-  { auto _e = max_age_ms(); _o->max_age_ms = _e; }
-  { auto _e = least_position(); if (_e) _o->least_position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
-  { auto _e = idempotency_key(); if (_e) _o->idempotency_key = _e->str(); }
-  { auto _e = not_repeatable(); _o->not_repeatable = _e; }
-  { auto _e = business_day(); if (_e) _o->business_day = _e->str(); }
-  { auto _e = transaction(); if (_e) _o->transaction = _e->str(); }
-  { auto _e = wait_us(); _o->wait_us = _e; }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = state(); _o->state = _e; }
+  { auto _e = is_primary(); _o->is_primary = _e; }
+  { auto _e = started_ms(); _o->started_ms = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
 }
 
-inline flatbuffers::Offset<execute> execute::Pack(flatbuffers::FlatBufferBuilder &_fbb, const executeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createexecute(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<endpoint_entry> endpoint_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createendpoint_entry(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<execute> Createexecute(flatbuffers::FlatBufferBuilder &_fbb, const executeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<endpoint_entry> Createendpoint_entry(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const executeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _request = _o->request;
-  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
-  auto _owner_epoch = _o->owner_epoch;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const endpoint_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
-  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
-  auto _caller = _o->caller.empty() ? 0 : _fbb.CreateString(_o->caller);
-  auto _kind = _o->kind;
-  auto _sql = _o->sql.empty() ? 0 : _fbb.CreateString(_o->sql);
-  auto _parameters = _o->parameters.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::cell>> (_o->parameters.size(), [](size_t i, _VectorArgs *__va) { return Createcell(*__va->__fbb, __va->__o->parameters[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _work_class = _o->work_class;
-  auto _remaining_us = _o->remaining_us;
-  auto _has_max_age = _o->has_max_age;
-  auto _max_age_ms = _o->max_age_ms;
-  auto _least_position = _o->least_position ? Createwire_position(_fbb, _o->least_position.get(), _rehasher) : 0;
-  auto _idempotency_key = _o->idempotency_key.empty() ? 0 : _fbb.CreateString(_o->idempotency_key);
-  auto _not_repeatable = _o->not_repeatable;
-  auto _business_day = _o->business_day.empty() ? 0 : _fbb.CreateString(_o->business_day);
-  auto _transaction = _o->transaction.empty() ? 0 : _fbb.CreateString(_o->transaction);
-  auto _wait_us = _o->wait_us;
-  return mangoquay::wire::Createexecute(
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _port = _o->port;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _slots = _o->slots;
+  auto _state = _o->state;
+  auto _is_primary = _o->is_primary;
+  auto _started_ms = _o->started_ms;
+  auto _sequence = _o->sequence;
+  return mangoquay::wire::Createendpoint_entry(
       _fbb,
-      _request,
-      _endpoint,
-      _owner_epoch,
+      _id,
       _service,
-      _group,
-      _caller,
-      _kind,
-      _sql,
-      _parameters,
-      _work_class,
-      _remaining_us,
-      _has_max_age,
-      _max_age_ms,
-      _least_position,
-      _idempotency_key,
-      _not_repeatable,
-      _business_day,
-      _transaction,
-      _wait_us);
+      _host,
+      _port,
+      _zone,
+      _slots,
+      _state,
+      _is_primary,
+      _started_ms,
+      _sequence);
 }
 
-inline execute_answerT::execute_answerT(const execute_answerT &o)
-      : request(o.request),
-        verdict(o.verdict),
-        reason(o.reason),
-        message(o.message),
-        has_retry(o.has_retry),
-        retry_after_ms(o.retry_after_ms),
-        columns(o.columns),
-        rows_affected(o.rows_affected),
-        endpoint(o.endpoint),
-        position((o.position) ? new mangoquay::wire::wire_positionT(*o.position) : nullptr),
-        endpoint_position((o.endpoint_position) ? new mangoquay::wire::wire_positionT(*o.endpoint_position) : nullptr) {
-  rows.reserve(o.rows.size());
-  for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new mangoquay::wire::rowT(*rows_) : nullptr); }
+inline zone_hostsT *zone_hosts::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<zone_hostsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-inline execute_answerT &execute_answerT::operator=(execute_answerT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(request, o.request);
-  std::swap(verdict, o.verdict);
-  std::swap(reason, o.reason);
-  std::swap(message, o.message);
-  std::swap(has_retry, o.has_retry);
-  std::swap(retry_after_ms, o.retry_after_ms);
-  std::swap(columns, o.columns);
-  std::swap(rows, o.rows);
-  std::swap(rows_affected, o.rows_affected);
-  std::swap(endpoint, o.endpoint);
-  std::swap(position, o.position);
-  std::swap(endpoint_position, o.endpoint_position);
-  return *this;
+inline void zone_hosts::UnPackTo(zone_hostsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = hosts(); if (_e) { _o->hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->hosts[_i] = _e->Get(_i)->str(); } } }
 }
 
-inline execute_answerT *execute_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<execute_answerT>();
+inline flatbuffers::Offset<zone_hosts> zone_hosts::Pack(flatbuffers::FlatBufferBuilder &_fbb, const zone_hostsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createzone_hosts(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<zone_hosts> Createzone_hosts(flatbuffers::FlatBufferBuilder &_fbb, const zone_hostsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const zone_hostsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _hosts = _o->hosts.size() ? _fbb.CreateVectorOfStrings(_o->hosts) : 0;
+  return mangoquay::wire::Createzone_hosts(
+      _fbb,
+      _zone,
+      _hosts);
+}
+
+inline primary_viewT *primary_view::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<primary_viewT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void execute_answer::UnPackTo(execute_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void primary_view::UnPackTo(primary_viewT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = request(); _o->request = _e; }
-  { auto _e = verdict(); _o->verdict = _e; }
-  { auto _e = reason(); _o->reason = _e; }
-  { auto _e = message(); if (_e) _o->message = _e->str(); }
-  { auto _e = has_retry(); _o->has_retry = _e; }
-  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
-  { auto _e = columns(); if (_e) { _o->columns.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->columns[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<mangoquay::wire::rowT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = rows_affected(); _o->rows_affected = _e; }
   { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
-  { auto _e = position(); if (_e) _o->position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
-  { auto _e = endpoint_position(); if (_e) _o->endpoint_position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
+  { auto _e = answered(); _o->answered = _e; }
+  { auto _e = failing(); _o->failing = _e; }
 }
 
-inline flatbuffers::Offset<execute_answer> execute_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const execute_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createexecute_answer(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<primary_view> primary_view::Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_viewT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createprimary_view(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<execute_answer> Createexecute_answer(flatbuffers::FlatBufferBuilder &_fbb, const execute_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<primary_view> Createprimary_view(flatbuffers::FlatBufferBuilder &_fbb, const primary_viewT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const execute_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _request = _o->request;
-  auto _verdict = _o->verdict;
-  auto _reason = _o->reason;
-  auto _message = _o->message.empty() ? 0 : _fbb.CreateString(_o->message);
-  auto _has_retry = _o->has_retry;
-  auto _retry_after_ms = _o->retry_after_ms;
-  auto _columns = _o->columns.size() ? _fbb.CreateVectorOfStrings(_o->columns) : 0;
-  auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::row>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return Createrow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _rows_affected = _o->rows_affected;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const primary_viewT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
-  auto _position = _o->position ? Createwire_position(_fbb, _o->position.get(), _rehasher) : 0;
-  auto _endpoint_position = _o->endpoint_position ? Createwire_position(_fbb, _o->endpoint_position.get(), _rehasher) : 0;
-  return mangoquay::wire::Createexecute_answer(
+  auto _answered = _o->answered;
+  auto _failing = _o->failing;
+  return mangoquay::wire::Createprimary_view(
       _fbb,
-      _request,
-      _verdict,
-      _reason,
-      _message,
-      _has_retry,
-      _retry_after_ms,
-      _columns,
-      _rows,
-      _rows_affected,
       _endpoint,
-      _position,
-      _endpoint_position);
+      _answered,
+      _failing);
+}
+
+inline fleet_followT::fleet_followT(const fleet_followT &o)
+      : is_entry(o.is_entry),
+        ready(o.ready),
+        peer_host(o.peer_host),
+        peer_port(o.peer_port),
+        document_version(o.document_version),
+        registry_digest(o.registry_digest),
+        wants_document(o.wants_document),
+        zone(o.zone),
+        ready_hosts_digest(o.ready_hosts_digest) {
+  primaries.reserve(o.primaries.size());
+  for (const auto &primaries_ : o.primaries) { primaries.emplace_back((primaries_) ? new mangoquay::wire::primary_viewT(*primaries_) : nullptr); }
+}
+
+inline fleet_followT &fleet_followT::operator=(fleet_followT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(is_entry, o.is_entry);
+  std::swap(ready, o.ready);
+  std::swap(peer_host, o.peer_host);
+  std::swap(peer_port, o.peer_port);
+  std::swap(document_version, o.document_version);
+  std::swap(registry_digest, o.registry_digest);
+  std::swap(primaries, o.primaries);
+  std::swap(wants_document, o.wants_document);
+  std::swap(zone, o.zone);
+  std::swap(ready_hosts_digest, o.ready_hosts_digest);
+  return *this;
 }
 
-inline position_queryT *position_query::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<position_queryT>();
+inline fleet_followT *fleet_follow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<fleet_followT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void position_query::UnPackTo(position_queryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void fleet_follow::UnPackTo(fleet_followT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = number(); _o->number = _e; }
-  { auto _e = group(); if (_e) _o->group = _e->str(); }
-  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = is_entry(); _o->is_entry = _e; }
+  { auto _e = ready(); _o->ready = _e; }
+  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
+  { auto _e = peer_port(); _o->peer_port = _e; }
+  { auto _e = document_version(); _o->document_version = _e; }
+  { auto _e = registry_digest(); _o->registry_digest = _e; }
+  { auto _e = primaries(); if (_e) { _o->primaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->primaries[_i] = std::unique_ptr<mangoquay::wire::primary_viewT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = wants_document(); _o->wants_document = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = ready_hosts_digest(); _o->ready_hosts_digest = _e; }
 }
 
-inline flatbuffers::Offset<position_query> position_query::Pack(flatbuffers::FlatBufferBuilder &_fbb, const position_queryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createposition_query(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<fleet_follow> fleet_follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createfleet_follow(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<position_query> Createposition_query(flatbuffers::FlatBufferBuilder &_fbb, const position_queryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const position_queryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _number = _o->number;
-  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
-  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
-  return mangoquay::wire::Createposition_query(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const fleet_followT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _is_entry = _o->is_entry;
+  auto _ready = _o->ready;
+  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
+  auto _peer_port = _o->peer_port;
+  auto _document_version = _o->document_version;
+  auto _registry_digest = _o->registry_digest;
+  auto _primaries = _o->primaries.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>> (_o->primaries.size(), [](size_t i, _VectorArgs *__va) { return Createprimary_view(*__va->__fbb, __va->__o->primaries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _wants_document = _o->wants_document;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _ready_hosts_digest = _o->ready_hosts_digest;
+  return mangoquay::wire::Createfleet_follow(
       _fbb,
-      _number,
-      _group,
-      _endpoint);
+      _is_entry,
+      _ready,
+      _peer_host,
+      _peer_port,
+      _document_version,
+      _registry_digest,
+      _primaries,
+      _wants_document,
+      _zone,
+      _ready_hosts_digest);
 }
 
-inline position_answerT::position_answerT(const position_answerT &o)
-      : number(o.number),
-        group(o.group),
-        known(o.known),
-        position((o.position) ? new mangoquay::wire::wire_positionT(*o.position) : nullptr) {
+inline fleet_updateT::fleet_updateT(const fleet_updateT &o)
+      : document_version(o.document_version),
+        document(o.document),
+        control_hosts(o.control_hosts),
+        entry_hosts(o.entry_hosts),
+        document_bytes(o.document_bytes),
+        ready_hosts_digest(o.ready_hosts_digest) {
+  endpoints.reserve(o.endpoints.size());
+  for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangoquay::wire::endpoint_entryT(*endpoints_) : nullptr); }
+  ready_hosts.reserve(o.ready_hosts.size());
+  for (const auto &ready_hosts_ : o.ready_hosts) { ready_hosts.emplace_back((ready_hosts_) ? new mangoquay::wire::zone_hostsT(*ready_hosts_) : nullptr); }
 }
 
-inline position_answerT &position_answerT::operator=(position_answerT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(number, o.number);
-  std::swap(group, o.group);
-  std::swap(known, o.known);
-  std::swap(position, o.position);
+inline fleet_updateT &fleet_updateT::operator=(fleet_updateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(document_version, o.document_version);
+  std::swap(document, o.document);
+  std::swap(endpoints, o.endpoints);
+  std::swap(control_hosts, o.control_hosts);
+  std::swap(entry_hosts, o.entry_hosts);
+  std::swap(document_bytes, o.document_bytes);
+  std::swap(ready_hosts, o.ready_hosts);
+  std::swap(ready_hosts_digest, o.ready_hosts_digest);
   return *this;
 }
 
-inline position_answerT *position_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<position_answerT>();
+inline fleet_updateT *fleet_update::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<fleet_updateT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void position_answer::UnPackTo(position_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void fleet_update::UnPackTo(fleet_updateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = number(); _o->number = _e; }
-  { auto _e = group(); if (_e) _o->group = _e->str(); }
-  { auto _e = known(); _o->known = _e; }
-  { auto _e = position(); if (_e) _o->position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
+  { auto _e = document_version(); _o->document_version = _e; }
+  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<mangoquay::wire::endpoint_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = control_hosts(); if (_e) { _o->control_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->control_hosts[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = entry_hosts(); _o->entry_hosts = _e; }
+  { auto _e = document_bytes(); _o->document_bytes = _e; }
+  { auto _e = ready_hosts(); if (_e) { _o->ready_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ready_hosts[_i] = std::unique_ptr<mangoquay::wire::zone_hostsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ready_hosts_digest(); _o->ready_hosts_digest = _e; }
 }
 
-inline flatbuffers::Offset<position_answer> position_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const position_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createposition_answer(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<fleet_update> fleet_update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createfleet_update(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<position_answer> Createposition_answer(flatbuffers::FlatBufferBuilder &_fbb, const position_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const position_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _number = _o->number;
-  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
-  auto _known = _o->known;
-  auto _position = _o->position ? Createwire_position(_fbb, _o->position.get(), _rehasher) : 0;
-  return mangoquay::wire::Createposition_answer(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const fleet_updateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _document_version = _o->document_version;
+  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
+  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return Createendpoint_entry(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _control_hosts = _o->control_hosts.size() ? _fbb.CreateVectorOfStrings(_o->control_hosts) : 0;
+  auto _entry_hosts = _o->entry_hosts;
+  auto _document_bytes = _o->document_bytes;
+  auto _ready_hosts = _o->ready_hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> (_o->ready_hosts.size(), [](size_t i, _VectorArgs *__va) { return Createzone_hosts(*__va->__fbb, __va->__o->ready_hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ready_hosts_digest = _o->ready_hosts_digest;
+  return mangoquay::wire::Createfleet_update(
       _fbb,
-      _number,
-      _group,
-      _known,
-      _position);
+      _document_version,
+      _document,
+      _endpoints,
+      _control_hosts,
+      _entry_hosts,
+      _document_bytes,
+      _ready_hosts,
+      _ready_hosts_digest);
 }
 
-inline probeT *probe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<probeT>();
+inline cell_joinT *cell_join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<cell_joinT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void probe::UnPackTo(probeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void cell_join::UnPackTo(cell_joinT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = number(); _o->number = _e; }
-  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
+  { auto _e = peer_port(); _o->peer_port = _e; }
 }
 
-inline flatbuffers::Offset<probe> probe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const probeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createprobe(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<cell_join> cell_join::Pack(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcell_join(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<probe> Createprobe(flatbuffers::FlatBufferBuilder &_fbb, const probeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<cell_join> Createcell_join(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const probeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _number = _o->number;
-  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
-  return mangoquay::wire::Createprobe(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const cell_joinT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
+  auto _peer_port = _o->peer_port;
+  return mangoquay::wire::Createcell_join(
       _fbb,
-      _number,
-      _endpoint);
+      _peer_host,
+      _peer_port);
 }
 
-inline probe_answerT *probe_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<probe_answerT>();
+inline loan_requestT *loan_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<loan_requestT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void probe_answer::UnPackTo(probe_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void loan_request::UnPackTo(loan_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = number(); _o->number = _e; }
+  { auto _e = loan(); _o->loan = _e; }
   { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
-  { auto _e = reachable(); _o->reachable = _e; }
+  { auto _e = urgent(); _o->urgent = _e; }
+  { auto _e = expected_us(); _o->expected_us = _e; }
+  { auto _e = needs_slot(); _o->needs_slot = _e; }
+  { auto _e = wait_us(); _o->wait_us = _e; }
 }
 
-inline flatbuffers::Offset<probe_answer> probe_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const probe_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createprobe_answer(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<loan_request> loan_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createloan_request(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<probe_answer> Createprobe_answer(flatbuffers::FlatBufferBuilder &_fbb, const probe_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<loan_request> Createloan_request(flatbuffers::FlatBufferBuilder &_fbb, const loan_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const probe_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _number = _o->number;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const loan_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loan = _o->loan;
   auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
-  auto _reachable = _o->reachable;
-  return mangoquay::wire::Createprobe_answer(
+  auto _urgent = _o->urgent;
+  auto _expected_us = _o->expected_us;
+  auto _needs_slot = _o->needs_slot;
+  auto _wait_us = _o->wait_us;
+  return mangoquay::wire::Createloan_request(
       _fbb,
-      _number,
+      _loan,
       _endpoint,
-      _reachable);
-}
-
-inline status_queryT *status_query::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<status_queryT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void status_query::UnPackTo(status_queryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = number(); _o->number = _e; }
+      _urgent,
+      _expected_us,
+      _needs_slot,
+      _wait_us);
 }
 
-inline flatbuffers::Offset<status_query> status_query::Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_queryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createstatus_query(_fbb, _o, _rehasher);
+inline loan_grantT::loan_grantT(const loan_grantT &o)
+      : loan(o.loan),
+        silent_ms(o.silent_ms),
+        position((o.position) ? new mangoquay::wire::wire_positionT(*o.position) : nullptr),
+        waiting(o.waiting) {
 }
 
-inline flatbuffers::Offset<status_query> Createstatus_query(flatbuffers::FlatBufferBuilder &_fbb, const status_queryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const status_queryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _number = _o->number;
-  return mangoquay::wire::Createstatus_query(
-      _fbb,
-      _number);
+inline loan_grantT &loan_grantT::operator=(loan_grantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(loan, o.loan);
+  std::swap(silent_ms, o.silent_ms);
+  std::swap(position, o.position);
+  std::swap(waiting, o.waiting);
+  return *this;
 }
 
-inline status_answerT *status_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<status_answerT>();
+inline loan_grantT *loan_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<loan_grantT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void status_answer::UnPackTo(status_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void loan_grant::UnPackTo(loan_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = number(); _o->number = _e; }
-  { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = silent_ms(); _o->silent_ms = _e; }
+  { auto _e = position(); if (_e) _o->position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
+  { auto _e = waiting(); _o->waiting = _e; }
 }
 
-inline flatbuffers::Offset<status_answer> status_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const status_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createstatus_answer(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<loan_grant> loan_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createloan_grant(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<status_answer> Createstatus_answer(flatbuffers::FlatBufferBuilder &_fbb, const status_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<loan_grant> Createloan_grant(flatbuffers::FlatBufferBuilder &_fbb, const loan_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const status_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _number = _o->number;
-  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
-  return mangoquay::wire::Createstatus_answer(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const loan_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loan = _o->loan;
+  auto _silent_ms = _o->silent_ms;
+  auto _position = _o->position ? Createwire_position(_fbb, _o->position.get(), _rehasher) : 0;
+  auto _waiting = _o->waiting;
+  return mangoquay::wire::Createloan_grant(
       _fbb,
-      _number,
-      _text);
+      _loan,
+      _silent_ms,
+      _position,
+      _waiting);
 }
 
-inline replace_control_hostT *replace_control_host::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<replace_control_hostT>();
+inline loan_refusalT *loan_refusal::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<loan_refusalT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void replace_control_host::UnPackTo(replace_control_hostT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void loan_refusal::UnPackTo(loan_refusalT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = number(); _o->number = _e; }
-  { auto _e = old_host(); if (_e) _o->old_host = _e->str(); }
-  { auto _e = new_host(); if (_e) _o->new_host = _e->str(); }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = reason(); _o->reason = _e; }
 }
 
-inline flatbuffers::Offset<replace_control_host> replace_control_host::Pack(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createreplace_control_host(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<loan_refusal> loan_refusal::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_refusalT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createloan_refusal(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<replace_control_host> Createreplace_control_host(flatbuffers::FlatBufferBuilder &_fbb, const replace_control_hostT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<loan_refusal> Createloan_refusal(flatbuffers::FlatBufferBuilder &_fbb, const loan_refusalT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const replace_control_hostT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _number = _o->number;
-  auto _old_host = _o->old_host.empty() ? 0 : _fbb.CreateString(_o->old_host);
-  auto _new_host = _o->new_host.empty() ? 0 : _fbb.CreateString(_o->new_host);
-  return mangoquay::wire::Createreplace_control_host(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const loan_refusalT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loan = _o->loan;
+  auto _reason = _o->reason;
+  return mangoquay::wire::Createloan_refusal(
       _fbb,
-      _number,
-      _old_host,
-      _new_host);
+      _loan,
+      _reason);
 }
 
-inline endpoint_entryT *endpoint_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<endpoint_entryT>();
+inline link_requestT::link_requestT(const link_requestT &o)
+      : kind(o.kind),
+        id(o.id),
+        least_position((o.least_position) ? new mangoquay::wire::wire_positionT(*o.least_position) : nullptr),
+        name(o.name),
+        argument(o.argument),
+        access(o.access) {
+}
+
+inline link_requestT &link_requestT::operator=(link_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(kind, o.kind);
+  std::swap(id, o.id);
+  std::swap(least_position, o.least_position);
+  std::swap(name, o.name);
+  std::swap(argument, o.argument);
+  std::swap(access, o.access);
+  return *this;
+}
+
+inline link_requestT *link_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<link_requestT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
-
-inline void endpoint_entry::UnPackTo(endpoint_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
-  { auto _e = service(); if (_e) _o->service = _e->str(); }
-  { auto _e = host(); if (_e) _o->host = _e->str(); }
-  { auto _e = port(); _o->port = _e; }
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = slots(); _o->slots = _e; }
-  { auto _e = state(); _o->state = _e; }
-  { auto _e = is_primary(); _o->is_primary = _e; }
-  { auto _e = started_ms(); _o->started_ms = _e; }
-  { auto _e = sequence(); _o->sequence = _e; }
+
+inline void link_request::UnPackTo(link_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = least_position(); if (_e) _o->least_position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = argument(); if (_e) _o->argument = _e->str(); }
+  { auto _e = access(); _o->access = _e; }
 }
 
-inline flatbuffers::Offset<endpoint_entry> endpoint_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createendpoint_entry(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<link_request> link_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlink_request(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<endpoint_entry> Createendpoint_entry(flatbuffers::FlatBufferBuilder &_fbb, const endpoint_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<link_request> Createlink_request(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const endpoint_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const link_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
-  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
-  auto _port = _o->port;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _slots = _o->slots;
-  auto _state = _o->state;
-  auto _is_primary = _o->is_primary;
-  auto _started_ms = _o->started_ms;
-  auto _sequence = _o->sequence;
-  return mangoquay::wire::Createendpoint_entry(
+  auto _least_position = _o->least_position ? Createwire_position(_fbb, _o->least_position.get(), _rehasher) : 0;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _argument = _o->argument.empty() ? 0 : _fbb.CreateString(_o->argument);
+  auto _access = _o->access;
+  return mangoquay::wire::Createlink_request(
       _fbb,
+      _kind,
       _id,
-      _service,
-      _host,
-      _port,
-      _zone,
-      _slots,
-      _state,
-      _is_primary,
-      _started_ms,
-      _sequence);
+      _least_position,
+      _name,
+      _argument,
+      _access);
 }
 
-inline primary_viewT *primary_view::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<primary_viewT>();
+inline loan_workT::loan_workT(const loan_workT &o)
+      : loan(o.loan),
+        number(o.number) {
+  requests.reserve(o.requests.size());
+  for (const auto &requests_ : o.requests) { requests.emplace_back((requests_) ? new mangoquay::wire::link_requestT(*requests_) : nullptr); }
+}
+
+inline loan_workT &loan_workT::operator=(loan_workT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(loan, o.loan);
+  std::swap(number, o.number);
+  std::swap(requests, o.requests);
+  return *this;
+}
+
+inline loan_workT *loan_work::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<loan_workT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void primary_view::UnPackTo(primary_viewT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void loan_work::UnPackTo(loan_workT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
-  { auto _e = answered(); _o->answered = _e; }
-  { auto _e = failing(); _o->failing = _e; }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<mangoquay::wire::link_requestT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<primary_view> primary_view::Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_viewT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createprimary_view(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<loan_work> loan_work::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_workT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createloan_work(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<primary_view> Createprimary_view(flatbuffers::FlatBufferBuilder &_fbb, const primary_viewT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<loan_work> Createloan_work(flatbuffers::FlatBufferBuilder &_fbb, const loan_workT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const primary_viewT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
-  auto _answered = _o->answered;
-  auto _failing = _o->failing;
-  return mangoquay::wire::Createprimary_view(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const loan_workT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loan = _o->loan;
+  auto _number = _o->number;
+  auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::link_request>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return Createlink_request(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mangoquay::wire::Createloan_work(
       _fbb,
-      _endpoint,
-      _answered,
-      _failing);
+      _loan,
+      _number,
+      _requests);
 }
 
-inline fleet_followT::fleet_followT(const fleet_followT &o)
-      : is_entry(o.is_entry),
-        ready(o.ready),
-        peer_host(o.peer_host),
-        peer_port(o.peer_port),
-        document_version(o.document_version),
-        registry_digest(o.registry_digest),
-        wants_document(o.wants_document) {
-  primaries.reserve(o.primaries.size());
-  for (const auto &primaries_ : o.primaries) { primaries.emplace_back((primaries_) ? new mangoquay::wire::primary_viewT(*primaries_) : nullptr); }
+inline loan_answerT::loan_answerT(const loan_answerT &o)
+      : loan(o.loan),
+        number(o.number),
+        rows(o.rows),
+        has_refusal(o.has_refusal),
+        refusal(o.refusal),
+        text(o.text),
+        state(o.state),
+        position((o.position) ? new mangoquay::wire::wire_positionT(*o.position) : nullptr) {
 }
 
-inline fleet_followT &fleet_followT::operator=(fleet_followT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(is_entry, o.is_entry);
-  std::swap(ready, o.ready);
-  std::swap(peer_host, o.peer_host);
-  std::swap(peer_port, o.peer_port);
-  std::swap(document_version, o.document_version);
-  std::swap(registry_digest, o.registry_digest);
-  std::swap(primaries, o.primaries);
-  std::swap(wants_document, o.wants_document);
+inline loan_answerT &loan_answerT::operator=(loan_answerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(loan, o.loan);
+  std::swap(number, o.number);
+  std::swap(rows, o.rows);
+  std::swap(has_refusal, o.has_refusal);
+  std::swap(refusal, o.refusal);
+  std::swap(text, o.text);
+  std::swap(state, o.state);
+  std::swap(position, o.position);
   return *this;
 }
 
-inline fleet_followT *fleet_follow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<fleet_followT>();
+inline loan_answerT *loan_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<loan_answerT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void fleet_follow::UnPackTo(fleet_followT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void loan_answer::UnPackTo(loan_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = is_entry(); _o->is_entry = _e; }
-  { auto _e = ready(); _o->ready = _e; }
-  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
-  { auto _e = peer_port(); _o->peer_port = _e; }
-  { auto _e = document_version(); _o->document_version = _e; }
-  { auto _e = registry_digest(); _o->registry_digest = _e; }
-  { auto _e = primaries(); if (_e) { _o->primaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->primaries[_i] = std::unique_ptr<mangoquay::wire::primary_viewT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = wants_document(); _o->wants_document = _e; }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = has_refusal(); _o->has_refusal = _e; }
+  { auto _e = refusal(); _o->refusal = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = state(); _o->state = _e; }
+  { auto _e = position(); if (_e) _o->position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
 }
 
-inline flatbuffers::Offset<fleet_follow> fleet_follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createfleet_follow(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<loan_answer> loan_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createloan_answer(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<loan_answer> Createloan_answer(flatbuffers::FlatBufferBuilder &_fbb, const loan_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const fleet_followT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _is_entry = _o->is_entry;
-  auto _ready = _o->ready;
-  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
-  auto _peer_port = _o->peer_port;
-  auto _document_version = _o->document_version;
-  auto _registry_digest = _o->registry_digest;
-  auto _primaries = _o->primaries.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>> (_o->primaries.size(), [](size_t i, _VectorArgs *__va) { return Createprimary_view(*__va->__fbb, __va->__o->primaries[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _wants_document = _o->wants_document;
-  return mangoquay::wire::Createfleet_follow(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const loan_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loan = _o->loan;
+  auto _number = _o->number;
+  auto _rows = _o->rows.size() ? _fbb.CreateVectorOfStrings(_o->rows) : 0;
+  auto _has_refusal = _o->has_refusal;
+  auto _refusal = _o->refusal;
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  auto _state = _o->state;
+  auto _position = _o->position ? Createwire_position(_fbb, _o->position.get(), _rehasher) : 0;
+  return mangoquay::wire::Createloan_answer(
       _fbb,
-      _is_entry,
-      _ready,
-      _peer_host,
-      _peer_port,
-      _document_version,
-      _registry_digest,
-      _primaries,
-      _wants_document);
-}
-
-inline fleet_updateT::fleet_updateT(const fleet_updateT &o)
-      : document_version(o.document_version),
-        document(o.document),
-        control_hosts(o.control_hosts),
-        entry_hosts(o.entry_hosts),
-        document_bytes(o.document_bytes) {
-  endpoints.reserve(o.endpoints.size());
-  for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangoquay::wire::endpoint_entryT(*endpoints_) : nullptr); }
-}
-
-inline fleet_updateT &fleet_updateT::operator=(fleet_updateT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(document_version, o.document_version);
-  std::swap(document, o.document);
-  std::swap(endpoints, o.endpoints);
-  std::swap(control_hosts, o.control_hosts);
-  std::swap(entry_hosts, o.entry_hosts);
-  std::swap(document_bytes, o.document_bytes);
-  return *this;
+      _loan,
+      _number,
+      _rows,
+      _has_refusal,
+      _refusal,
+      _text,
+      _state,
+      _position);
 }
 
-inline fleet_updateT *fleet_update::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<fleet_updateT>();
+inline loan_endT *loan_end::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<loan_endT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void fleet_update::UnPackTo(fleet_updateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void loan_end::UnPackTo(loan_endT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = document_version(); _o->document_version = _e; }
-  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
-  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<mangoquay::wire::endpoint_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = control_hosts(); if (_e) { _o->control_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->control_hosts[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = entry_hosts(); _o->entry_hosts = _e; }
-  { auto _e = document_bytes(); _o->document_bytes = _e; }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = reusable(); _o->reusable = _e; }
+  { auto _e = holds_values(); _o->holds_values = _e; }
 }
 
-inline flatbuffers::Offset<fleet_update> fleet_update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createfleet_update(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<loan_end> loan_end::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_endT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createloan_end(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<loan_end> Createloan_end(flatbuffers::FlatBufferBuilder &_fbb, const loan_endT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const fleet_updateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _document_version = _o->document_version;
-  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
-  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return Createendpoint_entry(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _control_hosts = _o->control_hosts.size() ? _fbb.CreateVectorOfStrings(_o->control_hosts) : 0;
-  auto _entry_hosts = _o->entry_hosts;
-  auto _document_bytes = _o->document_bytes;
-  return mangoquay::wire::Createfleet_update(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const loan_endT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loan = _o->loan;
+  auto _reusable = _o->reusable;
+  auto _holds_values = _o->holds_values;
+  return mangoquay::wire::Createloan_end(
       _fbb,
-      _document_version,
-      _document,
-      _endpoints,
-      _control_hosts,
-      _entry_hosts,
-      _document_bytes);
+      _loan,
+      _reusable,
+      _holds_values);
 }
 
-inline cell_joinT *cell_join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<cell_joinT>();
+inline loan_lostT *loan_lost::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<loan_lostT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void cell_join::UnPackTo(cell_joinT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void loan_lost::UnPackTo(loan_lostT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
-  { auto _e = peer_port(); _o->peer_port = _e; }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
 }
 
-inline flatbuffers::Offset<cell_join> cell_join::Pack(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createcell_join(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<loan_lost> loan_lost::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_lostT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createloan_lost(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<cell_join> Createcell_join(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<loan_lost> Createloan_lost(flatbuffers::FlatBufferBuilder &_fbb, const loan_lostT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const cell_joinT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
-  auto _peer_port = _o->peer_port;
-  return mangoquay::wire::Createcell_join(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const loan_lostT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loan = _o->loan;
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return mangoquay::wire::Createloan_lost(
       _fbb,
-      _peer_host,
-      _peer_port);
+      _loan,
+      _text);
 }
 
 inline envelopeT *envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6212,6 +7845,34 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::cell_join *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::loan_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::loan_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_grant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::loan_refusal: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_refusal *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::loan_work: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_work *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::loan_answer: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_answer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::loan_end: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_end *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::loan_lost: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_lost *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6307,6 +7968,34 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::cell_join *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::loan_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::loan_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_grant *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::loan_refusal: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_refusal *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::loan_work: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_work *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::loan_answer: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_answer *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::loan_end: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_end *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::loan_lost: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_lost *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6390,6 +8079,34 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::cell_joinT *>(value);
       return Createcell_join(_fbb, ptr, _rehasher).Union();
     }
+    case message::loan_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_requestT *>(value);
+      return Createloan_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::loan_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_grantT *>(value);
+      return Createloan_grant(_fbb, ptr, _rehasher).Union();
+    }
+    case message::loan_refusal: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_refusalT *>(value);
+      return Createloan_refusal(_fbb, ptr, _rehasher).Union();
+    }
+    case message::loan_work: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_workT *>(value);
+      return Createloan_work(_fbb, ptr, _rehasher).Union();
+    }
+    case message::loan_answer: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_answerT *>(value);
+      return Createloan_answer(_fbb, ptr, _rehasher).Union();
+    }
+    case message::loan_end: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_endT *>(value);
+      return Createloan_end(_fbb, ptr, _rehasher).Union();
+    }
+    case message::loan_lost: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::loan_lostT *>(value);
+      return Createloan_lost(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6472,6 +8189,34 @@
       value = new mangoquay::wire::cell_joinT(*reinterpret_cast<mangoquay::wire::cell_joinT *>(u.value));
       break;
     }
+    case message::loan_request: {
+      value = new mangoquay::wire::loan_requestT(*reinterpret_cast<mangoquay::wire::loan_requestT *>(u.value));
+      break;
+    }
+    case message::loan_grant: {
+      value = new mangoquay::wire::loan_grantT(*reinterpret_cast<mangoquay::wire::loan_grantT *>(u.value));
+      break;
+    }
+    case message::loan_refusal: {
+      value = new mangoquay::wire::loan_refusalT(*reinterpret_cast<mangoquay::wire::loan_refusalT *>(u.value));
+      break;
+    }
+    case message::loan_work: {
+      value = new mangoquay::wire::loan_workT(*reinterpret_cast<mangoquay::wire::loan_workT *>(u.value));
+      break;
+    }
+    case message::loan_answer: {
+      value = new mangoquay::wire::loan_answerT(*reinterpret_cast<mangoquay::wire::loan_answerT *>(u.value));
+      break;
+    }
+    case message::loan_end: {
+      value = new mangoquay::wire::loan_endT(*reinterpret_cast<mangoquay::wire::loan_endT *>(u.value));
+      break;
+    }
+    case message::loan_lost: {
+      value = new mangoquay::wire::loan_lostT(*reinterpret_cast<mangoquay::wire::loan_lostT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6574,6 +8319,41 @@
       delete ptr;
       break;
     }
+    case message::loan_request: {
+      auto ptr = reinterpret_cast<mangoquay::wire::loan_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::loan_grant: {
+      auto ptr = reinterpret_cast<mangoquay::wire::loan_grantT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::loan_refusal: {
+      auto ptr = reinterpret_cast<mangoquay::wire::loan_refusalT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::loan_work: {
+      auto ptr = reinterpret_cast<mangoquay::wire::loan_workT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::loan_answer: {
+      auto ptr = reinterpret_cast<mangoquay::wire::loan_answerT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::loan_end: {
+      auto ptr = reinterpret_cast<mangoquay::wire::loan_endT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::loan_lost: {
+      auto ptr = reinterpret_cast<mangoquay::wire::loan_lostT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/test/support/load_replay.cpp
+++ b/test/support/load_replay.cpp
@@ -27,6 +27,9 @@
     void open_link(relay::link_id link, const registry::endpoint_report&) override;
     void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
     void close_link(relay::link_id link) override;
+    // One database at which each host keeps its own links.
+    void borrow_link(relay::link_id, const core::endpoint_id&, const lending::loan_terms&) override {}
+    void give_back(relay::link_id, bool) override {}
     void record(const relay::relay_event&) override {}
     void count(const relay::answered_statement&) override {}
 
--- a/test/support/relay_world.cpp
+++ b/test/support/relay_world.cpp
@@ -52,6 +52,20 @@
     limits.m_entry_hosts = 4;
     relay::relay_ports& ports = *this;
     m_core = std::make_unique<relay::relay_core>(ports, limits);
+    if (options.m_lent_links) {
+        lending_surroundings around;
+        around.m_after = [this](core::duration delay, std::function<void()> work) {
+            at(delay, std::move(work));
+        };
+        around.m_now = [this] { return m_now; };
+        around.m_draw = [this](std::uint64_t below) { return draw(below); };
+        around.m_open = [this](auto link, const auto& target) { connect(link, target); };
+        around.m_send = [this](auto link, const auto& requests) { send_to_database(link, requests); };
+        around.m_close = [this](auto link) { disconnect(link); };
+        m_lending = std::make_unique<lending_world>(
+            around, lending_faults{options.m_link_faults, options.m_planted.m_keep_lent_values});
+        m_lending->use(*m_core);
+    }
     for (std::uint32_t place = 0; place < options.m_databases; ++place) {
         database one;
         one.m_report.m_id = core::endpoint_id("db" + std::to_string(place));
@@ -87,6 +101,9 @@
     announce();
     const std::function<void()> tick = [this, &tick] {
         m_core->tick(m_now);
+        if (m_lending) {
+            m_lending->tick();
+        }
         replicate();
         at(core::milliseconds(10), tick);
     };
@@ -187,6 +204,9 @@
         listed.push_back(one.m_report);
     }
     m_core->endpoints_changed(listed, m_now);
+    if (m_lending) {
+        m_lending->announce(listed);
+    }
 }
 
 void relay_world::disturb() {
@@ -199,6 +219,10 @@
     if (!m_options.m_link_faults || m_links.empty() || !chance(50)) {
         return;
     }
+    if (m_lending && chance(20)) {
+        m_lending->lose_a_lender();
+        return;
+    }
     auto hit = m_links.begin();
     std::advance(hit, static_cast<std::ptrdiff_t>(draw(m_links.size())));
     if (chance(40)) {
@@ -208,10 +232,34 @@
     const relay::link_id number = hit->first;
     hit->second->m_gone = true;
     m_links.erase(hit);
-    at(core::milliseconds(draw(20)), [this, number] { m_core->link_failed(number, std::nullopt, m_now); });
+    at(core::milliseconds(draw(20)), [this, number] { database_failed(number); });
+}
+
+void relay_world::database_failed(relay::link_id link) {
+    if (lending_world::is_lenders(link)) {
+        m_lending->database_failed(link);
+    } else {
+        m_core->link_failed(link, std::nullopt, m_now);
+    }
 }
 
 void relay_world::open_link(relay::link_id link, const registry::endpoint_report& target) {
+    if (m_lending) {
+        violate("a link was opened to an endpoint whose links are lent");
+    }
+    connect(link, target);
+}
+
+void relay_world::borrow_link(relay::link_id link, const core::endpoint_id& endpoint,
+                              const lending::loan_terms& terms) {
+    m_lending->borrow(link, endpoint, terms);
+}
+
+void relay_world::give_back(relay::link_id link, bool holds_values) {
+    m_lending->give_back(link, holds_values);
+}
+
+void relay_world::connect(relay::link_id link, const registry::endpoint_report& target) {
     auto session = std::make_shared<server_session>();
     for (std::size_t place = 0; place < m_databases.size(); ++place) {
         if (m_databases[place].m_report.m_id == target.m_id) {
@@ -221,12 +269,23 @@
     m_links[link] = session;
     at(core::milliseconds(12), [this, link, session] {
         if (m_links.contains(link) && !session->m_silent) {
-            m_core->link_opened(link, position_of(m_databases[session->m_database]), m_now);
+            const core::history_position position = position_of(m_databases[session->m_database]);
+            if (lending_world::is_lenders(link)) {
+                m_lending->database_opened(link, position);
+            } else {
+                m_core->link_opened(link, position, m_now);
+            }
         }
     });
 }
 
 void relay_world::close_link(relay::link_id link) {
+    if (!m_lending || !m_lending->close(link)) {
+        disconnect(link);
+    }
+}
+
+void relay_world::disconnect(relay::link_id link) {
     const auto found = m_links.find(link);
     if (found != m_links.end()) {
         found->second->m_gone = true;
@@ -235,6 +294,15 @@
 }
 
 void relay_world::send(relay::link_id link, const std::vector<relay::database_request>& requests) {
+    if (!m_lending) {
+        send_to_database(link, requests);
+        return;
+    }
+    m_lending->send(link, requests); // a link that was lost is not held; its loss is reported soon
+}
+
+void relay_world::send_to_database(relay::link_id link,
+                                   const std::vector<relay::database_request>& requests) {
     const auto found = m_links.find(link);
     if (found == m_links.end()) {
         return;
@@ -255,7 +323,12 @@
                 return;
             }
             at(core::milliseconds(1), [this, link, session, given] {
-                if (!session->m_gone && m_links.contains(link)) {
+                if (session->m_gone || !m_links.contains(link)) {
+                    return;
+                }
+                if (lending_world::is_lenders(link)) {
+                    m_lending->database_answered(link, given);
+                } else {
                     m_core->link_answered(link, given, m_now);
                 }
             });
--- a/test/support/relay_world.h
+++ b/test/support/relay_world.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "relay/relay_core.h"
+#include "support/lending_world.h"
 
 #include <functional>
 #include <map>
@@ -26,6 +27,7 @@
     bool m_drop_values = false;         // session values are not set on the link
     bool m_promise_lost_writes = false; // "in doubt" is told as "busy"
     bool m_cross_answers = false;       // a link gives its answer to another session's statement
+    bool m_keep_lent_values = false;    // a lent link is given back with another session's values
 };
 
 struct relay_world_options {
@@ -36,6 +38,7 @@
     bool m_lag = true;
     std::uint32_t m_databases = 3;
     std::uint32_t m_connections = 30; // a database, before one entry host
+    bool m_lent_links = false;        // every link is borrowed from one of two other hosts
     planted_faults m_planted;
 };
 
@@ -101,9 +104,18 @@
     void open_link(relay::link_id link, const registry::endpoint_report& target) override;
     void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
     void close_link(relay::link_id link) override;
+    void borrow_link(relay::link_id link, const core::endpoint_id& endpoint,
+                     const lending::loan_terms& terms) override;
+    void give_back(relay::link_id link, bool holds_values) override;
     void record(const relay::relay_event&) override {}
     void count(const relay::answered_statement&) override {}
 
+    // Of a connection to a database, for its user.
+    void connect(relay::link_id link, const registry::endpoint_report& target);
+    void send_to_database(relay::link_id link, const std::vector<relay::database_request>& requests);
+    void disconnect(relay::link_id link);
+    void database_failed(relay::link_id link);
+
     void at(core::duration delay, std::function<void()> work);
     [[nodiscard]] std::uint64_t draw(std::uint64_t below);
     [[nodiscard]] bool chance(std::uint64_t percent) { return draw(100) < percent; }
@@ -132,6 +144,7 @@
     std::map<event, std::function<void()>> m_events;
     std::uint64_t m_event_number = 0;
     std::unique_ptr<relay::relay_core> m_core;
+    std::unique_ptr<lending_world> m_lending; // set when links are lent
     std::vector<database> m_databases;
     std::map<core::history_position, std::uint64_t> m_last_commit; // before a position, its attempt
     std::map<relay::link_id, std::shared_ptr<server_session>> m_links;
