--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -23,7 +23,7 @@
 constexpr double recent_position_penalty_ms = 400.0;
 constexpr double avoided_penalty_ms = 1000.0;
 // Reads stay off the primary while a replica is about as good: writes can go nowhere else.
-constexpr double primary_penalty_ms = 5.0;
+constexpr double primary_penalty_ms = 30.0;
 
 bool has_free_link(const endpoint_view& view, const placement_request& request) {
     if (view.m_lent && view.m_loans < most_loans) {
