--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 #include "entry/entry_node.h"
 
 #include "core/log.h"
+#include "metrics/page_writer.h"
 
 #include <algorithm>
 #include <utility>
@@ -238,6 +239,16 @@
     core::log_line(core::log_level::info, prefix, text);
 }
 
+std::string entry_node::metrics_page() const {
+    metrics::page_writer lent;
+    const lending::lender& lender = m_exchange.lender();
+    lent.line("links_lent", {}, static_cast<double>(lender.loans()));
+    lent.line("links_to_lend", {}, static_cast<double>(lender.links()));
+    lent.line("loans_granted_total", {}, static_cast<double>(lender.counters().m_granted));
+    lent.line("loans_refused_total", {}, static_cast<double>(lender.counters().m_refused));
+    return m_metrics.page(m_core, m_callers.turned_away()) + lent.take();
+}
+
 void entry_node::write_summary() {
     const relay::relay_counters& counted = m_core.counters();
     core::log_line(core::log_level::info, "relay",
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -37,18 +37,18 @@
     // May be called from any thread.
     [[nodiscard]] bool ready() const { return m_ready.load(); }
     // Figures of this host in the text exposition format.
-    [[nodiscard]] std::string metrics_page() const { return m_metrics.page(m_core, m_callers.turned_away()); }
+    [[nodiscard]] std::string metrics_page() const;
 
 private:
     void answer(relay::session_id session, const relay::session_answer& answer) override;
     void close_session(relay::session_id session) override;
     void open_link(relay::link_id link, const registry::endpoint_report& target) override;
-    void borrow_link(relay::link_id link, const core::endpoint_id& endpoint,
-                     const lending::loan_terms& terms) override {
-        m_exchange.borrow(link, endpoint, terms);
+    void borrow_link(relay::link_id link, const core::endpoint_id& endpoint, const lending::loan_terms& terms,
+                     const std::vector<relay::database_request>& first_work) override {
+        m_exchange.borrow(link, endpoint, terms, first_work);
     }
-    void give_back(relay::link_id link, bool holds_values) override {
-        m_exchange.give_back(link, holds_values);
+    void give_back(relay::link_id link, const lending::link_remains& remains) override {
+        m_exchange.give_back(link, remains);
     }
     void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
     void close_link(relay::link_id link) override;
--- a/src/entry/link_exchange.cpp
+++ b/src/entry/link_exchange.cpp
@@ -37,22 +37,28 @@
 
 void link_exchange::listen_to_borrowers() {
     m_bus.on<wire::loan_requestT>([this](const auto& from, const wire::loan_requestT& message) {
-        m_lender.asked(from, lending::loan_id(message.loan), core::endpoint_id(message.endpoint),
-                       lending::from_wire(message), core::now());
+        const lending::loan_id loan(message.loan);
+        const auto first_work = lending::from_wire(message.first_work);
+        if (!first_work) {
+            log_unreadable(from);
+            refuse(from, loan, lending::loan_refusal::not_lending);
+            return;
+        }
+        m_lender.asked(from, loan, core::endpoint_id(message.endpoint), lending::from_wire(message),
+                       *first_work, core::now());
     });
     m_bus.on<wire::loan_workT>([this](const auto& from, const wire::loan_workT& message) {
         const lending::loan_id loan(message.loan);
-        const auto requests = lending::from_wire(message);
+        const auto requests = lending::from_wire(message.requests);
         if (!requests) {
             log_unreadable(from);
-            m_lender.ended(from, loan, false, false, core::now());
+            m_lender.ended(from, loan, {.m_reusable = false}, core::now());
             return;
         }
         m_lender.worked(from, loan, message.number, *requests, core::now());
     });
     m_bus.on<wire::loan_endT>([this](const auto& from, const wire::loan_endT& message) {
-        m_lender.ended(from, lending::loan_id(message.loan), message.reusable, message.holds_values,
-                       core::now());
+        m_lender.ended(from, lending::loan_id(message.loan), lending::from_wire(message), core::now());
     });
 }
 
@@ -102,9 +108,9 @@
     return true;
 }
 
-void link_exchange::give_back(relay::link_id link, bool holds_values) {
+void link_exchange::give_back(relay::link_id link, const lending::link_remains& remains) {
     if (m_borrower.holds(link)) { // otherwise its loss is about to be reported
-        m_borrower.give_back(link, holds_values);
+        m_borrower.give_back(link, remains);
     }
 }
 
@@ -173,8 +179,9 @@
 // Borrower's side.
 
 void link_exchange::ask(const core::entry_host_id& lender, lending::loan_id loan,
-                        const core::endpoint_id& endpoint, const lending::loan_terms& terms) {
-    m_bus.send(lender, lending::to_wire(loan, endpoint, terms));
+                        const core::endpoint_id& endpoint, const lending::loan_terms& terms,
+                        const std::vector<relay::database_request>& first_work) {
+    m_bus.send(lender, lending::to_wire(loan, endpoint, terms, first_work));
 }
 
 void link_exchange::work(const core::entry_host_id& lender, lending::loan_id loan, std::uint32_t number,
@@ -182,13 +189,9 @@
     m_bus.send(lender, lending::to_wire(loan, number, requests));
 }
 
-void link_exchange::end(const core::entry_host_id& lender, lending::loan_id loan, bool reusable,
-                        bool holds_values) {
-    wire::loan_endT message;
-    message.loan = loan.value();
-    message.reusable = reusable;
-    message.holds_values = holds_values;
-    m_bus.send(lender, message);
+void link_exchange::end(const core::entry_host_id& lender, lending::loan_id loan,
+                        const lending::link_remains& remains) {
+    m_bus.send(lender, lending::to_wire(loan, remains));
 }
 
 void link_exchange::opened(relay::link_id link, const lending::loan_offer& offer) {
--- a/src/entry/link_exchange.h
+++ b/src/entry/link_exchange.h
@@ -44,12 +44,13 @@
     }
     void host_lost(const core::entry_host_id& host);
 
-    void borrow(relay::link_id link, const core::endpoint_id& endpoint, const lending::loan_terms& terms) {
-        m_borrower.open(link, endpoint, terms, core::now());
+    void borrow(relay::link_id link, const core::endpoint_id& endpoint, const lending::loan_terms& terms,
+                const std::vector<relay::database_request>& first_work) {
+        m_borrower.open(link, endpoint, terms, first_work, core::now());
     }
     // False: the link is not a borrowed one.
     bool send(relay::link_id link, const std::vector<relay::database_request>& requests);
-    void give_back(relay::link_id link, bool holds_values);
+    void give_back(relay::link_id link, const lending::link_remains& remains);
     bool close(relay::link_id link);
 
     [[nodiscard]] const lending::lender& lender() const { return m_lender; }
@@ -67,11 +68,12 @@
     void lost(const core::entry_host_id& borrower, lending::loan_id loan, const std::string& reason) override;
 
     void ask(const core::entry_host_id& lender, lending::loan_id loan, const core::endpoint_id& endpoint,
-             const lending::loan_terms& terms) override;
+             const lending::loan_terms& terms,
+             const std::vector<relay::database_request>& first_work) override;
     void work(const core::entry_host_id& lender, lending::loan_id loan, std::uint32_t number,
               const std::vector<relay::database_request>& requests) override;
-    void end(const core::entry_host_id& lender, lending::loan_id loan, bool reusable,
-             bool holds_values) override;
+    void end(const core::entry_host_id& lender, lending::loan_id loan,
+             const lending::link_remains& remains) override;
     void opened(relay::link_id link, const lending::loan_offer& offer) override;
     void answered(relay::link_id link, const relay::database_answer& answer) override;
     void refused(relay::link_id link, lending::loan_refusal reason) override;
--- a/src/lending/borrower.cpp
+++ b/src/lending/borrower.cpp
@@ -41,12 +41,14 @@
 }
 
 void borrower::open(relay::link_id link, const core::endpoint_id& endpoint, const loan_terms& terms,
-                    core::time_point now) {
+                    const std::vector<relay::database_request>& first_work, core::time_point now) {
     const loan_id id(++m_last_loan);
     loan_record& loan = m_loans[id];
     loan.m_link = link;
     loan.m_endpoint = endpoint;
     loan.m_terms = terms;
+    loan.m_first_work = first_work;
+    loan.m_next_work = first_work.empty() ? 0 : 1;
     loan.m_useful_until = core::deadline_after(now, terms.m_wait);
     m_by_link[link] = id;
     ask_next(id, now);
@@ -67,7 +69,7 @@
     loan.m_tried.insert(*host);
     loan.m_reply_by = core::deadline_after(now, loan.m_terms.m_wait + reply_margin);
     ++m_known[*host].m_asked;
-    m_ports.ask(*host, id, loan.m_endpoint, loan.m_terms);
+    m_ports.ask(*host, id, loan.m_endpoint, loan.m_terms, loan.m_first_work);
 }
 
 void borrower::send(relay::link_id link, const std::vector<relay::database_request>& requests) {
@@ -76,11 +78,11 @@
     m_ports.work(loan.m_lender, id, loan.m_next_work++, requests);
 }
 
-void borrower::give_back(relay::link_id link, bool holds_values) {
+void borrower::give_back(relay::link_id link, const link_remains& remains) {
     const loan_id id = m_by_link.at(link);
     const core::entry_host_id lender = m_loans.at(id).m_lender;
     forget(id);
-    m_ports.end(lender, id, true, holds_values);
+    m_ports.end(lender, id, remains);
 }
 
 void borrower::close(relay::link_id link) {
@@ -88,7 +90,7 @@
     const core::entry_host_id lender = m_loans.at(id).m_lender;
     const bool untouched = m_loans.at(id).m_next_work == 0;
     forget(id);
-    m_ports.end(lender, id, untouched, false);
+    m_ports.end(lender, id, {.m_reusable = untouched});
 }
 
 borrower::loan_record* borrower::find(const core::entry_host_id& lender, loan_id id) {
@@ -114,7 +116,7 @@
     m_known[lender].m_waiting = offer.m_waiting;
     loan_record* loan = find(lender, id);
     if (loan == nullptr || loan->m_granted) {
-        m_ports.end(lender, id, true, false); // asked of another lender meanwhile, or given up
+        m_ports.end(lender, id, {}); // asked of another lender meanwhile, or given up
         return;
     }
     replied(*loan);
@@ -131,12 +133,18 @@
     if (number != loan->m_next_answer) {
         const relay::link_id link = loan->m_link;
         forget(id);
-        m_ports.end(lender, id, false, false);
+        m_ports.end(lender, id, {.m_reusable = false});
         m_ports.lost(link, "an answer of the loan was lost");
         return;
     }
     ++loan->m_next_answer;
-    m_ports.answered(loan->m_link, answer);
+    const relay::link_id link = loan->m_link;
+    if (!loan->m_granted) {
+        replied(*loan);
+        loan->m_granted = true;
+        m_ports.opened(link, {.m_position = answer.m_position});
+    }
+    m_ports.answered(link, answer);
 }
 
 void borrower::refused(const core::entry_host_id& lender, loan_id id, loan_refusal reason,
@@ -195,7 +203,7 @@
     for (const loan_id id : overdue) {
         if (const auto found = m_loans.find(id); found != m_loans.end()) {
             const core::entry_host_id host = found->second.m_lender;
-            m_ports.end(host, id, false, false);
+            m_ports.end(host, id, {.m_reusable = false});
             refused(host, id, loan_refusal::not_lending, now);
         }
     }
--- a/src/lending/borrower.h
+++ b/src/lending/borrower.h
@@ -31,10 +31,10 @@
 
     // To lenders.
     virtual void ask(const core::entry_host_id& lender, loan_id loan, const core::endpoint_id& endpoint,
-                     const loan_terms& terms) = 0;
+                     const loan_terms& terms, const std::vector<relay::database_request>& first_work) = 0;
     virtual void work(const core::entry_host_id& lender, loan_id loan, std::uint32_t number,
                       const std::vector<relay::database_request>& requests) = 0;
-    virtual void end(const core::entry_host_id& lender, loan_id loan, bool reusable, bool holds_values) = 0;
+    virtual void end(const core::entry_host_id& lender, loan_id loan, const link_remains& remains) = 0;
 
     // To the user of the link.
     virtual void opened(relay::link_id link, const loan_offer& offer) = 0;
@@ -52,11 +52,11 @@
 
     void lenders_changed(lenders_by_endpoint lenders) { m_lenders = std::move(lenders); }
 
+    // `first_work` goes to the database as soon as the link is lent.
     void open(relay::link_id link, const core::endpoint_id& endpoint, const loan_terms& terms,
-              core::time_point now);
+              const std::vector<relay::database_request>& first_work, core::time_point now);
     void send(relay::link_id link, const std::vector<relay::database_request>& requests);
-    // Nothing is in progress on the link.
-    void give_back(relay::link_id link, bool holds_values);
+    void give_back(relay::link_id link, const link_remains& remains);
     // Whatever is in progress ends with the connection to the database.
     void close(relay::link_id link);
     [[nodiscard]] bool holds(relay::link_id link) const { return m_by_link.contains(link); }
@@ -76,6 +76,7 @@
         core::endpoint_id m_endpoint;
         core::entry_host_id m_lender;
         loan_terms m_terms;
+        std::vector<relay::database_request> m_first_work;
         bool m_granted = false;
         std::uint32_t m_next_work = 0;
         std::uint32_t m_next_answer = 0;
--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -21,8 +21,8 @@
 // One more than its share of the slots: a lender whose callers are busier than others' uses what they leave,
 // and the database always has its next statement at hand.
 constexpr std::uint32_t places_beyond_share = 3;
-// A reset needs no slot, so a database that is reached answers within a round trip.
-constexpr core::milliseconds reset_limit{400};
+// A rollback or reset needs no slot, so a database that is reached answers within a round trip.
+constexpr core::milliseconds clean_up_limit{400};
 
 auto order_of(bool needs_slot, bool urgent, double expected_ms, core::time_point arrived) {
     return std::tuple(needs_slot, !urgent, expected_ms, arrived);
@@ -78,8 +78,10 @@
 }
 
 void lender::asked(const core::entry_host_id& borrower, loan_id loan, const core::endpoint_id& endpoint,
-                   const loan_terms& terms, core::time_point now) {
-    const pending_loan wanted{{borrower, loan}, terms, now, core::deadline_after(now, terms.m_wait)};
+                   const loan_terms& terms, const std::vector<relay::database_request>& first_work,
+                   core::time_point now) {
+    const pending_loan wanted{
+        {borrower, loan}, terms, first_work, now, core::deadline_after(now, terms.m_wait)};
     const auto found = m_endpoints.find(endpoint);
     if (m_stopping || found == m_endpoints.end() || !found->second.m_listed) {
         refuse(wanted, loan_refusal::not_lending);
@@ -177,6 +179,10 @@
     set_takes_place(on, given.m_terms.m_needs_slot);
     m_loans[given.m_key] = id;
     ++m_counters.m_granted;
+    if (!given.m_first_work.empty()) {
+        worked(given.m_key.first, given.m_key.second, 0, given.m_first_work, now);
+        return;
+    }
     const endpoint_record& record = m_endpoints.at(on.m_endpoint);
     m_ports.grant(given.m_key.first, given.m_key.second,
                   {now - on.m_heard, record.m_position, static_cast<std::uint32_t>(record.m_waiting.size())});
@@ -228,7 +234,7 @@
     m_ports.send(id, requests);
 }
 
-void lender::ended(const core::entry_host_id& borrower, loan_id loan, bool reusable, bool holds_values,
+void lender::ended(const core::entry_host_id& borrower, loan_id loan, const link_remains& remains,
                    core::time_point now) {
     const loan_key key{borrower, loan};
     const auto found = m_loans.find(key);
@@ -242,19 +248,31 @@
     const core::endpoint_id endpoint = m_links.at(id).m_endpoint;
     end_loan(id);
     link_record& on = m_links.at(id);
-    if (!reusable || !on.m_expected.empty() || !m_endpoints.at(endpoint).m_listed) {
+    if (!remains.m_reusable || !on.m_expected.empty() || !m_endpoints.at(endpoint).m_listed) {
         drop_link(id);
-    } else if (holds_values) {
-        on.m_state = link_state::resetting;
-        on.m_limit = core::deadline_after(now, reset_limit);
-        on.m_expected.push_back(false);
-        m_ports.send(id, {{.m_kind = relay::request_kind::reset}});
     } else {
-        on.m_state = link_state::idle;
+        clean(id, remains, now);
     }
     serve(endpoint, now);
 }
 
+void lender::clean(lender_link_id id, const link_remains& remains, core::time_point now) {
+    link_record& on = m_links.at(id);
+    std::vector<relay::database_request> requests;
+    if (remains.m_in_transaction) {
+        requests.push_back({.m_kind = relay::request_kind::rollback});
+    }
+    if (remains.m_holds_values) {
+        requests.push_back({.m_kind = relay::request_kind::reset});
+    }
+    on.m_state = requests.empty() ? link_state::idle : link_state::cleaning;
+    if (!requests.empty()) {
+        on.m_limit = core::deadline_after(now, clean_up_limit);
+        on.m_expected.assign(requests.size(), false);
+        m_ports.send(id, requests);
+    }
+}
+
 void lender::host_lost(const core::entry_host_id& host, core::time_point now) {
     std::vector<lender_link_id> lent;
     for (const auto& [key, id] : m_loans) {
@@ -310,10 +328,10 @@
         record.m_position = answer.m_position;
     }
     const core::endpoint_id endpoint = on.m_endpoint;
-    if (on.m_state == link_state::resetting) {
+    if (on.m_state == link_state::cleaning) {
         if (answer.m_refusal) {
             drop_link(id);
-        } else {
+        } else if (on.m_expected.empty()) {
             on.m_state = link_state::idle;
         }
     } else {
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -75,12 +75,14 @@
     // New loans are refused from now on; present ones go on.
     void stop_lending(core::time_point now);
 
+    // `first_work` is sent as soon as the link is lent; its answers tell the borrower of it.
     void asked(const core::entry_host_id& borrower, loan_id loan, const core::endpoint_id& endpoint,
-               const loan_terms& terms, core::time_point now);
+               const loan_terms& terms, const std::vector<relay::database_request>& first_work,
+               core::time_point now);
     void worked(const core::entry_host_id& borrower, loan_id loan, std::uint32_t number,
                 const std::vector<relay::database_request>& requests, core::time_point now);
     // Also withdraws a request that has not been granted.
-    void ended(const core::entry_host_id& borrower, loan_id loan, bool reusable, bool holds_values,
+    void ended(const core::entry_host_id& borrower, loan_id loan, const link_remains& remains,
                core::time_point now);
     void host_lost(const core::entry_host_id& host, core::time_point now);
 
@@ -101,10 +103,11 @@
     struct pending_loan {
         loan_key m_key;
         loan_terms m_terms;
+        std::vector<relay::database_request> m_first_work;
         core::time_point m_arrived{};
         core::deadline m_limit;
     };
-    enum class link_state : std::uint8_t { opening, idle, lent, resetting };
+    enum class link_state : std::uint8_t { opening, idle, lent, cleaning };
     struct link_record {
         core::endpoint_id m_endpoint;
         link_state m_state = link_state::opening;
@@ -114,7 +117,7 @@
         bool m_takes_place = false;  // among the running ones: a statement is on its way or at the database
         std::deque<bool> m_expected; // for each request without an answer: whether it is a statement
         core::time_point m_heard{};  // the database's last answer
-        core::deadline m_limit;      // of the opening, of a silent borrower, of the reset
+        core::deadline m_limit;      // of the opening, of a silent borrower, of the clean-up
     };
     struct endpoint_record {
         lent_endpoint m_lent;
@@ -138,6 +141,8 @@
     // Of what comes before it in the queue.
     [[nodiscard]] static core::duration expected_wait(const endpoint_record& record, const pending_loan& one);
     void set_takes_place(link_record& on, bool takes);
+    // Of what its borrower left on it.
+    void clean(lender_link_id id, const link_remains& remains, core::time_point now);
     void end_loan(lender_link_id id);
     void drop_link(lender_link_id id);
 
--- a/src/lending/lending_wire.cpp
+++ b/src/lending/lending_wire.cpp
@@ -19,9 +19,27 @@
     return value <= static_cast<std::uint8_t>(last);
 }
 
+std::vector<std::unique_ptr<wire::link_requestT>>
+to_wire(const std::vector<relay::database_request>& requests) {
+    std::vector<std::unique_ptr<wire::link_requestT>> encoded;
+    encoded.reserve(requests.size());
+    for (const relay::database_request& request : requests) {
+        auto one = std::make_unique<wire::link_requestT>();
+        one->kind = static_cast<std::uint8_t>(request.m_kind);
+        one->id = request.m_id;
+        one->least_position = wire::to_wire(request.m_least_position);
+        one->name = request.m_name;
+        one->argument = request.m_argument;
+        one->access = static_cast<std::uint8_t>(request.m_access);
+        encoded.push_back(std::move(one));
+    }
+    return encoded;
+}
+
 } // namespace
 
-wire::loan_requestT to_wire(loan_id loan, const core::endpoint_id& endpoint, const loan_terms& terms) {
+wire::loan_requestT to_wire(loan_id loan, const core::endpoint_id& endpoint, const loan_terms& terms,
+                            const std::vector<relay::database_request>& first_work) {
     wire::loan_requestT message;
     message.loan = loan.value();
     message.endpoint = endpoint.value();
@@ -30,6 +48,7 @@
     message.expected_us = static_cast<std::uint32_t>(std::clamp(terms.m_expected_ms, 0.0, 60'000.0) * 1000.0);
     message.wait_us =
         static_cast<std::uint32_t>(std::chrono::duration_cast<core::microseconds>(terms.m_wait).count());
+    message.first_work = to_wire(first_work);
     return message;
 }
 
@@ -58,22 +77,28 @@
     wire::loan_workT message;
     message.loan = loan.value();
     message.number = number;
-    for (const relay::database_request& request : requests) {
-        auto one = std::make_unique<wire::link_requestT>();
-        one->kind = static_cast<std::uint8_t>(request.m_kind);
-        one->id = request.m_id;
-        one->least_position = wire::to_wire(request.m_least_position);
-        one->name = request.m_name;
-        one->argument = request.m_argument;
-        one->access = static_cast<std::uint8_t>(request.m_access);
-        message.requests.push_back(std::move(one));
-    }
+    message.requests = to_wire(requests);
     return message;
 }
 
-std::optional<std::vector<relay::database_request>> from_wire(const wire::loan_workT& message) {
+wire::loan_endT to_wire(loan_id loan, const link_remains& remains) {
+    wire::loan_endT message;
+    message.loan = loan.value();
+    message.reusable = remains.m_reusable;
+    message.holds_values = remains.m_holds_values;
+    message.in_transaction = remains.m_in_transaction;
+    return message;
+}
+
+link_remains from_wire(const wire::loan_endT& message) {
+    return {message.reusable, message.holds_values, message.in_transaction};
+}
+
+std::optional<std::vector<relay::database_request>>
+from_wire(const std::vector<std::unique_ptr<wire::link_requestT>>& encoded) {
     std::vector<relay::database_request> requests;
-    for (const auto& one : message.requests) {
+    requests.reserve(encoded.size());
+    for (const auto& one : encoded) {
         if (!in_range(one->kind, last_kind) || !in_range(one->access, relay::access_kind::write)) {
             return std::nullopt;
         }
--- a/src/lending/lending_wire.h
+++ b/src/lending/lending_wire.h
@@ -9,16 +9,21 @@
 
 namespace mangoquay::lending {
 
-wire::loan_requestT to_wire(loan_id loan, const core::endpoint_id& endpoint, const loan_terms& terms);
+wire::loan_requestT to_wire(loan_id loan, const core::endpoint_id& endpoint, const loan_terms& terms,
+                            const std::vector<relay::database_request>& first_work);
 loan_terms from_wire(const wire::loan_requestT& message);
 
+wire::loan_endT to_wire(loan_id loan, const link_remains& remains);
+link_remains from_wire(const wire::loan_endT& message);
+
 wire::loan_grantT to_wire(loan_id loan, const loan_offer& offer);
 loan_offer from_wire(const wire::loan_grantT& message);
 
 wire::loan_workT to_wire(loan_id loan, std::uint32_t number,
                          const std::vector<relay::database_request>& requests);
 // Nothing when a value is out of range: the sender is of another version.
-std::optional<std::vector<relay::database_request>> from_wire(const wire::loan_workT& message);
+std::optional<std::vector<relay::database_request>>
+from_wire(const std::vector<std::unique_ptr<wire::link_requestT>>& requests);
 
 wire::loan_answerT to_wire(loan_id loan, std::uint32_t number, const relay::database_answer& answer);
 std::optional<relay::database_answer> from_wire(const wire::loan_answerT& message);
--- a/src/lending/loan.h
+++ b/src/lending/loan.h
@@ -22,6 +22,13 @@
     core::duration m_wait{};    // the borrower has no use for it later
 };
 
+// In what state a link is given back.
+struct link_remains {
+    bool m_reusable = true;        // nothing is in progress on it
+    bool m_holds_values = false;   // session values or prepared statements
+    bool m_in_transaction = false; // one that is to be rolled back
+};
+
 struct loan_offer {
     core::duration m_silent{};                        // since the database last answered on the link
     std::optional<core::history_position> m_position; // of the database, last seen by the lender
--- a/src/metrics/session_metrics.cpp
+++ b/src/metrics/session_metrics.cpp
@@ -61,6 +61,7 @@
     page.line("statements_in_progress", {}, static_cast<double>(core.active()));
     page.line("database_links", {}, static_cast<double>(core.links()));
     page.line("database_links_opened_total", {}, static_cast<double>(counted.m_links_opened));
+    page.line("database_links_borrowed_total", {}, static_cast<double>(counted.m_links_borrowed));
     page.line("session_statements_total", {}, static_cast<double>(counted.m_statements));
     page.line("statement_attempts_repeated_total", {}, static_cast<double>(counted.m_repeated));
     page.line("primary_position_probes_total", {}, static_cast<double>(counted.m_probes));
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -21,6 +21,9 @@
 // A rollback needs no slot; a link that does not answer it by then is closed.
 inline constexpr core::milliseconds clean_up_limit{400};
 
+// A preparation needs no slot, so a database that is reached answers within a round trip.
+inline constexpr core::milliseconds preparation_limit{400};
+
 enum class link_phase : std::uint8_t { opening, idle, busy };
 
 enum class link_step : std::uint8_t {
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -126,8 +126,7 @@
         if (answer.m_state == transaction_state::idle) {
             release(id, now);
         } else {
-            on.m_answer_by.m_at = now + clean_up_limit;
-            send(id, on, {{.m_kind = request_kind::rollback}}, {link_step::rollback}, now);
+            roll_back(id, now);
         }
         return;
     }
@@ -178,8 +177,7 @@
     } else if (answer.m_state == transaction_state::idle) {
         release(id, now);
     } else { // a fenced read
-        on.m_answer_by.m_at = now + clean_up_limit;
-        send(id, on, {{.m_kind = request_kind::rollback}}, {link_step::rollback}, now);
+        roll_back(id, now);
     }
 }
 
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -62,10 +62,12 @@
     virtual void open_link(link_id link, const registry::endpoint_report& target) = 0;
     // Asks a host that keeps connections to the endpoint for one. Answered by link_lent() or loan_refused();
     // a link that was lent ends by loan_lost() or link_failed().
+    // `first_work` is sent as soon as the link is lent.
     virtual void borrow_link(link_id link, const core::endpoint_id& endpoint,
-                             const lending::loan_terms& terms) = 0;
-    // Of a link that was lent and has nothing in progress. No event of the link follows.
-    virtual void give_back(link_id link, bool holds_values) = 0;
+                             const lending::loan_terms& terms,
+                             const std::vector<database_request>& first_work) = 0;
+    // Of a link that was lent. No event of the link follows.
+    virtual void give_back(link_id link, const lending::link_remains& remains) = 0;
     virtual void send(link_id link, const std::vector<database_request>& requests) = 0;
     // No event of the link follows.
     virtual void close_link(link_id link) = 0;
@@ -190,6 +192,12 @@
     [[nodiscard]] std::optional<link_id> take_link(const core::endpoint_id& endpoint,
                                                    const session& caller) const;
     void prepare_link(session& caller, link_id number, core::time_point now);
+    struct preparation {
+        std::vector<database_request> m_requests;
+        std::vector<link_step> m_steps; // one each
+    };
+    // What has to come before the statement; the link's record is updated.
+    preparation preparation_of(session& caller, link& on, core::time_point now);
     void send_statement(session& caller, link_id number, core::time_point now);
     // What the link lacks of the session's values and prepared statements; the link's record is updated.
     static std::vector<database_request> missing_values(const session& caller, link& on);
@@ -215,11 +223,10 @@
     void borrow(session_id id, session& caller, const documents::route_rule& route,
                 const core::endpoint_id& endpoint, core::time_point now);
     void borrow_for_probe(const endpoint_view& primary, core::time_point now);
-    link_id add_loan(const core::endpoint_id& endpoint, const lending::loan_terms& terms);
+    link_id add_loan(const core::endpoint_id& endpoint, core::time_point now);
     // Of a statement that does not wait for one any more.
     void cancel_loan(session& caller);
     void use_loan(link_id id, core::time_point now);
-    void send_probe(link_id id, core::time_point now);
 
     // relay_answers.cpp: what answers mean.
     void preparation_answered(link_id id, link_step step, const database_answer& answer,
@@ -244,6 +251,9 @@
                    blame blamed = blame::endpoint);
     void link_lost_by(session_id owner, const std::string& reason, core::time_point now);
     void release(link_id id, core::time_point now);
+    // Of a link with an open transaction of which nothing is to be kept.
+    void roll_back(link_id id, core::time_point now);
+    void give_back(link_id id, bool in_transaction);
     void detach(session& caller, core::time_point now);
     void drop_link(link_id id);
 
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -7,8 +7,6 @@
 namespace mangoquay::relay {
 namespace {
 
-// A preparation needs no slot, so a database that is reached answers within a round trip.
-constexpr core::milliseconds preparation_limit{400};
 // A link that was silent for so long may be dead without a reset; it proves itself before a write uses it.
 constexpr core::milliseconds unproven_after{1500};
 // Replicas lag by 60 to 150 ms (sheet).
@@ -228,29 +226,36 @@
     }
 }
 
+relay_core::preparation relay_core::preparation_of(session& caller, link& on, core::time_point now) {
+    preparation needed;
+    needed.m_requests = missing_values(caller, on);
+    needed.m_steps.assign(needed.m_requests.size(), link_step::prepare);
+    if (auto start = transaction_start(caller, now)) {
+        caller.m_operation->m_fenced =
+            caller.m_operation->m_fenced || (caller.m_state == transaction_state::idle);
+        needed.m_steps.push_back(start->first);
+        needed.m_requests.push_back(std::move(start->second));
+    }
+    return needed;
+}
+
 // Sends what has to come before the statement and waits for the answers, or sends the statement at once.
 void relay_core::prepare_link(session& caller, link_id number, core::time_point now) {
     link& on = m_links.at(number);
     const bool unproven = on.m_heard + unproven_after < now;
     occupy(on);
-    std::vector<database_request> requests = missing_values(caller, on);
-    std::vector<link_step> steps(requests.size(), link_step::prepare);
-    if (auto start = transaction_start(caller, now)) {
-        caller.m_operation->m_fenced =
-            caller.m_operation->m_fenced || (caller.m_state == transaction_state::idle);
-        steps.push_back(start->first);
-        requests.push_back(std::move(start->second));
-    } else if (requests.empty() && unproven && caller.m_state == transaction_state::idle) {
-        requests = {{.m_kind = request_kind::begin_read_only}, {.m_kind = request_kind::rollback}};
-        steps = {link_step::prepare, link_step::prepare};
+    preparation needed = preparation_of(caller, on, now);
+    if (needed.m_requests.empty() && unproven && caller.m_state == transaction_state::idle) {
+        needed.m_requests = {{.m_kind = request_kind::begin_read_only}, {.m_kind = request_kind::rollback}};
+        needed.m_steps = {link_step::prepare, link_step::prepare};
     }
-    if (requests.empty()) {
+    if (needed.m_requests.empty()) {
         send_statement(caller, number, now);
         return;
     }
     caller.m_operation->m_phase = operation_phase::preparing;
     on.m_answer_by.m_at = now + preparation_limit;
-    send(number, on, requests, steps, now);
+    send(number, on, needed.m_requests, needed.m_steps, now);
 }
 
 void relay_core::send_statement(session& caller, link_id number, core::time_point now) {
@@ -317,16 +322,12 @@
         }
         return;
     }
-    m_probes[service] = *number;
-    send_probe(*number, now);
-}
-
-void relay_core::send_probe(link_id id, core::time_point now) {
-    link& on = m_links.at(id);
+    link& on = m_links.at(*number);
     occupy(on);
     on.m_answer_by.m_at = now + preparation_limit;
+    m_probes[service] = *number;
     ++m_counters.m_probes;
-    send(id, on, {{.m_kind = request_kind::begin}, {.m_kind = request_kind::rollback}},
+    send(*number, on, {{.m_kind = request_kind::begin}, {.m_kind = request_kind::rollback}},
          {link_step::probe, link_step::rollback}, now);
 }
 
--- a/src/relay/relay_links.cpp
+++ b/src/relay/relay_links.cpp
@@ -141,10 +141,30 @@
         release(id, now);
         return;
     }
+    roll_back(id, now);
+}
+
+void relay_core::roll_back(link_id id, core::time_point now) {
+    link& on = m_links.at(id);
+    if (on.m_lent) {
+        give_back(id, true);
+        return;
+    }
     on.m_answer_by.m_at = now + clean_up_limit;
     send(id, on, {{.m_kind = request_kind::rollback}}, {link_step::rollback}, now);
 }
 
+void relay_core::give_back(link_id id, bool in_transaction) {
+    const auto found = m_links.find(id);
+    const link& on = found->second;
+    const lending::link_remains remains{.m_holds_values = !on.m_values.empty() || !on.m_prepared.empty(),
+                                        .m_in_transaction = in_transaction};
+    std::erase_if(m_probes, [id](const auto& one) { return one.second == id; });
+    --m_endpoints.at(on.m_endpoint).m_loans;
+    m_links.erase(found);
+    m_ports.give_back(id, remains);
+}
+
 void relay_core::release(link_id id, core::time_point now) {
     link& on = m_links.at(id);
     std::erase_if(m_probes, [id](const auto& one) { return one.second == id; });
@@ -156,10 +176,7 @@
     on.m_session.reset();
     on.m_answer_by.m_at = core::time_point::max();
     if (on.m_lent) {
-        const bool holds_values = !on.m_values.empty() || !on.m_prepared.empty();
-        --view.m_loans;
-        m_links.erase(id);
-        m_ports.give_back(id, holds_values);
+        give_back(id, false);
         return;
     }
     if (view.m_report.m_state == registry::report_state::gone) {
--- a/src/relay/relay_loans.cpp
+++ b/src/relay/relay_loans.cpp
@@ -18,19 +18,21 @@
 
 } // namespace
 
-link_id relay_core::add_loan(const core::endpoint_id& endpoint, const lending::loan_terms& terms) {
+link_id relay_core::add_loan(const core::endpoint_id& endpoint, core::time_point now) {
     const link_id id(++m_last_link);
     link asked;
     asked.m_endpoint = endpoint;
     asked.m_lent = true;
+    asked.m_asked_at = now;
     asked.m_answer_by.m_at = core::time_point::max(); // the borrower watches over it
     m_links.emplace(id, std::move(asked));
     ++m_endpoints.at(endpoint).m_loans;
     ++m_counters.m_links_borrowed;
-    m_ports.borrow_link(id, endpoint, terms);
     return id;
 }
 
+// What has to come before the statement goes with the request for the link. The statement itself does not: a
+// caller that is refused meanwhile is told that it did not run.
 void relay_core::borrow(session_id id, session& caller, const documents::route_rule& route,
                         const core::endpoint_id& endpoint, core::time_point now) {
     operation& work = *caller.m_operation;
@@ -39,19 +41,26 @@
                                     .m_expected_ms = expected == m_expected_ms.end() ? unknown_expected_ms
                                                                                      : expected->second,
                                     .m_wait = work.m_refuse.remaining(now)};
-    work.m_loan = add_loan(endpoint, terms);
-    link& asked = m_links.at(*work.m_loan);
+    const link_id number = add_loan(endpoint, now);
+    link& asked = m_links.at(number);
     asked.m_wanted_by = id;
-    asked.m_asked_at = now;
+    work.m_loan = number;
     work.m_last_reason = "waits for a connection to " + endpoint.value();
+    const preparation needed = preparation_of(caller, asked, now);
+    for (const link_step step : needed.m_steps) {
+        asked.m_expected.push_back({step, now});
+    }
+    m_ports.borrow_link(number, endpoint, terms, needed.m_requests);
 }
 
 void relay_core::borrow_for_probe(const endpoint_view& primary, core::time_point now) {
-    const core::service_name service = primary.m_report.m_service;
-    const link_id id =
-        add_loan(primary.m_report.m_id, {.m_urgent = true, .m_needs_slot = false, .m_wait = probe_wait});
-    m_links.at(id).m_asked_at = now;
-    m_probes[service] = id;
+    const link_id id = add_loan(primary.m_report.m_id, now);
+    m_probes[primary.m_report.m_service] = id;
+    ++m_counters.m_probes;
+    m_links.at(id).m_expected = {{link_step::probe, now}, {link_step::rollback, now}};
+    m_ports.borrow_link(id, primary.m_report.m_id,
+                        {.m_urgent = true, .m_needs_slot = false, .m_wait = probe_wait},
+                        {{.m_kind = request_kind::begin}, {.m_kind = request_kind::rollback}});
 }
 
 void relay_core::cancel_loan(session& caller) {
@@ -83,8 +92,9 @@
 
 void relay_core::use_loan(link_id id, core::time_point now) {
     link& on = m_links.at(id);
+    on.m_answer_by.m_at = now + preparation_limit; // of what went with the request
+    occupy(on);
     if (!on.m_wanted_by) {
-        send_probe(id, now);
         return;
     }
     const session_id owner = *std::exchange(on.m_wanted_by, std::nullopt);
@@ -92,7 +102,11 @@
     caller.m_operation->m_loan.reset();
     caller.m_link = id;
     on.m_session = owner;
-    prepare_link(caller, id, now);
+    if (on.m_expected.empty()) {
+        prepare_link(caller, id, now);
+    } else {
+        caller.m_operation->m_phase = operation_phase::preparing;
+    }
 }
 
 void relay_core::loan_refused(link_id id, lending::loan_refusal reason, core::time_point now) {
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -149,6 +149,10 @@
 struct cell_joinBuilder;
 struct cell_joinT;
 
+struct link_request;
+struct link_requestBuilder;
+struct link_requestT;
+
 struct loan_request;
 struct loan_requestBuilder;
 struct loan_requestT;
@@ -161,10 +165,6 @@
 struct loan_refusalBuilder;
 struct loan_refusalT;
 
-struct link_request;
-struct link_requestBuilder;
-struct link_requestT;
-
 struct loan_work;
 struct loan_workBuilder;
 struct loan_workT;
@@ -4731,6 +4731,148 @@
 
 flatbuffers::Offset<cell_join> Createcell_join(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct link_requestT : public flatbuffers::NativeTable {
+  typedef link_request TableType;
+  uint8_t kind = 0;
+  std::string id{};
+  std::unique_ptr<mangoquay::wire::wire_positionT> least_position{};
+  std::string name{};
+  std::string argument{};
+  uint8_t access = 0;
+  link_requestT() = default;
+  link_requestT(const link_requestT &o);
+  link_requestT(link_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  link_requestT &operator=(link_requestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct link_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef link_requestT NativeTableType;
+  typedef link_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_ID = 6,
+    VT_LEAST_POSITION = 8,
+    VT_NAME = 10,
+    VT_ARGUMENT = 12,
+    VT_ACCESS = 14
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const mangoquay::wire::wire_position *least_position() const {
+    return GetPointer<const mangoquay::wire::wire_position *>(VT_LEAST_POSITION);
+  }
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *argument() const {
+    return GetPointer<const flatbuffers::String *>(VT_ARGUMENT);
+  }
+  uint8_t access() const {
+    return GetField<uint8_t>(VT_ACCESS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_LEAST_POSITION) &&
+           verifier.VerifyTable(least_position()) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_ARGUMENT) &&
+           verifier.VerifyString(argument()) &&
+           VerifyField<uint8_t>(verifier, VT_ACCESS, 1) &&
+           verifier.EndTable();
+  }
+  link_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(link_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<link_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct link_requestBuilder {
+  typedef link_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(link_request::VT_KIND, kind, 0);
+  }
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(link_request::VT_ID, id);
+  }
+  void add_least_position(flatbuffers::Offset<mangoquay::wire::wire_position> least_position) {
+    fbb_.AddOffset(link_request::VT_LEAST_POSITION, least_position);
+  }
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(link_request::VT_NAME, name);
+  }
+  void add_argument(flatbuffers::Offset<flatbuffers::String> argument) {
+    fbb_.AddOffset(link_request::VT_ARGUMENT, argument);
+  }
+  void add_access(uint8_t access) {
+    fbb_.AddElement<uint8_t>(link_request::VT_ACCESS, access, 0);
+  }
+  explicit link_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<link_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<link_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<link_request> Createlink_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<mangoquay::wire::wire_position> least_position = 0,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> argument = 0,
+    uint8_t access = 0) {
+  link_requestBuilder builder_(_fbb);
+  builder_.add_argument(argument);
+  builder_.add_name(name);
+  builder_.add_least_position(least_position);
+  builder_.add_id(id);
+  builder_.add_access(access);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct link_request::Traits {
+  using type = link_request;
+  static auto constexpr Create = Createlink_request;
+};
+
+inline flatbuffers::Offset<link_request> Createlink_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    const char *id = nullptr,
+    flatbuffers::Offset<mangoquay::wire::wire_position> least_position = 0,
+    const char *name = nullptr,
+    const char *argument = nullptr,
+    uint8_t access = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto argument__ = argument ? _fbb.CreateString(argument) : 0;
+  return mangoquay::wire::Createlink_request(
+      _fbb,
+      kind,
+      id__,
+      least_position,
+      name__,
+      argument__,
+      access);
+}
+
+flatbuffers::Offset<link_request> Createlink_request(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct loan_requestT : public flatbuffers::NativeTable {
   typedef loan_request TableType;
   uint64_t loan = 0;
@@ -4739,6 +4881,11 @@
   uint32_t expected_us = 0;
   bool needs_slot = false;
   uint32_t wait_us = 0;
+  std::vector<std::unique_ptr<mangoquay::wire::link_requestT>> first_work{};
+  loan_requestT() = default;
+  loan_requestT(const loan_requestT &o);
+  loan_requestT(loan_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  loan_requestT &operator=(loan_requestT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct loan_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4751,7 +4898,8 @@
     VT_URGENT = 8,
     VT_EXPECTED_US = 10,
     VT_NEEDS_SLOT = 12,
-    VT_WAIT_US = 14
+    VT_WAIT_US = 14,
+    VT_FIRST_WORK = 16
   };
   uint64_t loan() const {
     return GetField<uint64_t>(VT_LOAN, 0);
@@ -4771,6 +4919,9 @@
   uint32_t wait_us() const {
     return GetField<uint32_t>(VT_WAIT_US, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>> *first_work() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>> *>(VT_FIRST_WORK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
@@ -4780,6 +4931,9 @@
            VerifyField<uint32_t>(verifier, VT_EXPECTED_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_NEEDS_SLOT, 1) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_US, 4) &&
+           VerifyOffset(verifier, VT_FIRST_WORK) &&
+           verifier.VerifyVector(first_work()) &&
+           verifier.VerifyVectorOfTables(first_work()) &&
            verifier.EndTable();
   }
   loan_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4809,6 +4963,9 @@
   void add_wait_us(uint32_t wait_us) {
     fbb_.AddElement<uint32_t>(loan_request::VT_WAIT_US, wait_us, 0);
   }
+  void add_first_work(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>>> first_work) {
+    fbb_.AddOffset(loan_request::VT_FIRST_WORK, first_work);
+  }
   explicit loan_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4827,9 +4984,11 @@
     bool urgent = false,
     uint32_t expected_us = 0,
     bool needs_slot = false,
-    uint32_t wait_us = 0) {
+    uint32_t wait_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>>> first_work = 0) {
   loan_requestBuilder builder_(_fbb);
   builder_.add_loan(loan);
+  builder_.add_first_work(first_work);
   builder_.add_wait_us(wait_us);
   builder_.add_expected_us(expected_us);
   builder_.add_endpoint(endpoint);
@@ -4850,8 +5009,10 @@
     bool urgent = false,
     uint32_t expected_us = 0,
     bool needs_slot = false,
-    uint32_t wait_us = 0) {
+    uint32_t wait_us = 0,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::link_request>> *first_work = nullptr) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto first_work__ = first_work ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::link_request>>(*first_work) : 0;
   return mangoquay::wire::Createloan_request(
       _fbb,
       loan,
@@ -4859,7 +5020,8 @@
       urgent,
       expected_us,
       needs_slot,
-      wait_us);
+      wait_us,
+      first_work__);
 }
 
 flatbuffers::Offset<loan_request> Createloan_request(flatbuffers::FlatBufferBuilder &_fbb, const loan_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5029,148 +5191,6 @@
 
 flatbuffers::Offset<loan_refusal> Createloan_refusal(flatbuffers::FlatBufferBuilder &_fbb, const loan_refusalT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct link_requestT : public flatbuffers::NativeTable {
-  typedef link_request TableType;
-  uint8_t kind = 0;
-  std::string id{};
-  std::unique_ptr<mangoquay::wire::wire_positionT> least_position{};
-  std::string name{};
-  std::string argument{};
-  uint8_t access = 0;
-  link_requestT() = default;
-  link_requestT(const link_requestT &o);
-  link_requestT(link_requestT&&) FLATBUFFERS_NOEXCEPT = default;
-  link_requestT &operator=(link_requestT o) FLATBUFFERS_NOEXCEPT;
-};
-
-struct link_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef link_requestT NativeTableType;
-  typedef link_requestBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KIND = 4,
-    VT_ID = 6,
-    VT_LEAST_POSITION = 8,
-    VT_NAME = 10,
-    VT_ARGUMENT = 12,
-    VT_ACCESS = 14
-  };
-  uint8_t kind() const {
-    return GetField<uint8_t>(VT_KIND, 0);
-  }
-  const flatbuffers::String *id() const {
-    return GetPointer<const flatbuffers::String *>(VT_ID);
-  }
-  const mangoquay::wire::wire_position *least_position() const {
-    return GetPointer<const mangoquay::wire::wire_position *>(VT_LEAST_POSITION);
-  }
-  const flatbuffers::String *name() const {
-    return GetPointer<const flatbuffers::String *>(VT_NAME);
-  }
-  const flatbuffers::String *argument() const {
-    return GetPointer<const flatbuffers::String *>(VT_ARGUMENT);
-  }
-  uint8_t access() const {
-    return GetField<uint8_t>(VT_ACCESS, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
-           VerifyOffset(verifier, VT_ID) &&
-           verifier.VerifyString(id()) &&
-           VerifyOffset(verifier, VT_LEAST_POSITION) &&
-           verifier.VerifyTable(least_position()) &&
-           VerifyOffset(verifier, VT_NAME) &&
-           verifier.VerifyString(name()) &&
-           VerifyOffset(verifier, VT_ARGUMENT) &&
-           verifier.VerifyString(argument()) &&
-           VerifyField<uint8_t>(verifier, VT_ACCESS, 1) &&
-           verifier.EndTable();
-  }
-  link_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(link_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<link_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct link_requestBuilder {
-  typedef link_request Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_kind(uint8_t kind) {
-    fbb_.AddElement<uint8_t>(link_request::VT_KIND, kind, 0);
-  }
-  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
-    fbb_.AddOffset(link_request::VT_ID, id);
-  }
-  void add_least_position(flatbuffers::Offset<mangoquay::wire::wire_position> least_position) {
-    fbb_.AddOffset(link_request::VT_LEAST_POSITION, least_position);
-  }
-  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
-    fbb_.AddOffset(link_request::VT_NAME, name);
-  }
-  void add_argument(flatbuffers::Offset<flatbuffers::String> argument) {
-    fbb_.AddOffset(link_request::VT_ARGUMENT, argument);
-  }
-  void add_access(uint8_t access) {
-    fbb_.AddElement<uint8_t>(link_request::VT_ACCESS, access, 0);
-  }
-  explicit link_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<link_request> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<link_request>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<link_request> Createlink_request(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint8_t kind = 0,
-    flatbuffers::Offset<flatbuffers::String> id = 0,
-    flatbuffers::Offset<mangoquay::wire::wire_position> least_position = 0,
-    flatbuffers::Offset<flatbuffers::String> name = 0,
-    flatbuffers::Offset<flatbuffers::String> argument = 0,
-    uint8_t access = 0) {
-  link_requestBuilder builder_(_fbb);
-  builder_.add_argument(argument);
-  builder_.add_name(name);
-  builder_.add_least_position(least_position);
-  builder_.add_id(id);
-  builder_.add_access(access);
-  builder_.add_kind(kind);
-  return builder_.Finish();
-}
-
-struct link_request::Traits {
-  using type = link_request;
-  static auto constexpr Create = Createlink_request;
-};
-
-inline flatbuffers::Offset<link_request> Createlink_requestDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint8_t kind = 0,
-    const char *id = nullptr,
-    flatbuffers::Offset<mangoquay::wire::wire_position> least_position = 0,
-    const char *name = nullptr,
-    const char *argument = nullptr,
-    uint8_t access = 0) {
-  auto id__ = id ? _fbb.CreateString(id) : 0;
-  auto name__ = name ? _fbb.CreateString(name) : 0;
-  auto argument__ = argument ? _fbb.CreateString(argument) : 0;
-  return mangoquay::wire::Createlink_request(
-      _fbb,
-      kind,
-      id__,
-      least_position,
-      name__,
-      argument__,
-      access);
-}
-
-flatbuffers::Offset<link_request> Createlink_request(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct loan_workT : public flatbuffers::NativeTable {
   typedef loan_work TableType;
   uint64_t loan = 0;
@@ -5442,6 +5462,7 @@
   uint64_t loan = 0;
   bool reusable = false;
   bool holds_values = false;
+  bool in_transaction = false;
 };
 
 struct loan_end FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5451,7 +5472,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LOAN = 4,
     VT_REUSABLE = 6,
-    VT_HOLDS_VALUES = 8
+    VT_HOLDS_VALUES = 8,
+    VT_IN_TRANSACTION = 10
   };
   uint64_t loan() const {
     return GetField<uint64_t>(VT_LOAN, 0);
@@ -5462,11 +5484,15 @@
   bool holds_values() const {
     return GetField<uint8_t>(VT_HOLDS_VALUES, 0) != 0;
   }
+  bool in_transaction() const {
+    return GetField<uint8_t>(VT_IN_TRANSACTION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
            VerifyField<uint8_t>(verifier, VT_REUSABLE, 1) &&
            VerifyField<uint8_t>(verifier, VT_HOLDS_VALUES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IN_TRANSACTION, 1) &&
            verifier.EndTable();
   }
   loan_endT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5487,6 +5513,9 @@
   void add_holds_values(bool holds_values) {
     fbb_.AddElement<uint8_t>(loan_end::VT_HOLDS_VALUES, static_cast<uint8_t>(holds_values), 0);
   }
+  void add_in_transaction(bool in_transaction) {
+    fbb_.AddElement<uint8_t>(loan_end::VT_IN_TRANSACTION, static_cast<uint8_t>(in_transaction), 0);
+  }
   explicit loan_endBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5502,9 +5531,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t loan = 0,
     bool reusable = false,
-    bool holds_values = false) {
+    bool holds_values = false,
+    bool in_transaction = false) {
   loan_endBuilder builder_(_fbb);
   builder_.add_loan(loan);
+  builder_.add_in_transaction(in_transaction);
   builder_.add_holds_values(holds_values);
   builder_.add_reusable(reusable);
   return builder_.Finish();
@@ -7378,6 +7409,88 @@
       _peer_port);
 }
 
+inline link_requestT::link_requestT(const link_requestT &o)
+      : kind(o.kind),
+        id(o.id),
+        least_position((o.least_position) ? new mangoquay::wire::wire_positionT(*o.least_position) : nullptr),
+        name(o.name),
+        argument(o.argument),
+        access(o.access) {
+}
+
+inline link_requestT &link_requestT::operator=(link_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(kind, o.kind);
+  std::swap(id, o.id);
+  std::swap(least_position, o.least_position);
+  std::swap(name, o.name);
+  std::swap(argument, o.argument);
+  std::swap(access, o.access);
+  return *this;
+}
+
+inline link_requestT *link_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<link_requestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void link_request::UnPackTo(link_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = least_position(); if (_e) _o->least_position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = argument(); if (_e) _o->argument = _e->str(); }
+  { auto _e = access(); _o->access = _e; }
+}
+
+inline flatbuffers::Offset<link_request> link_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlink_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<link_request> Createlink_request(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const link_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _least_position = _o->least_position ? Createwire_position(_fbb, _o->least_position.get(), _rehasher) : 0;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _argument = _o->argument.empty() ? 0 : _fbb.CreateString(_o->argument);
+  auto _access = _o->access;
+  return mangoquay::wire::Createlink_request(
+      _fbb,
+      _kind,
+      _id,
+      _least_position,
+      _name,
+      _argument,
+      _access);
+}
+
+inline loan_requestT::loan_requestT(const loan_requestT &o)
+      : loan(o.loan),
+        endpoint(o.endpoint),
+        urgent(o.urgent),
+        expected_us(o.expected_us),
+        needs_slot(o.needs_slot),
+        wait_us(o.wait_us) {
+  first_work.reserve(o.first_work.size());
+  for (const auto &first_work_ : o.first_work) { first_work.emplace_back((first_work_) ? new mangoquay::wire::link_requestT(*first_work_) : nullptr); }
+}
+
+inline loan_requestT &loan_requestT::operator=(loan_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(loan, o.loan);
+  std::swap(endpoint, o.endpoint);
+  std::swap(urgent, o.urgent);
+  std::swap(expected_us, o.expected_us);
+  std::swap(needs_slot, o.needs_slot);
+  std::swap(wait_us, o.wait_us);
+  std::swap(first_work, o.first_work);
+  return *this;
+}
+
 inline loan_requestT *loan_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<loan_requestT>();
   UnPackTo(_o.get(), _resolver);
@@ -7393,6 +7506,7 @@
   { auto _e = expected_us(); _o->expected_us = _e; }
   { auto _e = needs_slot(); _o->needs_slot = _e; }
   { auto _e = wait_us(); _o->wait_us = _e; }
+  { auto _e = first_work(); if (_e) { _o->first_work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->first_work[_i] = std::unique_ptr<mangoquay::wire::link_requestT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<loan_request> loan_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7409,6 +7523,7 @@
   auto _expected_us = _o->expected_us;
   auto _needs_slot = _o->needs_slot;
   auto _wait_us = _o->wait_us;
+  auto _first_work = _o->first_work.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::link_request>> (_o->first_work.size(), [](size_t i, _VectorArgs *__va) { return Createlink_request(*__va->__fbb, __va->__o->first_work[i].get(), __va->__rehasher); }, &_va ) : 0;
   return mangoquay::wire::Createloan_request(
       _fbb,
       _loan,
@@ -7416,7 +7531,8 @@
       _urgent,
       _expected_us,
       _needs_slot,
-      _wait_us);
+      _wait_us,
+      _first_work);
 }
 
 inline loan_grantT::loan_grantT(const loan_grantT &o)
@@ -7498,66 +7614,6 @@
       _reason);
 }
 
-inline link_requestT::link_requestT(const link_requestT &o)
-      : kind(o.kind),
-        id(o.id),
-        least_position((o.least_position) ? new mangoquay::wire::wire_positionT(*o.least_position) : nullptr),
-        name(o.name),
-        argument(o.argument),
-        access(o.access) {
-}
-
-inline link_requestT &link_requestT::operator=(link_requestT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(kind, o.kind);
-  std::swap(id, o.id);
-  std::swap(least_position, o.least_position);
-  std::swap(name, o.name);
-  std::swap(argument, o.argument);
-  std::swap(access, o.access);
-  return *this;
-}
-
-inline link_requestT *link_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<link_requestT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void link_request::UnPackTo(link_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = kind(); _o->kind = _e; }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
-  { auto _e = least_position(); if (_e) _o->least_position = std::unique_ptr<mangoquay::wire::wire_positionT>(_e->UnPack(_resolver)); }
-  { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = argument(); if (_e) _o->argument = _e->str(); }
-  { auto _e = access(); _o->access = _e; }
-}
-
-inline flatbuffers::Offset<link_request> link_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createlink_request(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<link_request> Createlink_request(flatbuffers::FlatBufferBuilder &_fbb, const link_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const link_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _kind = _o->kind;
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  auto _least_position = _o->least_position ? Createwire_position(_fbb, _o->least_position.get(), _rehasher) : 0;
-  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
-  auto _argument = _o->argument.empty() ? 0 : _fbb.CreateString(_o->argument);
-  auto _access = _o->access;
-  return mangoquay::wire::Createlink_request(
-      _fbb,
-      _kind,
-      _id,
-      _least_position,
-      _name,
-      _argument,
-      _access);
-}
-
 inline loan_workT::loan_workT(const loan_workT &o)
       : loan(o.loan),
         number(o.number) {
@@ -7686,6 +7742,7 @@
   { auto _e = loan(); _o->loan = _e; }
   { auto _e = reusable(); _o->reusable = _e; }
   { auto _e = holds_values(); _o->holds_values = _e; }
+  { auto _e = in_transaction(); _o->in_transaction = _e; }
 }
 
 inline flatbuffers::Offset<loan_end> loan_end::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_endT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7699,11 +7756,13 @@
   auto _loan = _o->loan;
   auto _reusable = _o->reusable;
   auto _holds_values = _o->holds_values;
+  auto _in_transaction = _o->in_transaction;
   return mangoquay::wire::Createloan_end(
       _fbb,
       _loan,
       _reusable,
-      _holds_values);
+      _holds_values,
+      _in_transaction);
 }
 
 inline loan_lostT *loan_lost::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/test/correctness/link_lending_rules.cpp
+++ b/test/correctness/link_lending_rules.cpp
@@ -79,7 +79,7 @@
     }
     void ask(std::uint64_t loan, double expected_ms, bool urgent = false, bool needs_slot = true) {
         m_lender.asked(near_host, loan_id(loan), endpoint,
-                       {urgent, needs_slot, expected_ms, core::milliseconds(200)}, start);
+                       {urgent, needs_slot, expected_ms, core::milliseconds(200)}, {}, start);
         open_all();
     }
 
@@ -98,6 +98,8 @@
     CPPUNIT_TEST(links_of_a_lost_borrower_are_closed);
     CPPUNIT_TEST(a_link_with_work_in_progress_is_not_lent_again);
     CPPUNIT_TEST(a_link_that_holds_values_is_reset_before_it_is_lent_again);
+    CPPUNIT_TEST(an_open_transaction_is_rolled_back_before_a_link_is_lent_again);
+    CPPUNIT_TEST(first_work_is_sent_with_the_loan_and_its_answers_stand_for_the_grant);
     CPPUNIT_TEST(a_stopping_host_lends_nothing_new);
     CPPUNIT_TEST(a_silent_borrower_loses_its_link);
     CPPUNIT_TEST(a_withdrawn_request_is_not_granted);
@@ -112,7 +114,7 @@
             world.ask(loan, 10);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.m_ports.m_granted.size());
-        world.m_lender.ended(near_host, loan_id(1), true, false, start);
+        world.m_lender.ended(near_host, loan_id(1), {}, start);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), world.m_ports.m_granted.size());
     }
 
@@ -121,13 +123,13 @@
         world.ask(1, 10);
         world.ask(2, 50);
         world.ask(3, 10);
-        world.m_lender.asked(near_host, loan_id(4), endpoint, {true, true, 30, core::milliseconds(200)},
+        world.m_lender.asked(near_host, loan_id(4), endpoint, {true, true, 30, core::milliseconds(200)}, {},
                              start);
-        world.m_lender.asked(near_host, loan_id(5), endpoint, {true, true, 20, core::milliseconds(200)},
+        world.m_lender.asked(near_host, loan_id(5), endpoint, {true, true, 20, core::milliseconds(200)}, {},
                              start);
         world.open_all();
         for (const std::uint64_t loan : {1, 5, 4, 3}) {
-            world.m_lender.ended(near_host, loan_id(loan), true, false, start);
+            world.m_lender.ended(near_host, loan_id(loan), {}, start);
             world.open_all();
         }
         // The first urgent one has a place beside the others.
@@ -192,7 +194,7 @@
         lender_fixture world(1);
         world.ask(1, 10);
         world.m_lender.worked(near_host, loan_id(1), 0, {statement("READ a")}, start);
-        world.m_lender.ended(near_host, loan_id(1), true, false, start);
+        world.m_lender.ended(near_host, loan_id(1), {}, start);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.m_ports.m_closed);
     }
 
@@ -200,7 +202,7 @@
         lender_fixture world(1);
         world.ask(1, 10);
         world.ask(2, 10);
-        world.m_lender.ended(near_host, loan_id(1), true, true, start);
+        world.m_lender.ended(near_host, loan_id(1), {.m_holds_values = true}, start);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.m_ports.m_sent);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.m_ports.m_granted.size());
         world.m_lender.link_answered(lending::lender_link_id(1), {}, start);
@@ -208,6 +210,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.m_ports.m_answered);
     }
 
+    static void an_open_transaction_is_rolled_back_before_a_link_is_lent_again() {
+        lender_fixture world(1);
+        world.ask(1, 10);
+        world.ask(2, 10);
+        world.m_lender.ended(near_host, loan_id(1), {.m_holds_values = true, .m_in_transaction = true},
+                             start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.m_ports.m_sent); // rollback, then reset
+        world.m_lender.link_answered(lending::lender_link_id(1), {}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.m_ports.m_granted.size());
+        world.m_lender.link_answered(lending::lender_link_id(1), {}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.m_ports.m_granted.size());
+    }
+
+    static void first_work_is_sent_with_the_loan_and_its_answers_stand_for_the_grant() {
+        lender_fixture world(1);
+        world.m_lender.asked(near_host, loan_id(1), endpoint, {.m_wait = core::milliseconds(200)},
+                             {{.m_kind = relay::request_kind::begin}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.m_ports.m_sent);
+        CPPUNIT_ASSERT(world.m_ports.m_granted.empty());
+        world.m_lender.link_answered(lending::lender_link_id(1), {.m_state = relay::transaction_state::open},
+                                     start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.m_ports.m_answered);
+        world.m_lender.worked(near_host, loan_id(1), 1, {statement("READ a")}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.m_ports.m_sent);
+    }
+
     static void a_stopping_host_lends_nothing_new() {
         lender_fixture world(2);
         world.ask(1, 10);
@@ -233,8 +261,8 @@
         lender_fixture world(1);
         world.ask(1, 10);
         world.ask(2, 10);
-        world.m_lender.ended(near_host, loan_id(2), false, false, start);
-        world.m_lender.ended(near_host, loan_id(1), true, false, start);
+        world.m_lender.ended(near_host, loan_id(2), {.m_reusable = false}, start);
+        world.m_lender.ended(near_host, loan_id(1), {}, start);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.m_ports.m_granted.size());
     }
 
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(a_false_promise_is_noticed);
     CPPUNIT_TEST(a_crossed_answer_is_noticed);
     CPPUNIT_TEST(values_left_on_a_lent_link_are_noticed);
+    CPPUNIT_TEST(a_transaction_left_on_a_lent_link_is_noticed);
     CPPUNIT_TEST_SUITE_END();
 
     static void a_calm_world_serves_writes() {
@@ -111,6 +112,9 @@
     static void missing_session_values_are_noticed() { check_notices({.m_drop_values = true}); }
     static void a_false_promise_is_noticed() { check_notices({.m_promise_lost_writes = true}); }
     static void a_crossed_answer_is_noticed() { check_notices({.m_cross_answers = true}); }
+    static void a_transaction_left_on_a_lent_link_is_noticed() {
+        check_notices({.m_keep_lent_transactions = true}, true);
+    }
     static void values_left_on_a_lent_link_are_noticed() {
         check_notices({.m_keep_lent_values = true}, true);
     }
--- a/test/support/lending_world.cpp
+++ b/test/support/lending_world.cpp
@@ -51,10 +51,11 @@
     explicit borrower_host(lending_world& world) : m_world(world), m_core(*this, 0) {}
 
     void ask(const core::entry_host_id& lender, lending::loan_id loan, const core::endpoint_id& endpoint,
-             const lending::loan_terms& terms) override {
+             const lending::loan_terms& terms,
+             const std::vector<relay::database_request>& first_work) override {
         lending::lender& at = lender_of(lender);
-        m_world.deliver(lender, [this, &at, loan, endpoint, terms] {
-            at.asked(borrowing_host, loan, endpoint, terms, m_world.m_around.m_now());
+        m_world.deliver(lender, [this, &at, loan, endpoint, terms, first_work] {
+            at.asked(borrowing_host, loan, endpoint, terms, first_work, m_world.m_around.m_now());
         });
     }
     void work(const core::entry_host_id& lender, lending::loan_id loan, std::uint32_t number,
@@ -64,12 +65,14 @@
             at.worked(borrowing_host, loan, number, requests, m_world.m_around.m_now());
         });
     }
-    void end(const core::entry_host_id& lender, lending::loan_id loan, bool reusable,
-             bool holds_values) override {
+    void end(const core::entry_host_id& lender, lending::loan_id loan,
+             const lending::link_remains& remains) override {
         lending::lender& at = lender_of(lender);
-        const bool told = holds_values && !m_world.m_faults.m_keep_values;
-        m_world.deliver(lender, [this, &at, loan, reusable, told] {
-            at.ended(borrowing_host, loan, reusable, told, m_world.m_around.m_now());
+        lending::link_remains told = remains;
+        told.m_holds_values = told.m_holds_values && !m_world.m_faults.m_keep_values;
+        told.m_in_transaction = told.m_in_transaction && !m_world.m_faults.m_keep_transactions;
+        m_world.deliver(lender, [this, &at, loan, told] {
+            at.ended(borrowing_host, loan, told, m_world.m_around.m_now());
         });
     }
     void opened(relay::link_id link, const lending::loan_offer& offer) override {
@@ -177,13 +180,14 @@
 }
 
 void lending_world::borrow(relay::link_id link, const core::endpoint_id& endpoint,
-                           const lending::loan_terms& terms) {
-    m_borrower->m_core.open(link, endpoint, terms, m_around.m_now());
+                           const lending::loan_terms& terms,
+                           const std::vector<relay::database_request>& first_work) {
+    m_borrower->m_core.open(link, endpoint, terms, first_work, m_around.m_now());
 }
 
-void lending_world::give_back(relay::link_id link, bool holds_values) {
+void lending_world::give_back(relay::link_id link, const lending::link_remains& remains) {
     if (m_borrower->m_core.holds(link)) {
-        m_borrower->m_core.give_back(link, holds_values);
+        m_borrower->m_core.give_back(link, remains);
     }
 }
 
--- a/test/support/lending_world.h
+++ b/test/support/lending_world.h
@@ -15,7 +15,9 @@
 
 struct lending_faults {
     bool m_lose_messages = false;
-    bool m_keep_values = false; // planted: links are given back as if they held no session values
+    // Planted: links are given back as if they held no session values, or no open transaction.
+    bool m_keep_values = false;
+    bool m_keep_transactions = false;
 };
 
 // How the world around reaches databases and time.
@@ -43,8 +45,9 @@
     void tick();
     void lose_a_lender();
 
-    void borrow(relay::link_id link, const core::endpoint_id& endpoint, const lending::loan_terms& terms);
-    void give_back(relay::link_id link, bool holds_values);
+    void borrow(relay::link_id link, const core::endpoint_id& endpoint, const lending::loan_terms& terms,
+                const std::vector<relay::database_request>& first_work);
+    void give_back(relay::link_id link, const lending::link_remains& remains);
     // False: not a borrowed link.
     bool send(relay::link_id link, const std::vector<relay::database_request>& requests);
     bool close(relay::link_id link);
--- a/test/support/load_replay.cpp
+++ b/test/support/load_replay.cpp
@@ -28,8 +28,9 @@
     void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
     void close_link(relay::link_id link) override;
     // One database at which each host keeps its own links.
-    void borrow_link(relay::link_id, const core::endpoint_id&, const lending::loan_terms&) override {}
-    void give_back(relay::link_id, bool) override {}
+    void borrow_link(relay::link_id, const core::endpoint_id&, const lending::loan_terms&,
+                     const std::vector<relay::database_request>&) override {}
+    void give_back(relay::link_id, const lending::link_remains&) override {}
     void record(const relay::relay_event&) override {}
     void count(const relay::answered_statement&) override {}
 
--- a/test/support/relay_world.cpp
+++ b/test/support/relay_world.cpp
@@ -63,7 +63,8 @@
         around.m_send = [this](auto link, const auto& requests) { send_to_database(link, requests); };
         around.m_close = [this](auto link) { disconnect(link); };
         m_lending = std::make_unique<lending_world>(
-            around, lending_faults{options.m_link_faults, options.m_planted.m_keep_lent_values});
+            around, lending_faults{options.m_link_faults, options.m_planted.m_keep_lent_values,
+                                   options.m_planted.m_keep_lent_transactions});
         m_lending->use(*m_core);
     }
     for (std::uint32_t place = 0; place < options.m_databases; ++place) {
@@ -251,12 +252,13 @@
 }
 
 void relay_world::borrow_link(relay::link_id link, const core::endpoint_id& endpoint,
-                              const lending::loan_terms& terms) {
-    m_lending->borrow(link, endpoint, terms);
+                              const lending::loan_terms& terms,
+                              const std::vector<relay::database_request>& first_work) {
+    m_lending->borrow(link, endpoint, terms, first_work);
 }
 
-void relay_world::give_back(relay::link_id link, bool holds_values) {
-    m_lending->give_back(link, holds_values);
+void relay_world::give_back(relay::link_id link, const lending::link_remains& remains) {
+    m_lending->give_back(link, remains);
 }
 
 void relay_world::connect(relay::link_id link, const registry::endpoint_report& target) {
--- a/test/support/relay_world.h
+++ b/test/support/relay_world.h
@@ -22,12 +22,13 @@
 
 // Rules of the relay that the world breaks on purpose, to show that its checks notice.
 struct planted_faults {
-    bool m_drop_positions = false;      // reads carry no least position
-    bool m_drop_fences = false;         // a begin is answered without reaching the database
-    bool m_drop_values = false;         // session values are not set on the link
-    bool m_promise_lost_writes = false; // "in doubt" is told as "busy"
-    bool m_cross_answers = false;       // a link gives its answer to another session's statement
-    bool m_keep_lent_values = false;    // a lent link is given back with another session's values
+    bool m_drop_positions = false;         // reads carry no least position
+    bool m_drop_fences = false;            // a begin is answered without reaching the database
+    bool m_drop_values = false;            // session values are not set on the link
+    bool m_promise_lost_writes = false;    // "in doubt" is told as "busy"
+    bool m_cross_answers = false;          // a link gives its answer to another session's statement
+    bool m_keep_lent_values = false;       // a lent link is given back with another session's values
+    bool m_keep_lent_transactions = false; // a lent link is given back with an open transaction
 };
 
 struct relay_world_options {
@@ -104,9 +105,9 @@
     void open_link(relay::link_id link, const registry::endpoint_report& target) override;
     void send(relay::link_id link, const std::vector<relay::database_request>& requests) override;
     void close_link(relay::link_id link) override;
-    void borrow_link(relay::link_id link, const core::endpoint_id& endpoint,
-                     const lending::loan_terms& terms) override;
-    void give_back(relay::link_id link, bool holds_values) override;
+    void borrow_link(relay::link_id link, const core::endpoint_id& endpoint, const lending::loan_terms& terms,
+                     const std::vector<relay::database_request>& first_work) override;
+    void give_back(relay::link_id link, const lending::link_remains& remains) override;
     void record(const relay::relay_event&) override {}
     void count(const relay::answered_statement&) override {}
 
