--- a/src/entry/link_exchange.h
+++ b/src/entry/link_exchange.h
@@ -35,7 +35,7 @@
     link_exchange& operator=(link_exchange&&) = delete;
 
     void start() { tick(); }
-    void stop_lending() { m_lender.stop_lending(core::now()); }
+    void stop_lending() { m_lender.stop_lending(); }
     void assign(const std::vector<lending::lent_endpoint>& endpoints) {
         m_lender.assign(endpoints, core::now());
     }
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -24,6 +24,10 @@
 
 namespace mangoquay::lending {
 
+// A transaction may pause for 3 s and a statement run for as long (sheet); a borrower that is silent for
+// longer than both is gone.
+inline constexpr core::milliseconds silent_borrower_limit{7000};
+
 using lender_link_id = core::strong_value<struct lender_link_id_tag, std::uint64_t>;
 
 class lender_ports {
@@ -73,7 +77,7 @@
     // Links to databases that are not listed any more are closed when their loans have ended.
     void assign(const std::vector<lent_endpoint>& endpoints, core::time_point now);
     // New loans are refused from now on; present ones go on.
-    void stop_lending(core::time_point now);
+    void stop_lending();
 
     // `first_work` is sent as soon as the link is lent; its answers tell the borrower of it.
     void asked(const core::entry_host_id& borrower, loan_id loan, const core::endpoint_id& endpoint,
@@ -135,6 +139,7 @@
     void serve(const core::endpoint_id& endpoint, core::time_point now);
     [[nodiscard]] std::optional<lender_link_id> idle_link(const core::endpoint_id& endpoint) const;
     void open_link(const core::endpoint_id& endpoint, endpoint_record& record, core::time_point now);
+    void open_links_ahead(const core::endpoint_id& endpoint, endpoint_record& record, core::time_point now);
     void grant(const pending_loan& given, lender_link_id id, core::time_point now);
     void refuse(const pending_loan& refused, loan_refusal reason);
     void refuse_all(endpoint_record& record, loan_refusal reason);
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -80,7 +80,7 @@
 struct relay_rules {
     bool m_shorter_first = true; // kinds of work that take less time go first at equal priority
     bool m_adapt_window = true;  // fewer statements at an endpoint whose answers are slow
-    bool m_borrow_links = true;  // more links than the host's share while its work needs them
+    bool m_extra_links = true;   // more links than the host's share while its work needs them
 };
 
 struct relay_limits {
@@ -217,7 +217,7 @@
     [[nodiscard]] std::uint32_t links_kept(const endpoint_view& view) const;
     // Links that it may open while its work needs them and others leave them free.
     [[nodiscard]] std::uint32_t links_allowed(const core::service_name& service) const;
-    void close_borrowed_links(core::time_point now);
+    void close_extra_links(core::time_point now);
 
     // relay_loans.cpp: links that other hosts lend.
     void borrow(session_id id, session& caller, const documents::route_rule& route,
--- a/src/relay/relay_endpoints.cpp
+++ b/src/relay/relay_endpoints.cpp
@@ -17,7 +17,7 @@
 // Transactions pause on a link, so a host with fewer could not run anything beside one.
 constexpr std::uint32_t least_own_links = 1;
 // Links beyond the host's share go back when they were not used for this long.
-constexpr core::milliseconds borrowed_idle{400};
+constexpr core::milliseconds extra_idle{400};
 
 } // namespace
 
@@ -54,20 +54,20 @@
 // share. The database itself refuses a connection beyond its limit, which costs nobody's work.
 std::uint32_t relay_core::links_allowed(const core::service_name& service) const {
     const documents::service_rule* rule = m_configuration.service(service);
-    const std::uint32_t borrowed = rule == nullptr || !m_limits.m_rules.m_borrow_links
-                                       ? 0
-                                       : rule->m_connections / most_of_one_host_divisor;
-    return std::max({1U, links_kept(service), borrowed});
+    const std::uint32_t extra = rule == nullptr || !m_limits.m_rules.m_extra_links
+                                    ? 0
+                                    : rule->m_connections / most_of_one_host_divisor;
+    return std::max({1U, links_kept(service), extra});
 }
 
-void relay_core::close_borrowed_links(core::time_point now) {
+void relay_core::close_extra_links(core::time_point now) {
     std::vector<link_id> unused;
     std::map<core::endpoint_id, std::uint32_t> left;
     for (const auto& [number, one] : m_links) {
         const endpoint_view& view = m_endpoints.at(one.m_endpoint);
         std::uint32_t& open = left.try_emplace(one.m_endpoint, view.m_links).first->second;
-        const bool borrowed = open > links_kept(view);
-        if (borrowed && !one.m_lent && one.m_phase == link_phase::idle && one.m_heard + borrowed_idle < now) {
+        const bool extra = open > links_kept(view);
+        if (extra && !one.m_lent && one.m_phase == link_phase::idle && one.m_heard + extra_idle < now) {
             unused.push_back(number);
             --open;
         }
--- a/src/relay/relay_loans.cpp
+++ b/src/relay/relay_loans.cpp
@@ -8,7 +8,7 @@
 namespace mangoquay::relay {
 namespace {
 
-// What lies before a statement's refusal for want of a link is what its caller has left to wait here.
+// Of a route without an answer so far: about the work of the sheets' short requests.
 constexpr double unknown_expected_ms = 15.0;
 constexpr core::milliseconds probe_wait{200};
 // A lender that is busy is asked again after a few of its database's service times.
--- a/src/relay/relay_ticks.cpp
+++ b/src/relay/relay_ticks.cpp
@@ -107,7 +107,7 @@
     for (const link_id id : links) {
         check_link(id, now);
     }
-    close_borrowed_links(now);
+    close_extra_links(now);
     const std::vector<session_id> sessions(m_active.begin(), m_active.end());
     for (const session_id id : sessions) {
         check_session(id, now);
--- a/test/correctness/link_lending_rules.cpp
+++ b/test/correctness/link_lending_rules.cpp
@@ -240,7 +240,7 @@
         lender_fixture world(2);
         world.ask(1, 10);
         world.ask(2, 10);
-        world.m_lender.stop_lending(start);
+        world.m_lender.stop_lending();
         world.ask(3, 10);
         CPPUNIT_ASSERT(world.m_ports.m_refused.at(2) == loan_refusal::not_lending);
         CPPUNIT_ASSERT(world.m_ports.m_refused.at(3) == loan_refusal::not_lending);
--- a/test/correctness/relay_load_patterns.cpp
+++ b/test/correctness/relay_load_patterns.cpp
@@ -75,7 +75,7 @@
         pattern.m_kinds = {{"entry", 28, milliseconds(9), milliseconds(200), 1, milliseconds(300)},
                            {"booking", 40, milliseconds(28), milliseconds(400), 2, {}}};
         relay_rules without;
-        without.m_borrow_links = false;
+        without.m_extra_links = false;
         const auto after = replay_load(pattern, {});
         const auto before = replay_load(pattern, without);
         print("borrowed links", after, before);
