--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -2,7 +2,8 @@
 // the news of control hosts.
 //
 // Owns all of these. Runs on the event loop's thread. Decides only about its own stop: the balancer is told
-// first, idle sessions are closed once it has had time to notice, transactions get half of the limit.
+// first, idle sessions are closed once it has had time to notice, transactions get half of the limit, and
+// links that are lent out go on until their work has ended.
 #pragma once
 
 #include "entry/caller_sessions.h"
--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -2,7 +2,6 @@
 #include "lending/lender.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace mangoquay::lending {
@@ -15,8 +14,8 @@
 constexpr core::milliseconds full_pause{200};
 constexpr core::milliseconds least_back_off{100};
 constexpr core::milliseconds largest_back_off{1600};
-// One more than its share of the slots: a lender whose callers are busier than others' uses what they leave,
-// and the database always has its next statement at hand.
+// Beyond its share of the slots: a place is also held while messages of its loan are on their way, and a
+// lender whose borrowers are busier than those of others uses what these leave.
 constexpr std::uint32_t places_beyond_share = 3;
 // A rollback or reset needs no slot, so a database that is reached answers within a round trip.
 constexpr core::milliseconds clean_up_limit{400};
