--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -13,8 +13,8 @@
 constexpr core::milliseconds usual_lag{200};
 // A fresh position is asked for when the newest is older than this part of what a reader may see.
 constexpr int ask_at_age_divisor = 2;
-// A sixteenth of the latency target is spent on waiting rather than on bytes between zones.
-constexpr int other_zone_cost_divisor = 16;
+// An eighth of the latency target is spent on waiting rather than on bytes between zones.
+constexpr int other_zone_cost_divisor = 8;
 
 } // namespace
 
