--- a/src/consensus/raft_driver.cpp
+++ b/src/consensus/raft_driver.cpp
@@ -137,6 +137,10 @@
     return m_node && m_last_delivered >= m_node->applied_index() && m_node->holds_lease(now);
 }
 
+core::deadline raft_driver::lease_end(core::time_point now) const {
+    return holds_lease(now) ? m_node->lease_end(now) : core::deadline{};
+}
+
 std::optional<core::entry_host_id> raft_driver::leader() const {
     return m_node && m_node->leader() ? std::optional(m_node->leader()->m_host) : std::nullopt;
 }
--- a/src/consensus/raft_driver.h
+++ b/src/consensus/raft_driver.h
@@ -100,6 +100,8 @@
     // While this is true, no later leader has committed anything, and the local state machine has applied
     // every commit.
     [[nodiscard]] bool holds_lease(core::time_point now) const;
+    // When the lease ends unless it is renewed; in the past if this host does not hold it.
+    [[nodiscard]] core::deadline lease_end(core::time_point now) const;
     [[nodiscard]] std::optional<core::entry_host_id> leader() const;
     [[nodiscard]] const membership& members() const;
     [[nodiscard]] core::revision committed() const; // Last index delivered to the handlers.
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -36,8 +36,11 @@
 }
 
 bool raft_node::holds_lease(core::time_point now) const {
-    return is_leader() && m_applied >= m_term_start_index &&
-           now < quorum_contact(now) + m_settings.m_timing.m_lease;
+    return is_leader() && m_applied >= m_term_start_index && !lease_end(now).passed(now);
+}
+
+core::deadline raft_node::lease_end(core::time_point now) const {
+    return core::deadline_after(quorum_contact(now), m_settings.m_timing.m_lease);
 }
 
 void raft_node::on_event(const message_received& event) {
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -167,6 +167,8 @@
     // Returns true on a leader that has applied an entry of its own term, while a quorum is bound by its
     // promise to elect no other leader.
     [[nodiscard]] bool holds_lease(core::time_point now) const;
+    // When the lease ends unless it is renewed. Requires holds_lease(now).
+    [[nodiscard]] core::deadline lease_end(core::time_point now) const;
     [[nodiscard]] const std::optional<member>& leader() const { return m_leader; }
     // On a leader, returns the send time of the newest message that the voter has answered, or the time of
     // its election if there is none.
--- a/src/documents/configuration.cpp
+++ b/src/documents/configuration.cpp
@@ -15,4 +15,8 @@
     return found == m_services.end() ? nullptr : &*found;
 }
 
+bool needs_primary_lease(const service_rule& service, bool executor_fences) {
+    return !executor_fences || service.m_synchronous_replicas > 0;
+}
+
 } // namespace mangoquay::documents
--- a/src/documents/configuration.h
+++ b/src/documents/configuration.h
@@ -45,6 +45,11 @@
     friend bool operator==(const service_rule&, const service_rule&) = default;
 };
 
+// Whether entry hosts use a primary of the service only under a lease. Not needed where the executor of
+// promotions ends the lead of the old primary and refuses late orders, unless commits have to survive: a late
+// order could then promote a replica that lacks them.
+[[nodiscard]] bool needs_primary_lease(const service_rule& service, bool executor_fences);
+
 struct configuration {
     document_version m_version;
     std::vector<route_rule> m_routes;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -39,12 +39,15 @@
                        transport::peer_network& network, const settings::fleet_settings& host_settings,
                        const session_protocol& protocol, documents::document_decoder decoder)
     : m_loop(loop), m_settings(host_settings), m_protocol(protocol), m_decoder(decoder),
-      m_core(*this, relay::relay_limits{.m_zone = host_settings.m_zone}),
+      m_core(*this, relay::relay_limits{.m_zone = host_settings.m_zone,
+                                        .m_executor_fences = host_settings.m_executor_fences}),
       m_callers(loop, protocol, limits_from(host_settings)),
       m_subscriber(loop, bus, network,
                    {fleet::host_id(host_settings.m_peer_address), host_settings.m_peer_address, true,
                     host_settings.m_zone},
                    make_subscriber_handlers()),
+      m_lease(loop, bus, m_subscriber, fleet::host_id(host_settings.m_peer_address),
+              [this] { apply_lease(); }),
       m_exchange(loop, bus, protocol, make_loan_handlers()) {
     network.on_peer_lost([this](const core::entry_host_id& host) { m_exchange.on_host_lost(host); });
 }
@@ -146,6 +149,9 @@
     const std::string text = std::to_string(version.value());
     m_core.configure(std::move(*decoded), core::now());
     core::log_line(core::log_level::info, "entry", "configuration in force version=" + text);
+    if (m_core.needs_primary_leases()) {
+        m_lease.start();
+    }
     on_endpoints_changed();
 }
 
@@ -155,6 +161,10 @@
     m_ready = m_core.configured() && !m_on_stopped;
 }
 
+void entry_node::apply_lease() {
+    m_core.set_primary_leases(m_lease.holder().primaries(), m_lease.holder().lease_end(), core::now());
+}
+
 void entry_node::tick() {
     const core::time_point now = core::now();
     m_core.tick(now);
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -9,6 +9,7 @@
 #include "entry/caller_sessions.h"
 #include "entry/database_connection.h"
 #include "entry/loan_exchange.h"
+#include "fleet/lease_renewal.h"
 #include "fleet/update_subscriber.h"
 #include "metrics/session_metrics.h"
 #include "settings/fleet_settings.h"
@@ -66,6 +67,7 @@
     void update_lending();
     void on_document_received(documents::document_version version, const std::string& bytes);
     void on_endpoints_changed();
+    void apply_lease();
     void tick();
     void report_failing_primaries(core::time_point now);
     void drain_step();
@@ -82,6 +84,7 @@
     relay::relay_core m_core;
     caller_sessions m_callers;
     fleet::update_subscriber m_subscriber;
+    fleet::lease_renewal m_lease;
     loan_exchange m_exchange;
     lending::hosts_by_zone m_ready_hosts;
     std::map<relay::connection_id, std::unique_ptr<database_connection>> m_connections;
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -59,12 +59,27 @@
       m_subscriber(loop, bus, network, {m_self, host_settings.m_peer_address, false, host_settings.m_zone},
                    make_subscriber_handlers()),
       m_publisher(bus, network, m_documents, m_subscriber.endpoints()),
-      m_promotions(loop, protocol, executor, m_self, [this] { return next_fencing_token(); }),
+      m_leases(
+          bus,
+          [this](const core::service_name& service, const core::endpoint_id& endpoint) {
+              propose_assignment(service, endpoint);
+          },
+          [this] {
+              return m_raft->holds_lease(core::now())
+                         ? std::optional(primary_leases::leader_term(m_raft->term().value()))
+                         : std::nullopt;
+          },
+          [this] {
+              const auto leader = m_raft->leader();
+              return leader && *leader != m_self ? leader : std::nullopt;
+          }),
+      m_promotions(
+          loop, protocol, executor, m_leases.authority(), host_settings.m_executor_fences, m_self,
+          [this] { return next_fencing_token(); }, [this] { return m_raft->lease_end(core::now()); }),
       m_registry_store(host_settings.m_data_folder.string()) {
     m_raft->on_commit([this](core::revision, const std::string& payload) { on_committed(payload); });
     m_raft->on_snapshot_installed([this](core::revision, const std::string& state) { on_committed(state); });
-    m_raft->on_snapshot_needed(
-        [this] { return documents::document_register::encode(m_documents.version(), m_documents.bytes()); });
+    m_raft->on_snapshot_needed([this] { return m_state.encode_snapshot(); });
     m_bus.set_handler<wire::raft_messageT>([this](const auto& from, const auto& message) {
         const auto decoded = consensus::from_wire(message);
         if (decoded) {
@@ -143,12 +158,35 @@
 
 void control_node::run_promotions(core::time_point now) {
     const bool leads = m_raft->holds_lease(now);
+    m_leases.authority().set_leading(leads, primary_leases::leader_term(m_raft->term().value()),
+                                     m_state.primaries(), withheld_services(), now);
     m_promotions.set_leading(leads);
     if (leads) {
         m_promotions.tick(m_configuration, m_subscriber.endpoints(), m_publisher.subscribers(), now);
     }
 }
 
+std::set<core::service_name> control_node::withheld_services() const {
+    std::set<core::service_name> services;
+    for (const documents::service_rule& rule : m_configuration.m_services) {
+        if (rule.m_synchronous_replicas > 0) {
+            services.insert(rule.m_name);
+        }
+    }
+    return services;
+}
+
+void control_node::propose_assignment(const core::service_name& service, const core::endpoint_id& endpoint) {
+    m_raft->propose(replicated_state::encode_assignment(service, endpoint),
+                    [this, service, endpoint](std::optional<core::revision> at) {
+                        core::log_line(core::log_level::info, "fleet",
+                                       "primary proposed service=" + service.value() + " endpoint=" +
+                                           endpoint.value() + " committed=" + (at ? "yes" : "unknown"));
+                        // An order may be waiting for this commit.
+                        m_loop.post([this] { run_promotions(core::now()); });
+                    });
+}
+
 // The term increases with each leader and the count with each order of the term, so every order has a higher
 // fencing token than all orders before it.
 std::optional<promotion::fencing_token> control_node::next_fencing_token() {
@@ -211,7 +249,9 @@
 
 void control_node::on_committed(const std::string& payload) {
     const documents::document_version before = m_documents.version();
-    m_documents.apply(payload);
+    for (const core::service_name& service : m_state.apply(payload)) {
+        m_leases.authority().on_assigned(service, m_state.primaries().at(service));
+    }
     if (m_documents.version() != before) {
         core::log_line(core::log_level::info, "fleet",
                        "configuration committed version=" + std::to_string(m_documents.version().value()) +
@@ -319,6 +359,11 @@
     page.add_line("entry_hosts", {}, m_publisher.entry_host_count());
     page.add_line("endpoints", {}, static_cast<double>(m_subscriber.endpoints().usable_reports().size()));
     page.add_line("promotion_orders_total", {}, static_cast<double>(m_total_order_count));
+    page.add_line("primary_lease_holders", {},
+                  static_cast<double>(m_leases.authority().granter().current_holders(core::now()).size()));
+    page.add_line("primary_leases_granted_total", {}, static_cast<double>(m_leases.granted_count()));
+    page.add_line("primary_lease_wait_ms_total", {},
+                  static_cast<double>(m_leases.authority().total_wait().count()));
     return page.take_text();
 }
 
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -5,9 +5,10 @@
 #pragma once
 
 #include "consensus/raft_driver.h"
-#include "documents/document_register.h"
+#include "fleet/lease_service.h"
 #include "fleet/promotion_runner.h"
 #include "fleet/registry_store.h"
+#include "fleet/replicated_state.h"
 #include "fleet/update_publisher.h"
 #include "fleet/update_subscriber.h"
 #include "settings/fleet_settings.h"
@@ -70,6 +71,9 @@
     void on_endpoints_changed();
     void run_promotions(core::time_point now);
     [[nodiscard]] std::optional<promotion::fencing_token> next_fencing_token();
+    void propose_assignment(const core::service_name& service, const core::endpoint_id& endpoint);
+    // Services whose primary entry hosts do not use until a new leader has invalidated earlier orders.
+    [[nodiscard]] std::set<core::service_name> withheld_services() const;
     [[nodiscard]] call_outcome redirect_to_leader() const;
     subscriber_handlers make_subscriber_handlers();
 
@@ -79,10 +83,12 @@
     settings::fleet_settings m_settings;
     core::entry_host_id m_self;
     documents::document_decoder m_decoder;
-    documents::document_register m_documents;
+    replicated_state m_state;
+    const documents::document_register& m_documents = m_state.documents();
     std::unique_ptr<consensus::raft_driver> m_raft;
     update_subscriber m_subscriber;
     update_publisher m_publisher;
+    lease_service m_leases;
     promotion_runner m_promotions;
     registry_store m_registry_store;
     documents::configuration m_configuration; // The committed document, decoded.
--- a/src/fleet/promotion_executor.h
+++ b/src/fleet/promotion_executor.h
@@ -12,6 +12,9 @@
     core::service_name m_service;
     core::endpoint_id m_target;
     promotion::fencing_token m_fencing_token;
+    // No other host leads before this time. An order that would be sent later is not sent, because its token
+    // could be lower than that of an order of the next leader.
+    core::deadline m_send_deadline;
 };
 
 class promotion_executor {
--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -35,10 +35,12 @@
 } // namespace
 
 promotion_runner::promotion_runner(transport::event_loop& loop, const entry::session_protocol& protocol,
-                                   promotion_executor& executor, core::entry_host_id self,
-                                   fencing_token_source token_source)
-    : m_loop(loop), m_protocol(protocol), m_executor(executor), m_self(std::move(self)),
-      m_token_source(std::move(token_source)), m_core(*this) {}
+                                   promotion_executor& executor, promotion::primary_authority& authority,
+                                   bool executor_fences, core::entry_host_id self,
+                                   fencing_token_source token_source, leadership_end_source leadership_end)
+    : m_loop(loop), m_protocol(protocol), m_executor(executor), m_authority(authority),
+      m_self(std::move(self)), m_executor_fences(executor_fences), m_token_source(std::move(token_source)),
+      m_leadership_end(std::move(leadership_end)), m_core(*this, authority) {}
 
 promotion_runner::~promotion_runner() = default;
 
@@ -67,11 +69,16 @@
     const std::map<core::entry_host_id, subscriber_record>& subscribers, core::time_point now) const {
     std::vector<promotion::service_view> services;
     for (const documents::service_rule& rule : configuration.m_services) {
-        services.push_back({rule.m_name, rule.m_synchronous_replicas, {}, {}, {}});
+        services.push_back({.m_name = rule.m_name,
+                            .m_synchronous_replicas = rule.m_synchronous_replicas,
+                            .m_is_leased = documents::needs_primary_lease(rule, m_executor_fences)});
         for (const auto& [host, subscriber] : subscribers) {
             const bool is_reporting = subscriber.m_last_contact + observation_lifetime > now;
             services.back().m_reporting_hosts += subscriber.m_is_entry && is_reporting ? 1 : 0;
-            services.back().m_nonreporting_hosts += subscriber.m_is_entry && !is_reporting ? 1 : 0;
+            // A silent host without a lease cannot use the primary that it may still reach.
+            const bool is_serving = !services.back().m_is_leased || m_authority.may_use_primaries(host, now);
+            services.back().m_nonreporting_hosts +=
+                subscriber.m_is_entry && !is_reporting && is_serving ? 1 : 0;
         }
     }
     for (const registry::endpoint_report& report : endpoints.usable_reports()) {
@@ -191,6 +198,9 @@
         }
     }
     for (const core::endpoint_id& id : overdue) {
+        core::log_line(core::log_level::info, "promotion",
+                       "database link silent endpoint=" + id.value() +
+                           " limit_ms=" + std::to_string(step_timeout.count()));
         on_connection_failed(id, false);
     }
 }
@@ -198,7 +208,7 @@
 void promotion_runner::send_promotion_order(const core::service_name& service,
                                             const core::endpoint_id& target, promotion::fencing_token token) {
     const std::weak_ptr<int> alive = m_alive;
-    m_executor.execute_order({m_self, service, target, token},
+    m_executor.execute_order({m_self, service, target, token, m_leadership_end()},
                              [this, alive, service, token](promotion::order_outcome outcome) {
                                  if (!alive.expired()) {
                                      m_core.on_order_outcome(service, token, outcome, core::now());
--- a/src/fleet/promotion_runner.h
+++ b/src/fleet/promotion_runner.h
@@ -20,10 +20,15 @@
     // Returns the fencing token of the next order, or nothing while this host does not hold the lease of the
     // leader.
     using fencing_token_source = std::function<std::optional<promotion::fencing_token>()>;
+    // Returns until when no other host can lead.
+    using leadership_end_source = std::function<core::deadline()>;
 
+    // `authority` is used for services whose old primary goes on after a promotion: all of them unless
+    // `executor_fences`, and those with synchronous replicas.
     promotion_runner(transport::event_loop& loop, const entry::session_protocol& protocol,
-                     promotion_executor& executor, core::entry_host_id self,
-                     fencing_token_source token_source);
+                     promotion_executor& executor, promotion::primary_authority& authority,
+                     bool executor_fences, core::entry_host_id self, fencing_token_source token_source,
+                     leadership_end_source leadership_end);
     ~promotion_runner() override;
     promotion_runner(const promotion_runner&) = delete;
     promotion_runner& operator=(const promotion_runner&) = delete;
@@ -72,8 +77,11 @@
     transport::event_loop& m_loop;
     const entry::session_protocol& m_protocol;
     promotion_executor& m_executor;
+    const promotion::primary_authority& m_authority;
     core::entry_host_id m_self;
+    bool m_executor_fences;
     fencing_token_source m_token_source;
+    leadership_end_source m_leadership_end;
     promotion::promotion_core m_core;
     bool m_leading = false;
     std::map<core::endpoint_id, endpoint_connection> m_connections;
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -60,6 +60,8 @@
     [[nodiscard]] registry::endpoint_registry& endpoints() { return m_registry; }
     [[nodiscard]] const registry::endpoint_registry& endpoints() const { return m_registry; }
     [[nodiscard]] const std::set<core::entry_host_id>& control_hosts() const { return m_control_hosts; }
+    // The entry hosts that accept callers, by availability zone.
+    [[nodiscard]] const lending::hosts_by_zone& ready_hosts() const { return m_ready_hosts; }
     // When any control host last sent an update.
     [[nodiscard]] std::optional<core::time_point> last_contact() const { return m_last_contact; }
 
--- a/src/metrics/session_metrics.cpp
+++ b/src/metrics/session_metrics.cpp
@@ -65,6 +65,7 @@
     page.add_line("database_links_borrowed_total", {}, static_cast<double>(counters.m_connections_borrowed));
     page.add_line("session_statements_total", {}, static_cast<double>(counters.m_statements));
     page.add_line("statement_attempts_repeated_total", {}, static_cast<double>(counters.m_repeated));
+    page.add_line("commits_after_lease_total", {}, static_cast<double>(counters.m_late_commits));
     page.add_line("primary_position_probes_total", {}, static_cast<double>(counters.m_probes));
     page.add_line("statements_served_total", {{"served_by", "replica"}},
                   static_cast<double>(counters.m_served_by_replicas));
--- a/src/promotion/promotion_answers.cpp
+++ b/src/promotion/promotion_answers.cpp
@@ -30,6 +30,7 @@
     switch (outcome) {
     case order_outcome::accepted:
         m_ports.record_event({"promotion accepted", service, state.m_target, ""});
+        restore_leases(state, service);
         enter_phase(state, phase::confirming, confirm_timeout, now);
         break;
     case order_outcome::refused:
@@ -62,6 +63,9 @@
     if (answer.m_kind == step_kind::probe) {
         state.m_probe_in_flight = false;
     }
+    if (answer.m_kind == step_kind::step_down && answer.m_status && state.m_is_leased) {
+        on_step_down_answer(service, state, answer, now);
+    }
     if (answer.m_kind == step_kind::resume && answer.m_answered) {
         state.m_unresumed_replicas.erase(answer.m_endpoint);
     }
@@ -83,9 +87,31 @@
     }
 }
 
+// An endpoint that is still a primary after a request with the term of the monitored one was promoted after
+// it, by an order that was carried out late. It is assigned in its place.
+void promotion_core::on_step_down_answer(const core::service_name& service, service_state& state,
+                                         const step_answer& answer, core::time_point now) {
+    if (!answer.m_status->m_is_primary) {
+        m_lease_authority.on_stepped_down(service, answer.m_endpoint);
+        return;
+    }
+    if (state.m_phase == phase::watching && answer.m_endpoint != state.m_primary &&
+        answer.m_status->m_term > state.m_primary_term) {
+        m_ports.record_event({"a later primary is adopted", service, answer.m_endpoint,
+                              "term=" + std::to_string(answer.m_status->m_term.value())});
+        state.m_pause_term = core::term(state.m_highest_term.value() + 1);
+        state.m_target = answer.m_endpoint;
+        m_lease_authority.withdraw(service);
+        enter_phase(state, phase::reserving, reserve_timeout, now);
+    }
+}
+
 // A pause takes effect only under a term above the highest one, which a new leader may not know yet.
 void promotion_core::on_pause_answer(const core::service_name& service, service_state& state,
                                      const step_answer& answer, core::time_point now) {
+    if (answer.m_status->m_is_primary && state.m_is_leased) {
+        return; // It is not assigned, so it is stepped down once another endpoint is.
+    }
     if (answer.m_status->m_is_primary) { // An earlier leader promoted it, and its report has not arrived yet.
         state.m_primary = answer.m_endpoint;
         end_replacement(state, service, "replacement abandoned: another endpoint is the primary", now);
@@ -114,6 +140,9 @@
         return;
     }
     state.m_last_probe_accepted = answer.m_answered && answer.m_is_primary;
+    if (answer.m_position) {
+        state.m_primary_term = answer.m_position->m_term;
+    }
     if (answer.m_answered) {
         state.m_probes_failing_since.reset();
     } else {
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -59,10 +59,10 @@
 
 void promotion_core::tick(const std::vector<service_view>& services, core::time_point now) {
     // Indexed by phase.
-    static constexpr std::array<phase_handler, 7> handlers{
-        &promotion_core::run_watching,  &promotion_core::run_fencing,     &promotion_core::run_stepping_down,
-        &promotion_core::run_pausing,   &promotion_core::run_catching_up, &promotion_core::run_ordering,
-        &promotion_core::run_confirming};
+    static constexpr std::array<phase_handler, 8> handlers{
+        &promotion_core::run_watching, &promotion_core::run_fencing,     &promotion_core::run_stepping_down,
+        &promotion_core::run_pausing,  &promotion_core::run_catching_up, &promotion_core::run_reserving,
+        &promotion_core::run_ordering, &promotion_core::run_confirming};
     if (!m_leading) {
         return;
     }
@@ -71,6 +71,8 @@
         if (added) {
             found->second.m_settle_deadline = core::deadline_after(now, settle_time);
         }
+        found->second.m_is_leased = service.m_is_leased;
+        found->second.m_is_synchronous = service.m_synchronous_replicas > 0;
         (this->*handlers.at(static_cast<std::size_t>(found->second.m_phase)))(found->second, service, now);
     }
 }
@@ -95,7 +97,7 @@
 }
 
 void promotion_core::run_watching(service_state& state, const service_view& service, core::time_point now) {
-    const endpoint_report* primary = claimed_primary(service, state.m_primary);
+    const endpoint_report* primary = primary_of(state, service, now);
     if (primary == nullptr) {
         state.m_no_primary_since = state.m_no_primary_since.value_or(now);
         const bool replaceable =
@@ -112,6 +114,11 @@
         state.m_no_primary_since.reset();
         state.m_probe_in_flight = false;
         state.m_last_probe_accepted = false;
+        state.m_primary_term = {};
+    }
+    if (state.m_is_leased) {
+        maintain_assignment(state, service, *primary, now);
+        step_down_others(state, service, *primary, now);
     }
     if (state.m_replicas_may_be_paused && state.m_last_probe_accepted &&
         state.m_settle_deadline.passed(now)) {
@@ -132,6 +139,13 @@
     }
     if (state.m_no_primary_since && *state.m_no_primary_since + no_primary_timeout < now &&
         has_successor(service, primary->m_id)) {
+        if (state.m_is_leased) {
+            // The assigned endpoint is a replica and a candidate like the others: its promotion was not
+            // ordered, or the order was lost.
+            const endpoint_report* acting = claimed_primary(service, {});
+            state.m_primary =
+                acting == nullptr || acting->m_id == primary->m_id ? core::endpoint_id() : acting->m_id;
+        }
         begin_pause(state, service, "the reported primary rejects probes", now);
         return;
     }
@@ -195,7 +209,10 @@
     state.m_required_position.reset();
     state.m_pause_term = core::term(state.m_highest_term.value() + 1);
     enter_phase(state, phase::pausing, pause_timeout, now);
+    // Hosts that can still be reached stop using the old primary while the replicas are compared.
+    authority_of(service).withdraw(service.m_name);
     send_step_to_replicas(state, service, step_kind::pause, state.m_pause_term);
+    state.m_next_step_down = core::deadline{now};
 }
 
 void promotion_core::send_step_to_replicas(service_state& state, const service_view& service, step_kind kind,
@@ -271,7 +288,8 @@
         return;
     }
     state.m_target = best->m_id;
-    issue_order(state, service, phase::ordering, now);
+    enter_phase(state, phase::reserving, reserve_timeout, now);
+    run_reserving(state, service, now);
 }
 
 void promotion_core::issue_order(service_state& state, const service_view& service, phase next,
@@ -290,6 +308,23 @@
     m_ports.send_promotion_order(service.m_name, state.m_target, *token);
 }
 
+void promotion_core::run_reserving(service_state& state, const service_view& service, core::time_point now) {
+    if (authority_of(service).reserve(service.m_name, state.m_target, now)) {
+        issue_order(state, service, phase::ordering, now);
+        return;
+    }
+    if (state.m_phase_deadline.passed(now)) {
+        begin_pause(state, service, "the successor could not be assigned", now);
+        return;
+    }
+    // An old primary that answers ends the wait at once.
+    if (const endpoint_report* primary = find(service, state.m_primary);
+        primary != nullptr && state.m_primary != state.m_target && state.m_next_step_down.passed(now)) {
+        state.m_next_step_down = core::deadline_after(now, step_down_period);
+        m_ports.run_step(service.m_name, *primary, step_kind::step_down, state.m_pause_term);
+    }
+}
+
 void promotion_core::run_ordering(service_state& state, const service_view& service, core::time_point now) {
     if (state.m_phase_deadline.passed(now)) {
         issue_order(state, service, phase::ordering, now);
@@ -309,6 +344,7 @@
 void promotion_core::end_replacement(service_state& state, const core::service_name& service,
                                      const char* message, core::time_point now) {
     m_ports.record_event({message, service, state.m_target, ""});
+    restore_leases(state, service);
     state.m_probes_failing_since.reset();
     state.m_no_primary_since.reset();
     state.m_required_position.reset();
@@ -316,6 +352,67 @@
     enter_phase(state, phase::watching, core::milliseconds(0), now);
 }
 
+primary_authority& promotion_core::authority_of(const service_view& service) {
+    return service.m_is_leased ? m_lease_authority : static_cast<primary_authority&>(m_unrestricted);
+}
+
+const endpoint_report* promotion_core::primary_of(service_state& state, const service_view& service,
+                                                  core::time_point now) {
+    const auto assigned = authority_of(service).assigned_primary(service.m_name);
+    if (!assigned) {
+        return claimed_primary(service, state.m_primary);
+    }
+    if (const endpoint_report* report = find(service, *assigned)) {
+        state.m_assigned_absent_since.reset();
+        return report;
+    }
+    state.m_assigned_absent_since = state.m_assigned_absent_since.value_or(now);
+    // Others that report to be primaries may have been replaced by the assigned one.
+    return *state.m_assigned_absent_since + assigned_absent_timeout < now
+               ? claimed_primary(service, state.m_primary)
+               : nullptr;
+}
+
+void promotion_core::restore_leases(const service_state& state, const core::service_name& service) {
+    if (state.m_is_leased && (!state.m_is_synchronous || state.m_earlier_orders_fenced)) {
+        m_lease_authority.restore(service);
+    }
+}
+
+void promotion_core::maintain_assignment(service_state& state, const service_view& service,
+                                         const endpoint_report& primary, core::time_point now) {
+    if (!state.m_last_probe_accepted) {
+        return;
+    }
+    // The first assignment, or the assigned endpoint has left and its log continues at another one.
+    const bool assigned = m_lease_authority.assigned_primary(service.m_name) == primary.m_id;
+    if (!assigned && !m_lease_authority.reserve(service.m_name, primary.m_id, now)) {
+        return;
+    }
+    restore_leases(state, service.m_name);
+}
+
+void promotion_core::step_down_others(service_state& state, const service_view& service,
+                                      const endpoint_report& primary, core::time_point now) {
+    if (!state.m_last_probe_accepted || !state.m_next_step_down.passed(now)) {
+        return;
+    }
+    state.m_next_step_down = core::deadline_after(now, step_down_period);
+    std::erase_if(state.m_stepping_down, [&](const core::endpoint_id& id) {
+        const endpoint_report* report = find(service, id);
+        return report == nullptr || !report->m_is_primary;
+    });
+    for (const endpoint_report& report : service.m_endpoints) {
+        if (report.m_is_primary && report.m_id != primary.m_id) {
+            if (state.m_stepping_down.insert(report.m_id).second) {
+                m_ports.record_event({"stepping down a primary that is not assigned", service.m_name,
+                                      report.m_id, "term=" + std::to_string(state.m_primary_term.value())});
+            }
+            m_ports.run_step(service.m_name, report, step_kind::step_down, state.m_primary_term);
+        }
+    }
+}
+
 void promotion_core::resume_replicas(service_state& state, const service_view& service,
                                      core::time_point now) {
     state.m_replicas_may_be_paused = false;
--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -11,6 +11,10 @@
 // - With synchronous replicas, an order is issued only after enough replicas have answered that each
 //   acknowledged commit is held by at least one of them.
 // - Each order has its own fencing token, higher than those of all earlier orders.
+// - Where an old primary goes on after a promotion (service_view::m_is_leased), an order is issued only when
+// no
+//   entry host can use the old primary any more and the assignment of the new one is committed. The assigned
+//   endpoint stays the monitored one, whichever others report to be primaries; those are stepped down.
 // - Replicas are resumed only after the executor has accepted an order whose token is higher than that of
 //   every unanswered order. If necessary, an order that names the current primary and changes nothing is
 //   issued for this purpose: an unanswered order that is carried out seconds later would promote a replica
@@ -20,6 +24,7 @@
 #include "core/clock.h"
 #include "core/history_position.h"
 #include "core/ids.h"
+#include "promotion/primary_authority.h"
 #include "registry/endpoint_registry.h"
 
 #include <cstdint>
@@ -57,6 +62,8 @@
 struct service_view {
     core::service_name m_name;
     std::uint32_t m_synchronous_replicas = 0;
+    // Entry hosts use only the assigned primary, under a lease.
+    bool m_is_leased = false;
     std::vector<registry::endpoint_report> m_endpoints;
     std::map<core::endpoint_id, core::time_point> m_last_contact; // Time of the last report.
     std::map<core::endpoint_id, entry_host_counts> m_entry_host_counts;
@@ -107,7 +114,9 @@
 
 class promotion_core {
 public:
-    explicit promotion_core(promotion_ports& ports) : m_ports(ports) {}
+    // `authority` is used for services with service_view::m_is_leased set.
+    promotion_core(promotion_ports& ports, primary_authority& authority)
+        : m_ports(ports), m_lease_authority(authority) {}
 
     // Reports whether this host leads. A change discards all state.
     void set_leading(bool leading);
@@ -127,6 +136,7 @@
         stepping_down,
         pausing,
         catching_up,
+        reserving, // Waits until no entry host can use the old primary any more.
         ordering,
         confirming
     };
@@ -141,6 +151,14 @@
         std::optional<core::time_point> m_no_primary_since;
         bool m_last_probe_accepted = false;
         bool m_probe_in_flight = false;
+        // The next two are as in the last service_view.
+        bool m_is_leased = false;
+        bool m_is_synchronous = false;
+        // Time since which the assigned endpoint is not among those of the service.
+        std::optional<core::time_point> m_assigned_absent_since;
+        core::term m_primary_term; // Term of the monitored primary, by its last accepted probe.
+        core::deadline m_next_step_down;
+        std::set<core::endpoint_id> m_stepping_down; // Endpoints whose step-down was logged.
         core::deadline m_next_probe;
         core::term m_highest_term;            // Highest term that any answer contained.
         core::term m_pause_term;              // Term of the current pause requests.
@@ -169,6 +187,7 @@
     void run_stepping_down(service_state& state, const service_view& service, core::time_point now);
     void run_pausing(service_state& state, const service_view& service, core::time_point now);
     void run_catching_up(service_state& state, const service_view& service, core::time_point now);
+    void run_reserving(service_state& state, const service_view& service, core::time_point now);
     void run_ordering(service_state& state, const service_view& service, core::time_point now);
     void run_confirming(service_state& state, const service_view& service, core::time_point now);
 
@@ -185,6 +204,20 @@
     void issue_order(service_state& state, const service_view& service, phase next, core::time_point now);
     void end_replacement(service_state& state, const core::service_name& service, const char* message,
                          core::time_point now);
+    // The endpoint to monitor as the service's primary; null if there is none.
+    [[nodiscard]] const registry::endpoint_report*
+    primary_of(service_state& state, const service_view& service, core::time_point now);
+    // Lets entry hosts use the assigned primary, unless an unanswered order could still replace it although
+    // replicas are synchronous.
+    void restore_leases(const service_state& state, const core::service_name& service);
+    // Keeps the assignment of a leased service in line with the monitored primary.
+    void maintain_assignment(service_state& state, const service_view& service,
+                             const registry::endpoint_report& primary, core::time_point now);
+    void step_down_others(service_state& state, const service_view& service,
+                          const registry::endpoint_report& primary, core::time_point now);
+    void on_step_down_answer(const core::service_name& service, service_state& state,
+                             const step_answer& answer, core::time_point now);
+    [[nodiscard]] primary_authority& authority_of(const service_view& service);
     void resume_replicas(service_state& state, const service_view& service, core::time_point now);
     void repeat_resume(service_state& state, const service_view& service, core::time_point now);
     void enter_phase(service_state& state, phase next, core::milliseconds timeout, core::time_point now);
@@ -192,6 +225,8 @@
                                        core::time_point now) const;
 
     promotion_ports& m_ports;
+    primary_authority& m_lease_authority;
+    unrestricted_authority m_unrestricted;
     bool m_leading = false;
     std::map<core::service_name, service_state> m_service_states;
 };
--- a/src/promotion/promotion_limits.h
+++ b/src/promotion/promotion_limits.h
@@ -15,8 +15,14 @@
 // Time without a primary before a replacement starts. After a start, or a promotion that this leader did not
 // order, the report of a new primary takes up to 1 s to arrive.
 inline constexpr core::milliseconds no_primary_timeout{1500};
+// An assigned endpoint without a report for this long has left: databases report about every 1.2 s.
+inline constexpr core::milliseconds assigned_absent_timeout{3000};
 inline constexpr core::milliseconds pause_timeout{350};
 inline constexpr core::milliseconds step_down_timeout{500};
+// Period of the requests to an endpoint that acts as a primary beside the assigned one.
+inline constexpr core::milliseconds step_down_period{300};
+// Exceeds the longest lease of an entry host by the time for a commit and several step-down requests.
+inline constexpr core::milliseconds reserve_timeout{3000};
 // Replicas lag by 60 to 150 ms on the target platform; a longer wait costs more writes than it saves.
 inline constexpr core::milliseconds catch_up_timeout{800};
 // When the executor does not answer in this time, the order is repeated under a higher fencing token.
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -116,7 +116,7 @@
     const endpoint_view* best = nullptr;
     for (const auto& [id, view] : views) {
         const bool claims_primary = view.m_report.m_service == service && view.m_report.m_is_primary &&
-                                    view.m_not_primary_until.passed(now);
+                                    view.m_not_primary_until.passed(now) && may_act_as_primary(view, now);
         if (!claims_primary) {
             continue;
         }
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -34,7 +34,10 @@
     core::deadline m_shedding_until;     // It refused a statement for lack of slots; it gets none until then.
     core::deadline m_lagging_until;      // It lacked a required position; it gets no reads until then.
     core::duration m_lagging_back_off{}; // Doubles with each consecutive refusal of that kind.
-    core::deadline m_not_primary_until;  // It is not taken for a primary until then, whatever it reports.
+    // Whether this host may use it as a primary only until m_primary_lease_end.
+    bool m_needs_lease = false;
+    core::deadline m_primary_lease_end;
+    core::deadline m_not_primary_until; // It is not taken for a primary until then, whatever it reports.
     // Maximum number of statements that this host runs at the endpoint at once. Shrinks while answers are
     // slow.
     double m_concurrency_limit = 2.0;
@@ -50,6 +53,11 @@
     core::time_point m_position_at{};
 };
 
+// Whether no other endpoint of the service can have been promoted so far, as far as leases ensure that.
+[[nodiscard]] inline bool may_act_as_primary(const endpoint_view& view, core::time_point now) {
+    return !view.m_needs_lease || !view.m_primary_lease_end.passed(now);
+}
+
 using endpoint_views = std::map<core::endpoint_id, endpoint_view>;
 
 struct placement_request {
@@ -76,8 +84,8 @@
 // statements in the endpoint's queue, so that urgent statements do not wait behind others.
 void adapt_concurrency_limit(endpoint_view& view, core::duration taken, core::milliseconds target);
 
-// The endpoint that reports to be the service's primary, or null. If several do, prefers those that are not
-// suspect, then the one with the latest position seen, and thereby the latest term.
+// The endpoint that reports to be the service's primary and may act as one, or null. If several do, prefers
+// those that are not suspect, then the one with the latest position seen, and thereby the latest term.
 const endpoint_view* find_primary(const endpoint_views& views, const core::service_name& service,
                                   core::time_point now);
 
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -77,7 +77,7 @@
     // Only a primary accepts a plain begin, so its position is a sample of the primary.
     const bool from_primary =
         expected.m_step == request_step::begin || expected.m_step == request_step::probe;
-    if (from_primary && answer.m_position) {
+    if (from_primary && answer.m_position && may_act_as_primary(view, expected.m_sent)) {
         m_position_samples[view.m_report.m_service].add(expected.m_sent, *answer.m_position);
     }
 }
@@ -115,9 +115,16 @@
     if (step == request_step::begin || step == request_step::begin_read_only) {
         caller.m_transaction.m_begun = caller.m_state == transaction_state::open;
     }
-    if (conn.m_expected_answers.empty()) {
-        send_statement(caller, id, now);
+    if (!conn.m_expected_answers.empty()) {
+        return;
     }
+    const bool single_write = caller.m_operation->m_writes && caller.m_state == transaction_state::idle;
+    if (single_write && !may_use_primary(conn, now)) { // It ended while the connection was prepared.
+        detach_connection(caller, now);
+        retry_or_refuse(owner, caller, refusal::read_only, "the primary lease ended", now);
+        return;
+    }
+    send_statement(caller, id, now);
 }
 
 void relay_core::on_statement_answered(connection_id id, const expected_answer& expected,
@@ -140,10 +147,27 @@
     start_queued_statements(owner, now);
 }
 
+void relay_core::refuse_late_commit(session_id owner, connection_id id, core::time_point now) {
+    session& caller = m_sessions.at(owner);
+    ++m_counters.m_late_commits;
+    m_connections.at(id).m_session.reset();
+    caller.m_connection.reset();
+    clear_transaction(caller);
+    refuse_statement(owner, caller, refusal::in_doubt,
+                     "the primary lease ended before the commit was answered", now);
+    release_connection(id, now);
+}
+
 void relay_core::on_statement_succeeded(session_id owner, connection_id id, const expected_answer& expected,
                                         const database_answer& answer, core::time_point now) {
     connection& conn = m_connections.at(id);
     session& caller = m_sessions.at(owner);
+    const bool commits = is_commit(caller);
+    const bool wrote = caller.m_operation->m_writes || (commits && caller.m_transaction.m_wrote);
+    if (wrote && answer.m_state == transaction_state::idle && !may_use_primary(conn, now)) {
+        refuse_late_commit(owner, id, now);
+        return;
+    }
     ++m_counters.m_succeeded;
     m_hedge_tokens = std::min(max_hedge_tokens, m_hedge_tokens + hedge_tokens_per_statement);
     const endpoint_view& view = m_endpoints.at(conn.m_endpoint);
@@ -153,8 +177,6 @@
         adapt_concurrency_limit(m_endpoints.at(conn.m_endpoint), now - expected.m_sent,
                                 route->m_target_latency);
     }
-    const bool commits = is_commit(caller);
-    const bool wrote = caller.m_operation->m_writes || (commits && caller.m_transaction.m_wrote);
     ++(view.m_report.m_is_primary ? m_counters.m_served_by_primaries : m_counters.m_served_by_replicas);
     if (wrote && answer.m_position && answer.m_state == transaction_state::idle) {
         caller.m_own_commit = answer.m_position;
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -11,12 +11,15 @@
 // - any other read carries a position that covers what its caller must see;
 // - a refusal guarantees that the statement did not run only if no single write and no commit of the
 //   attempt was sent, or if the database itself reported that it did not run;
+// - where an old primary goes on after a promotion, this host uses an endpoint as a primary, acknowledges its
+//   commits and takes position samples from it only under a primary lease;
 // - an answer belongs to the request at the head of its connection's queue; a connection with a missing
 //   answer is closed and never reused.
 #pragma once
 
 #include "documents/configuration.h"
 #include "lending/loan.h"
+#include "primary_leases/primary_list.h"
 #include "relay/connection.h"
 #include "relay/placement.h"
 #include "relay/position_samples.h"
@@ -93,6 +96,8 @@
     // Number of hosts that share the connections, until control hosts report the actual number.
     std::uint32_t m_entry_hosts = 8;
     scheduling_rules m_rules;
+    // See documents::needs_primary_lease().
+    bool m_executor_fences = true;
 };
 
 struct relay_counters {
@@ -100,8 +105,10 @@
     std::uint64_t m_succeeded = 0;
     std::uint64_t m_refused = 0;   // Refusals that guarantee that nothing ran.
     std::uint64_t m_uncertain = 0; // Refusals without that guarantee.
-    std::uint64_t m_repeated = 0;  // Attempts after the first.
-    std::uint64_t m_probes = 0;    // Probes for the primary's position.
+    // Commits that were answered after the primary lease had ended, and reported as in doubt.
+    std::uint64_t m_late_commits = 0;
+    std::uint64_t m_repeated = 0; // Attempts after the first.
+    std::uint64_t m_probes = 0;   // Probes for the primary's position.
     std::uint64_t m_connections_opened = 0;
     std::uint64_t m_connections_borrowed = 0;
     std::uint64_t m_served_by_replicas = 0;
@@ -134,6 +141,12 @@
     void set_lent_endpoints(const std::map<core::endpoint_id, std::uint32_t>& own_shares,
                             core::time_point now);
 
+    // Whether a service of the configuration has primaries that are used only under a lease.
+    [[nodiscard]] bool needs_primary_leases() const;
+    // Replaces the endpoints that may be used as primaries, and the time when that ends.
+    void set_primary_leases(const primary_leases::primary_list& primaries, core::deadline lease_end,
+                            core::time_point now);
+
     // Returns false if no route has the name `database`.
     bool on_session_opened(session_id id, const std::string& database);
     // The answer is sent by relay_ports::send_answer(), possibly before this function returns. Statements of
@@ -240,6 +253,11 @@
     [[nodiscard]] std::uint32_t max_connections(const core::service_name& service) const;
     void close_extra_connections(core::time_point now);
 
+    // Whether the connection's endpoint may be used as a primary.
+    [[nodiscard]] bool may_use_primary(const connection& conn, core::time_point now) const;
+    // Sets which endpoints need a lease, by the configuration, and which ones have it.
+    void apply_primary_leases();
+
     // relay_loans.cpp: connections that other hosts lend.
     void borrow_connection(session_id id, session& caller, const documents::route_rule& route,
                            const core::endpoint_id& endpoint, core::time_point now);
@@ -254,6 +272,9 @@
                                  core::time_point now);
     void on_statement_answered(connection_id id, const expected_answer& expected,
                                const database_answer& answer, core::time_point now);
+    // Reports a commit as in doubt whose answer arrived after the primary lease had ended: another endpoint
+    // may have been promoted before it ran.
+    void refuse_late_commit(session_id owner, connection_id id, core::time_point now);
     void on_statement_succeeded(session_id owner, connection_id id, const expected_answer& expected,
                                 const database_answer& answer, core::time_point now);
     void on_statement_refused(session_id owner, connection_id id, const database_answer& answer,
@@ -303,6 +324,8 @@
     std::uint64_t m_last_connection = 0;
     // Expected run time of a statement, by the database name of its route.
     std::map<std::string, double> m_expected_ms;
+    primary_leases::primary_list m_leased_primaries;
+    core::deadline m_primary_lease_end;
     double m_hedge_tokens = 0.0; // Number of hedged reads that may be started now.
     relay_counters m_counters;
 };
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -34,6 +34,14 @@
 void relay_core::dispatch(session_id id, core::time_point now) {
     session& caller = m_sessions.at(id);
     operation& op = *caller.m_operation;
+    if (caller.m_connection && is_commit(caller) && caller.m_transaction.m_wrote &&
+        !may_use_primary(m_connections.at(*caller.m_connection), now)) {
+        detach_connection(caller, now);
+        clear_transaction(caller);
+        refuse_statement(id, caller, refusal::aborted, "the primary lease ended before the commit was sent",
+                         now);
+        return;
+    }
     if (caller.m_connection) { // Inside a transaction.
         prepare_connection(caller, *caller.m_connection, now);
         return;
--- a/src/relay/relay_endpoints.cpp
+++ b/src/relay/relay_endpoints.cpp
@@ -150,10 +150,44 @@
         }
         it = m_endpoints.erase(it);
     }
+    apply_primary_leases();
     preopen_connections(now);
     dispatch_waiting(now);
 }
 
+bool relay_core::needs_primary_leases() const {
+    return std::ranges::any_of(m_configuration.m_services, [this](const documents::service_rule& rule) {
+        return documents::needs_primary_lease(rule, m_limits.m_executor_fences);
+    });
+}
+
+void relay_core::set_primary_leases(const primary_leases::primary_list& primaries, core::deadline lease_end,
+                                    core::time_point now) {
+    const bool regained = m_primary_lease_end.passed(now) || primaries != m_leased_primaries;
+    m_leased_primaries = primaries;
+    m_primary_lease_end = lease_end;
+    apply_primary_leases();
+    if (regained) {
+        dispatch_waiting(now);
+    }
+}
+
+bool relay_core::may_use_primary(const connection& conn, core::time_point now) const {
+    return may_act_as_primary(m_endpoints.at(conn.m_endpoint), now);
+}
+
+void relay_core::apply_primary_leases() {
+    for (auto& [id, view] : m_endpoints) {
+        const documents::service_rule* rule = m_configuration.find_service(view.m_report.m_service);
+        const auto assigned = m_leased_primaries.find(view.m_report.m_service);
+        const bool is_assigned = assigned != m_leased_primaries.end() && assigned->second == id;
+        view.m_needs_lease = rule == nullptr
+                                 ? !m_limits.m_executor_fences
+                                 : documents::needs_primary_lease(*rule, m_limits.m_executor_fences);
+        view.m_primary_lease_end = is_assigned ? m_primary_lease_end : core::deadline{};
+    }
+}
+
 void relay_core::configure(documents::configuration next, core::time_point now) {
     if (next.m_version <= m_configuration.m_version) {
         return;
@@ -163,6 +197,7 @@
     for (const documents::route_rule& route : m_configuration.m_routes) {
         m_lowest_priority = std::max(m_lowest_priority, route.m_priority);
     }
+    apply_primary_leases();
     preopen_connections(now);
     dispatch_waiting(now);
 }
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -78,6 +78,7 @@
     read.m_data_folder = reader.text("data_folder").value_or("");
     reader.require("cluster_key", "a text of at least 16 bytes");
     read.m_cluster_key = reader.secret("cluster_key", min_key_bytes).value_or("");
+    read.m_executor_fences = reader.boolean("executor_fences").value_or(false);
     read_limits(reader, read);
     const auto level = reader.choice("log_level", {"debug", "info", "warning", "error"});
     read.m_log_level =
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -35,7 +35,9 @@
     std::filesystem::path m_data_folder; // Present on control hosts.
     std::string m_cluster_key;
     control::socket_address m_executor_address; // Address of the service that executes promotions.
-    std::uint32_t m_max_descriptors = 1024;     // Maximum number of file descriptors of the process.
+    // The executor refuses orders with an old fencing token and ends the lead of the old primary.
+    bool m_executor_fences = false;
+    std::uint32_t m_max_descriptors = 1024; // Maximum number of file descriptors of the process.
     std::uint32_t m_max_memory_mb = 256;
     // Number of hosts that may fail and lose their disks at the same time without loss of the cell.
     std::uint32_t m_tolerated_host_failures = 1;
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -149,6 +149,22 @@
 struct cell_joinBuilder;
 struct cell_joinT;
 
+struct primary_assignment;
+struct primary_assignmentBuilder;
+struct primary_assignmentT;
+
+struct assigned_state;
+struct assigned_stateBuilder;
+struct assigned_stateT;
+
+struct primary_lease_request;
+struct primary_lease_requestBuilder;
+struct primary_lease_requestT;
+
+struct primary_lease_grant;
+struct primary_lease_grantBuilder;
+struct primary_lease_grantT;
+
 struct link_request;
 struct link_requestBuilder;
 struct link_requestT;
@@ -213,11 +229,13 @@
   loan_answer = 24,
   loan_end = 25,
   loan_lost = 26,
+  primary_lease_request = 27,
+  primary_lease_grant = 28,
   MIN = NONE,
-  MAX = loan_lost
+  MAX = primary_lease_grant
 };
 
-inline const message (&EnumValuesmessage())[27] {
+inline const message (&EnumValuesmessage())[29] {
   static const message values[] = {
     message::NONE,
     message::raft_message,
@@ -245,13 +263,15 @@
     message::loan_work,
     message::loan_answer,
     message::loan_end,
-    message::loan_lost
+    message::loan_lost,
+    message::primary_lease_request,
+    message::primary_lease_grant
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[28] = {
+  static const char * const names[30] = {
     "NONE",
     "raft_message",
     "heartbeat",
@@ -279,13 +299,15 @@
     "loan_answer",
     "loan_end",
     "loan_lost",
+    "primary_lease_request",
+    "primary_lease_grant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::loan_lost)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::primary_lease_grant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -398,6 +420,14 @@
   static const message enum_value = message::loan_lost;
 };
 
+template<> struct messageTraits<mangoquay::wire::primary_lease_request> {
+  static const message enum_value = message::primary_lease_request;
+};
+
+template<> struct messageTraits<mangoquay::wire::primary_lease_grant> {
+  static const message enum_value = message::primary_lease_grant;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -506,6 +536,14 @@
   static const message enum_value = message::loan_lost;
 };
 
+template<> struct messageUnionTraits<mangoquay::wire::primary_lease_requestT> {
+  static const message enum_value = message::primary_lease_request;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::primary_lease_grantT> {
+  static const message enum_value = message::primary_lease_grant;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -744,6 +782,22 @@
     return type == message::loan_lost ?
       reinterpret_cast<const mangoquay::wire::loan_lostT *>(value) : nullptr;
   }
+  mangoquay::wire::primary_lease_requestT *Asprimary_lease_request() {
+    return type == message::primary_lease_request ?
+      reinterpret_cast<mangoquay::wire::primary_lease_requestT *>(value) : nullptr;
+  }
+  const mangoquay::wire::primary_lease_requestT *Asprimary_lease_request() const {
+    return type == message::primary_lease_request ?
+      reinterpret_cast<const mangoquay::wire::primary_lease_requestT *>(value) : nullptr;
+  }
+  mangoquay::wire::primary_lease_grantT *Asprimary_lease_grant() {
+    return type == message::primary_lease_grant ?
+      reinterpret_cast<mangoquay::wire::primary_lease_grantT *>(value) : nullptr;
+  }
+  const mangoquay::wire::primary_lease_grantT *Asprimary_lease_grant() const {
+    return type == message::primary_lease_grant ?
+      reinterpret_cast<const mangoquay::wire::primary_lease_grantT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -4731,6 +4785,439 @@
 
 flatbuffers::Offset<cell_join> Createcell_join(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct primary_assignmentT : public flatbuffers::NativeTable {
+  typedef primary_assignment TableType;
+  std::string service{};
+  std::string endpoint{};
+};
+
+struct primary_assignment FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef primary_assignmentT NativeTableType;
+  typedef primary_assignmentBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ENDPOINT = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           verifier.EndTable();
+  }
+  primary_assignmentT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(primary_assignmentT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<primary_assignment> Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_assignmentT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct primary_assignmentBuilder {
+  typedef primary_assignment Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(primary_assignment::VT_SERVICE, service);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(primary_assignment::VT_ENDPOINT, endpoint);
+  }
+  explicit primary_assignmentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<primary_assignment> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<primary_assignment>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<primary_assignment> Createprimary_assignment(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0) {
+  primary_assignmentBuilder builder_(_fbb);
+  builder_.add_endpoint(endpoint);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct primary_assignment::Traits {
+  using type = primary_assignment;
+  static auto constexpr Create = Createprimary_assignment;
+};
+
+inline flatbuffers::Offset<primary_assignment> Createprimary_assignmentDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *endpoint = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return mangoquay::wire::Createprimary_assignment(
+      _fbb,
+      service__,
+      endpoint__);
+}
+
+flatbuffers::Offset<primary_assignment> Createprimary_assignment(flatbuffers::FlatBufferBuilder &_fbb, const primary_assignmentT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct assigned_stateT : public flatbuffers::NativeTable {
+  typedef assigned_state TableType;
+  std::vector<std::unique_ptr<mangoquay::wire::primary_assignmentT>> assignments{};
+  std::vector<uint8_t> document{};
+  assigned_stateT() = default;
+  assigned_stateT(const assigned_stateT &o);
+  assigned_stateT(assigned_stateT&&) FLATBUFFERS_NOEXCEPT = default;
+  assigned_stateT &operator=(assigned_stateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct assigned_state FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef assigned_stateT NativeTableType;
+  typedef assigned_stateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ASSIGNMENTS = 4,
+    VT_DOCUMENT = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *assignments() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *>(VT_ASSIGNMENTS);
+  }
+  const flatbuffers::Vector<uint8_t> *document() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ASSIGNMENTS) &&
+           verifier.VerifyVector(assignments()) &&
+           verifier.VerifyVectorOfTables(assignments()) &&
+           VerifyOffset(verifier, VT_DOCUMENT) &&
+           verifier.VerifyVector(document()) &&
+           verifier.EndTable();
+  }
+  assigned_stateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(assigned_stateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<assigned_state> Pack(flatbuffers::FlatBufferBuilder &_fbb, const assigned_stateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct assigned_stateBuilder {
+  typedef assigned_state Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_assignments(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>>> assignments) {
+    fbb_.AddOffset(assigned_state::VT_ASSIGNMENTS, assignments);
+  }
+  void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
+    fbb_.AddOffset(assigned_state::VT_DOCUMENT, document);
+  }
+  explicit assigned_stateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<assigned_state> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<assigned_state>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<assigned_state> Createassigned_state(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>>> assignments = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0) {
+  assigned_stateBuilder builder_(_fbb);
+  builder_.add_document(document);
+  builder_.add_assignments(assignments);
+  return builder_.Finish();
+}
+
+struct assigned_state::Traits {
+  using type = assigned_state;
+  static auto constexpr Create = Createassigned_state;
+};
+
+inline flatbuffers::Offset<assigned_state> Createassigned_stateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *assignments = nullptr,
+    const std::vector<uint8_t> *document = nullptr) {
+  auto assignments__ = assignments ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_assignment>>(*assignments) : 0;
+  auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+  return mangoquay::wire::Createassigned_state(
+      _fbb,
+      assignments__,
+      document__);
+}
+
+flatbuffers::Offset<assigned_state> Createassigned_state(flatbuffers::FlatBufferBuilder &_fbb, const assigned_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct primary_lease_requestT : public flatbuffers::NativeTable {
+  typedef primary_lease_request TableType;
+  uint64_t number = 0;
+  uint64_t list_term = 0;
+  uint64_t list_number = 0;
+  std::vector<std::string> path{};
+};
+
+struct primary_lease_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef primary_lease_requestT NativeTableType;
+  typedef primary_lease_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_LIST_TERM = 6,
+    VT_LIST_NUMBER = 8,
+    VT_PATH = 10
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t list_term() const {
+    return GetField<uint64_t>(VT_LIST_TERM, 0);
+  }
+  uint64_t list_number() const {
+    return GetField<uint64_t>(VT_LIST_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *path() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PATH);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyVector(path()) &&
+           verifier.VerifyVectorOfStrings(path()) &&
+           verifier.EndTable();
+  }
+  primary_lease_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(primary_lease_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<primary_lease_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_lease_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct primary_lease_requestBuilder {
+  typedef primary_lease_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(primary_lease_request::VT_NUMBER, number, 0);
+  }
+  void add_list_term(uint64_t list_term) {
+    fbb_.AddElement<uint64_t>(primary_lease_request::VT_LIST_TERM, list_term, 0);
+  }
+  void add_list_number(uint64_t list_number) {
+    fbb_.AddElement<uint64_t>(primary_lease_request::VT_LIST_NUMBER, list_number, 0);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path) {
+    fbb_.AddOffset(primary_lease_request::VT_PATH, path);
+  }
+  explicit primary_lease_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<primary_lease_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<primary_lease_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<primary_lease_request> Createprimary_lease_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t list_term = 0,
+    uint64_t list_number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
+  primary_lease_requestBuilder builder_(_fbb);
+  builder_.add_list_number(list_number);
+  builder_.add_list_term(list_term);
+  builder_.add_number(number);
+  builder_.add_path(path);
+  return builder_.Finish();
+}
+
+struct primary_lease_request::Traits {
+  using type = primary_lease_request;
+  static auto constexpr Create = Createprimary_lease_request;
+};
+
+inline flatbuffers::Offset<primary_lease_request> Createprimary_lease_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t list_term = 0,
+    uint64_t list_number = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
+  auto path__ = path ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*path) : 0;
+  return mangoquay::wire::Createprimary_lease_request(
+      _fbb,
+      number,
+      list_term,
+      list_number,
+      path__);
+}
+
+flatbuffers::Offset<primary_lease_request> Createprimary_lease_request(flatbuffers::FlatBufferBuilder &_fbb, const primary_lease_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct primary_lease_grantT : public flatbuffers::NativeTable {
+  typedef primary_lease_grant TableType;
+  uint64_t number = 0;
+  uint64_t list_term = 0;
+  uint64_t list_number = 0;
+  uint32_t lease_ms = 0;
+  bool has_list = false;
+  std::vector<std::unique_ptr<mangoquay::wire::primary_assignmentT>> assignments{};
+  std::vector<std::string> path{};
+  primary_lease_grantT() = default;
+  primary_lease_grantT(const primary_lease_grantT &o);
+  primary_lease_grantT(primary_lease_grantT&&) FLATBUFFERS_NOEXCEPT = default;
+  primary_lease_grantT &operator=(primary_lease_grantT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct primary_lease_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef primary_lease_grantT NativeTableType;
+  typedef primary_lease_grantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_LIST_TERM = 6,
+    VT_LIST_NUMBER = 8,
+    VT_LEASE_MS = 10,
+    VT_HAS_LIST = 12,
+    VT_ASSIGNMENTS = 14,
+    VT_PATH = 16
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t list_term() const {
+    return GetField<uint64_t>(VT_LIST_TERM, 0);
+  }
+  uint64_t list_number() const {
+    return GetField<uint64_t>(VT_LIST_NUMBER, 0);
+  }
+  uint32_t lease_ms() const {
+    return GetField<uint32_t>(VT_LEASE_MS, 0);
+  }
+  bool has_list() const {
+    return GetField<uint8_t>(VT_HAS_LIST, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *assignments() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *>(VT_ASSIGNMENTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *path() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PATH);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_NUMBER, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LEASE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_LIST, 1) &&
+           VerifyOffset(verifier, VT_ASSIGNMENTS) &&
+           verifier.VerifyVector(assignments()) &&
+           verifier.VerifyVectorOfTables(assignments()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyVector(path()) &&
+           verifier.VerifyVectorOfStrings(path()) &&
+           verifier.EndTable();
+  }
+  primary_lease_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(primary_lease_grantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<primary_lease_grant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_lease_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct primary_lease_grantBuilder {
+  typedef primary_lease_grant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(primary_lease_grant::VT_NUMBER, number, 0);
+  }
+  void add_list_term(uint64_t list_term) {
+    fbb_.AddElement<uint64_t>(primary_lease_grant::VT_LIST_TERM, list_term, 0);
+  }
+  void add_list_number(uint64_t list_number) {
+    fbb_.AddElement<uint64_t>(primary_lease_grant::VT_LIST_NUMBER, list_number, 0);
+  }
+  void add_lease_ms(uint32_t lease_ms) {
+    fbb_.AddElement<uint32_t>(primary_lease_grant::VT_LEASE_MS, lease_ms, 0);
+  }
+  void add_has_list(bool has_list) {
+    fbb_.AddElement<uint8_t>(primary_lease_grant::VT_HAS_LIST, static_cast<uint8_t>(has_list), 0);
+  }
+  void add_assignments(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>>> assignments) {
+    fbb_.AddOffset(primary_lease_grant::VT_ASSIGNMENTS, assignments);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path) {
+    fbb_.AddOffset(primary_lease_grant::VT_PATH, path);
+  }
+  explicit primary_lease_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<primary_lease_grant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<primary_lease_grant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<primary_lease_grant> Createprimary_lease_grant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t list_term = 0,
+    uint64_t list_number = 0,
+    uint32_t lease_ms = 0,
+    bool has_list = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>>> assignments = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
+  primary_lease_grantBuilder builder_(_fbb);
+  builder_.add_list_number(list_number);
+  builder_.add_list_term(list_term);
+  builder_.add_number(number);
+  builder_.add_path(path);
+  builder_.add_assignments(assignments);
+  builder_.add_lease_ms(lease_ms);
+  builder_.add_has_list(has_list);
+  return builder_.Finish();
+}
+
+struct primary_lease_grant::Traits {
+  using type = primary_lease_grant;
+  static auto constexpr Create = Createprimary_lease_grant;
+};
+
+inline flatbuffers::Offset<primary_lease_grant> Createprimary_lease_grantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t list_term = 0,
+    uint64_t list_number = 0,
+    uint32_t lease_ms = 0,
+    bool has_list = false,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *assignments = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
+  auto assignments__ = assignments ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_assignment>>(*assignments) : 0;
+  auto path__ = path ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*path) : 0;
+  return mangoquay::wire::Createprimary_lease_grant(
+      _fbb,
+      number,
+      list_term,
+      list_number,
+      lease_ms,
+      has_list,
+      assignments__,
+      path__);
+}
+
+flatbuffers::Offset<primary_lease_grant> Createprimary_lease_grant(flatbuffers::FlatBufferBuilder &_fbb, const primary_lease_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct link_requestT : public flatbuffers::NativeTable {
   typedef link_request TableType;
   uint8_t kind = 0;
@@ -5727,6 +6214,12 @@
   const mangoquay::wire::loan_lost *body_as_loan_lost() const {
     return body_type() == mangoquay::wire::message::loan_lost ? static_cast<const mangoquay::wire::loan_lost *>(body()) : nullptr;
   }
+  const mangoquay::wire::primary_lease_request *body_as_primary_lease_request() const {
+    return body_type() == mangoquay::wire::message::primary_lease_request ? static_cast<const mangoquay::wire::primary_lease_request *>(body()) : nullptr;
+  }
+  const mangoquay::wire::primary_lease_grant *body_as_primary_lease_grant() const {
+    return body_type() == mangoquay::wire::message::primary_lease_grant ? static_cast<const mangoquay::wire::primary_lease_grant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5843,6 +6336,14 @@
   return body_as_loan_lost();
 }
 
+template<> inline const mangoquay::wire::primary_lease_request *envelope::body_as<mangoquay::wire::primary_lease_request>() const {
+  return body_as_primary_lease_request();
+}
+
+template<> inline const mangoquay::wire::primary_lease_grant *envelope::body_as<mangoquay::wire::primary_lease_grant>() const {
+  return body_as_primary_lease_grant();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7409,6 +7910,177 @@
       _peer_port);
 }
 
+inline primary_assignmentT *primary_assignment::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<primary_assignmentT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void primary_assignment::UnPackTo(primary_assignmentT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+}
+
+inline flatbuffers::Offset<primary_assignment> primary_assignment::Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_assignmentT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createprimary_assignment(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<primary_assignment> Createprimary_assignment(flatbuffers::FlatBufferBuilder &_fbb, const primary_assignmentT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const primary_assignmentT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  return mangoquay::wire::Createprimary_assignment(
+      _fbb,
+      _service,
+      _endpoint);
+}
+
+inline assigned_stateT::assigned_stateT(const assigned_stateT &o)
+      : document(o.document) {
+  assignments.reserve(o.assignments.size());
+  for (const auto &assignments_ : o.assignments) { assignments.emplace_back((assignments_) ? new mangoquay::wire::primary_assignmentT(*assignments_) : nullptr); }
+}
+
+inline assigned_stateT &assigned_stateT::operator=(assigned_stateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(assignments, o.assignments);
+  std::swap(document, o.document);
+  return *this;
+}
+
+inline assigned_stateT *assigned_state::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<assigned_stateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void assigned_state::UnPackTo(assigned_stateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = assignments(); if (_e) { _o->assignments.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->assignments[_i] = std::unique_ptr<mangoquay::wire::primary_assignmentT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+}
+
+inline flatbuffers::Offset<assigned_state> assigned_state::Pack(flatbuffers::FlatBufferBuilder &_fbb, const assigned_stateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createassigned_state(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<assigned_state> Createassigned_state(flatbuffers::FlatBufferBuilder &_fbb, const assigned_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const assigned_stateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _assignments = _o->assignments.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> (_o->assignments.size(), [](size_t i, _VectorArgs *__va) { return Createprimary_assignment(*__va->__fbb, __va->__o->assignments[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
+  return mangoquay::wire::Createassigned_state(
+      _fbb,
+      _assignments,
+      _document);
+}
+
+inline primary_lease_requestT *primary_lease_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<primary_lease_requestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void primary_lease_request::UnPackTo(primary_lease_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = list_term(); _o->list_term = _e; }
+  { auto _e = list_number(); _o->list_number = _e; }
+  { auto _e = path(); if (_e) { _o->path.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<primary_lease_request> primary_lease_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_lease_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createprimary_lease_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<primary_lease_request> Createprimary_lease_request(flatbuffers::FlatBufferBuilder &_fbb, const primary_lease_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const primary_lease_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _list_term = _o->list_term;
+  auto _list_number = _o->list_number;
+  auto _path = _o->path.size() ? _fbb.CreateVectorOfStrings(_o->path) : 0;
+  return mangoquay::wire::Createprimary_lease_request(
+      _fbb,
+      _number,
+      _list_term,
+      _list_number,
+      _path);
+}
+
+inline primary_lease_grantT::primary_lease_grantT(const primary_lease_grantT &o)
+      : number(o.number),
+        list_term(o.list_term),
+        list_number(o.list_number),
+        lease_ms(o.lease_ms),
+        has_list(o.has_list),
+        path(o.path) {
+  assignments.reserve(o.assignments.size());
+  for (const auto &assignments_ : o.assignments) { assignments.emplace_back((assignments_) ? new mangoquay::wire::primary_assignmentT(*assignments_) : nullptr); }
+}
+
+inline primary_lease_grantT &primary_lease_grantT::operator=(primary_lease_grantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(list_term, o.list_term);
+  std::swap(list_number, o.list_number);
+  std::swap(lease_ms, o.lease_ms);
+  std::swap(has_list, o.has_list);
+  std::swap(assignments, o.assignments);
+  std::swap(path, o.path);
+  return *this;
+}
+
+inline primary_lease_grantT *primary_lease_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<primary_lease_grantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void primary_lease_grant::UnPackTo(primary_lease_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = list_term(); _o->list_term = _e; }
+  { auto _e = list_number(); _o->list_number = _e; }
+  { auto _e = lease_ms(); _o->lease_ms = _e; }
+  { auto _e = has_list(); _o->has_list = _e; }
+  { auto _e = assignments(); if (_e) { _o->assignments.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->assignments[_i] = std::unique_ptr<mangoquay::wire::primary_assignmentT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = path(); if (_e) { _o->path.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<primary_lease_grant> primary_lease_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const primary_lease_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createprimary_lease_grant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<primary_lease_grant> Createprimary_lease_grant(flatbuffers::FlatBufferBuilder &_fbb, const primary_lease_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const primary_lease_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _list_term = _o->list_term;
+  auto _list_number = _o->list_number;
+  auto _lease_ms = _o->lease_ms;
+  auto _has_list = _o->has_list;
+  auto _assignments = _o->assignments.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> (_o->assignments.size(), [](size_t i, _VectorArgs *__va) { return Createprimary_assignment(*__va->__fbb, __va->__o->assignments[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _path = _o->path.size() ? _fbb.CreateVectorOfStrings(_o->path) : 0;
+  return mangoquay::wire::Createprimary_lease_grant(
+      _fbb,
+      _number,
+      _list_term,
+      _list_number,
+      _lease_ms,
+      _has_list,
+      _assignments,
+      _path);
+}
+
 inline link_requestT::link_requestT(const link_requestT &o)
       : kind(o.kind),
         id(o.id),
@@ -7932,6 +8604,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::loan_lost *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::primary_lease_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::primary_lease_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_grant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8055,6 +8735,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::loan_lost *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::primary_lease_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::primary_lease_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_grant *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -8166,6 +8854,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::loan_lostT *>(value);
       return Createloan_lost(_fbb, ptr, _rehasher).Union();
     }
+    case message::primary_lease_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_requestT *>(value);
+      return Createprimary_lease_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::primary_lease_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_grantT *>(value);
+      return Createprimary_lease_grant(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8276,6 +8972,14 @@
       value = new mangoquay::wire::loan_lostT(*reinterpret_cast<mangoquay::wire::loan_lostT *>(u.value));
       break;
     }
+    case message::primary_lease_request: {
+      value = new mangoquay::wire::primary_lease_requestT(*reinterpret_cast<mangoquay::wire::primary_lease_requestT *>(u.value));
+      break;
+    }
+    case message::primary_lease_grant: {
+      value = new mangoquay::wire::primary_lease_grantT(*reinterpret_cast<mangoquay::wire::primary_lease_grantT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8413,6 +9117,16 @@
       delete ptr;
       break;
     }
+    case message::primary_lease_request: {
+      auto ptr = reinterpret_cast<mangoquay::wire::primary_lease_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::primary_lease_grant: {
+      auto ptr = reinterpret_cast<mangoquay::wire::primary_lease_grantT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/test/correctness/promotion_safety.cpp
+++ b/test/correctness/promotion_safety.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint64_t injected_fault_seeds = 300;
+constexpr std::uint64_t late_order_seeds = 200;
 
 std::string violation_of(const promotion_simulation_options& options) {
     promotion_simulation simulation(options);
@@ -50,6 +51,14 @@
     CPPUNIT_TEST(a_reused_fencing_token_is_detected);
     CPPUNIT_TEST(a_missing_quorum_is_detected);
     CPPUNIT_TEST(ignored_entry_hosts_are_detected);
+    CPPUNIT_TEST(a_missing_pause_is_detected);
+    CPPUNIT_TEST(no_host_uses_an_old_primary_that_goes_on);
+    CPPUNIT_TEST(old_primaries_that_go_on_are_safe_with_nine_databases);
+    CPPUNIT_TEST(planned_replacements_are_safe_when_the_old_primary_goes_on);
+    CPPUNIT_TEST(leases_are_safe_with_a_synchronous_replica);
+    CPPUNIT_TEST(a_promotion_that_does_not_wait_for_leases_is_detected);
+    CPPUNIT_TEST(a_lease_that_outlives_its_suspension_is_detected);
+    CPPUNIT_TEST(a_commit_acknowledged_after_the_lease_is_detected);
     CPPUNIT_TEST_SUITE_END();
 
     static void a_healthy_primary_is_not_replaced() {
@@ -100,10 +109,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), violation_of({.m_seed = 1004})); // A resume request was lost.
     }
     // Guards against an order naming the current primary that is carried out after an older order, itself
-    // late, has replaced that primary.
+    // late, has replaced that primary. Entry hosts use primaries of services with synchronous replicas only
+    // under leases, so no commit is acknowledged between the two. The other seeds are of the same kind; one world
+    // in about 45,000 showed the fault without leases.
     static void an_order_that_shuts_out_others_may_itself_come_late() {
-        CPPUNIT_ASSERT_EQUAL(
-            std::string(), violation_of({.m_seed = 18974053, .m_synchronous_replicas = 1, .m_databases = 9}));
+        for (std::uint64_t seed = 18974053; seed < 18974053 + late_order_seeds; ++seed) {
+            CPPUNIT_ASSERT_EQUAL(std::string(), violation_of({.m_seed = seed,
+                                                              .m_synchronous_replicas = 1,
+                                                              .m_databases = 9,
+                                                              .m_leased = true}));
+        }
     }
     static void a_reused_fencing_token_is_detected() {
         check_detects({.m_injected_faults = {.m_reuse_fencing_tokens = true}});
@@ -111,6 +126,52 @@
     static void a_missing_quorum_is_detected() {
         check_detects({.m_synchronous_replicas = 1, .m_injected_faults = {.m_ignore_quorum = true}});
     }
+    // Replicas that receive while they are compared may get commits that the chosen one lacks.
+    static void a_missing_pause_is_detected() {
+        check_detects(
+            {.m_synchronous_replicas = 1, .m_databases = 4, .m_injected_faults = {.m_skip_pause = true}});
+    }
+    // The old primary and some hosts are cut off, hosts are suspended and their clocks are slow, leaders
+    // change.
+    static promotion_simulation_options old_primary_goes_on(promotion_faults faults = {}) {
+        return {.m_lose_calls = false,
+                .m_leased = true,
+                .m_old_primary_goes_on = true,
+                .m_cut = true,
+                .m_suspend_hosts = true,
+                .m_injected_faults = faults};
+    }
+    static void no_host_uses_an_old_primary_that_goes_on() { check_holds(old_primary_goes_on()); }
+    static void old_primaries_that_go_on_are_safe_with_nine_databases() {
+        promotion_simulation_options options = old_primary_goes_on();
+        options.m_databases = 9;
+        check_holds(options);
+    }
+    static void planned_replacements_are_safe_when_the_old_primary_goes_on() {
+        promotion_simulation_options options = old_primary_goes_on();
+        options.m_databases = 5;
+        options.m_drain = true;
+        check_holds(options);
+    }
+    // Hosts use a primary only after the executor has accepted an order that invalidates all earlier ones.
+    static void leases_are_safe_with_a_synchronous_replica() {
+        promotion_simulation_options options;
+        options.m_synchronous_replicas = 1;
+        options.m_leased = true;
+        options.m_suspend_hosts = true;
+        check_holds(options);
+        options.m_databases = 9;
+        check_holds(options);
+    }
+    static void a_promotion_that_does_not_wait_for_leases_is_detected() {
+        check_detects(old_primary_goes_on({.m_skip_lease_wait = true}));
+    }
+    static void a_lease_that_outlives_its_suspension_is_detected() {
+        check_detects(old_primary_goes_on({.m_exclude_suspension = true}));
+    }
+    static void a_commit_acknowledged_after_the_lease_is_detected() {
+        check_detects(old_primary_goes_on({.m_acknowledge_after_lease = true}));
+    }
     static void ignored_entry_hosts_are_detected() {
         check_detects({.m_crash = false,
                        .m_only_leader_is_cut_off = true,
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -54,6 +54,9 @@
     CPPUNIT_TEST(guarantees_hold_with_nine_databases);
     CPPUNIT_TEST(writes_succeed_over_lent_connections_without_faults);
     CPPUNIT_TEST(guarantees_hold_over_lent_connections);
+    CPPUNIT_TEST(guarantees_hold_when_old_primaries_go_on);
+    CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_old_primaries_go_on);
+    CPPUNIT_TEST(leases_that_do_not_end_are_detected);
     CPPUNIT_TEST(read_without_min_position_is_detected);
     CPPUNIT_TEST(read_without_primary_check_is_detected);
     CPPUNIT_TEST(missing_session_values_are_detected);
@@ -108,6 +111,30 @@
         options.m_connections = scarce_connections;
         check_holds(options);
     }
+    // An old primary acknowledges writes and answers fresh reads until it steps down.
+    static void guarantees_hold_when_old_primaries_go_on() {
+        relay_simulation_options options;
+        options.m_leased = true;
+        check_holds(options);
+    }
+    static void guarantees_hold_over_lent_connections_when_old_primaries_go_on() {
+        relay_simulation_options options;
+        options.m_leased = true;
+        options.m_lent_connections = true;
+        options.m_connections = scarce_connections;
+        check_holds(options);
+    }
+    static void leases_that_do_not_end_are_detected() {
+        bool detected = false;
+        for (std::uint64_t seed = 1; seed <= injected_fault_seeds && !detected; ++seed) {
+            relay_simulation_options options;
+            options.m_seed = seed;
+            options.m_leased = true;
+            options.m_injected_faults = {.m_endless_leases = true};
+            detected = !violation_of(options).empty();
+        }
+        CPPUNIT_ASSERT_MESSAGE("the injected fault was not detected", detected);
+    }
     static void read_without_min_position_is_detected() { check_detects({.m_drop_min_positions = true}); }
     static void read_without_primary_check_is_detected() { check_detects({.m_skip_primary_check = true}); }
     static void missing_session_values_are_detected() { check_detects({.m_drop_session_values = true}); }
--- a/test/support/promotion_simulation.cpp
+++ b/test/support/promotion_simulation.cpp
@@ -15,7 +15,9 @@
 } // namespace
 
 promotion_simulation::promotion_simulation(promotion_simulation_options options)
-    : m_options(options), m_random(options.m_seed) {
+    : m_options(options), m_random(options.m_seed),
+      m_authority(static_cast<primary_leases::authority_ports&>(*this)),
+      m_faulty_authority(m_authority, options.m_injected_faults) {
     for (std::uint32_t index = 0; index < options.m_databases; ++index) {
         database server;
         server.m_report.m_id = core::endpoint_id("db" + std::to_string(index));
@@ -26,6 +28,7 @@
         server.m_last_contact = m_now;
         m_databases.push_back(server);
     }
+    add_entry_hosts();
     start_new_leader();
 }
 
@@ -48,17 +51,28 @@
 }
 
 promotion_simulation::database* promotion_simulation::current_primary() {
-    const auto found = std::ranges::find_if(
-        m_databases, [](const database& server) { return server.m_acts_as_primary && server.m_up; });
-    return found == m_databases.end() ? nullptr : &*found;
+    database* latest = nullptr; // An old primary may go on beside it.
+    for (database& server : m_databases) {
+        if (server.m_acts_as_primary && server.m_up &&
+            (latest == nullptr || latest->m_term < server.m_term)) {
+            latest = &server;
+        }
+    }
+    return latest;
 }
 
 void promotion_simulation::start_new_leader() {
     ++m_leader_number;
     m_orders = 0;
     promotion::promotion_ports& ports = *this;
-    m_core = std::make_unique<promotion::promotion_core>(ports);
+    m_core = std::make_unique<promotion::promotion_core>(ports, m_faulty_authority);
     m_core->set_leading(true);
+    if (m_options.m_leased) {
+        const std::set<core::service_name> withheld =
+            m_options.m_synchronous_replicas > 0 ? std::set{service_id} : std::set<core::service_name>{};
+        m_authority.set_leading(true, primary_leases::leader_term(m_leader_number), m_assigned, withheld,
+                                m_now);
+    }
 }
 
 void promotion_simulation::run() {
@@ -66,7 +80,10 @@
     const core::time_point end = faults_end + fault_free_phase;
     const std::function<void()> run_period = [&] {
         m_core->tick({build_service_view()}, m_now);
-        write();
+        if (!m_options.m_leased) {
+            write();
+        }
+        step_down_replaced_primaries();
         for (database& server : m_databases) {
             const bool sends_report = server.m_up && draw(24) == 0;
             const bool changed = server.m_report.m_is_primary != server.m_acts_as_primary;
@@ -102,6 +119,7 @@
             m_replacement_justified = true;
             primary->m_report.m_state = registry::report_state::draining;
         }
+        inject_lease_fault();
         schedule(core::milliseconds(300 + draw(2500)), inject_faults);
     };
     run_period();
@@ -116,6 +134,7 @@
     if (current_primary() == nullptr) {
         report_violation("the service has no primary at the end");
     }
+    check_hosts_at_end();
     for (const database& server : m_databases) {
         if (server.m_up && !server.m_acts_as_primary && server.m_paused_below_term != 0) {
             report_violation("a replica stays paused");
@@ -146,6 +165,9 @@
 }
 
 void promotion_simulation::replicate(const database& from, database& to) const {
+    if (from.m_cut != to.m_cut || to.m_acts_as_primary || from.m_term < to.m_term) {
+        return;
+    }
     const bool paused = to.m_paused_below_term > from.m_term && !m_options.m_injected_faults.m_skip_pause;
     if (!paused) {
         to.m_log = from.m_log;
@@ -158,12 +180,16 @@
     if (m_options.m_injected_faults.m_ignore_quorum) {
         result.m_synchronous_replicas = 0;
     }
+    result.m_is_leased = m_options.m_leased;
     result.m_reporting_hosts = 6;
+    for (const entry_host& host : m_hosts) {
+        result.m_nonreporting_hosts += host.m_cut && m_authority.may_use_primaries(host.m_id, m_now) ? 1 : 0;
+    }
     for (const database& server : m_databases) {
         result.m_endpoints.push_back(server.m_report);
         result.m_last_contact[server.m_report.m_id] = server.m_last_contact;
-        const bool is_serving =
-            server.m_acts_as_primary && server.m_up && !m_options.m_injected_faults.m_ignore_entry_hosts;
+        const bool is_serving = server.m_acts_as_primary && server.m_up && !server.m_cut &&
+                                !m_options.m_injected_faults.m_ignore_entry_hosts;
         result.m_entry_host_counts[server.m_report.m_id] = {is_serving ? 6U : 0U, is_serving ? 0U : 6U};
     }
     return result;
@@ -179,7 +205,7 @@
     const std::uint64_t issuing_leader = m_leader_number;
     schedule(core::milliseconds(1 + draw(4)), [this, service, answer, kind, term, issuing_leader]() mutable {
         database& target = *find_database(answer.m_endpoint);
-        const bool cut = m_options.m_only_leader_is_cut_off && target.m_acts_as_primary;
+        const bool cut = target.m_cut || (m_options.m_only_leader_is_cut_off && target.m_acts_as_primary);
         const bool reached = target.m_up && !cut && !(m_options.m_lose_calls && !m_faults_ended && chance(5));
         if (reached) {
             apply_step(target, kind, term, answer);
@@ -241,7 +267,8 @@
     const std::uint64_t issuing_leader = m_leader_number;
     schedule(delay, [this, service, target, token, answered, issuing_leader] {
         const database& target_database = *find_database(target);
-        const bool refused = token.value() < m_highest_token || !target_database.m_up;
+        const bool is_fenced = !m_options.m_old_primary_goes_on && token.value() < m_highest_token;
+        const bool refused = is_fenced || !target_database.m_up;
         if (!refused) {
             m_highest_token = token.value();
             execute_order(target, token.value());
@@ -269,7 +296,9 @@
         return;
     }
     m_latest_promotion_token = token;
-    schedule(core::milliseconds(300 + draw(700)), [this, target, token] {
+    // Shorter than those of known executors, so that a missing wait for leases has an effect.
+    const core::milliseconds shortest(m_options.m_old_primary_goes_on ? 10 : 300);
+    schedule(shortest + core::milliseconds(draw(700)), [this, target, token] {
         database& promoted = *find_database(target);
         if (!promoted.m_up || promoted.m_acts_as_primary || m_latest_promotion_token != token) {
             return;
@@ -278,11 +307,15 @@
         std::uint32_t highest_term = 0;
         for (database& server : m_databases) {
             highest_term = std::max(highest_term, server.m_term);
-            server.m_acts_as_primary = false;
+            server.m_acts_as_primary = server.m_acts_as_primary && m_options.m_old_primary_goes_on;
             server.m_paused_below_term = 0;
         }
         promoted.m_acts_as_primary = true;
         promoted.m_term = highest_term + 1;
+        promoted.m_promoted_at = m_now;
+        if (m_options.m_old_primary_goes_on) {
+            check_leases_at_promotion(target);
+        }
         for (const std::uint64_t commit : m_acknowledged) {
             if (m_options.m_synchronous_replicas > 0 &&
                 std::ranges::find(promoted.m_log, commit) == promoted.m_log.end()) {
--- a/test/support/promotion_simulation.h
+++ b/test/support/promotion_simulation.h
@@ -2,11 +2,19 @@
 // orders may be carried out late and whose answers may be lost, and changing leaders. Time is simulated; all
 // random choices derive from one seed.
 //
+// With leases, several entry hosts write under primary leases, and the primary together with some hosts is
+// cut off from the leader and the other databases. Hosts are suspended, and their clocks are slower than the
+// leader's by up to the stated bound.
+//
 // It checks that fencing tokens are unique and increase, that with synchronous replicas no acknowledged
 // commit is missing from a promoted database, that a healthy primary is not replaced, and that the service
-// has a primary at the end.
+// has a primary at the end. With leases, it checks that no host may use another primary when a promotion
+// takes effect, that no commit of a replaced primary is acknowledged, and that all hosts can use the primary
+// at the end.
 #pragma once
 
+#include "primary_leases/lease_authority.h"
+#include "primary_leases/lease_holder.h"
 #include "promotion/promotion_core.h"
 
 #include <functional>
@@ -23,6 +31,37 @@
     bool m_skip_pause = false;           // Replicas continue to receive while they are compared.
     bool m_ignore_quorum = false;        // The position of one replica is sufficient.
     bool m_ignore_entry_hosts = false;   // Reports of entry hosts never reach the leader.
+    // Faults of leases.
+    bool m_skip_lease_wait = false;         // Promotions do not wait for leases of hosts to end.
+    bool m_exclude_suspension = false;      // The clocks of hosts do not count suspensions.
+    bool m_acknowledge_after_lease = false; // Hosts acknowledge commits whatever the state of their lease.
+};
+
+// Passes calls on to the lease authority, with the injected faults.
+class authority_with_faults final : public promotion::primary_authority {
+public:
+    authority_with_faults(primary_leases::lease_authority& authority, promotion_faults faults)
+        : m_authority(authority), m_faults(faults) {}
+
+    [[nodiscard]] std::optional<core::endpoint_id>
+    assigned_primary(const core::service_name& service) const override {
+        return m_authority.assigned_primary(service);
+    }
+    void withdraw(const core::service_name& service) override { m_authority.withdraw(service); }
+    void restore(const core::service_name& service) override { m_authority.restore(service); }
+    void on_stepped_down(const core::service_name& service, const core::endpoint_id& endpoint) override {
+        m_authority.on_stepped_down(service, endpoint);
+    }
+    bool reserve(const core::service_name& service, const core::endpoint_id& target,
+                 core::time_point now) override;
+    [[nodiscard]] bool may_use_primaries(const core::entry_host_id& host,
+                                         core::time_point now) const override {
+        return m_authority.may_use_primaries(host, now);
+    }
+
+private:
+    primary_leases::lease_authority& m_authority;
+    promotion_faults m_faults;
 };
 
 struct promotion_simulation_options {
@@ -34,10 +73,15 @@
     bool m_crash = true;
     bool m_drain = false;
     bool m_only_leader_is_cut_off = false; // The leader cannot reach the primary, but entry hosts can.
+    bool m_leased = false;                 // Entry hosts use primaries only under a lease.
+    bool m_old_primary_goes_on = false;    // Until it is stepped down or has reached the new one for 1 s.
+    bool m_cut = false;                    // The primary and some hosts are cut off at times.
+    bool m_suspend_hosts = false;
     promotion_faults m_injected_faults;
 };
 
-class promotion_simulation final : private promotion::promotion_ports {
+class promotion_simulation final : private promotion::promotion_ports,
+                                   private primary_leases::authority_ports {
 public:
     explicit promotion_simulation(promotion_simulation_options options);
     ~promotion_simulation() override;
@@ -59,6 +103,16 @@
         bool m_acts_as_primary = false;
         bool m_up = true;
         core::time_point m_last_contact{};
+        bool m_cut = false; // It reaches only hosts that are cut off as well.
+        core::time_point m_promoted_at{};
+    };
+    struct entry_host {
+        core::entry_host_id m_id;
+        primary_leases::lease_holder m_holder;
+        std::uint64_t m_clock_percent = 100; // Speed of its clock.
+        bool m_cut = false;
+        core::time_point m_suspended_until{};
+        core::duration m_total_suspension{};
     };
 
     void run_step(const core::service_name& service, const registry::endpoint_report& target,
@@ -67,6 +121,28 @@
                               promotion::fencing_token token) override;
     std::optional<promotion::fencing_token> next_fencing_token() override;
     void record_event(const promotion::promotion_event&) override {}
+    void propose_assignment(const core::service_name& service, const core::endpoint_id& endpoint) override;
+    void announce_list() override;
+    void record_event(const std::string&) override {}
+
+    // promotion_simulation_leases.cpp: entry hosts with leases.
+    void add_entry_hosts();
+    void run_entry_host(std::size_t index);
+    void request_lease(std::size_t index);
+    void send_grant(std::size_t index, const primary_leases::lease_grant& grant);
+    void write_under_lease(std::size_t index, const core::endpoint_id& endpoint);
+    void commit(std::size_t index, const core::endpoint_id& endpoint);
+    void acknowledge(std::size_t index, const core::endpoint_id& endpoint, std::uint64_t commit,
+                     bool was_replaced);
+    // Runs the action at the host after a message delay, and after its suspension.
+    void deliver(std::size_t index, core::duration delay, std::function<void()> action);
+    [[nodiscard]] core::time_point clock_of(const entry_host& host) const;
+    [[nodiscard]] bool may_use(const entry_host& host, const core::endpoint_id& endpoint) const;
+    [[nodiscard]] bool is_replaced(const database& server) const;
+    void check_leases_at_promotion(const core::endpoint_id& promoted);
+    void check_hosts_at_end();
+    void step_down_replaced_primaries();
+    void inject_lease_fault();
 
     void schedule(core::duration delay, std::function<void()> action);
     [[nodiscard]] std::uint64_t draw(std::uint64_t below) { return m_random() % below; }
@@ -87,7 +163,11 @@
     core::time_point m_now{std::chrono::hours(1)};
     std::map<std::pair<core::time_point, std::uint64_t>, std::function<void()>> m_events;
     std::uint64_t m_last_event_number = 0;
+    primary_leases::lease_authority m_authority;
+    authority_with_faults m_faulty_authority;
     std::unique_ptr<promotion::promotion_core> m_core;
+    primary_leases::primary_list m_assigned; // Committed assignments.
+    std::vector<entry_host> m_hosts;
     std::uint64_t m_leader_number = 0;
     std::uint64_t m_orders = 0;
     std::uint64_t m_highest_token = 0;          // Highest token that the executor has accepted.
--- a/test/support/relay_simulation.cpp
+++ b/test/support/relay_simulation.cpp
@@ -16,6 +16,7 @@
 constexpr const char* service = "ledger";
 constexpr core::milliseconds max_age{400};
 constexpr std::size_t caller_count = 5;
+constexpr core::milliseconds lease_length{300};
 
 documents::configuration configuration_of(std::uint32_t connections) {
     documents::configuration configuration;
@@ -50,6 +51,7 @@
     relay::relay_limits limits;
     limits.m_zone = core::availability_zone("zone0");
     limits.m_entry_hosts = 4;
+    limits.m_executor_fences = !options.m_leased;
     relay::relay_ports& ports = *this;
     m_core = std::make_unique<relay::relay_core>(ports, limits);
     if (options.m_lent_connections) {
@@ -119,6 +121,9 @@
         schedule(core::milliseconds(40 + random_below(300)), inject_faults);
     };
     schedule(core::milliseconds(300), inject_faults);
+    if (m_options.m_leased) {
+        renew_lease();
+    }
     for (std::size_t index = 0; index < caller_count; ++index) {
         schedule(core::milliseconds(100 + random_below(50)), [this] { start_operation(0); });
     }
@@ -158,9 +163,11 @@
 
 void relay_simulation::replicate() {
     for (database& server : m_databases) {
-        const database* primary = nullptr;
+        const database* primary = nullptr; // An old one may go on beside the latest.
         for (const database& other : m_databases) {
-            primary = other.m_acts_as_primary ? &other : primary;
+            const bool is_latest =
+                other.m_acts_as_primary && (primary == nullptr || primary->m_term < other.m_term);
+            primary = is_latest ? &other : primary;
         }
         if (primary == nullptr || server.m_acts_as_primary ||
             random_below(static_cast<std::uint64_t>(server.m_lag_ms)) > 15) {
@@ -181,7 +188,29 @@
     if (replicas.empty()) {
         return;
     }
-    const std::size_t chosen = replicas[random_below(replicas.size())];
+    promote_database(replicas[random_below(replicas.size())]);
+}
+
+void relay_simulation::renew_lease() {
+    if (m_assigned_primary) {
+        const core::time_point end =
+            m_options.m_injected_faults.m_endless_leases ? core::time_point::max() : m_now + lease_length;
+        m_core->set_primary_leases(
+            {{core::service_name(service), m_databases[*m_assigned_primary].m_report.m_id}},
+            core::deadline{end}, m_now);
+    }
+    schedule(lease_length / 3, [this] { renew_lease(); });
+}
+
+void relay_simulation::promote_after_leases() {
+    if (!m_assigned_primary) {
+        return;
+    }
+    m_assigned_primary.reset();
+    schedule(lease_length, [this] { promote(); });
+}
+
+void relay_simulation::promote_database(std::size_t chosen) {
     const std::vector<commit> retained_log = m_databases[chosen].m_log;
     std::uint32_t latest_term = 0;
     for (database& server : m_databases) {
@@ -193,7 +222,16 @@
                 m_rolled_back.insert(entry.m_attempt);
             }
         }
-        server.m_acts_as_primary = false;
+        server.m_acts_as_primary = server.m_acts_as_primary && m_options.m_leased;
+    }
+    if (m_options.m_leased) {
+        schedule(core::milliseconds(random_below(900)), [this, chosen] { m_assigned_primary = chosen; });
+        schedule(core::milliseconds(200 + random_below(1500)), [this, chosen] {
+            for (database& server : m_databases) {
+                server.m_acts_as_primary =
+                    server.m_acts_as_primary && server.m_term >= m_databases[chosen].m_term;
+            }
+        });
     }
     database& primary = m_databases[chosen];
     primary.m_acts_as_primary = true;
@@ -218,7 +256,7 @@
 
 void relay_simulation::inject_random_fault() {
     if (m_options.m_promotions && occurs(15)) {
-        promote();
+        m_options.m_leased ? promote_after_leases() : promote();
     }
     if (m_options.m_lag && occurs(20)) {
         m_databases[random_below(m_databases.size())].m_lag_ms = occurs(50) ? 60 : 2500;
--- a/test/support/relay_simulation.h
+++ b/test/support/relay_simulation.h
@@ -32,6 +32,7 @@
     bool m_return_with_session_values = false;
     // A borrowed connection is returned, as if it had none, with an open transaction.
     bool m_return_in_transaction = false;
+    bool m_endless_leases = false; // Primary leases do not end before a promotion.
 };
 
 struct relay_simulation_options {
@@ -42,7 +43,9 @@
     bool m_lag = true;
     std::uint32_t m_databases = 3;
     std::uint32_t m_connections = 30; // Connection limit of each database.
-    bool m_lent_connections = false;  // Every connection is borrowed from one of two other hosts.
+    // An old primary goes on after a promotion, and this host uses primaries under leases that end before.
+    bool m_leased = false;
+    bool m_lent_connections = false; // Every connection is borrowed from one of two other hosts.
     injected_faults m_injected_faults;
 };
 
@@ -132,6 +135,10 @@
     void on_operation_refused(std::uint64_t session);
     void inject_random_fault();
     void promote();
+    // Lets the leases on the old primary end, then promotes another database beside it.
+    void promote_after_leases();
+    void promote_database(std::size_t chosen);
+    void renew_lease();
     void replicate();
     void announce_endpoints();
 
@@ -144,6 +151,7 @@
     [[nodiscard]] core::history_position position_of(const database& server);
 
     relay_simulation_options m_options;
+    std::optional<std::size_t> m_assigned_primary = 0; // Empty while its leases end.
     std::mt19937_64 m_random;
     core::time_point m_now{std::chrono::hours(1)};
     using event = std::pair<core::time_point, std::uint64_t>;
