--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "metrics/page_writer.h"
+#include "metrics/peer_traffic.h"
 
 #include <algorithm>
 #include <utility>
@@ -38,7 +39,7 @@
 entry_node::entry_node(transport::event_loop& loop, transport::message_bus& bus,
                        transport::peer_network& network, const settings::fleet_settings& host_settings,
                        const session_protocol& protocol, documents::document_decoder decoder)
-    : m_loop(loop), m_settings(host_settings), m_protocol(protocol), m_decoder(decoder),
+    : m_loop(loop), m_bus(bus), m_settings(host_settings), m_protocol(protocol), m_decoder(decoder),
       m_core(*this, relay::relay_limits{.m_zone = host_settings.m_zone,
                                         .m_executor_fences = host_settings.m_executor_fences}),
       m_callers(loop, protocol, limits_from(host_settings)),
@@ -265,6 +266,7 @@
     page.add_line("links_to_lend", {}, static_cast<double>(lender.connection_count()));
     page.add_line("loans_granted_total", {}, static_cast<double>(lender.counters().m_granted));
     page.add_line("loans_refused_total", {}, static_cast<double>(lender.counters().m_refused));
+    metrics::add_peer_traffic(page, m_bus);
     return m_metrics.render_page(m_core, m_callers.rejected_count()) + page.take_text();
 }
 
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -77,6 +77,7 @@
     void write_summary();
 
     transport::event_loop& m_loop;
+    const transport::message_bus& m_bus;
     settings::fleet_settings m_settings;
     const session_protocol& m_protocol;
     documents::document_decoder m_decoder;
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "fleet/admission_choice.h"
 #include "metrics/page_writer.h"
+#include "metrics/peer_traffic.h"
 
 #include <algorithm>
 #include <random>
@@ -359,6 +360,7 @@
     page.add_line("entry_hosts", {}, m_publisher.entry_host_count());
     page.add_line("endpoints", {}, static_cast<double>(m_subscriber.endpoints().usable_reports().size()));
     page.add_line("promotion_orders_total", {}, static_cast<double>(m_total_order_count));
+    metrics::add_peer_traffic(page, m_bus);
     page.add_line("primary_lease_holders", {},
                   static_cast<double>(m_leases.authority().granter().current_holders(core::now()).size()));
     page.add_line("primary_leases_granted_total", {}, static_cast<double>(m_leases.granted_count()));
--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -89,7 +89,7 @@
             service.m_endpoints.push_back(report);
             service.m_last_contact[report.m_id] = endpoints.find(report.m_id)->m_last_contact;
             for (const auto& [host, subscriber] : subscribers) {
-                const auto seen = subscriber.m_primaries.find(report.m_id);
+                const auto seen = subscriber.m_primaries.find(hash_of(report.m_id));
                 if (seen != subscriber.m_primaries.end() &&
                     subscriber.m_last_contact + observation_lifetime > now) {
                     promotion::entry_host_counts& counts = service.m_entry_host_counts[report.m_id];
--- a/src/fleet/update_publisher.cpp
+++ b/src/fleet/update_publisher.cpp
@@ -21,6 +21,17 @@
 
 } // namespace
 
+// FNV-1a, 32 bits: the same in every build.
+endpoint_hash hash_of(const core::endpoint_id& endpoint) {
+    constexpr std::uint32_t offset = 2166136261U;
+    constexpr std::uint32_t prime = 16777619U;
+    std::uint32_t value = offset;
+    for (const char byte : endpoint.value()) {
+        value = (value ^ static_cast<unsigned char>(byte)) * prime;
+    }
+    return endpoint_hash(value);
+}
+
 update_publisher::update_publisher(transport::message_bus& bus, transport::peer_network& network,
                                    const documents::document_register& documents,
                                    registry::endpoint_registry& endpoints)
@@ -50,12 +61,13 @@
     subscriber.m_last_contact = now;
     subscriber.m_primaries.clear();
     for (const auto& view : query.primaries) {
-        subscriber.m_primaries[core::endpoint_id(view->endpoint)] = {view->answered, view->failing};
+        subscriber.m_primaries[hash_of(core::endpoint_id(view->endpoint))] = {view->answered, view->failing};
     }
-    wire::fleet_updateT update;
-    for (const core::entry_host_id& host : control_hosts) {
-        update.control_hosts.push_back(host.value());
+    for (const wire::primary_sighting& seen : query.sightings) {
+        subscriber.m_primaries[endpoint_hash(seen.endpoint())] = {seen.answered(), seen.failing()};
     }
+    wire::fleet_updateT update;
+    add_control_hosts(update, control_hosts, query.control_hosts_digest);
     update.entry_hosts = entry_host_count();
     update.document_version = m_documents.version().value();
     if (query.wants_document && query.document_version < update.document_version) {
@@ -73,6 +85,21 @@
     m_bus.send(from, std::move(update));
 }
 
+void update_publisher::add_control_hosts(wire::fleet_updateT& update,
+                                         const std::set<core::entry_host_id>& hosts,
+                                         std::uint64_t known_digest) {
+    std::string all;
+    for (const core::entry_host_id& host : hosts) {
+        all += host.value() + "\n";
+    }
+    update.control_hosts_digest = std::hash<std::string>{}(all);
+    if (update.control_hosts_digest != known_digest) {
+        for (const core::entry_host_id& host : hosts) {
+            update.control_hosts.push_back(host.value());
+        }
+    }
+}
+
 void update_publisher::add_ready_hosts(wire::fleet_updateT& update, std::uint64_t known_digest,
                                        core::time_point now) const {
     if (m_start_time + list_completion_time > now) {
--- a/src/fleet/update_publisher.h
+++ b/src/fleet/update_publisher.h
@@ -16,6 +16,11 @@
 
 namespace mangoquay::fleet {
 
+// Identifies an endpoint in observations, which hosts send twice a second. Two endpoints with the same value
+// would share their observations.
+using endpoint_hash = core::strong_value<struct endpoint_hash_tag, std::uint32_t>;
+endpoint_hash hash_of(const core::endpoint_id& endpoint);
+
 // What an entry host last reported about a primary.
 struct primary_view {
     bool m_answered = false;
@@ -27,7 +32,7 @@
     bool m_ready = false; // Accepts callers.
     core::availability_zone m_zone;
     core::time_point m_last_contact{};
-    std::map<core::endpoint_id, primary_view> m_primaries;
+    std::map<endpoint_hash, primary_view> m_primaries;
 };
 
 class update_publisher {
@@ -52,6 +57,9 @@
 private:
     void erase_expired_subscribers(core::time_point now);
     void add_document(wire::fleet_updateT& update);
+    // Adds the list of control hosts, unless the subscriber has it already.
+    static void add_control_hosts(wire::fleet_updateT& update, const std::set<core::entry_host_id>& hosts,
+                                  std::uint64_t known_digest);
     // Adds the list of ready entry hosts, unless the subscriber has it already.
     void add_ready_hosts(wire::fleet_updateT& update, std::uint64_t known_digest, core::time_point now) const;
 
--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -3,6 +3,7 @@
 
 #include "core/deflate.h"
 #include "core/log.h"
+#include "fleet/update_publisher.h"
 #include "registry/registry_wire.h"
 
 #include <algorithm>
@@ -63,6 +64,8 @@
             core::log_line(core::log_level::info, "fleet",
                            "control host removed because it does not answer host=" + host.value());
             m_fetch.remove_host(host);
+            m_control_lists.clear(); // Lists that name the host are sent again and add it again.
+            m_entry_host_counts.erase(host);
             m_ready_lists.erase(host);
         }
         return is_expired;
@@ -83,11 +86,9 @@
     query.document_version = m_handlers.m_document_version().value();
     query.registry_digest = m_registry.digest();
     for (const relay::primary_observation& seen : m_handlers.m_primary_observations()) {
-        auto view = std::make_unique<wire::primary_viewT>();
-        view->endpoint = seen.m_endpoint.value();
-        view->answered = seen.m_answered;
-        view->failing = seen.m_failing;
-        query.primaries.push_back(std::move(view));
+        if (seen.m_answered || seen.m_failing) {
+            query.sightings.emplace_back(hash_of(seen.m_endpoint).value(), seen.m_answered, seen.m_failing);
+        }
     }
     return query;
 }
@@ -97,6 +98,8 @@
     for (const core::entry_host_id& host : m_control_hosts) {
         const auto known = m_ready_lists.find(host);
         query.ready_hosts_digest = known == m_ready_lists.end() ? 0 : known->second.m_digest;
+        const auto list = m_control_lists.find(host);
+        query.control_hosts_digest = list == m_control_lists.end() ? 0 : list->second;
         m_bus.send(host, query);
     }
     fetch_document();
@@ -177,6 +180,9 @@
     for (const std::string& host : update.control_hosts) {
         add_control_host(core::entry_host_id(host));
     }
+    if (!update.control_hosts.empty()) {
+        m_control_lists[from] = update.control_hosts_digest;
+    }
     bool changed = false;
     for (const auto& entry : update.endpoints) {
         const registry::endpoint_report report = registry::from_wire(*entry);
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -83,6 +83,8 @@
     subscriber_handlers m_handlers;
     std::set<core::entry_host_id> m_control_hosts;
     std::map<core::entry_host_id, core::time_point> m_last_answers;
+    // Digest of the list of control hosts that each of them sent last.
+    std::map<core::entry_host_id, std::uint64_t> m_control_lists;
     std::map<core::entry_host_id, std::uint32_t> m_entry_host_counts; // As counted by each control host.
     struct ready_list {
         std::uint64_t m_digest = 0;
--- a/src/transport/message_bus.cpp
+++ b/src/transport/message_bus.cpp
@@ -16,6 +16,9 @@
 bool message_bus::send_envelope(const core::entry_host_id& to, const wire::envelopeT& envelope) {
     std::vector<std::uint8_t> bytes = pack_envelope(envelope);
     if (to != m_self) {
+        sent_amount& sent = m_sent[wire::EnumNamemessage(envelope.body.type)];
+        ++sent.m_messages;
+        sent.m_bytes += bytes.size();
         return m_network.send(to, std::move(bytes));
     }
     m_loop.post([this, bytes = std::move(bytes)] { on_frame_received(m_self, bytes); });
--- a/src/transport/message_bus.h
+++ b/src/transport/message_bus.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -38,6 +39,14 @@
         return send_envelope(to, envelope);
     }
 
+    // Messages and their bytes, without the framing, that were passed to connections since the start.
+    struct sent_amount {
+        std::uint64_t m_messages = 0;
+        std::uint64_t m_bytes = 0;
+    };
+    // By the name of the kind of message.
+    [[nodiscard]] const std::map<std::string, sent_amount>& sent_amounts() const { return m_sent; }
+
 private:
     using body_handler = std::function<void(const core::entry_host_id&, const wire::messageUnion&)>;
 
@@ -48,6 +57,7 @@
     peer_network& m_network;
     core::entry_host_id m_self;
     std::map<wire::message, body_handler> m_handlers;
+    std::map<std::string, sent_amount> m_sent;
 };
 
 // Encodes an envelope. Public for tests and fuzzing.
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -137,6 +137,8 @@
 struct primary_viewBuilder;
 struct primary_viewT;
 
+struct primary_sighting;
+
 struct fleet_follow;
 struct fleet_followBuilder;
 struct fleet_followT;
@@ -803,6 +805,45 @@
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
 bool VerifymessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<message> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) primary_sighting FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint8_t answered_;
+  uint8_t failing_;
+  int16_t padding0__;
+
+ public:
+  struct Traits;
+  primary_sighting()
+      : endpoint_(0),
+        answered_(0),
+        failing_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  primary_sighting(uint32_t _endpoint, bool _answered, bool _failing)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        answered_(flatbuffers::EndianScalar(static_cast<uint8_t>(_answered))),
+        failing_(flatbuffers::EndianScalar(static_cast<uint8_t>(_failing))),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  bool answered() const {
+    return flatbuffers::EndianScalar(answered_) != 0;
+  }
+  bool failing() const {
+    return flatbuffers::EndianScalar(failing_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(primary_sighting, 8);
+
+struct primary_sighting::Traits {
+  using type = primary_sighting;
+};
+
 struct wire_positionT : public flatbuffers::NativeTable {
   typedef wire_position TableType;
   uint32_t term = 0;
@@ -4350,6 +4391,8 @@
   bool wants_document = false;
   std::string zone{};
   uint64_t ready_hosts_digest = 0;
+  std::vector<mangoquay::wire::primary_sighting> sightings{};
+  uint64_t control_hosts_digest = 0;
   fleet_followT() = default;
   fleet_followT(const fleet_followT &o);
   fleet_followT(fleet_followT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4370,7 +4413,9 @@
     VT_PRIMARIES = 16,
     VT_WANTS_DOCUMENT = 18,
     VT_ZONE = 20,
-    VT_READY_HOSTS_DIGEST = 22
+    VT_READY_HOSTS_DIGEST = 22,
+    VT_SIGHTINGS = 24,
+    VT_CONTROL_HOSTS_DIGEST = 26
   };
   bool is_entry() const {
     return GetField<uint8_t>(VT_IS_ENTRY, 0) != 0;
@@ -4402,6 +4447,12 @@
   uint64_t ready_hosts_digest() const {
     return GetField<uint64_t>(VT_READY_HOSTS_DIGEST, 0);
   }
+  const flatbuffers::Vector<const mangoquay::wire::primary_sighting *> *sightings() const {
+    return GetPointer<const flatbuffers::Vector<const mangoquay::wire::primary_sighting *> *>(VT_SIGHTINGS);
+  }
+  uint64_t control_hosts_digest() const {
+    return GetField<uint64_t>(VT_CONTROL_HOSTS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_IS_ENTRY, 1) &&
@@ -4418,6 +4469,9 @@
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
            VerifyField<uint64_t>(verifier, VT_READY_HOSTS_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_SIGHTINGS) &&
+           verifier.VerifyVector(sightings()) &&
+           VerifyField<uint64_t>(verifier, VT_CONTROL_HOSTS_DIGEST, 8) &&
            verifier.EndTable();
   }
   fleet_followT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4459,6 +4513,12 @@
   void add_ready_hosts_digest(uint64_t ready_hosts_digest) {
     fbb_.AddElement<uint64_t>(fleet_follow::VT_READY_HOSTS_DIGEST, ready_hosts_digest, 0);
   }
+  void add_sightings(flatbuffers::Offset<flatbuffers::Vector<const mangoquay::wire::primary_sighting *>> sightings) {
+    fbb_.AddOffset(fleet_follow::VT_SIGHTINGS, sightings);
+  }
+  void add_control_hosts_digest(uint64_t control_hosts_digest) {
+    fbb_.AddElement<uint64_t>(fleet_follow::VT_CONTROL_HOSTS_DIGEST, control_hosts_digest, 0);
+  }
   explicit fleet_followBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4481,11 +4541,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_view>>> primaries = 0,
     bool wants_document = false,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    uint64_t ready_hosts_digest = 0) {
+    uint64_t ready_hosts_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const mangoquay::wire::primary_sighting *>> sightings = 0,
+    uint64_t control_hosts_digest = 0) {
   fleet_followBuilder builder_(_fbb);
+  builder_.add_control_hosts_digest(control_hosts_digest);
   builder_.add_ready_hosts_digest(ready_hosts_digest);
   builder_.add_registry_digest(registry_digest);
   builder_.add_document_version(document_version);
+  builder_.add_sightings(sightings);
   builder_.add_zone(zone);
   builder_.add_primaries(primaries);
   builder_.add_peer_host(peer_host);
@@ -4512,10 +4576,13 @@
     const std::vector<flatbuffers::Offset<mangoquay::wire::primary_view>> *primaries = nullptr,
     bool wants_document = false,
     const char *zone = nullptr,
-    uint64_t ready_hosts_digest = 0) {
+    uint64_t ready_hosts_digest = 0,
+    const std::vector<mangoquay::wire::primary_sighting> *sightings = nullptr,
+    uint64_t control_hosts_digest = 0) {
   auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
   auto primaries__ = primaries ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>>(*primaries) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto sightings__ = sightings ? _fbb.CreateVectorOfStructs<mangoquay::wire::primary_sighting>(*sightings) : 0;
   return mangoquay::wire::Createfleet_follow(
       _fbb,
       is_entry,
@@ -4527,7 +4594,9 @@
       primaries__,
       wants_document,
       zone__,
-      ready_hosts_digest);
+      ready_hosts_digest,
+      sightings__,
+      control_hosts_digest);
 }
 
 flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4542,6 +4611,7 @@
   uint32_t document_bytes = 0;
   std::vector<std::unique_ptr<mangoquay::wire::zone_hostsT>> ready_hosts{};
   uint64_t ready_hosts_digest = 0;
+  uint64_t control_hosts_digest = 0;
   fleet_updateT() = default;
   fleet_updateT(const fleet_updateT &o);
   fleet_updateT(fleet_updateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4560,7 +4630,8 @@
     VT_ENTRY_HOSTS = 12,
     VT_DOCUMENT_BYTES = 14,
     VT_READY_HOSTS = 16,
-    VT_READY_HOSTS_DIGEST = 18
+    VT_READY_HOSTS_DIGEST = 18,
+    VT_CONTROL_HOSTS_DIGEST = 20
   };
   uint64_t document_version() const {
     return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
@@ -4586,6 +4657,9 @@
   uint64_t ready_hosts_digest() const {
     return GetField<uint64_t>(VT_READY_HOSTS_DIGEST, 0);
   }
+  uint64_t control_hosts_digest() const {
+    return GetField<uint64_t>(VT_CONTROL_HOSTS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
@@ -4603,6 +4677,7 @@
            verifier.VerifyVector(ready_hosts()) &&
            verifier.VerifyVectorOfTables(ready_hosts()) &&
            VerifyField<uint64_t>(verifier, VT_READY_HOSTS_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONTROL_HOSTS_DIGEST, 8) &&
            verifier.EndTable();
   }
   fleet_updateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4638,6 +4713,9 @@
   void add_ready_hosts_digest(uint64_t ready_hosts_digest) {
     fbb_.AddElement<uint64_t>(fleet_update::VT_READY_HOSTS_DIGEST, ready_hosts_digest, 0);
   }
+  void add_control_hosts_digest(uint64_t control_hosts_digest) {
+    fbb_.AddElement<uint64_t>(fleet_update::VT_CONTROL_HOSTS_DIGEST, control_hosts_digest, 0);
+  }
   explicit fleet_updateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4658,8 +4736,10 @@
     uint32_t entry_hosts = 0,
     uint32_t document_bytes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>>> ready_hosts = 0,
-    uint64_t ready_hosts_digest = 0) {
+    uint64_t ready_hosts_digest = 0,
+    uint64_t control_hosts_digest = 0) {
   fleet_updateBuilder builder_(_fbb);
+  builder_.add_control_hosts_digest(control_hosts_digest);
   builder_.add_ready_hosts_digest(ready_hosts_digest);
   builder_.add_document_version(document_version);
   builder_.add_ready_hosts(ready_hosts);
@@ -4685,7 +4765,8 @@
     uint32_t entry_hosts = 0,
     uint32_t document_bytes = 0,
     const std::vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> *ready_hosts = nullptr,
-    uint64_t ready_hosts_digest = 0) {
+    uint64_t ready_hosts_digest = 0,
+    uint64_t control_hosts_digest = 0) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>(*endpoints) : 0;
   auto control_hosts__ = control_hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control_hosts) : 0;
@@ -4699,7 +4780,8 @@
       entry_hosts,
       document_bytes,
       ready_hosts__,
-      ready_hosts_digest);
+      ready_hosts_digest,
+      control_hosts_digest);
 }
 
 flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7737,7 +7819,9 @@
         registry_digest(o.registry_digest),
         wants_document(o.wants_document),
         zone(o.zone),
-        ready_hosts_digest(o.ready_hosts_digest) {
+        ready_hosts_digest(o.ready_hosts_digest),
+        sightings(o.sightings),
+        control_hosts_digest(o.control_hosts_digest) {
   primaries.reserve(o.primaries.size());
   for (const auto &primaries_ : o.primaries) { primaries.emplace_back((primaries_) ? new mangoquay::wire::primary_viewT(*primaries_) : nullptr); }
 }
@@ -7753,6 +7837,8 @@
   std::swap(wants_document, o.wants_document);
   std::swap(zone, o.zone);
   std::swap(ready_hosts_digest, o.ready_hosts_digest);
+  std::swap(sightings, o.sightings);
+  std::swap(control_hosts_digest, o.control_hosts_digest);
   return *this;
 }
 
@@ -7775,6 +7861,8 @@
   { auto _e = wants_document(); _o->wants_document = _e; }
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = ready_hosts_digest(); _o->ready_hosts_digest = _e; }
+  { auto _e = sightings(); if (_e) { _o->sightings.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->sightings[_i] = *_e->Get(_i); } } }
+  { auto _e = control_hosts_digest(); _o->control_hosts_digest = _e; }
 }
 
 inline flatbuffers::Offset<fleet_follow> fleet_follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7795,6 +7883,8 @@
   auto _wants_document = _o->wants_document;
   auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   auto _ready_hosts_digest = _o->ready_hosts_digest;
+  auto _sightings = _o->sightings.size() ? _fbb.CreateVectorOfStructs(_o->sightings) : 0;
+  auto _control_hosts_digest = _o->control_hosts_digest;
   return mangoquay::wire::Createfleet_follow(
       _fbb,
       _is_entry,
@@ -7806,7 +7896,9 @@
       _primaries,
       _wants_document,
       _zone,
-      _ready_hosts_digest);
+      _ready_hosts_digest,
+      _sightings,
+      _control_hosts_digest);
 }
 
 inline fleet_updateT::fleet_updateT(const fleet_updateT &o)
@@ -7815,7 +7907,8 @@
         control_hosts(o.control_hosts),
         entry_hosts(o.entry_hosts),
         document_bytes(o.document_bytes),
-        ready_hosts_digest(o.ready_hosts_digest) {
+        ready_hosts_digest(o.ready_hosts_digest),
+        control_hosts_digest(o.control_hosts_digest) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangoquay::wire::endpoint_entryT(*endpoints_) : nullptr); }
   ready_hosts.reserve(o.ready_hosts.size());
@@ -7831,6 +7924,7 @@
   std::swap(document_bytes, o.document_bytes);
   std::swap(ready_hosts, o.ready_hosts);
   std::swap(ready_hosts_digest, o.ready_hosts_digest);
+  std::swap(control_hosts_digest, o.control_hosts_digest);
   return *this;
 }
 
@@ -7851,6 +7945,7 @@
   { auto _e = document_bytes(); _o->document_bytes = _e; }
   { auto _e = ready_hosts(); if (_e) { _o->ready_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ready_hosts[_i] = std::unique_ptr<mangoquay::wire::zone_hostsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = ready_hosts_digest(); _o->ready_hosts_digest = _e; }
+  { auto _e = control_hosts_digest(); _o->control_hosts_digest = _e; }
 }
 
 inline flatbuffers::Offset<fleet_update> fleet_update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7869,6 +7964,7 @@
   auto _document_bytes = _o->document_bytes;
   auto _ready_hosts = _o->ready_hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> (_o->ready_hosts.size(), [](size_t i, _VectorArgs *__va) { return Createzone_hosts(*__va->__fbb, __va->__o->ready_hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _ready_hosts_digest = _o->ready_hosts_digest;
+  auto _control_hosts_digest = _o->control_hosts_digest;
   return mangoquay::wire::Createfleet_update(
       _fbb,
       _document_version,
@@ -7878,7 +7974,8 @@
       _entry_hosts,
       _document_bytes,
       _ready_hosts,
-      _ready_hosts_digest);
+      _ready_hosts_digest,
+      _control_hosts_digest);
 }
 
 inline cell_joinT *cell_join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
