Refuse odd entries of other writers, and keep large numbers from wrapping

A status report with a capacity of 2^32 was accepted with 0 slots; one with a start time near the largest integer kept all true reports of its id out for good; ids, services and zones of any length, with line breaks, were stored, sent to all hosts and written into the startup message to databases. Durations above 292 years in a configuration wrapped when they were added to the present time, and counts above 2^32 were truncated.

Ruled out: ports out of range, missing or negative ports and host names (parse_socket_address refuses them), nesting (core::parse_json stops at 32 levels, shown with 100,000), bytes that are no UTF-8.

Change: ranges and characters of a report are checked where it is merged, so entries from the file of the last start and from hosts of earlier versions are checked too.

--- a/src/registry/endpoint_registry.cpp
+++ b/src/registry/endpoint_registry.cpp
@@ -1,6 +1,7 @@
 // Merge order, expiry and digest of endpoint reports.
 #include "registry/endpoint_registry.h"
 
+#include <algorithm>
 #include <string_view>
 #include <tuple>
 
@@ -35,7 +36,25 @@
 
 } // namespace
 
+std::string invalid_reason(const endpoint_report& report) {
+    const auto is_name = [](const std::string& text) {
+        return text.size() <= max_name_bytes &&
+               std::ranges::all_of(text, [](unsigned char byte) { return byte > ' ' && byte != 0x7f; });
+    };
+    if (!is_name(report.m_id.value()) || !is_name(report.m_service.value()) ||
+        !is_name(report.m_zone.value())) {
+        return "id, service or zone is too long or contains blanks or control characters";
+    }
+    if (report.m_slots > max_slots || report.m_started_ms < 0 || report.m_started_ms > max_start_time_ms) {
+        return "the number of slots or the start time is out of range";
+    }
+    return {};
+}
+
 merge_outcome endpoint_registry::merge(const endpoint_report& report, core::time_point now) {
+    if (!invalid_reason(report).empty()) {
+        return merge_outcome::stale;
+    }
     const auto found = m_entries.find(report.m_id);
     if (found == m_entries.end()) {
         m_entries.emplace(report.m_id, endpoint_entry{report, now});
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace mangoquay::registry {
@@ -41,13 +42,23 @@
     friend bool operator==(const endpoint_report&, const endpoint_report&) = default;
 };
 
+// Limits of a valid report. Ids, services and zones go into messages to databases and to all hosts.
+inline constexpr std::size_t max_name_bytes = 200;
+inline constexpr std::uint32_t max_slots = 100'000;
+// Year 5138. A report with a later start time would keep all true reports of its id out.
+inline constexpr std::int64_t max_start_time_ms = 100'000'000'000'000;
+
+// Why the report cannot be one of a database; empty if it can. Reports also arrive from hosts of other
+// versions and from the file of the last start.
+std::string invalid_reason(const endpoint_report& report);
+
 struct endpoint_entry {
     endpoint_report m_report;
     core::time_point m_last_contact{}; // When a report was last merged on this host.
 };
 
 enum class merge_outcome : std::uint8_t {
-    stale,     // The report is not newer than the stored one, or its incarnation has been removed.
+    stale,     // The report is invalid or not newer than the stored one, or its incarnation has been removed.
     refreshed, // The report is newer, but only its sequence number differs.
     changed,
 };
--- a/test/correctness/endpoint_registry_merge.cpp
+++ b/test/correctness/endpoint_registry_merge.cpp
@@ -38,8 +38,23 @@
     CPPUNIT_TEST(the_latest_to_start_at_an_address_is_usable);
     CPPUNIT_TEST(a_report_after_removal_does_not_restore_the_endpoint);
     CPPUNIT_TEST(a_refresh_does_not_change_the_digest);
+    CPPUNIT_TEST(an_invalid_report_of_another_host_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
+    // A host of an earlier program version passes on what it has accepted; so does the file of the last
+    // start.
+    static void an_invalid_report_of_another_host_is_ignored() {
+        endpoint_registry held;
+        held.merge(report("i-1", 5, 1), start);
+        endpoint_report late = report("i-1", registry::max_start_time_ms + 1, 2);
+        endpoint_report wide = report("i-1", 6, 2);
+        wide.m_slots = registry::max_slots + 1;
+        for (const endpoint_report& odd : {late, wide, report("i 1\r\n", 6, 2), report("i-1", -1, 2)}) {
+            CPPUNIT_ASSERT(held.merge(odd, start) == merge_outcome::stale);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), held.entries().size());
+        CPPUNIT_ASSERT(held.merge(report("i-1", 6, 2), start) == merge_outcome::changed);
+    }
     static void hosts_agree_regardless_of_report_order() {
         CPPUNIT_ASSERT(rc::check("the merge commutes", [] {
             std::vector<endpoint_report> reports;
--- a/test/correctness/platform_configuration.cpp
+++ b/test/correctness/platform_configuration.cpp
@@ -35,6 +35,9 @@
     CPPUNIT_TEST(the_highest_version_wins_in_any_order);
     CPPUNIT_TEST(a_stored_version_keeps_its_bytes);
     CPPUNIT_TEST(a_report_with_missing_or_mistyped_fields_is_refused);
+    CPPUNIT_TEST(odd_reports_of_other_writers_are_refused);
+    CPPUNIT_TEST(deeply_nested_documents_are_refused);
+    CPPUNIT_TEST(numbers_beyond_their_type_do_not_wrap);
     CPPUNIT_TEST_SUITE_END();
 
     static void a_valid_document_is_decoded_completely() {
@@ -107,6 +110,68 @@
         }
         CPPUNIT_ASSERT(!platform::decode_report("i-1", "\xff{}"));
     }
+    // Accepted, such an entry would name an address that is none, keep later reports of the endpoint out, or
+    // carry line breaks into messages to databases.
+    static void odd_reports_of_other_writers_are_refused() {
+        const auto complete = nlohmann::json::parse(
+            R"({"service":"huvo","address":"10.128.0.9:8080","zone":"makati","capacity":3,"state":"ready",
+                "db-role":"replica","sequence":4,"born":1767225600000})");
+        const std::vector<std::pair<const char*, nlohmann::json>> odd_values{
+            {"address", "10.128.0.9:0"},
+            {"address", "10.128.0.9:65536"},
+            {"address", "10.128.0.9:-1"},
+            {"address", "10.128.0.9:99999999999999999999"},
+            {"address", "10.128.0.9"},
+            {"address", "nowhere:8080"},
+            {"capacity", std::uint64_t{1} << 32U},
+            {"capacity", -1},
+            {"capacity", 2.5},
+            {"capacity", 1e300},
+            {"born", INT64_MAX},
+            {"born", UINT64_MAX},
+            {"born", 1.5},
+            {"sequence", 1e300},
+            {"zone", "makati\r\nQUERY"},
+            {"zone", std::string(1U << 20U, 'z')},
+            {"service", "huvo\r\n"},
+            {"service", std::string(1U << 20U, 's')},
+        };
+        for (const auto& [field, value] : odd_values) {
+            nlohmann::json odd = complete;
+            odd[field] = value;
+            CPPUNIT_ASSERT_MESSAGE(field + (" " + value.dump().substr(0, 40)),
+                                   !platform::decode_report("i-1", odd.dump()));
+        }
+        for (const std::string& id :
+             {std::string("i 1"), std::string("i-1\r\nQUERY"), std::string(4096, 'i')}) {
+            CPPUNIT_ASSERT_MESSAGE(id.substr(0, 20), !platform::decode_report(id, complete.dump()));
+        }
+    }
+    static void deeply_nested_documents_are_refused() {
+        constexpr std::size_t levels = 100'000;
+        const std::string arrays = std::string(levels, '[') + std::string(levels, ']');
+        CPPUNIT_ASSERT(!platform::decode_report("i-1", R"({"service":)" + arrays + "}"));
+        CPPUNIT_ASSERT(!platform::decode_report("i-1", std::string(levels, '[')));
+        CPPUNIT_ASSERT(!platform::decode_configuration(R"({"version":1,"routes":)" + arrays + "}"));
+        CPPUNIT_ASSERT(!platform::decode_start_time(arrays));
+    }
+    // A limit that is too large to represent means no limit, not a small or negative one.
+    static void numbers_beyond_their_type_do_not_wrap() {
+        nlohmann::json document = nlohmann::json::parse(
+            R"({"version":1,"routes":[{"name":"r","host":"h","kind":"primary","service":"s"}],
+                "services":[{"name":"s"}],"limits":{}})");
+        document["routes"][0]["timeout-ms"] = UINT64_MAX;
+        document["routes"][0]["priority"] = (std::uint64_t{1} << 32U) + 1;
+        document["services"][0]["max-connections"] = std::uint64_t{1} << 32U;
+        document["limits"]["tx-idle-ms"] = UINT64_MAX;
+        const auto decoded = platform::decode_configuration(document.dump());
+        CPPUNIT_ASSERT(decoded);
+        const core::time_point now{std::chrono::hours(24 * 365 * 30)};
+        CPPUNIT_ASSERT(now + decoded->m_routes[0].m_statement_timeout > now);
+        CPPUNIT_ASSERT(now + decoded->m_transaction_idle_timeout > now);
+        CPPUNIT_ASSERT(decoded->m_routes[0].m_priority > 1);
+        CPPUNIT_ASSERT(decoded->m_services[0].m_max_connections > 1000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_configuration);
