Repeat connecting to a peer that does not answer after 250 to 500 ms

The control hosts start from 47.05 to 47.45 s, and the leader is elected at 48.48 s: each connects to others that have no power yet, whose SYN is lost, and the kernel repeats it only after 1 s. The handshake limit of 2 s covered connecting as well.

Change: an attempt to connect ends after 250, then 500 ms, and is made again after the usual pause; the 2 s hold for the handshake alone.

No test: the time of a SYN is the kernel's, and tests assert no times.

--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -20,6 +20,10 @@
 namespace {
 
 constexpr auto handshake_timeout = core::milliseconds(2000);
+// A host without power answers no SYN, and the kernel repeats it only after 1 s. A new attempt reaches a host
+// that starts meanwhile sooner. Elections end within 500 ms, so a slower network carries no cell anyway.
+constexpr auto min_connect_timeout = core::milliseconds(250);
+constexpr auto max_connect_timeout = core::milliseconds(500);
 constexpr auto initial_backoff = core::milliseconds(50);
 // Short, so that a restarted peer is reached again well within a lease, which lasts 1,000 ms.
 constexpr auto max_backoff = core::milliseconds(400);
@@ -103,8 +107,10 @@
         return;
     }
     m_network.m_loop.watch(m_socket, EPOLLOUT, [this](std::uint32_t events) { on_events(events); });
+    m_connect_timeout =
+        std::clamp<core::duration>(m_connect_timeout * 2, min_connect_timeout, max_connect_timeout);
     m_handshake_timer =
-        m_network.m_loop.run_after(handshake_timeout, [this] { fail("handshake timed out"); });
+        m_network.m_loop.run_after(m_connect_timeout, [this] { fail("connecting timed out"); });
 }
 
 void outgoing_connection::fail(const char* reason) {
@@ -156,6 +162,10 @@
         fail("connect or first handshake message failed");
         return;
     }
+    m_connect_timeout = {};
+    m_network.m_loop.cancel_timer(m_handshake_timer);
+    m_handshake_timer =
+        m_network.m_loop.run_after(handshake_timeout, [this] { fail("handshake timed out"); });
     m_state = connection_state::awaiting_welcome;
     m_network.m_loop.watch(m_socket, EPOLLIN, [this](std::uint32_t events) { on_events(events); });
 }
--- a/src/transport/peer_connection.h
+++ b/src/transport/peer_connection.h
@@ -41,8 +41,9 @@
     control::socket_address m_address;
     connection_state m_state = connection_state::closed;
     int m_socket = -1;
-    core::deadline m_next_attempt; // No connection attempt is made before this time.
-    core::duration m_backoff{};    // Doubled with each consecutive failure.
+    core::deadline m_next_attempt;      // No connection attempt is made before this time.
+    core::duration m_backoff{};         // Doubled with each consecutive failure.
+    core::duration m_connect_timeout{}; // Time limit of the latest attempt that got no answer.
     timer_id m_handshake_timer{};
     std::optional<dialler_handshake> m_handshake;
     std::vector<std::uint8_t> m_received;             // Received part of the welcome message.
