--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -11,10 +11,10 @@
 // - With synchronous replicas, an order is issued only after enough replicas have answered that each
 //   acknowledged commit is held by at least one of them.
 // - Each order has its own fencing token, higher than those of all earlier orders.
-// - Where an old primary goes on after a promotion (service_view::m_is_leased), an order is issued only when
-// no
-//   entry host can use the old primary any more and the assignment of the new one is committed. The assigned
-//   endpoint stays the monitored one, whichever others report to be primaries; those are stepped down.
+// - Where an old primary goes on after a promotion (service_view::m_is_leased), an order is issued only
+//   when no entry host can use the old primary any more and the assignment of the new one is committed. The
+//   assigned endpoint stays the monitored one, whichever others report to be primaries; those are stepped
+//   down.
 // - Replicas are resumed only after the executor has accepted an order whose token is higher than that of
 //   every unanswered order. If necessary, an order that names the current primary and changes nothing is
 //   issued for this purpose: an unanswered order that is carried out seconds later would promote a replica
