--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -8,7 +8,6 @@
 
 #include "entry/caller_sessions.h"
 #include "entry/database_connection.h"
-#include "entry/drain_schedule.h"
 #include "entry/loan_exchange.h"
 #include "fleet/lease_renewal.h"
 #include "fleet/update_subscriber.h"
@@ -95,7 +94,9 @@
     core::time_point m_next_summary{};
     std::uint64_t m_line_count = 0; // Logged since the last summary.
     std::uint64_t m_suppressed_line_count = 0;
-    drain_schedule m_drain;             // Set while the host stops.
+    core::deadline m_session_drain_start; // Set, like the next two, while the host stops.
+    core::deadline m_transaction_abort_start;
+    core::deadline m_drain_deadline;
     std::function<void()> m_on_stopped; // Set while the host stops.
     bool m_accepting_ended = false;
 };
