--- a/src/documents/document_fetch.cpp
+++ b/src/documents/document_fetch.cpp
@@ -49,6 +49,11 @@
     return m_queried_host;
 }
 
+document_version document_fetch::announced_version(const core::entry_host_id& host) const {
+    const auto found = m_announced_versions.find(host);
+    return found == m_announced_versions.end() ? document_version{} : found->second;
+}
+
 core::deadline document_fetch::next_attempt(document_version held) const {
     const bool newer_announced =
         std::ranges::any_of(m_announced_versions, [held](const auto& entry) { return entry.second > held; });
--- a/src/documents/document_fetch.h
+++ b/src/documents/document_fetch.h
@@ -35,6 +35,8 @@
     // Returns the host to query now for a document newer than `held`, and marks the fetch as in progress.
     // Returns nothing if no newer version is announced, or if it is too early for the next fetch.
     std::optional<core::entry_host_id> next_host(document_version held, core::time_point now);
+    // The newest version that the host has announced; 0 if it has announced none.
+    [[nodiscard]] document_version announced_version(const core::entry_host_id& host) const;
     // Earliest time at which next_host() may return a host without a further event. time_point::max() means
     // that it will not.
     [[nodiscard]] core::deadline next_attempt(document_version held) const;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -57,8 +57,8 @@
 
 fleet::subscriber_handlers entry_node::make_subscriber_handlers() {
     fleet::subscriber_handlers handlers;
-    handlers.m_document_received = [this](documents::document_version version, const std::string& bytes) {
-        on_document_received(version, bytes);
+    handlers.m_document_received = [this](const fleet::received_document& received) {
+        on_document_received(received);
     };
     handlers.m_endpoints_changed = [this] { on_endpoints_changed(); };
     handlers.m_entry_host_count_received = [this](std::uint32_t count) {
@@ -137,19 +137,21 @@
     return {};
 }
 
-void entry_node::on_document_received(documents::document_version version, const std::string& bytes) {
-    if (version <= m_core.version()) {
+void entry_node::on_document_received(const fleet::received_document& received) {
+    const documents::document_version before = m_core.version();
+    if (received.m_version <= before) {
         return;
     }
-    auto decoded = m_decoder(bytes);
+    auto decoded = m_decoder(received.m_bytes);
     if (!decoded) {
         core::log_line(core::log_level::error, "entry",
                        "configuration from a control host cannot be decoded reason=" + decoded.reason());
         return;
     }
-    const std::string text = std::to_string(version.value());
     m_core.configure(std::move(*decoded), core::now());
-    core::log_line(core::log_level::info, "entry", "configuration in force version=" + text);
+    core::log_line(core::log_level::info, "entry",
+                   "configuration in force version=" + std::to_string(received.m_version.value()) +
+                       " before=" + std::to_string(before.value()) + " source=" + received.m_source.value());
     if (m_core.needs_primary_leases()) {
         m_lease.start();
     }
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -65,7 +65,7 @@
     borrowed_connection_handlers make_loan_handlers();
     // Recomputes which hosts, including this one, lend connections to which endpoints.
     void update_lending();
-    void on_document_received(documents::document_version version, const std::string& bytes);
+    void on_document_received(const fleet::received_document& received);
     void on_endpoints_changed();
     void apply_lease();
     void tick();
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -108,7 +108,7 @@
 
 subscriber_handlers control_node::make_subscriber_handlers() {
     subscriber_handlers handlers;
-    handlers.m_document_received = [](documents::document_version, const std::string&) {};
+    handlers.m_document_received = [](const received_document&) {};
     handlers.m_endpoints_changed = [this] { on_endpoints_changed(); };
     handlers.m_entry_host_count_received = [](std::uint32_t) {};
     handlers.m_ready_hosts_changed = [](const lending::hosts_by_zone&) {};
@@ -134,11 +134,23 @@
 
 void control_node::tick() {
     const core::time_point now = core::now();
+    log_leader_change();
     join_if_leaderless(now);
     run_promotions(now);
     m_loop.run_after(tick_period, [this] { tick(); });
 }
 
+void control_node::log_leader_change() {
+    const auto leader = m_raft->leader();
+    if (std::exchange(m_logged_leader, leader) != leader) {
+        core::log_line(core::log_level::info, "fleet",
+                       "control leader " +
+                           (leader ? "known host=" + leader->value() : std::string("not known")) +
+                           " term=" + std::to_string(m_raft->term().value()) +
+                           " committed=" + std::to_string(m_raft->committed().value()));
+    }
+}
+
 // The announcement is posted to the event loop, because replaying the log at startup commits many versions at
 // once. Subscribers are notified of the last one only.
 void control_node::announce_document() {
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -64,6 +64,7 @@
 
 private:
     void tick();
+    void log_leader_change();
     void join_if_leaderless(core::time_point now);
     void on_join_requested(const core::entry_host_id& from, const wire::cell_joinT& request);
     void on_committed(const std::string& payload);
@@ -92,7 +93,8 @@
     promotion_runner m_promotions;
     registry_store m_registry_store;
     documents::configuration m_configuration; // The committed document, decoded.
-    core::time_point m_leader_last_known{};   // When a leader was last known.
+    std::optional<core::entry_host_id> m_logged_leader;
+    core::time_point m_leader_last_known{}; // When a leader was last known.
     core::time_point m_next_join{};
     bool m_announcement_pending = false;
     std::uint32_t m_term_order_count = 0; // Number of orders in m_token_term.
--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -110,6 +110,10 @@
     if (const auto host = m_fetch.next_host(m_handlers.m_document_version(), now)) {
         wire::fleet_followT query = make_query();
         query.wants_document = true;
+        core::log_line(core::log_level::info, "fleet",
+                       "configuration requested host=" + host->value() +
+                           " announced=" + std::to_string(m_fetch.announced_version(*host).value()) +
+                           " held=" + std::to_string(query.document_version));
         m_bus.send(*host, std::move(query));
     }
     const core::deadline next_attempt = m_fetch.next_attempt(m_handlers.m_document_version());
@@ -121,9 +125,10 @@
     }
 }
 
-void update_subscriber::on_document_received(const wire::fleet_updateT& update) {
+void update_subscriber::on_document_received(const core::entry_host_id& from,
+                                             const wire::fleet_updateT& update) {
     const documents::document_version version(update.document_version);
-    const auto inflated =
+    auto inflated =
         core::inflate(std::string(update.document.begin(), update.document.end()), update.document_bytes);
     if (!inflated) {
         core::log_line(core::log_level::error, "fleet",
@@ -132,7 +137,7 @@
         return;
     }
     m_fetch.on_document_arrived(core::now());
-    m_handlers.m_document_received(version, *inflated);
+    m_handlers.m_document_received({version, std::move(*inflated), from});
 }
 
 void update_subscriber::on_ready_hosts_received(const core::entry_host_id& from,
@@ -195,7 +200,7 @@
         m_handlers.m_entry_host_count_received(largest->second);
     }
     if (!update.document.empty()) {
-        on_document_received(update);
+        on_document_received(from, update);
     }
     if (update.ready_hosts_digest != 0) {
         on_ready_hosts_received(from, update);
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -31,9 +31,15 @@
     core::availability_zone m_zone;
 };
 
+struct received_document {
+    documents::document_version m_version;
+    std::string m_bytes;
+    core::entry_host_id m_source; // The control host that sent it.
+};
+
 // Called on the event loop. The last three functions supply the data of this host for each query.
 struct subscriber_handlers {
-    std::function<void(documents::document_version, const std::string& bytes)> m_document_received;
+    std::function<void(const received_document&)> m_document_received;
     std::function<void()> m_endpoints_changed;
     // The number of entry hosts; the highest of the numbers that the control hosts report.
     std::function<void(std::uint32_t)> m_entry_host_count_received;
@@ -70,7 +76,7 @@
     [[nodiscard]] wire::fleet_followT make_query() const;
     // Requests an announced document from one control host, if a fetch is due.
     void fetch_document();
-    void on_document_received(const wire::fleet_updateT& update);
+    void on_document_received(const core::entry_host_id& from, const wire::fleet_updateT& update);
     void on_ready_hosts_received(const core::entry_host_id& from, const wire::fleet_updateT& update);
     // Union of the lists that control hosts confirmed within ready_list_lifetime.
     [[nodiscard]] lending::hosts_by_zone merged_ready_hosts(core::time_point now) const;
