--- /dev/null
+++ b/test/support/fleet_hosts.h
@@ -0,0 +1,130 @@
+// Control hosts of a fleet and a subscriber in one process, each with its own thread, event loop, peer
+// connections over loopback and, for control hosts, data folder.
+//
+// A host starts and stops like a process: stopping it keeps its data folder only.
+#pragma once
+
+#include "fleet/control_node.h"
+#include "platform/line_protocol.h"
+#include "support/temporary_folder.h"
+
+#include <future>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace mangoquay::test {
+
+// Decodes a document that consists of its version only.
+core::result<documents::configuration> decode_version(std::string_view bytes);
+
+// One running host. The parts are destroyed after its thread has ended.
+class fleet_host {
+public:
+    fleet_host(const control::socket_address& address, const std::string& cluster_key);
+    virtual ~fleet_host() = default;
+    fleet_host(const fleet_host&) = delete;
+    fleet_host& operator=(const fleet_host&) = delete;
+    fleet_host(fleet_host&&) = delete;
+    fleet_host& operator=(fleet_host&&) = delete;
+
+    // Discards all messages from and to these hosts.
+    void block(const std::set<core::entry_host_id>& peers);
+
+protected:
+    void run();
+    void stop();
+    // Runs `action` on the host's loop and returns its result.
+    template <class Action>
+    auto call(Action action) {
+        using value = decltype(action());
+        const auto done = std::make_shared<std::promise<value>>();
+        m_loop.post([done, action = std::move(action)]() mutable {
+            if constexpr (std::is_void_v<value>) {
+                action();
+                done->set_value();
+            } else {
+                done->set_value(action());
+            }
+        });
+        return done->get_future().get();
+    }
+
+    transport::event_loop m_loop;
+    transport::peer_network m_network;
+    transport::message_bus m_bus;
+
+private:
+    std::thread m_thread;
+};
+
+class control_fleet_host final : public fleet_host {
+public:
+    explicit control_fleet_host(const settings::fleet_settings& host_settings);
+    ~control_fleet_host() override { stop(); }
+
+    // Returns the outcome of replacing the document by one of this version.
+    fleet::call_verdict replace_document(std::uint64_t version);
+    // The committed version that this host has applied.
+    std::uint64_t applied_version();
+    bool leads();
+
+private:
+    class refusing_executor final : public fleet::promotion_executor {
+        void execute_order(const fleet::promotion_order& order,
+                           std::function<void(promotion::order_outcome)> done) override;
+    };
+
+    platform::line_protocol m_protocol;
+    refusing_executor m_executor;
+    fleet::control_node m_node;
+};
+
+// A subscriber in the role of an entry host.
+class subscribed_host final : public fleet_host {
+public:
+    subscribed_host(const control::socket_address& address, const std::string& cluster_key,
+                    std::vector<control::socket_address> control_hosts);
+    ~subscribed_host() override { stop(); }
+
+    // Versions in the order in which this host received them.
+    std::vector<std::uint64_t> received_versions();
+
+private:
+    std::vector<std::uint64_t> m_received;
+    std::unique_ptr<fleet::update_subscriber> m_subscriber;
+};
+
+// A cell of control hosts with addresses of their own.
+class fleet_cell {
+public:
+    explicit fleet_cell(unsigned hosts);
+
+    void start(unsigned host);
+    void stop(unsigned host) { m_hosts.at(host).reset(); }
+    control_fleet_host& host(unsigned index) { return *m_hosts.at(index); }
+    [[nodiscard]] core::entry_host_id id(unsigned index) const;
+    // Commits a document of this version. Returns false if no host has accepted it within 20 s.
+    bool replace_document(std::uint64_t version);
+    // The host that leads. Waits until there is one.
+    unsigned leading_host();
+    // Starts a subscriber that knows these control hosts.
+    std::unique_ptr<subscribed_host> subscribe(const std::vector<unsigned>& control_hosts);
+
+private:
+    [[nodiscard]] control::socket_address address(unsigned index) const;
+
+    temporary_folder m_folder;
+    std::uint16_t m_port = 0;
+    std::vector<std::unique_ptr<control_fleet_host>> m_hosts;
+    std::set<unsigned> m_started_before;
+};
+
+// Waits until the condition holds, at most 20 s. Returns whether it holds.
+bool wait_until(const std::function<bool()>& condition);
+
+} // namespace mangoquay::test
