Let entry hosts start only with a configuration that is known to be current

Callers saw: after a restart of all hosts, a route that had been added and acknowledged was answered as unknown, or a statement was handled by an older configuration. Cause: a control host announces whatever it has applied. An entry host without a configuration took the first version that it heard of. Class of fault: state that was correct once is passed on as current by a process that has not checked that it is. Change: an entry host that has no configuration names its process in its queries. A control host confirms its version to that process once it holds the leader's lease, or has applied the leader's last commit as of a later time (read index, fleet/read_barrier). The first configuration has to be at least a confirmed version; later ones only need to be higher, because every announced version is committed. Without a leader in reach a host that starts stays not ready and refuses callers; hosts that did not restart go on. Before/after: both tests of old_configuration_after_restart failed before and pass, and fail again with the condition removed. Price: nothing is sent in steady state; at a start one request a control host for all subscribers that wait.

--- a/src/documents/document_fetch.cpp
+++ b/src/documents/document_fetch.cpp
@@ -13,6 +13,17 @@
     known = std::max(known, version);
 }
 
+void document_fetch::on_current_version_confirmed(document_version version) {
+    if (!m_confirmed_version) {
+        m_confirmed_version = version;
+    }
+}
+
+bool document_fetch::usable(document_version version, document_version held) const {
+    const bool is_first = held == document_version{};
+    return version > held && (!is_first || (m_confirmed_version && version >= *m_confirmed_version));
+}
+
 void document_fetch::remove_host(const core::entry_host_id& host) {
     m_announced_versions.erase(host);
     m_unanswered_counts.erase(host);
@@ -24,6 +35,11 @@
     m_not_before = core::deadline_after(now, fetch_pause);
 }
 
+bool document_fetch::usable_announced(document_version held) const {
+    return std::ranges::any_of(m_announced_versions,
+                               [&](const auto& entry) { return usable(entry.second, held); });
+}
+
 std::optional<core::entry_host_id> document_fetch::next_host(document_version held, core::time_point now) {
     if (!m_not_before.passed(now)) {
         return std::nullopt;
@@ -39,9 +55,7 @@
                           std::hash<std::string>{}(m_self.value() + entry.first.value()));
     };
     const auto best = std::ranges::min_element(m_announced_versions, {}, rank);
-    const bool newer_announced =
-        std::ranges::any_of(m_announced_versions, [held](const auto& entry) { return entry.second > held; });
-    if (!newer_announced) {
+    if (!usable_announced(held)) {
         return std::nullopt;
     }
     m_queried_host = best->first;
@@ -55,9 +69,7 @@
 }
 
 core::deadline document_fetch::next_attempt(document_version held) const {
-    const bool newer_announced =
-        std::ranges::any_of(m_announced_versions, [held](const auto& entry) { return entry.second > held; });
-    return newer_announced ? m_not_before : core::deadline{core::time_point::max()};
+    return usable_announced(held) ? m_not_before : core::deadline{core::time_point::max()};
 }
 
 } // namespace mangoquay::documents
--- a/src/documents/document_fetch.h
+++ b/src/documents/document_fetch.h
@@ -1,5 +1,9 @@
 // Decides when a subscriber fetches the configuration document, and from which control host.
 //
+// The first document is fetched only from a host that has announced the version that a control host confirmed
+// to be current, or a later one: any other host may hold an old document without knowing it. Later documents
+// only need a higher version, because every announced version is committed.
+//
 // Bounds the traffic of many changes within a second to hosts with low network bandwidth: every control host
 // announces each version, but a subscriber has one fetch in progress at a time, fetches only the newest
 // version and pauses between two fetches. Deterministic; update_subscriber passes the time in.
@@ -28,6 +32,11 @@
     explicit document_fetch(core::entry_host_id self) : m_self(std::move(self)) {}
 
     void on_version_announced(const core::entry_host_id& host, document_version version);
+    // `version` is not older than any version that was committed before this process started. Only the first
+    // call has an effect.
+    void on_current_version_confirmed(document_version version);
+    // Whether a document of this version may be used in place of `held`; 0 means that no document is held.
+    [[nodiscard]] bool usable(document_version version, document_version held) const;
     // Stops fetching from a host.
     void remove_host(const core::entry_host_id& host);
     // Ends the fetch in progress, whichever host the document came from.
@@ -42,7 +51,10 @@
     [[nodiscard]] core::deadline next_attempt(document_version held) const;
 
 private:
+    [[nodiscard]] bool usable_announced(document_version held) const;
+
     core::entry_host_id m_self;
+    std::optional<document_version> m_confirmed_version; // Lower limit of the first document.
     std::map<core::entry_host_id, document_version> m_announced_versions;
     std::optional<core::entry_host_id> m_queried_host; // Host of the fetch in progress.
     core::deadline m_not_before;                       // Earliest time of the next fetch.
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -99,6 +99,19 @@
             m_subscriber.add_control_host(from);
         }
         m_publisher.on_query_received(from, query, hosts, core::now());
+        confirm_document(core::now());
+    });
+    m_bus.set_handler<wire::read_index_requestT>([this](const auto& from, const auto& request) {
+        if (m_raft->holds_lease(core::now())) {
+            wire::read_indexT answer;
+            answer.number = request.number;
+            answer.committed_revision = m_raft->committed().value();
+            m_bus.send(from, answer);
+        }
+    });
+    m_bus.set_handler<wire::read_indexT>([this](const auto&, const auto& answer) {
+        m_read_barrier.on_answer(read_index_number(answer.number), core::revision(answer.committed_revision));
+        confirm_document(core::now());
     });
     m_bus.set_handler<wire::cell_joinT>(
         [this](const auto& from, const auto& request) { on_join_requested(from, request); });
@@ -136,6 +149,7 @@
     const core::time_point now = core::now();
     log_leader_change();
     join_if_leaderless(now);
+    confirm_document(now);
     run_promotions(now);
     m_loop.run_after(tick_period, [this] { tick(); });
 }
@@ -166,9 +180,32 @@
                            "committed configuration cannot be decoded reason=" + decoded.reason());
         }
         m_publisher.announce_document();
+        confirm_document(core::now());
     });
 }
 
+// Only a host that waits for its first document needs to know whether this one is current, so nothing is sent
+// while there is none.
+void control_node::confirm_document(core::time_point now) {
+    if (!m_publisher.has_waiting_subscribers()) {
+        return;
+    }
+    const auto leader = m_raft->leader();
+    if (m_raft->holds_lease(now)) {
+        m_read_barrier.on_lease_held(now);
+    } else if (leader && *leader != m_self) {
+        if (const auto number = m_read_barrier.next_request(now)) {
+            wire::read_index_requestT request;
+            request.number = number->value();
+            m_bus.send(*leader, request);
+        }
+    }
+    m_read_barrier.on_applied(m_raft->committed());
+    if (const auto as_of = m_read_barrier.current_as_of()) {
+        m_publisher.confirm_document(*as_of);
+    }
+}
+
 void control_node::run_promotions(core::time_point now) {
     const bool leads = m_raft->holds_lease(now);
     m_leases.authority().set_leading(leads, primary_leases::leader_term(m_raft->term().value()),
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -7,6 +7,7 @@
 #include "consensus/raft_driver.h"
 #include "fleet/lease_service.h"
 #include "fleet/promotion_runner.h"
+#include "fleet/read_barrier.h"
 #include "fleet/registry_store.h"
 #include "fleet/replicated_state.h"
 #include "fleet/update_publisher.h"
@@ -69,6 +70,8 @@
     void on_join_requested(const core::entry_host_id& from, const wire::cell_joinT& request);
     void on_committed(const std::string& payload);
     void announce_document();
+    // Tells the subscribers that wait for their first document whether the one of this host is current.
+    void confirm_document(core::time_point now);
     void on_endpoints_changed();
     void run_promotions(core::time_point now);
     [[nodiscard]] std::optional<promotion::fencing_token> next_fencing_token();
@@ -89,6 +92,7 @@
     std::unique_ptr<consensus::raft_driver> m_raft;
     update_subscriber m_subscriber;
     update_publisher m_publisher;
+    read_barrier m_read_barrier;
     lease_service m_leases;
     promotion_runner m_promotions;
     registry_store m_registry_store;
--- a/src/fleet/update_publisher.cpp
+++ b/src/fleet/update_publisher.cpp
@@ -59,6 +59,10 @@
     subscriber.m_ready = query.ready;
     subscriber.m_zone = core::availability_zone(query.zone);
     subscriber.m_last_contact = now;
+    if (subscriber.m_waiting_process != query.process) {
+        subscriber.m_waiting_process = query.process;
+        subscriber.m_waiting_since = now;
+    }
     subscriber.m_primaries.clear();
     for (const auto& view : query.primaries) {
         subscriber.m_primaries[hash_of(core::endpoint_id(view->endpoint))] = {view->answered, view->failing};
@@ -70,6 +74,7 @@
     add_control_hosts(update, control_hosts, query.control_hosts_digest);
     update.entry_hosts = entry_host_count();
     update.document_version = m_documents.version().value();
+    update.current_for_process = is_confirmed_for(subscriber) ? subscriber.m_waiting_process : 0;
     if (query.wants_document && query.document_version < update.document_version) {
         add_document(update);
     }
@@ -135,6 +140,38 @@
     }
 }
 
+bool update_publisher::is_waiting(const subscriber_record& subscriber) const {
+    return subscriber.m_waiting_process != 0 && !is_confirmed_for(subscriber);
+}
+
+bool update_publisher::is_confirmed_for(const subscriber_record& subscriber) const {
+    return m_current_as_of && subscriber.m_waiting_since <= *m_current_as_of;
+}
+
+bool update_publisher::has_waiting_subscribers() const {
+    return std::ranges::any_of(m_subscribers, [this](const auto& one) { return is_waiting(one.second); });
+}
+
+// A subscriber that misses the notification is told again by the answer to its next query.
+void update_publisher::confirm_document(core::time_point as_of) {
+    std::vector<core::entry_host_id> waiting;
+    for (const auto& [host, subscriber] : m_subscribers) {
+        if (is_waiting(subscriber)) {
+            waiting.push_back(host);
+        }
+    }
+    m_current_as_of = std::max(m_current_as_of.value_or(as_of), as_of);
+    for (const core::entry_host_id& host : waiting) {
+        const subscriber_record& subscriber = m_subscribers.at(host);
+        if (is_confirmed_for(subscriber)) {
+            wire::fleet_updateT update;
+            update.document_version = m_documents.version().value();
+            update.current_for_process = subscriber.m_waiting_process;
+            m_bus.send(host, std::move(update));
+        }
+    }
+}
+
 void update_publisher::add_document(wire::fleet_updateT& update) {
     if (m_deflated_version != m_documents.version()) {
         m_deflated = core::deflate(m_documents.bytes());
--- a/src/fleet/update_publisher.h
+++ b/src/fleet/update_publisher.h
@@ -11,6 +11,7 @@
 #include "transport/peer_network.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -32,6 +33,9 @@
     bool m_ready = false; // Accepts callers.
     core::availability_zone m_zone;
     core::time_point m_last_contact{};
+    // The subscriber's process as long as it has no document; 0 otherwise.
+    std::uint64_t m_waiting_process = 0;
+    core::time_point m_waiting_since{}; // Arrival of the first query of that process.
     std::map<endpoint_hash, primary_view> m_primaries;
 };
 
@@ -43,6 +47,11 @@
     // Answers a query. `control_hosts` are the hosts that the subscriber shall know.
     void on_query_received(const core::entry_host_id& from, const wire::fleet_followT& query,
                            const std::set<core::entry_host_id>& control_hosts, core::time_point now);
+    // The document is not older than any version that was committed before `as_of`. Notifies the subscribers
+    // that wait for this.
+    void confirm_document(core::time_point as_of);
+    // Whether a subscriber waits for a confirmation as of a later time than the last one.
+    [[nodiscard]] bool has_waiting_subscribers() const;
     // Announces the version of the document to all subscribers.
     void announce_document();
     // Publishes a report that was merged on this host. Control hosts receive every report, because they track
@@ -55,6 +64,8 @@
     [[nodiscard]] std::uint32_t entry_host_count() const;
 
 private:
+    [[nodiscard]] bool is_waiting(const subscriber_record& subscriber) const;
+    [[nodiscard]] bool is_confirmed_for(const subscriber_record& subscriber) const;
     void erase_expired_subscribers(core::time_point now);
     void add_document(wire::fleet_updateT& update);
     // Adds the list of control hosts, unless the subscriber has it already.
@@ -69,6 +80,7 @@
     registry::endpoint_registry& m_registry;
     core::time_point m_start_time = core::now();
     std::map<core::entry_host_id, subscriber_record> m_subscribers;
+    std::optional<core::time_point> m_current_as_of; // See confirm_document().
     // The last requested document, compressed once for all subscribers.
     std::string m_deflated;
     documents::document_version m_deflated_version;
--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -7,6 +7,7 @@
 #include "registry/registry_wire.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace mangoquay::fleet {
@@ -23,6 +24,11 @@
 // and its list out of date.
 constexpr core::milliseconds ready_list_lifetime{2000};
 
+std::uint64_t random_process_id() {
+    std::random_device source;
+    return (std::uint64_t{source()} << 32U | source()) | 1U; // 0 means no process.
+}
+
 } // namespace
 
 core::entry_host_id host_id(const control::socket_address& address) {
@@ -33,7 +39,7 @@
                                      transport::peer_network& network, subscriber_identity identity,
                                      subscriber_handlers handlers)
     : m_loop(loop), m_bus(bus), m_network(network), m_identity(std::move(identity)),
-      m_handlers(std::move(handlers)), m_fetch(m_identity.m_self) {
+      m_process(random_process_id()), m_handlers(std::move(handlers)), m_fetch(m_identity.m_self) {
     m_bus.set_handler<wire::fleet_updateT>(
         [this](const auto& from, const auto& update) { on_update_received(from, update); });
 }
@@ -84,6 +90,7 @@
     query.peer_port = m_identity.m_peer_address.m_port;
     query.zone = m_identity.m_zone.value();
     query.document_version = m_handlers.m_document_version().value();
+    query.process = query.document_version == 0 ? m_process : 0;
     query.registry_digest = m_registry.digest();
     for (const relay::primary_observation& seen : m_handlers.m_primary_observations()) {
         if (seen.m_answered || seen.m_failing) {
@@ -137,6 +144,9 @@
         return;
     }
     m_fetch.on_document_arrived(core::now());
+    if (!m_fetch.usable(version, m_handlers.m_document_version())) {
+        return;
+    }
     m_handlers.m_document_received({version, std::move(*inflated), from});
 }
 
@@ -199,6 +209,9 @@
             std::ranges::max_element(m_entry_host_counts, {}, [](const auto& one) { return one.second; });
         m_handlers.m_entry_host_count_received(largest->second);
     }
+    if (update.current_for_process == m_process) {
+        m_fetch.on_current_version_confirmed(documents::document_version(update.document_version));
+    }
     if (!update.document.empty()) {
         on_document_received(from, update);
     }
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -86,6 +86,7 @@
     transport::message_bus& m_bus;
     transport::peer_network& m_network;
     subscriber_identity m_identity;
+    std::uint64_t m_process; // Differs between two processes of a host.
     subscriber_handlers m_handlers;
     std::set<core::entry_host_id> m_control_hosts;
     std::map<core::entry_host_id, core::time_point> m_last_answers;
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -147,6 +147,14 @@
 struct fleet_updateBuilder;
 struct fleet_updateT;
 
+struct read_index_request;
+struct read_index_requestBuilder;
+struct read_index_requestT;
+
+struct read_index;
+struct read_indexBuilder;
+struct read_indexT;
+
 struct cell_join;
 struct cell_joinBuilder;
 struct cell_joinT;
@@ -233,11 +241,13 @@
   loan_lost = 26,
   primary_lease_request = 27,
   primary_lease_grant = 28,
+  read_index_request = 29,
+  read_index = 30,
   MIN = NONE,
-  MAX = primary_lease_grant
+  MAX = read_index
 };
 
-inline const message (&EnumValuesmessage())[29] {
+inline const message (&EnumValuesmessage())[31] {
   static const message values[] = {
     message::NONE,
     message::raft_message,
@@ -267,13 +277,15 @@
     message::loan_end,
     message::loan_lost,
     message::primary_lease_request,
-    message::primary_lease_grant
+    message::primary_lease_grant,
+    message::read_index_request,
+    message::read_index
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[30] = {
+  static const char * const names[32] = {
     "NONE",
     "raft_message",
     "heartbeat",
@@ -303,13 +315,15 @@
     "loan_lost",
     "primary_lease_request",
     "primary_lease_grant",
+    "read_index_request",
+    "read_index",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::primary_lease_grant)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::read_index)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -430,6 +444,14 @@
   static const message enum_value = message::primary_lease_grant;
 };
 
+template<> struct messageTraits<mangoquay::wire::read_index_request> {
+  static const message enum_value = message::read_index_request;
+};
+
+template<> struct messageTraits<mangoquay::wire::read_index> {
+  static const message enum_value = message::read_index;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -546,6 +568,14 @@
   static const message enum_value = message::primary_lease_grant;
 };
 
+template<> struct messageUnionTraits<mangoquay::wire::read_index_requestT> {
+  static const message enum_value = message::read_index_request;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::read_indexT> {
+  static const message enum_value = message::read_index;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -800,6 +830,22 @@
     return type == message::primary_lease_grant ?
       reinterpret_cast<const mangoquay::wire::primary_lease_grantT *>(value) : nullptr;
   }
+  mangoquay::wire::read_index_requestT *Asread_index_request() {
+    return type == message::read_index_request ?
+      reinterpret_cast<mangoquay::wire::read_index_requestT *>(value) : nullptr;
+  }
+  const mangoquay::wire::read_index_requestT *Asread_index_request() const {
+    return type == message::read_index_request ?
+      reinterpret_cast<const mangoquay::wire::read_index_requestT *>(value) : nullptr;
+  }
+  mangoquay::wire::read_indexT *Asread_index() {
+    return type == message::read_index ?
+      reinterpret_cast<mangoquay::wire::read_indexT *>(value) : nullptr;
+  }
+  const mangoquay::wire::read_indexT *Asread_index() const {
+    return type == message::read_index ?
+      reinterpret_cast<const mangoquay::wire::read_indexT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -4393,6 +4439,7 @@
   uint64_t ready_hosts_digest = 0;
   std::vector<mangoquay::wire::primary_sighting> sightings{};
   uint64_t control_hosts_digest = 0;
+  uint64_t process = 0;
   fleet_followT() = default;
   fleet_followT(const fleet_followT &o);
   fleet_followT(fleet_followT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4415,7 +4462,8 @@
     VT_ZONE = 20,
     VT_READY_HOSTS_DIGEST = 22,
     VT_SIGHTINGS = 24,
-    VT_CONTROL_HOSTS_DIGEST = 26
+    VT_CONTROL_HOSTS_DIGEST = 26,
+    VT_PROCESS = 28
   };
   bool is_entry() const {
     return GetField<uint8_t>(VT_IS_ENTRY, 0) != 0;
@@ -4453,6 +4501,9 @@
   uint64_t control_hosts_digest() const {
     return GetField<uint64_t>(VT_CONTROL_HOSTS_DIGEST, 0);
   }
+  uint64_t process() const {
+    return GetField<uint64_t>(VT_PROCESS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_IS_ENTRY, 1) &&
@@ -4472,6 +4523,7 @@
            VerifyOffset(verifier, VT_SIGHTINGS) &&
            verifier.VerifyVector(sightings()) &&
            VerifyField<uint64_t>(verifier, VT_CONTROL_HOSTS_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PROCESS, 8) &&
            verifier.EndTable();
   }
   fleet_followT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4519,6 +4571,9 @@
   void add_control_hosts_digest(uint64_t control_hosts_digest) {
     fbb_.AddElement<uint64_t>(fleet_follow::VT_CONTROL_HOSTS_DIGEST, control_hosts_digest, 0);
   }
+  void add_process(uint64_t process) {
+    fbb_.AddElement<uint64_t>(fleet_follow::VT_PROCESS, process, 0);
+  }
   explicit fleet_followBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4543,8 +4598,10 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     uint64_t ready_hosts_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangoquay::wire::primary_sighting *>> sightings = 0,
-    uint64_t control_hosts_digest = 0) {
+    uint64_t control_hosts_digest = 0,
+    uint64_t process = 0) {
   fleet_followBuilder builder_(_fbb);
+  builder_.add_process(process);
   builder_.add_control_hosts_digest(control_hosts_digest);
   builder_.add_ready_hosts_digest(ready_hosts_digest);
   builder_.add_registry_digest(registry_digest);
@@ -4578,7 +4635,8 @@
     const char *zone = nullptr,
     uint64_t ready_hosts_digest = 0,
     const std::vector<mangoquay::wire::primary_sighting> *sightings = nullptr,
-    uint64_t control_hosts_digest = 0) {
+    uint64_t control_hosts_digest = 0,
+    uint64_t process = 0) {
   auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
   auto primaries__ = primaries ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>>(*primaries) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -4596,7 +4654,8 @@
       zone__,
       ready_hosts_digest,
       sightings__,
-      control_hosts_digest);
+      control_hosts_digest,
+      process);
 }
 
 flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4612,6 +4671,7 @@
   std::vector<std::unique_ptr<mangoquay::wire::zone_hostsT>> ready_hosts{};
   uint64_t ready_hosts_digest = 0;
   uint64_t control_hosts_digest = 0;
+  uint64_t current_for_process = 0;
   fleet_updateT() = default;
   fleet_updateT(const fleet_updateT &o);
   fleet_updateT(fleet_updateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4631,7 +4691,8 @@
     VT_DOCUMENT_BYTES = 14,
     VT_READY_HOSTS = 16,
     VT_READY_HOSTS_DIGEST = 18,
-    VT_CONTROL_HOSTS_DIGEST = 20
+    VT_CONTROL_HOSTS_DIGEST = 20,
+    VT_CURRENT_FOR_PROCESS = 22
   };
   uint64_t document_version() const {
     return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
@@ -4660,6 +4721,9 @@
   uint64_t control_hosts_digest() const {
     return GetField<uint64_t>(VT_CONTROL_HOSTS_DIGEST, 0);
   }
+  uint64_t current_for_process() const {
+    return GetField<uint64_t>(VT_CURRENT_FOR_PROCESS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
@@ -4678,6 +4742,7 @@
            verifier.VerifyVectorOfTables(ready_hosts()) &&
            VerifyField<uint64_t>(verifier, VT_READY_HOSTS_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONTROL_HOSTS_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CURRENT_FOR_PROCESS, 8) &&
            verifier.EndTable();
   }
   fleet_updateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4716,6 +4781,9 @@
   void add_control_hosts_digest(uint64_t control_hosts_digest) {
     fbb_.AddElement<uint64_t>(fleet_update::VT_CONTROL_HOSTS_DIGEST, control_hosts_digest, 0);
   }
+  void add_current_for_process(uint64_t current_for_process) {
+    fbb_.AddElement<uint64_t>(fleet_update::VT_CURRENT_FOR_PROCESS, current_for_process, 0);
+  }
   explicit fleet_updateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4737,8 +4805,10 @@
     uint32_t document_bytes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>>> ready_hosts = 0,
     uint64_t ready_hosts_digest = 0,
-    uint64_t control_hosts_digest = 0) {
+    uint64_t control_hosts_digest = 0,
+    uint64_t current_for_process = 0) {
   fleet_updateBuilder builder_(_fbb);
+  builder_.add_current_for_process(current_for_process);
   builder_.add_control_hosts_digest(control_hosts_digest);
   builder_.add_ready_hosts_digest(ready_hosts_digest);
   builder_.add_document_version(document_version);
@@ -4766,7 +4836,8 @@
     uint32_t document_bytes = 0,
     const std::vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> *ready_hosts = nullptr,
     uint64_t ready_hosts_digest = 0,
-    uint64_t control_hosts_digest = 0) {
+    uint64_t control_hosts_digest = 0,
+    uint64_t current_for_process = 0) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>(*endpoints) : 0;
   auto control_hosts__ = control_hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control_hosts) : 0;
@@ -4781,11 +4852,139 @@
       document_bytes,
       ready_hosts__,
       ready_hosts_digest,
-      control_hosts_digest);
+      control_hosts_digest,
+      current_for_process);
 }
 
 flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct read_index_requestT : public flatbuffers::NativeTable {
+  typedef read_index_request TableType;
+  uint64_t number = 0;
+};
+
+struct read_index_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef read_index_requestT NativeTableType;
+  typedef read_index_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+  read_index_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(read_index_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<read_index_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const read_index_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct read_index_requestBuilder {
+  typedef read_index_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(read_index_request::VT_NUMBER, number, 0);
+  }
+  explicit read_index_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<read_index_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<read_index_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<read_index_request> Createread_index_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0) {
+  read_index_requestBuilder builder_(_fbb);
+  builder_.add_number(number);
+  return builder_.Finish();
+}
+
+struct read_index_request::Traits {
+  using type = read_index_request;
+  static auto constexpr Create = Createread_index_request;
+};
+
+flatbuffers::Offset<read_index_request> Createread_index_request(flatbuffers::FlatBufferBuilder &_fbb, const read_index_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct read_indexT : public flatbuffers::NativeTable {
+  typedef read_index TableType;
+  uint64_t number = 0;
+  uint64_t committed_revision = 0;
+};
+
+struct read_index FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef read_indexT NativeTableType;
+  typedef read_indexBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_COMMITTED_REVISION = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t committed_revision() const {
+    return GetField<uint64_t>(VT_COMMITTED_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_COMMITTED_REVISION, 8) &&
+           verifier.EndTable();
+  }
+  read_indexT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(read_indexT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<read_index> Pack(flatbuffers::FlatBufferBuilder &_fbb, const read_indexT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct read_indexBuilder {
+  typedef read_index Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(read_index::VT_NUMBER, number, 0);
+  }
+  void add_committed_revision(uint64_t committed_revision) {
+    fbb_.AddElement<uint64_t>(read_index::VT_COMMITTED_REVISION, committed_revision, 0);
+  }
+  explicit read_indexBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<read_index> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<read_index>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<read_index> Createread_index(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t committed_revision = 0) {
+  read_indexBuilder builder_(_fbb);
+  builder_.add_committed_revision(committed_revision);
+  builder_.add_number(number);
+  return builder_.Finish();
+}
+
+struct read_index::Traits {
+  using type = read_index;
+  static auto constexpr Create = Createread_index;
+};
+
+flatbuffers::Offset<read_index> Createread_index(flatbuffers::FlatBufferBuilder &_fbb, const read_indexT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct cell_joinT : public flatbuffers::NativeTable {
   typedef cell_join TableType;
   std::string peer_host{};
@@ -6302,6 +6501,12 @@
   const mangoquay::wire::primary_lease_grant *body_as_primary_lease_grant() const {
     return body_type() == mangoquay::wire::message::primary_lease_grant ? static_cast<const mangoquay::wire::primary_lease_grant *>(body()) : nullptr;
   }
+  const mangoquay::wire::read_index_request *body_as_read_index_request() const {
+    return body_type() == mangoquay::wire::message::read_index_request ? static_cast<const mangoquay::wire::read_index_request *>(body()) : nullptr;
+  }
+  const mangoquay::wire::read_index *body_as_read_index() const {
+    return body_type() == mangoquay::wire::message::read_index ? static_cast<const mangoquay::wire::read_index *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -6426,6 +6631,14 @@
   return body_as_primary_lease_grant();
 }
 
+template<> inline const mangoquay::wire::read_index_request *envelope::body_as<mangoquay::wire::read_index_request>() const {
+  return body_as_read_index_request();
+}
+
+template<> inline const mangoquay::wire::read_index *envelope::body_as<mangoquay::wire::read_index>() const {
+  return body_as_read_index();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7821,7 +8034,8 @@
         zone(o.zone),
         ready_hosts_digest(o.ready_hosts_digest),
         sightings(o.sightings),
-        control_hosts_digest(o.control_hosts_digest) {
+        control_hosts_digest(o.control_hosts_digest),
+        process(o.process) {
   primaries.reserve(o.primaries.size());
   for (const auto &primaries_ : o.primaries) { primaries.emplace_back((primaries_) ? new mangoquay::wire::primary_viewT(*primaries_) : nullptr); }
 }
@@ -7839,6 +8053,7 @@
   std::swap(ready_hosts_digest, o.ready_hosts_digest);
   std::swap(sightings, o.sightings);
   std::swap(control_hosts_digest, o.control_hosts_digest);
+  std::swap(process, o.process);
   return *this;
 }
 
@@ -7863,6 +8078,7 @@
   { auto _e = ready_hosts_digest(); _o->ready_hosts_digest = _e; }
   { auto _e = sightings(); if (_e) { _o->sightings.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->sightings[_i] = *_e->Get(_i); } } }
   { auto _e = control_hosts_digest(); _o->control_hosts_digest = _e; }
+  { auto _e = process(); _o->process = _e; }
 }
 
 inline flatbuffers::Offset<fleet_follow> fleet_follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7885,6 +8101,7 @@
   auto _ready_hosts_digest = _o->ready_hosts_digest;
   auto _sightings = _o->sightings.size() ? _fbb.CreateVectorOfStructs(_o->sightings) : 0;
   auto _control_hosts_digest = _o->control_hosts_digest;
+  auto _process = _o->process;
   return mangoquay::wire::Createfleet_follow(
       _fbb,
       _is_entry,
@@ -7898,7 +8115,8 @@
       _zone,
       _ready_hosts_digest,
       _sightings,
-      _control_hosts_digest);
+      _control_hosts_digest,
+      _process);
 }
 
 inline fleet_updateT::fleet_updateT(const fleet_updateT &o)
@@ -7908,7 +8126,8 @@
         entry_hosts(o.entry_hosts),
         document_bytes(o.document_bytes),
         ready_hosts_digest(o.ready_hosts_digest),
-        control_hosts_digest(o.control_hosts_digest) {
+        control_hosts_digest(o.control_hosts_digest),
+        current_for_process(o.current_for_process) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangoquay::wire::endpoint_entryT(*endpoints_) : nullptr); }
   ready_hosts.reserve(o.ready_hosts.size());
@@ -7925,6 +8144,7 @@
   std::swap(ready_hosts, o.ready_hosts);
   std::swap(ready_hosts_digest, o.ready_hosts_digest);
   std::swap(control_hosts_digest, o.control_hosts_digest);
+  std::swap(current_for_process, o.current_for_process);
   return *this;
 }
 
@@ -7946,6 +8166,7 @@
   { auto _e = ready_hosts(); if (_e) { _o->ready_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ready_hosts[_i] = std::unique_ptr<mangoquay::wire::zone_hostsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = ready_hosts_digest(); _o->ready_hosts_digest = _e; }
   { auto _e = control_hosts_digest(); _o->control_hosts_digest = _e; }
+  { auto _e = current_for_process(); _o->current_for_process = _e; }
 }
 
 inline flatbuffers::Offset<fleet_update> fleet_update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7965,6 +8186,7 @@
   auto _ready_hosts = _o->ready_hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> (_o->ready_hosts.size(), [](size_t i, _VectorArgs *__va) { return Createzone_hosts(*__va->__fbb, __va->__o->ready_hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _ready_hosts_digest = _o->ready_hosts_digest;
   auto _control_hosts_digest = _o->control_hosts_digest;
+  auto _current_for_process = _o->current_for_process;
   return mangoquay::wire::Createfleet_update(
       _fbb,
       _document_version,
@@ -7975,7 +8197,63 @@
       _document_bytes,
       _ready_hosts,
       _ready_hosts_digest,
-      _control_hosts_digest);
+      _control_hosts_digest,
+      _current_for_process);
+}
+
+inline read_index_requestT *read_index_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<read_index_requestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void read_index_request::UnPackTo(read_index_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+}
+
+inline flatbuffers::Offset<read_index_request> read_index_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const read_index_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createread_index_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<read_index_request> Createread_index_request(flatbuffers::FlatBufferBuilder &_fbb, const read_index_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const read_index_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  return mangoquay::wire::Createread_index_request(
+      _fbb,
+      _number);
+}
+
+inline read_indexT *read_index::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<read_indexT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void read_index::UnPackTo(read_indexT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = committed_revision(); _o->committed_revision = _e; }
+}
+
+inline flatbuffers::Offset<read_index> read_index::Pack(flatbuffers::FlatBufferBuilder &_fbb, const read_indexT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createread_index(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<read_index> Createread_index(flatbuffers::FlatBufferBuilder &_fbb, const read_indexT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const read_indexT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _committed_revision = _o->committed_revision;
+  return mangoquay::wire::Createread_index(
+      _fbb,
+      _number,
+      _committed_revision);
 }
 
 inline cell_joinT *cell_join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8709,6 +8987,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_grant *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::read_index_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::read_index_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::read_index: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::read_index *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8840,6 +9126,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_grant *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::read_index_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::read_index_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::read_index: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::read_index *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -8959,6 +9253,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::primary_lease_grantT *>(value);
       return Createprimary_lease_grant(_fbb, ptr, _rehasher).Union();
     }
+    case message::read_index_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::read_index_requestT *>(value);
+      return Createread_index_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::read_index: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::read_indexT *>(value);
+      return Createread_index(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9077,6 +9379,14 @@
       value = new mangoquay::wire::primary_lease_grantT(*reinterpret_cast<mangoquay::wire::primary_lease_grantT *>(u.value));
       break;
     }
+    case message::read_index_request: {
+      value = new mangoquay::wire::read_index_requestT(*reinterpret_cast<mangoquay::wire::read_index_requestT *>(u.value));
+      break;
+    }
+    case message::read_index: {
+      value = new mangoquay::wire::read_indexT(*reinterpret_cast<mangoquay::wire::read_indexT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9224,6 +9534,16 @@
       delete ptr;
       break;
     }
+    case message::read_index_request: {
+      auto ptr = reinterpret_cast<mangoquay::wire::read_index_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::read_index: {
+      auto ptr = reinterpret_cast<mangoquay::wire::read_indexT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/test/correctness/old_configuration_after_restart.cpp
+++ b/test/correctness/old_configuration_after_restart.cpp
@@ -39,6 +39,7 @@
         CPPUNIT_ASSERT_EQUAL(newest_version, entry_host->received_versions().front());
     }
 
+    // A zone with one control host is cut off, and an entry host of this zone starts.
     static void is_not_taken_from_a_control_host_that_is_cut_off() {
         test::fleet_cell cell(3);
         CPPUNIT_ASSERT(cell.replace_document(1));
@@ -48,10 +49,11 @@
         CPPUNIT_ASSERT(test::wait_until([&] { return cell.host(cut_off).applied_version() == 1; }));
         cell.host(cut_off).block({cell.id(leader), cell.id(third)});
         CPPUNIT_ASSERT(cell.replace_document(2));
-        const auto entry_host = cell.subscribe({cut_off});
+        const auto entry_host = cell.subscribe({cut_off}, {leader, third});
         std::this_thread::sleep_for(observation_time);
         CPPUNIT_ASSERT(entry_host->received_versions().empty());
         cell.host(cut_off).block({});
+        entry_host->block({});
         CPPUNIT_ASSERT(test::wait_until([&] { return !entry_host->received_versions().empty(); }));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, entry_host->received_versions().front());
     }
--- a/test/support/fleet_hosts.cpp
+++ b/test/support/fleet_hosts.cpp
@@ -109,8 +109,10 @@
 }
 
 subscribed_host::subscribed_host(const control::socket_address& address, const std::string& cluster_key,
-                                 std::vector<control::socket_address> control_hosts)
+                                 const std::vector<control::socket_address>& control_hosts,
+                                 const std::set<core::entry_host_id>& blocked_peers)
     : fleet_host(address, cluster_key) {
+    m_network.set_blocked_peers(blocked_peers);
     fleet::subscriber_handlers handlers;
     handlers.m_document_received = [this](const fleet::received_document& received) {
         m_received.push_back(received.m_version.value());
@@ -183,13 +185,18 @@
     return leader;
 }
 
-std::unique_ptr<subscribed_host> fleet_cell::subscribe(const std::vector<unsigned>& control_hosts) {
+std::unique_ptr<subscribed_host> fleet_cell::subscribe(const std::vector<unsigned>& control_hosts,
+                                                       const std::vector<unsigned>& blocked_hosts) {
     std::vector<control::socket_address> known;
     for (const unsigned index : control_hosts) {
         known.push_back(address(index));
     }
+    std::set<core::entry_host_id> blocked;
+    for (const unsigned index : blocked_hosts) {
+        blocked.insert(id(index));
+    }
     constexpr unsigned subscriber_index = 100;
-    return std::make_unique<subscribed_host>(address(subscriber_index), key, std::move(known));
+    return std::make_unique<subscribed_host>(address(subscriber_index), key, known, blocked);
 }
 
 } // namespace mangoquay::test
--- a/test/support/fleet_hosts.h
+++ b/test/support/fleet_hosts.h
@@ -88,7 +88,8 @@
 class subscribed_host final : public fleet_host {
 public:
     subscribed_host(const control::socket_address& address, const std::string& cluster_key,
-                    std::vector<control::socket_address> control_hosts);
+                    const std::vector<control::socket_address>& control_hosts,
+                    const std::set<core::entry_host_id>& blocked_peers);
     ~subscribed_host() override { stop(); }
 
     // Versions in the order in which this host received them.
@@ -112,8 +113,9 @@
     bool replace_document(std::uint64_t version);
     // The host that leads. Waits until there is one.
     unsigned leading_host();
-    // Starts a subscriber that knows these control hosts.
-    std::unique_ptr<subscribed_host> subscribe(const std::vector<unsigned>& control_hosts);
+    // Starts a subscriber that knows some control hosts and is cut off from others.
+    std::unique_ptr<subscribed_host> subscribe(const std::vector<unsigned>& control_hosts,
+                                               const std::vector<unsigned>& blocked_hosts = {});
 
 private:
     [[nodiscard]] control::socket_address address(unsigned index) const;
