Fetch configurations only from hosts that have announced a usable version

Callers would see: a change that is in force late at some hosts, up to 600 ms for each control host that is behind. Cause: the ranking put hosts without unanswered fetches first, whatever they had announced. Once each host with the new version had left one fetch unanswered, the hosts that are behind were queried, which have nothing to send. Change: only hosts that have announced a usable version are candidates. Before/after: document_fetch_rules::a_host_without_a_newer_version_is_not_queried failed before, passes now.

--- a/src/documents/document_fetch.cpp
+++ b/src/documents/document_fetch.cpp
@@ -3,8 +3,11 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 namespace mangoquay::documents {
 
@@ -35,11 +38,6 @@
     m_not_before = core::deadline_after(now, fetch_pause);
 }
 
-bool document_fetch::usable_announced(document_version held) const {
-    return std::ranges::any_of(m_announced_versions,
-                               [&](const auto& entry) { return usable(entry.second, held); });
-}
-
 std::optional<core::entry_host_id> document_fetch::next_host(document_version held, core::time_point now) {
     if (!m_not_before.passed(now)) {
         return std::nullopt;
@@ -48,16 +46,19 @@
         ++m_unanswered_counts[*m_queried_host];
         m_queried_host.reset();
     }
+    std::vector<std::pair<core::entry_host_id, document_version>> candidates;
+    std::ranges::copy_if(m_announced_versions, std::back_inserter(candidates),
+                         [&](const auto& entry) { return usable(entry.second, held); });
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
     const auto rank = [this](const auto& entry) {
         const auto unanswered = m_unanswered_counts.find(entry.first);
         return std::tuple(unanswered == m_unanswered_counts.end() ? 0U : unanswered->second,
                           UINT64_MAX - entry.second.value(),
                           std::hash<std::string>{}(m_self.value() + entry.first.value()));
     };
-    const auto best = std::ranges::min_element(m_announced_versions, {}, rank);
-    if (!usable_announced(held)) {
-        return std::nullopt;
-    }
+    const auto best = std::ranges::min_element(candidates, {}, rank);
     m_queried_host = best->first;
     m_not_before = core::deadline_after(now, fetch_timeout);
     return m_queried_host;
@@ -69,7 +70,9 @@
 }
 
 core::deadline document_fetch::next_attempt(document_version held) const {
-    return usable_announced(held) ? m_not_before : core::deadline{core::time_point::max()};
+    const bool is_announced = std::ranges::any_of(
+        m_announced_versions, [&](const auto& entry) { return usable(entry.second, held); });
+    return is_announced ? m_not_before : core::deadline{core::time_point::max()};
 }
 
 } // namespace mangoquay::documents
--- a/src/documents/document_fetch.h
+++ b/src/documents/document_fetch.h
@@ -51,8 +51,6 @@
     [[nodiscard]] core::deadline next_attempt(document_version held) const;
 
 private:
-    [[nodiscard]] bool usable_announced(document_version held) const;
-
     core::entry_host_id m_self;
     std::optional<document_version> m_confirmed_version; // Lower limit of the first document.
     std::map<core::entry_host_id, document_version> m_announced_versions;
--- a/test/correctness/document_fetch_rules.cpp
+++ b/test/correctness/document_fetch_rules.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(another_host_is_queried_after_a_timeout);
     CPPUNIT_TEST(a_version_already_held_is_not_fetched);
     CPPUNIT_TEST(a_removed_host_is_not_queried);
+    CPPUNIT_TEST(a_host_without_a_newer_version_is_not_queried);
+    CPPUNIT_TEST(the_first_document_waits_for_a_confirmed_version);
     CPPUNIT_TEST_SUITE_END();
 
     static void a_single_change_is_fetched_immediately_from_one_host() {
@@ -95,6 +97,32 @@
         fetch.remove_host(control_host(1));
         CPPUNIT_ASSERT(!fetch.next_host(document_version(3), start));
     }
+
+    // Guards against a change that is late because hosts that are behind are queried, 600 ms each: five of
+    // eight control hosts miss it, and the first query to each of the others is lost.
+    static void a_host_without_a_newer_version_is_not_queried() {
+        document_fetch fetch(self);
+        for (int host = 0; host < 8; ++host) {
+            fetch.on_version_announced(control_host(host), document_version(host < 3 ? 4 : 3));
+        }
+        core::time_point now = start;
+        for (int query = 0; query < 8; ++query, now += documents::fetch_timeout) {
+            const auto queried = fetch.next_host(document_version(3), now);
+            CPPUNIT_ASSERT(queried.has_value());
+            CPPUNIT_ASSERT(fetch.announced_version(*queried) == document_version(4));
+        }
+    }
+
+    static void the_first_document_waits_for_a_confirmed_version() {
+        document_fetch fetch(self);
+        fetch.on_version_announced(control_host(1), document_version(31));
+        CPPUNIT_ASSERT(!fetch.next_host(document_version(0), start));
+        fetch.on_current_version_confirmed(document_version(40));
+        CPPUNIT_ASSERT(!fetch.next_host(document_version(0), start));
+        CPPUNIT_ASSERT(!fetch.usable(document_version(39), document_version(0)));
+        fetch.on_version_announced(control_host(2), document_version(41));
+        CPPUNIT_ASSERT(fetch.next_host(document_version(0), start) == control_host(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(document_fetch_rules);
