Take the version that a control host announced last, not its highest

Cause: the highest version that a control host ever announced was remembered. A host that lost its disk was queried for a version that it no longer has. Before/after: document_fetch_rules::a_host_that_has_lost_its_state_is_not_queried failed before, passes now. Conclusion: found by reading, shown by the test only.

--- a/src/documents/document_fetch.cpp
+++ b/src/documents/document_fetch.cpp
@@ -12,8 +12,7 @@
 namespace mangoquay::documents {
 
 void document_fetch::on_version_announced(const core::entry_host_id& host, document_version version) {
-    document_version& known = m_announced_versions[host];
-    known = std::max(known, version);
+    m_announced_versions[host] = version;
 }
 
 void document_fetch::on_current_version_confirmed(document_version version) {
--- a/src/documents/document_fetch.h
+++ b/src/documents/document_fetch.h
@@ -31,6 +31,8 @@
     // `self` distributes the subscribers over the control hosts.
     explicit document_fetch(core::entry_host_id self) : m_self(std::move(self)) {}
 
+    // The host has this version now. It may be lower than before: a host that lost its disk starts without
+    // one.
     void on_version_announced(const core::entry_host_id& host, document_version version);
     // `version` is not older than any version that was committed before this process started. Only the first
     // call has an effect.
@@ -44,7 +46,7 @@
     // Returns the host to query now for a document newer than `held`, and marks the fetch as in progress.
     // Returns nothing if no newer version is announced, or if it is too early for the next fetch.
     std::optional<core::entry_host_id> next_host(document_version held, core::time_point now);
-    // The newest version that the host has announced; 0 if it has announced none.
+    // The version that the host announced last; 0 if it has announced none.
     [[nodiscard]] document_version announced_version(const core::entry_host_id& host) const;
     // Earliest time at which next_host() may return a host without a further event. time_point::max() means
     // that it will not.
--- a/test/correctness/document_fetch_rules.cpp
+++ b/test/correctness/document_fetch_rules.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(a_version_already_held_is_not_fetched);
     CPPUNIT_TEST(a_removed_host_is_not_queried);
     CPPUNIT_TEST(a_host_without_a_newer_version_is_not_queried);
+    CPPUNIT_TEST(a_host_that_has_lost_its_state_is_not_queried);
     CPPUNIT_TEST(the_first_document_waits_for_a_confirmed_version);
     CPPUNIT_TEST_SUITE_END();
 
@@ -113,6 +114,13 @@
         }
     }
 
+    static void a_host_that_has_lost_its_state_is_not_queried() {
+        document_fetch fetch(self);
+        fetch.on_version_announced(control_host(1), document_version(4));
+        fetch.on_version_announced(control_host(1), document_version(0));
+        CPPUNIT_ASSERT(!fetch.next_host(document_version(3), start));
+    }
+
     static void the_first_document_waits_for_a_confirmed_version() {
         document_fetch fetch(self);
         fetch.on_version_announced(control_host(1), document_version(31));
--- a/test/correctness/fleet_traffic.cpp
+++ b/test/correctness/fleet_traffic.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST_SUITE(fleet_traffic);
     CPPUNIT_TEST(a_query_names_only_primaries_that_were_observed);
     CPPUNIT_TEST(an_answer_omits_lists_that_the_receiver_has);
+    CPPUNIT_TEST(each_update_states_the_version_of_the_document);
     CPPUNIT_TEST(observations_are_found_by_the_id_of_the_endpoint);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +81,25 @@
         CPPUNIT_ASSERT(second <= max_answer_bytes);
     }
 
+    // Guards against a host that is taken for one without a document after it has sent a report.
+    void each_update_states_the_version_of_the_document() {
+        documents::document_register documents;
+        documents.apply(documents::document_register::encode(documents::document_version(7), "text"));
+        registry::endpoint_registry endpoints;
+        fleet::update_publisher publisher(m_bus, m_network, documents, endpoints);
+        std::vector<std::uint64_t> versions;
+        m_bus.set_handler<wire::fleet_updateT>(
+            [&versions](const auto&, const auto& update) { versions.push_back(update.document_version); });
+        wire::fleet_followT query;
+        query.is_entry = true;
+        publisher.on_query_received(m_self, query, {}, core::now());
+        publisher.publish_report(registry::endpoint_report{}, true);
+        publisher.announce_document();
+        m_loop.stop();
+        m_loop.run();
+        CPPUNIT_ASSERT(versions == std::vector<std::uint64_t>(3, 7));
+    }
+
     void observations_are_found_by_the_id_of_the_endpoint() {
         const documents::document_register documents;
         registry::endpoint_registry endpoints;
