Persist the removal of endpoints

Operators of similar systems report: after a restart of one of the system's processes, a server that had left was in use again. Cause: a control host persisted only endpoints in use. If it missed a removal because it was down, its file still named the endpoint; once the other control hosts had started again too, nobody knew of the removal, and every host took the endpoint from that file. Ruled out: harm beyond failed connections (an endpoint is asked for its id on connecting), by reading. Change: records of removed endpoints are persisted as well; the merge by start time and sequence number then decides. Conclusion: mended as long as one host that knows of the removal has written its file. A removal that was acknowledged within milliseconds of a loss of power at all hosts may still be missing from the files.

--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -381,7 +381,7 @@
 }
 
 void control_node::on_endpoints_changed() {
-    m_registry_store.save(m_subscriber.endpoints().usable_reports());
+    m_registry_store.save(m_subscriber.endpoints().all_reports());
 }
 
 void control_node::deregister_endpoint(const core::endpoint_id& endpoint,
--- a/src/fleet/registry_store.h
+++ b/src/fleet/registry_store.h
@@ -2,8 +2,10 @@
 //
 // Without it, after a restart of all hosts the databases would be unknown until their reports arrive, more
 // than a second later. The stored records are only hints: an endpoint is asked for its id when a host
-// connects, its role shows in its answers, and its next report replaces the record. Owns a file and the
-// thread that writes it, so that a slow disk does not block the event loop. A damaged file is ignored.
+// connects, its role shows in its answers, and its next report replaces the record. Records of removed
+// endpoints are stored too, because another control host may have missed the removal and still have the
+// endpoint in its file. Owns a file and the thread that writes it, so that a slow disk does not block the
+// event loop. A damaged file is ignored.
 #pragma once
 
 #include "registry/endpoint_registry.h"
--- a/src/registry/endpoint_registry.cpp
+++ b/src/registry/endpoint_registry.cpp
@@ -109,6 +109,15 @@
     return reports;
 }
 
+std::vector<endpoint_report> endpoint_registry::all_reports() const {
+    std::vector<endpoint_report> reports;
+    reports.reserve(m_entries.size());
+    for (const auto& [id, entry] : m_entries) {
+        reports.push_back(entry.m_report);
+    }
+    return reports;
+}
+
 const endpoint_entry* endpoint_registry::find(const core::endpoint_id& id) const {
     const auto found = m_entries.find(id);
     return found == m_entries.end() ? nullptr : &found->second;
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -77,6 +77,8 @@
 
     // Reports of the endpoints that may be used: not removed, and the latest to start at their address.
     [[nodiscard]] std::vector<endpoint_report> usable_reports() const;
+    // Reports of all known endpoints, removed ones included.
+    [[nodiscard]] std::vector<endpoint_report> all_reports() const;
     [[nodiscard]] const endpoint_entry* find(const core::endpoint_id& id) const;
     [[nodiscard]] const std::map<core::endpoint_id, endpoint_entry>& entries() const { return m_entries; }
     // Digest for comparing the registries of two hosts. Covers id, service, address, state, role and start
--- a/test/support/fleet_hosts.cpp
+++ b/test/support/fleet_hosts.cpp
@@ -1,6 +1,7 @@
 // Starts and stops the hosts of a fleet in threads.
 #include "support/fleet_hosts.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace mangoquay::test {
@@ -91,6 +92,14 @@
                : fleet::call_verdict::unavailable;
 }
 
+void control_fleet_host::merge_report(const registry::endpoint_report& report) {
+    call([this, report] { m_node.merge_report(report); });
+}
+
+void control_fleet_host::deregister_endpoint(const core::endpoint_id& endpoint) {
+    call([this, endpoint] { m_node.deregister_endpoint(endpoint, std::nullopt); });
+}
+
 bool control_fleet_host::leads() {
     bool found = false;
     call([this, &found] {
@@ -137,6 +146,10 @@
     return call([this] { return m_received; });
 }
 
+std::vector<registry::endpoint_report> subscribed_host::usable_endpoints() {
+    return call([this] { return m_subscriber->endpoints().usable_reports(); });
+}
+
 fleet_cell::fleet_cell(unsigned hosts) : m_port(choose_free_port()), m_hosts(hosts) {
     for (unsigned index = 0; index < hosts; ++index) {
         start(index);
@@ -151,6 +164,16 @@
     return fleet::host_id(address(index));
 }
 
+std::filesystem::path fleet_cell::data_folder(unsigned host) const {
+    return m_folder.path() / ("control-" + std::to_string(host));
+}
+
+std::size_t fleet_cell::persisted_endpoint_count(unsigned host) const {
+    const auto reports = fleet::registry_store(data_folder(host).string()).load();
+    return static_cast<std::size_t>(std::ranges::count_if(
+        reports, [](const auto& report) { return report.m_state != registry::report_state::removed; }));
+}
+
 void fleet_cell::start(unsigned host) {
     settings::fleet_settings host_settings;
     host_settings.m_host_name = "control-" + std::to_string(host);
@@ -158,7 +181,7 @@
     host_settings.m_peer_address = address(host);
     host_settings.m_cluster_key = key;
     host_settings.m_first_start = m_started_before.insert(host).second;
-    host_settings.m_data_folder = m_folder.path() / host_settings.m_host_name;
+    host_settings.m_data_folder = data_folder(host);
     std::filesystem::create_directories(host_settings.m_data_folder);
     for (unsigned index = 0; index < m_hosts.size(); ++index) {
         host_settings.m_known_control_addresses.push_back(address(index));
--- a/test/support/fleet_hosts.h
+++ b/test/support/fleet_hosts.h
@@ -69,6 +69,9 @@
 
     // Returns the outcome of replacing the document by one of this version.
     fleet::call_verdict replace_document(std::uint64_t version);
+    // Passes a status report, or the removal of its endpoint, to this host.
+    void merge_report(const registry::endpoint_report& report);
+    void deregister_endpoint(const core::endpoint_id& endpoint);
     // The committed version that this host has applied.
     std::uint64_t applied_version();
     bool leads();
@@ -94,6 +97,8 @@
 
     // Versions in the order in which this host received them.
     std::vector<std::uint64_t> received_versions();
+    // Endpoints that this host may use.
+    std::vector<registry::endpoint_report> usable_endpoints();
 
 private:
     std::vector<std::uint64_t> m_received;
@@ -109,6 +114,8 @@
     void stop(unsigned host) { m_hosts.at(host).reset(); }
     control_fleet_host& host(unsigned index) { return *m_hosts.at(index); }
     [[nodiscard]] core::entry_host_id id(unsigned index) const;
+    // Endpoints that the host has persisted as in use.
+    [[nodiscard]] std::size_t persisted_endpoint_count(unsigned host) const;
     // Commits a document of this version. Returns false if no host has accepted it within 20 s.
     bool replace_document(std::uint64_t version);
     // The host that leads. Waits until there is one.
@@ -119,6 +126,7 @@
 
 private:
     [[nodiscard]] control::socket_address address(unsigned index) const;
+    [[nodiscard]] std::filesystem::path data_folder(unsigned host) const;
 
     temporary_folder m_folder;
     std::uint16_t m_port = 0;
