--- a/src/fleet/update_publisher.cpp
+++ b/src/fleet/update_publisher.cpp
@@ -185,7 +185,7 @@
     for (const auto& [host, subscriber] : m_subscribers) {
         if (changed || !subscriber.m_is_entry) {
             wire::fleet_updateT update;
-            update.document_version = m_documents.version().value(); // Each update states it.
+            update.document_version = m_documents.version().value(); // 0 would mean that there is none.
             update.endpoints.push_back(std::make_unique<wire::endpoint_entryT>(registry::to_wire(report)));
             m_bus.send(host, std::move(update));
         }
--- a/test/support/fleet_hosts.cpp
+++ b/test/support/fleet_hosts.cpp
@@ -211,6 +211,7 @@
 std::unique_ptr<subscribed_host> fleet_cell::subscribe(const std::vector<unsigned>& control_hosts,
                                                        const std::vector<unsigned>& blocked_hosts) {
     std::vector<control::socket_address> known;
+    known.reserve(control_hosts.size());
     for (const unsigned index : control_hosts) {
         known.push_back(address(index));
     }
--- a/test/support/fleet_hosts.h
+++ b/test/support/fleet_hosts.h
@@ -66,6 +66,10 @@
 public:
     explicit control_fleet_host(const settings::fleet_settings& host_settings);
     ~control_fleet_host() override { stop(); }
+    control_fleet_host(const control_fleet_host&) = delete;
+    control_fleet_host& operator=(const control_fleet_host&) = delete;
+    control_fleet_host(control_fleet_host&&) = delete;
+    control_fleet_host& operator=(control_fleet_host&&) = delete;
 
     // Returns the outcome of replacing the document by one of this version.
     fleet::call_verdict replace_document(std::uint64_t version);
@@ -94,6 +98,10 @@
                     const std::vector<control::socket_address>& control_hosts,
                     const std::set<core::entry_host_id>& blocked_peers);
     ~subscribed_host() override { stop(); }
+    subscribed_host(const subscribed_host&) = delete;
+    subscribed_host& operator=(const subscribed_host&) = delete;
+    subscribed_host(subscribed_host&&) = delete;
+    subscribed_host& operator=(subscribed_host&&) = delete;
 
     // Versions in the order in which this host received them.
     std::vector<std::uint64_t> received_versions();
