--- a/review/standin/busy_transaction_at_stop.cpp
+++ b/review/standin/busy_transaction_at_stop.cpp
@@ -11,12 +11,13 @@
 int busy_transaction_at_stop(bool trouble) {
     constexpr int statements = 12;
     group_rules rules;
-    rules.m_read_ms = 450; // The sheet gives reads of this kind up to 500 ms.
+    rules.m_read_ms = 320; // The sheet: 47 ms, a tail of 7 times that, 500 ms at most.
     deployment all(3, 2, rules);
     if (!all.bring_up()) {
         record("the deployment did not start to serve");
         return 2;
     }
+    all.m_group.m_records_reads = true;
     sleep_ms(4000);
     machine& host = *all.m_entries[0];
     session caller;
@@ -27,7 +28,7 @@
         all.signal(host, SIGTERM);
     }
     const double stop_at = seconds_since_start();
-    sleep_ms(300);
+    sleep_ms(1600);
     // Within the requester's time limit of 5 s for the whole operation.
     bool cut = false;
     bool open = true;
--- a/review/standin/planned_replacement.cpp
+++ b/review/standin/planned_replacement.cpp
@@ -55,7 +55,7 @@
 } // namespace
 
 int planned_replacement(bool trouble) {
-    constexpr int readers_per_host = 20;
+    constexpr int readers_per_host = 30;
     group_rules rules;
     rules.m_sync_replicas = 1;
     deployment all(3, 3, rules);
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -408,6 +408,9 @@
                     m_group.m_changed.wait(lock, [&] { return !m_up || m_running < rules.m_slots; });
                     --m_waiting;
                     ++m_running;
+                    if (is_read && m_group.m_records_reads) {
+                        record(m_id + " begins READ " + id);
+                    }
                     lock.unlock();
                     sleep_ms(is_read ? rules.m_read_ms : is_write ? rules.m_write_ms : 1);
                     lock.lock();
@@ -551,8 +554,9 @@
 void group::replicate() {
     database* source = nullptr;
     for (const auto& one : m_databases) {
-        if (one->m_up && one->m_term == m_highest_term && (one->m_primary || source == nullptr) &&
-            (source == nullptr || one->m_primary || one->m_log.size() > source->m_log.size())) {
+        const bool may_send = one->m_up && one->m_term == m_highest_term;
+        if (may_send && (source == nullptr || one->m_primary ||
+                         (!source->m_primary && one->m_log.size() > source->m_log.size()))) {
             source = one.get();
         }
     }
@@ -563,10 +567,13 @@
         if (one.get() == source || !one->m_up || one->m_deaf || one->m_paused || one->m_primary) {
             continue;
         }
-        while (one->m_log.size() > source->m_log.size() ||
-               (!one->m_log.empty() && one->m_log.back().m_id != source->m_log[one->m_log.size() - 1].m_id)) {
-            one->m_log.pop_back();
-            one->m_received_at.pop_back();
+        // What it holds beyond the point where the next term began is rolled back.
+        if (one->m_term < source->m_term) {
+            const std::uint64_t common = source->m_term_starts.upper_bound(one->m_term)->second;
+            while (one->m_log.size() > common) {
+                one->m_log.pop_back();
+                one->m_received_at.pop_back();
+            }
         }
         while (one->m_log.size() < source->m_log.size()) {
             one->m_log.push_back(source->m_log[one->m_log.size()]);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -127,6 +127,7 @@
 
     std::string m_service;
     group_rules m_rules;
+    bool m_records_reads = false; // Whether each read that a database begins is recorded.
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::vector<std::unique_ptr<database>> m_databases;
