--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -410,6 +410,7 @@
                     ++m_running;
                     if (is_read && m_group.m_records_reads) {
                         record(m_id + " begins READ " + id);
+                        m_group.m_reads_begun[id] = seconds_since_start();
                     }
                     lock.unlock();
                     sleep_ms(is_read ? rules.m_read_ms : is_write ? rules.m_write_ms : 1);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -136,6 +136,7 @@
     std::vector<std::string> m_lost;                   // Acknowledged commits that a promoted database lacks.
     std::uint32_t m_highest_term = 1;
     int m_promotions = 0;
+    std::map<std::string, double> m_reads_begun;       // Read id -> when a database began it.
     // What a database ran: statement id -> number of runs that took effect.
     std::map<std::string, int> m_applied;
 };
