Promote only a database that holds every acknowledged commit

Over 100 acknowledged commits are missing at the promoted database.

Cause: the primary was stepped down before anything was known of a successor, and the end of an 800 ms timer stood in for the missing knowledge: the best position that had arrived was ordered, even below the one at which the primary had been stepped down. An attempt that began again forgot that position.

Change: - With synchronous replicas an order names only a database that is not below the position of the stepped-down primary, or not below any position of a quorum of paused databases. The time limit no longer orders; the old primary, which holds everything, leads again if nobody else may. The required position holds until an order is issued. - A planned replacement steps the primary down once a ready replica has answered with its position. Until then the old primary serves, 6.5 s at most (2 s without synchronous replicas, where the loss of a commit is allowed). - The quorum is copies - synchronous replicas, whether the old primary is among those asked or not. - The successor's position, the required one and the number of answers are logged.

--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -222,7 +222,7 @@
 
 void promotion_runner::record_event(const promotion::promotion_event& event) {
     core::log_line(core::log_level::info, "promotion",
-                   std::string(event.m_message) + " service=" + event.m_service.value() +
+                   event.m_message + " service=" + event.m_service.value() +
                        " endpoint=" + event.m_endpoint.value() + " reason=\"" + event.m_reason + "\"");
 }
 
--- a/src/promotion/promotion_answers.cpp
+++ b/src/promotion/promotion_answers.cpp
@@ -71,9 +71,14 @@
     }
     if (state.m_phase == phase::watching && answer.m_kind == step_kind::probe) {
         on_probe_answer(state, answer, now);
+    } else if (state.m_phase == phase::watching && answer.m_kind == step_kind::status && answer.m_status) {
+        if (state.m_primary_position && answer.m_status->m_received >= *state.m_primary_position) {
+            state.m_successor_current_until = core::deadline_after(now, successor_answer_validity);
+        }
     } else if (state.m_phase == phase::confirming && answer.m_is_primary &&
                answer.m_endpoint == state.m_target) {
         state.m_primary = state.m_target;
+        state.m_required_position.reset();
         end_replacement(state, service, "promotion confirmed", now);
     } else if (state.m_phase == phase::pausing && answer.m_kind == step_kind::pause && answer.m_status) {
         on_pause_answer(service, state, answer, now);
@@ -82,7 +87,7 @@
     } else if (state.m_phase == phase::stepping_down && answer.m_kind == step_kind::step_down &&
                answer.m_status) {
         state.m_required_position = answer.m_status->m_received;
-        state.m_positions.clear();
+        state.m_positions = {{answer.m_endpoint, answer.m_status->m_received}};
         enter_phase(state, phase::catching_up, catch_up_timeout, now);
     }
 }
@@ -114,6 +119,7 @@
     }
     if (answer.m_status->m_is_primary) { // An earlier leader promoted it, and its report has not arrived yet.
         state.m_primary = answer.m_endpoint;
+        state.m_required_position.reset();
         end_replacement(state, service, "replacement abandoned: another endpoint is the primary", now);
         return;
     }
@@ -142,6 +148,10 @@
     state.m_last_probe_accepted = answer.m_answered && answer.m_is_primary;
     if (answer.m_position) {
         state.m_primary_term = answer.m_position->m_term;
+        state.m_primary_position = answer.m_position;
+    }
+    if (state.m_last_probe_accepted) {
+        state.m_required_position.reset();
     }
     if (answer.m_answered) {
         state.m_probes_failing_since.reset();
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace mangoquay::promotion {
@@ -24,6 +25,10 @@
     return found == service.m_entry_host_counts.end() ? entry_host_counts{} : found->second;
 }
 
+std::string to_text(const core::history_position& position) {
+    return std::to_string(position.m_term.value()) + "." + std::to_string(position.m_position.value());
+}
+
 bool has_successor(const service_view& service, const core::endpoint_id& primary) {
     return std::ranges::any_of(service.m_endpoints, [&](const endpoint_report& report) {
         return report.m_id != primary && report.m_state == report_state::ready;
@@ -115,6 +120,9 @@
         state.m_probe_in_flight = false;
         state.m_last_probe_accepted = false;
         state.m_primary_term = {};
+        state.m_primary_position.reset();
+        state.m_successor_current_until = {};
+        state.m_planned_wait_end.reset();
     }
     if (state.m_is_leased) {
         maintain_assignment(state, service, *primary, now);
@@ -149,14 +157,45 @@
         begin_pause(state, service, "the reported primary rejects probes", now);
         return;
     }
-    const bool is_draining =
-        primary->m_state == report_state::draining && has_successor(service, primary->m_id);
-    if (is_draining && !state.m_probes_failing_since && state.m_highest_term.value() > 0) {
-        m_ports.record_event(
-            {"planned replacement", service.m_name, primary->m_id, "the primary is draining"});
+    run_planned_replacement(state, service, *primary, now);
+}
+
+// A primary that leaves is stepped down only when a replica is known to hold what it holds and to answer this
+// host: otherwise the service would have no primary until some replica does.
+void promotion_core::run_planned_replacement(service_state& state, const service_view& service,
+                                             const endpoint_report& primary, core::time_point now) {
+    if (primary.m_state != report_state::draining) {
+        state.m_planned_wait_end.reset();
+        return;
+    }
+    if (!state.m_planned_wait_end) {
+        state.m_planned_wait_end =
+            core::deadline_after(now, state.m_is_synchronous ? planned_wait_synchronous : planned_wait);
+    }
+    const bool may_start = has_successor(service, primary.m_id) && !state.m_probes_failing_since &&
+                           state.m_highest_term.value() > 0 && state.m_next_planned_replacement.passed(now) &&
+                           (!state.m_is_synchronous || state.m_earlier_orders_fenced);
+    if (!may_start) {
+        return;
+    }
+    const bool is_current = !state.m_successor_current_until.passed(now);
+    if (is_current || state.m_planned_wait_end->passed(now)) {
+        m_ports.record_event({"planned replacement", service.m_name, primary.m_id,
+                              is_current ? "the primary is draining and a replica has its position"
+                                         : "the primary is draining and no replica has answered with its "
+                                           "position in time"});
         enter_phase(state, phase::stepping_down, step_down_timeout, now);
-        m_ports.run_step(service.m_name, *primary, step_kind::step_down,
+        m_ports.run_step(service.m_name, primary, step_kind::step_down,
                          core::term(state.m_highest_term.value() + 1));
+        return;
+    }
+    if (state.m_next_successor_query.passed(now)) {
+        state.m_next_successor_query = core::deadline_after(now, successor_query_period);
+        for (const endpoint_report& report : service.m_endpoints) {
+            if (report.m_id != primary.m_id && report.m_state == report_state::ready) {
+                m_ports.run_step(service.m_name, report, step_kind::status, state.m_highest_term);
+            }
+        }
     }
 }
 
@@ -206,7 +245,6 @@
     state.m_positions.clear();
     state.m_replicas_may_be_paused = true;
     state.m_unresumed_replicas.clear();
-    state.m_required_position.reset();
     state.m_pause_term = core::term(state.m_highest_term.value() + 1);
     enter_phase(state, phase::pausing, pause_timeout, now);
     // Hosts that can still be reached stop using the old primary while the replicas are compared.
@@ -232,17 +270,25 @@
     if (!all && !state.m_phase_deadline.passed(now)) {
         return;
     }
-    // Any `needed` replicas include one that holds a given acknowledged commit.
-    const std::size_t replicas = state.m_queried_replicas.size();
-    const std::size_t needed = service.m_synchronous_replicas == 0 ? 1
-                               : replicas >= service.m_synchronous_replicas
-                                   ? replicas - service.m_synchronous_replicas + 1
-                                   : replicas;
-    if (state.m_positions.size() >= std::max<std::size_t>(needed, 1)) {
-        choose_and_order(state, service, now);
+    // A commit is acknowledged once the primary and as many replicas as the service requires have received
+    // it, so any `needed` databases include one that holds it, whether the old primary is one of them or not.
+    const std::size_t copies = service.m_endpoints.size();
+    const std::size_t needed = service.m_synchronous_replicas == 0 || copies <= service.m_synchronous_replicas
+                                   ? 1
+                                   : copies - service.m_synchronous_replicas;
+    std::optional<core::history_position> highest;
+    for (const auto& [id, position] : state.m_positions) {
+        highest = std::max(highest, std::optional(position));
+    }
+    const bool holds_required = state.m_required_position && highest >= state.m_required_position;
+    if (highest && (state.m_positions.size() >= needed || holds_required)) {
+        choose_and_order(state, service, state.m_is_synchronous ? highest : std::nullopt, now);
         return;
     }
-    end_replacement(state, service.m_name, "replacement abandoned: too few replicas answered", now);
+    end_replacement(state, service.m_name,
+                    "replacement abandoned: too few replicas answered count=" +
+                        std::to_string(state.m_positions.size()) + " needed=" + std::to_string(needed),
+                    now);
     state.m_probes_failing_since = now; // A new attempt starts after the usual timeout.
 }
 
@@ -253,10 +299,22 @@
         return report != nullptr && report->m_state == report_state::ready &&
                held.second >= *state.m_required_position;
     });
-    if (reached || state.m_phase_deadline.passed(now)) {
-        choose_and_order(state, service, now);
+    if (reached || (state.m_phase_deadline.passed(now) && !state.m_is_synchronous)) {
+        choose_and_order(state, service, state.m_is_synchronous ? state.m_required_position : std::nullopt,
+                         now);
         return;
     }
+    if (state.m_phase_deadline.passed(now)) {
+        if (find(service, state.m_primary) == nullptr) {
+            begin_pause(state, service, "the old primary has left and no replica has its position", now);
+            return;
+        }
+        // The old primary may lead again, unless it is about to leave.
+        if (!state.m_planned_wait_end || !state.m_planned_wait_end->passed(now)) {
+            choose_and_order(state, service, state.m_required_position, now);
+            return;
+        }
+    }
     if (state.m_next_probe.passed(now)) {
         state.m_next_probe = core::deadline_after(now, catch_up_poll_period);
         send_step_to_replicas(state, service, step_kind::status, state.m_highest_term);
@@ -264,30 +322,40 @@
 }
 
 void promotion_core::choose_and_order(service_state& state, const service_view& service,
+                                      const std::optional<core::history_position>& floor,
                                       core::time_point now) {
     const endpoint_report* best = nullptr;
-    bool best_is_rejected = true;
+    std::tuple<bool, bool, core::history_position> best_rank;
     for (const auto& [id, position] : state.m_positions) {
         const endpoint_report* report = find(service, id);
-        if (report == nullptr || report->m_state != report_state::ready) {
+        // A database that leaves is better than the loss of acknowledged commits.
+        const bool is_candidate = report != nullptr && (report->m_state == report_state::ready || floor) &&
+                                  (!floor || position >= *floor);
+        if (!is_candidate) {
             continue;
         }
         const auto rejected_until = state.m_rejected_until.find(id);
         const bool rejected =
             rejected_until != state.m_rejected_until.end() && !rejected_until->second.passed(now);
-        const bool better = best == nullptr || (best_is_rejected && !rejected) ||
-                            (best_is_rejected == rejected && state.m_positions.at(best->m_id) < position);
-        if (better) {
+        const std::tuple rank(report->m_state == report_state::ready, !rejected, position);
+        if (best == nullptr || best_rank < rank) {
             best = report;
-            best_is_rejected = rejected;
+            best_rank = rank;
         }
     }
     if (best == nullptr) {
-        end_replacement(state, service.m_name, "replacement abandoned: no replica is ready", now);
+        end_replacement(state, service.m_name, "replacement abandoned: no replica may be promoted", now);
         state.m_probes_failing_since = now;
         return;
     }
+    if (best->m_state != report_state::ready) {
+        state.m_next_planned_replacement = core::deadline_after(now, rejection_period);
+    }
     state.m_target = best->m_id;
+    m_ports.record_event({"successor chosen", service.m_name, state.m_target,
+                          "position=" + to_text(std::get<core::history_position>(best_rank)) +
+                              " required=" + (floor ? to_text(*floor) : "none") +
+                              " positions=" + std::to_string(state.m_positions.size())});
     enter_phase(state, phase::reserving, reserve_timeout, now);
     run_reserving(state, service, now);
 }
@@ -300,6 +368,7 @@
     }
     state.m_fencing_token = *token;
     state.m_earlier_orders_fenced = false;
+    state.m_required_position.reset(); // The order may be carried out although its answer is lost.
     enter_phase(state, next, order_timeout, now);
     const char* message =
         next == phase::fencing ? "order issued to invalidate earlier orders" : "promotion ordered";
@@ -342,12 +411,11 @@
 }
 
 void promotion_core::end_replacement(service_state& state, const core::service_name& service,
-                                     const char* message, core::time_point now) {
+                                     const std::string& message, core::time_point now) {
     m_ports.record_event({message, service, state.m_target, ""});
     restore_leases(state, service);
     state.m_probes_failing_since.reset();
     state.m_no_primary_since.reset();
-    state.m_required_position.reset();
     state.m_last_probe_accepted = false;
     enter_phase(state, phase::watching, core::milliseconds(0), now);
 }
--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -8,8 +8,12 @@
 // Safety rules:
 // - Replicas stop receiving under a higher term before their positions are compared, so that the most
 //   advanced replica remains the most advanced one.
-// - With synchronous replicas, an order is issued only after enough replicas have answered that each
-//   acknowledged commit is held by at least one of them.
+// - With synchronous replicas, an order names only a database that holds each acknowledged commit: its
+//   position is not below the one at which the old primary was stepped down, or not below any position of
+//   so many paused databases that each acknowledged commit is held by at least one of them. No time limit
+//   replaces this knowledge; a replacement that cannot get it is abandoned and tried again.
+// - A planned replacement steps the old primary down once a replica has answered with the position of that
+//   primary. Until then the old primary serves, for as long as it may.
 // - Each order has its own fencing token, higher than those of all earlier orders.
 // - Where an old primary goes on after a promotion (service_view::m_is_leased), an order is issued only
 //   when no entry host can use the old primary any more and the assignment of the new one is committed. The
@@ -73,7 +77,7 @@
 };
 
 struct promotion_event {
-    const char* m_message = "";
+    std::string m_message;
     core::service_name m_service;
     core::endpoint_id m_endpoint;
     std::string m_reason;
@@ -157,6 +161,14 @@
         // Time since which the assigned endpoint is not among those of the service.
         std::optional<core::time_point> m_assigned_absent_since;
         core::term m_primary_term; // Term of the monitored primary, by its last accepted probe.
+        // Position of the monitored primary, by its last accepted probe.
+        std::optional<core::history_position> m_primary_position;
+        // A ready replica has answered with at least the position of the primary. Valid until then.
+        core::deadline m_successor_current_until;
+        core::deadline m_next_successor_query;
+        // The wait for a replica in a planned replacement ends then. Set while the primary is draining.
+        std::optional<core::deadline> m_planned_wait_end;
+        core::deadline m_next_planned_replacement;
         core::deadline m_next_step_down;
         std::set<core::endpoint_id> m_stepping_down; // Endpoints whose step-down was logged.
         core::deadline m_next_probe;
@@ -164,7 +176,8 @@
         core::term m_pause_term;              // Term of the current pause requests.
         bool m_earlier_orders_fenced = false; // The executor refuses all earlier orders.
         core::deadline m_settle_deadline;     // Orders accepted earlier have taken effect by then.
-        // Position that the successor must hold in a planned replacement.
+        // Position at which the old primary was stepped down. Set until a later primary may have accepted
+        // commits, so a database that holds this position holds all acknowledged commits.
         std::optional<core::history_position> m_required_position;
         std::map<core::endpoint_id, core::history_position> m_positions; // Positions of paused replicas.
         std::map<core::endpoint_id, registry::endpoint_report> m_queried_replicas;
@@ -200,9 +213,13 @@
     void on_pause_answer(const core::service_name& service, service_state& state, const step_answer& answer,
                          core::time_point now);
     void on_probe_answer(service_state& state, const step_answer& answer, core::time_point now);
-    void choose_and_order(service_state& state, const service_view& service, core::time_point now);
+    void run_planned_replacement(service_state& state, const service_view& service,
+                                 const registry::endpoint_report& primary, core::time_point now);
+    // Chooses among the databases with a known position of at least `floor`.
+    void choose_and_order(service_state& state, const service_view& service,
+                          const std::optional<core::history_position>& floor, core::time_point now);
     void issue_order(service_state& state, const service_view& service, phase next, core::time_point now);
-    void end_replacement(service_state& state, const core::service_name& service, const char* message,
+    void end_replacement(service_state& state, const core::service_name& service, const std::string& message,
                          core::time_point now);
     // The endpoint to monitor as the service's primary; null if there is none.
     [[nodiscard]] const registry::endpoint_report*
--- a/src/promotion/promotion_limits.h
+++ b/src/promotion/promotion_limits.h
@@ -25,6 +25,13 @@
 inline constexpr core::milliseconds reserve_timeout{3000};
 // Replicas lag by 60 to 150 ms on the target platform; a longer wait costs more writes than it saves.
 inline constexpr core::milliseconds catch_up_timeout{800};
+// Time for which a planned replacement waits for a replica with the position of the primary, before that is
+// stepped down. Databases on the target platform serve for 7 s after their report that they leave.
+inline constexpr core::milliseconds planned_wait{2000};
+inline constexpr core::milliseconds planned_wait_synchronous{6500};
+inline constexpr core::milliseconds successor_query_period{100};
+// Exceeds the query period by the time for an answer.
+inline constexpr core::milliseconds successor_answer_validity{250};
 // When the executor does not answer in this time, the order is repeated under a higher fencing token.
 inline constexpr core::milliseconds order_timeout{1500};
 // A promotion takes about 1 s on the target platform.
--- a/test/correctness/promotion_safety.cpp
+++ b/test/correctness/promotion_safety.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(a_promotion_that_does_not_wait_for_leases_is_detected);
     CPPUNIT_TEST(a_lease_that_outlives_its_suspension_is_detected);
     CPPUNIT_TEST(a_commit_acknowledged_after_the_lease_is_detected);
+    CPPUNIT_TEST(a_planned_replacement_keeps_acknowledged_commits_when_replicas_lag_or_refuse);
     CPPUNIT_TEST_SUITE_END();
 
     static void a_healthy_primary_is_not_replaced() {
@@ -172,6 +173,25 @@
     static void a_commit_acknowledged_after_the_lease_is_detected() {
         check_detects(old_primary_goes_on({.m_acknowledge_after_lease = true}));
     }
+    // Guards against the promotion of a replica that received nothing for a while, ordered after a fixed wait
+    // because the leader had no connection to a better one, and against attempts that forget the position at
+    // which the old primary was stepped down.
+    static void a_planned_replacement_keeps_acknowledged_commits_when_replicas_lag_or_refuse() {
+        for (const std::uint32_t databases : {3U, 5U}) {
+            for (const bool leader_changes : {false, true}) {
+                check_holds({.m_synchronous_replicas = 1,
+                             .m_databases = databases,
+                             .m_leader_changes = leader_changes,
+                             .m_lose_calls = leader_changes,
+                             .m_crash = false,
+                             .m_drain = true,
+                             .m_leased = true,
+                             .m_deaf_replicas = true,
+                             .m_full_databases = true,
+                             .m_drained_restart = true});
+            }
+        }
+    }
     static void ignored_entry_hosts_are_detected() {
         check_detects({.m_crash = false,
                        .m_only_leader_is_cut_off = true,
--- a/test/support/promotion_simulation.cpp
+++ b/test/support/promotion_simulation.cpp
@@ -116,9 +116,9 @@
             std::ranges::count_if(m_databases, [](const database& server) {
                 return server.m_report.m_state == registry::report_state::ready;
             }) > 2) {
-            m_replacement_justified = true;
-            primary->m_report.m_state = registry::report_state::draining;
+            start_drain(*primary);
         }
+        inject_replica_fault();
         inject_lease_fault();
         schedule(core::milliseconds(300 + draw(2500)), inject_faults);
     };
@@ -142,6 +142,52 @@
     }
 }
 
+void promotion_simulation::start_drain(database& primary) {
+    m_replacement_justified = true;
+    primary.m_report.m_state = registry::report_state::draining;
+    if (!m_options.m_drained_restart) {
+        return;
+    }
+    const core::milliseconds until_end(7000 + draw(2000));
+    schedule(until_end, [this, id = primary.m_report.m_id] {
+        database& ended = *find_database(id);
+        ended.m_up = false;
+        ended.m_report_missing = true;
+        ended.m_acts_as_primary = false;
+        schedule(core::milliseconds(500 + draw(2000)), [this, id] {
+            database& successor = *find_database(id); // It has the log and the address of the one that ended.
+            successor.m_up = true;
+            successor.m_paused_below_term = 0;
+            successor.m_report_missing = false;
+            successor.m_report.m_is_primary = false;
+            successor.m_report.m_state = registry::report_state::ready;
+        });
+    });
+}
+
+void promotion_simulation::set_for_a_while(database& server, bool database::*member) {
+    server.*member = true;
+    schedule(core::milliseconds(300 + draw(6000)),
+             [this, id = server.m_report.m_id, member] { find_database(id)->*member = false; });
+}
+
+void promotion_simulation::inject_replica_fault() {
+    for (database& server : m_databases) {
+        if (server.m_acts_as_primary) {
+            continue;
+        }
+        if (m_options.m_deaf_replicas && chance(20)) {
+            set_for_a_while(server, &database::m_deaf);
+        }
+        if (m_options.m_full_databases && chance(25)) {
+            set_for_a_while(server, &database::m_full);
+        }
+        if (m_options.m_missing_reports && chance(10)) {
+            set_for_a_while(server, &database::m_report_missing);
+        }
+    }
+}
+
 // A commit is acknowledged when the number of replicas that the service requires, but at least one, has
 // received it.
 void promotion_simulation::write() {
@@ -169,14 +215,15 @@
         return;
     }
     const bool paused = to.m_paused_below_term > from.m_term && !m_options.m_injected_faults.m_skip_pause;
-    if (!paused) {
+    if (!paused && !to.m_deaf) {
         to.m_log = from.m_log;
         to.m_term = from.m_term;
     }
 }
 
 promotion::service_view promotion_simulation::build_service_view() {
-    promotion::service_view result{service_id, m_options.m_synchronous_replicas, {}, {}, {}};
+    promotion::service_view result{.m_name = service_id,
+                                   .m_synchronous_replicas = m_options.m_synchronous_replicas};
     if (m_options.m_injected_faults.m_ignore_quorum) {
         result.m_synchronous_replicas = 0;
     }
@@ -186,6 +233,9 @@
         result.m_nonreporting_hosts += host.m_cut && m_authority.may_use_primaries(host.m_id, m_now) ? 1 : 0;
     }
     for (const database& server : m_databases) {
+        if (server.m_report_missing) {
+            continue;
+        }
         result.m_endpoints.push_back(server.m_report);
         result.m_last_contact[server.m_report.m_id] = server.m_last_contact;
         const bool is_serving = server.m_acts_as_primary && server.m_up && !server.m_cut &&
@@ -206,7 +256,10 @@
     schedule(core::milliseconds(1 + draw(4)), [this, service, answer, kind, term, issuing_leader]() mutable {
         database& target = *find_database(answer.m_endpoint);
         const bool cut = target.m_cut || (m_options.m_only_leader_is_cut_off && target.m_acts_as_primary);
-        const bool reached = target.m_up && !cut && !(m_options.m_lose_calls && !m_faults_ended && chance(5));
+        const bool full = target.m_full && !m_faults_ended;
+        const bool reached =
+            target.m_up && !cut && !full && !(m_options.m_lose_calls && !m_faults_ended && chance(5));
+        answer.m_connections_exhausted = target.m_up && !cut && full;
         if (reached) {
             apply_step(target, kind, term, answer);
         }
--- a/test/support/promotion_simulation.h
+++ b/test/support/promotion_simulation.h
@@ -77,6 +77,10 @@
     bool m_old_primary_goes_on = false;    // Until it is stepped down or has reached the new one for 1 s.
     bool m_cut = false;                    // The primary and some hosts are cut off at times.
     bool m_suspend_hosts = false;
+    bool m_deaf_replicas = false;   // Replicas receive nothing at times.
+    bool m_full_databases = false;  // Databases refuse the leader's connections at times.
+    bool m_missing_reports = false; // The leader lacks the report of a database at times.
+    bool m_drained_restart = false; // A draining database ends, and another one continues with its log.
     promotion_faults m_injected_faults;
 };
 
@@ -105,6 +109,9 @@
         core::time_point m_last_contact{};
         bool m_cut = false; // It reaches only hosts that are cut off as well.
         core::time_point m_promoted_at{};
+        bool m_deaf = false;           // It receives nothing from the primary.
+        bool m_full = false;           // It refuses the leader's connections.
+        bool m_report_missing = false; // The leader has no report of it.
     };
     struct entry_host {
         core::entry_host_id m_id;
@@ -143,6 +150,11 @@
     void check_hosts_at_end();
     void step_down_replaced_primaries();
     void inject_lease_fault();
+    // Makes replicas deaf, full or unreported for a while, as the options allow.
+    void inject_replica_fault();
+    void start_drain(database& primary);
+    // Sets the member of the database, and resets it after a random time.
+    void set_for_a_while(database& server, bool database::*member);
 
     void schedule(core::duration delay, std::function<void()> action);
     [[nodiscard]] std::uint64_t draw(std::uint64_t below) { return m_random() % below; }
