Take databases without a report into account in a replacement

Two consequences of one cause: only the databases whose reports the leader has at that moment took part in a replacement. - The quorum was counted from them, so with one of two replicas unreported (removed, or not known yet) the answer of the other one sufficed, although an acknowledged commit may be only at the first. The quorum now counts the addresses at which databases of the service hold a log; one that was removed leaves its log to its successor there. - A paused replica whose report arrived after the others had been resumed was never resumed, and received nothing. Each endpoint is now resumed when it is first seen after a pause.

Test: promotion_safety::a_missing_report_does_not_lower_the_quorum. Not covered: a database that no control host has heard of yet is not counted.

--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -137,6 +137,9 @@
             issue_order(state, service, phase::fencing, now);
             return;
         }
+        state.m_replicas_may_be_paused = false;
+    }
+    if (!state.m_replicas_may_be_paused) {
         resume_replicas(state, service, now);
     }
     repeat_resume(state, service, now);
@@ -245,6 +248,7 @@
     state.m_positions.clear();
     state.m_replicas_may_be_paused = true;
     state.m_unresumed_replicas.clear();
+    state.m_resumed_endpoints.clear();
     state.m_pause_term = core::term(state.m_highest_term.value() + 1);
     enter_phase(state, phase::pausing, pause_timeout, now);
     // Hosts that can still be reached stop using the old primary while the replicas are compared.
@@ -272,7 +276,7 @@
     }
     // A commit is acknowledged once the primary and as many replicas as the service requires have received
     // it, so any `needed` databases include one that holds it, whether the old primary is one of them or not.
-    const std::size_t copies = service.m_endpoints.size();
+    const std::size_t copies = std::max<std::size_t>(service.m_copies, service.m_endpoints.size());
     const std::size_t needed = service.m_synchronous_replicas == 0 || copies <= service.m_synchronous_replicas
                                    ? 1
                                    : copies - service.m_synchronous_replicas;
@@ -355,7 +359,8 @@
     m_ports.record_event({"successor chosen", service.m_name, state.m_target,
                           "position=" + to_text(std::get<core::history_position>(best_rank)) +
                               " required=" + (floor ? to_text(*floor) : "none") +
-                              " positions=" + std::to_string(state.m_positions.size())});
+                              " positions=" + std::to_string(state.m_positions.size()) +
+                              " copies=" + std::to_string(service.m_copies)});
     enter_phase(state, phase::reserving, reserve_timeout, now);
     run_reserving(state, service, now);
 }
@@ -483,14 +488,14 @@
 
 void promotion_core::resume_replicas(service_state& state, const service_view& service,
                                      core::time_point now) {
-    state.m_replicas_may_be_paused = false;
-    state.m_unresumed_replicas.clear();
     for (const endpoint_report& report : service.m_endpoints) {
-        state.m_unresumed_replicas.insert(report.m_id);
+        // The report of a paused replica may arrive after the others have been resumed.
+        if (state.m_resumed_endpoints.insert(report.m_id).second) {
+            state.m_unresumed_replicas.insert(report.m_id);
+            state.m_next_resume = core::deadline{now};
+            state.m_resume_deadline = core::deadline_after(now, resume_timeout);
+        }
     }
-    state.m_next_resume = core::deadline{now};
-    state.m_resume_deadline = core::deadline_after(now, resume_timeout);
-    repeat_resume(state, service, now);
 }
 
 void promotion_core::repeat_resume(service_state& state, const service_view& service, core::time_point now) {
--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -68,6 +68,9 @@
     std::uint32_t m_synchronous_replicas = 0;
     // Entry hosts use only the assigned primary, under a lease.
     bool m_is_leased = false;
+    // Number of databases that may hold commits of the service, including those without a usable report: one
+    // that was removed leaves its log to another one at its address.
+    std::uint32_t m_copies = 0;
     std::vector<registry::endpoint_report> m_endpoints;
     std::map<core::endpoint_id, core::time_point> m_last_contact; // Time of the last report.
     std::map<core::endpoint_id, entry_host_counts> m_entry_host_counts;
@@ -189,6 +192,8 @@
         bool m_replicas_may_be_paused = true;
         // Replicas that have not answered the resume request yet.
         std::set<core::endpoint_id> m_unresumed_replicas;
+        // Endpoints that were to be resumed since the last pause, whether they have answered or not.
+        std::set<core::endpoint_id> m_resumed_endpoints;
         core::deadline m_next_resume;
         core::deadline m_resume_deadline;
     };
@@ -235,6 +240,7 @@
     void on_step_down_answer(const core::service_name& service, service_state& state,
                              const step_answer& answer, core::time_point now);
     [[nodiscard]] primary_authority& authority_of(const service_view& service);
+    // Resumes all endpoints that were not resumed since the last pause.
     void resume_replicas(service_state& state, const service_view& service, core::time_point now);
     void repeat_resume(service_state& state, const service_view& service, core::time_point now);
     void enter_phase(service_state& state, phase next, core::milliseconds timeout, core::time_point now);
--- a/src/registry/endpoint_registry.cpp
+++ b/src/registry/endpoint_registry.cpp
@@ -92,7 +92,7 @@
     });
 }
 
-std::vector<endpoint_report> endpoint_registry::usable_reports() const {
+std::map<control::socket_address, const endpoint_report*> endpoint_registry::newest_by_address() const {
     std::map<control::socket_address, const endpoint_report*> newest;
     for (const auto& [id, entry] : m_entries) {
         const endpoint_report*& stored = newest[entry.m_report.m_address];
@@ -100,8 +100,12 @@
             stored = &entry.m_report;
         }
     }
+    return newest;
+}
+
+std::vector<endpoint_report> endpoint_registry::usable_reports() const {
     std::vector<endpoint_report> reports;
-    for (const auto& [address, report] : newest) {
+    for (const auto& [address, report] : newest_by_address()) {
         if (report->m_state != report_state::removed) {
             reports.push_back(*report);
         }
@@ -109,6 +113,14 @@
     return reports;
 }
 
+std::map<core::service_name, std::uint32_t> endpoint_registry::address_counts() const {
+    std::map<core::service_name, std::uint32_t> counts;
+    for (const auto& [address, report] : newest_by_address()) {
+        ++counts[report->m_service];
+    }
+    return counts;
+}
+
 std::vector<endpoint_report> endpoint_registry::all_reports() const {
     std::vector<endpoint_report> reports;
     reports.reserve(m_entries.size());
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -77,6 +77,9 @@
 
     // Reports of the endpoints that may be used: not removed, and the latest to start at their address.
     [[nodiscard]] std::vector<endpoint_report> usable_reports() const;
+    // Number of addresses of each service at which a database holds its log, by the latest record of each
+    // address. One that was removed leaves its log to another one at its address, so it counts.
+    [[nodiscard]] std::map<core::service_name, std::uint32_t> address_counts() const;
     // Reports of all known endpoints, removed ones included.
     [[nodiscard]] std::vector<endpoint_report> all_reports() const;
     [[nodiscard]] const endpoint_entry* find(const core::endpoint_id& id) const;
@@ -86,6 +89,9 @@
     [[nodiscard]] std::uint64_t digest() const;
 
 private:
+    // The record that was the latest to start at each address.
+    [[nodiscard]] std::map<control::socket_address, const endpoint_report*> newest_by_address() const;
+
     std::map<core::endpoint_id, endpoint_entry> m_entries;
 };
 
--- a/test/correctness/promotion_safety.cpp
+++ b/test/correctness/promotion_safety.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(a_lease_that_outlives_its_suspension_is_detected);
     CPPUNIT_TEST(a_commit_acknowledged_after_the_lease_is_detected);
     CPPUNIT_TEST(a_planned_replacement_keeps_acknowledged_commits_when_replicas_lag_or_refuse);
+    CPPUNIT_TEST(a_missing_report_does_not_lower_the_quorum);
     CPPUNIT_TEST_SUITE_END();
 
     static void a_healthy_primary_is_not_replaced() {
@@ -192,6 +193,20 @@
             }
         }
     }
+    // Guards against a quorum that counts only the databases whose reports the leader has: with one of two
+    // replicas unreported, the answer of the other one would suffice.
+    static void a_missing_report_does_not_lower_the_quorum() {
+        check_holds({.m_synchronous_replicas = 1,
+                     .m_leased = true,
+                     .m_deaf_replicas = true,
+                     .m_full_databases = true,
+                     .m_missing_reports = true});
+        check_holds({.m_synchronous_replicas = 2,
+                     .m_databases = 5,
+                     .m_leased = true,
+                     .m_deaf_replicas = true,
+                     .m_missing_reports = true});
+    }
     static void ignored_entry_hosts_are_detected() {
         check_detects({.m_crash = false,
                        .m_only_leader_is_cut_off = true,
--- a/test/support/promotion_simulation.cpp
+++ b/test/support/promotion_simulation.cpp
@@ -232,6 +232,7 @@
     for (const entry_host& host : m_hosts) {
         result.m_nonreporting_hosts += host.m_cut && m_authority.may_use_primaries(host.m_id, m_now) ? 1 : 0;
     }
+    result.m_copies = static_cast<std::uint32_t>(m_databases.size());
     for (const database& server : m_databases) {
         if (server.m_report_missing) {
             continue;
