Keep standbys in the control cell and hand places over to them

No control host answers a read of the configuration again, for good.

Cause: a host that is up and asks to join was admitted only after a member had been silent for 2.5 s; a member that stops gave nobody notice. For about 3 s a cell of three had two hosts with disks, so a tolerated loss was one too many. The record shows three voters, one gone and one without its disk, and no leader afterwards.

Change: - A host that asks to join a complete cell becomes a learner that has the whole log (a standby, as many as losses are tolerated). - A member that stops asks the leader for a standby in its place: that is promoted first, then the leaving one is demoted, so the tolerated loss may come at any moment. A leader abdicates first. The host ends once it is no voter, after 2 s or half of its time to stop at the latest, and at once if there is no standby. - A voter without contact for 600 ms is demoted if a standby is ready, and the standby promoted. A former leader counts as silent since its last message. The demoted host stays a learner, so one that only restarts is the next standby. Learners without contact for 10 s are removed. - Membership changes follow each other on commit, not at the next heartbeat, and are logged.

--- a/src/consensus/raft_driver.cpp
+++ b/src/consensus/raft_driver.cpp
@@ -51,6 +51,7 @@
     raft_settings settings;
     settings.m_self = {m_settings.m_self, recovered.m_disk};
     settings.m_initial_hosts = m_settings.m_initial_hosts;
+    settings.m_voter_target = m_settings.m_voter_target;
     settings.m_may_bootstrap = m_settings.m_may_bootstrap;
     settings.m_limits.m_kept_entries = m_settings.m_kept_entries;
     settings.m_timing = m_settings.m_timing;
@@ -128,6 +129,18 @@
     return m_replace_failure.empty() ? status(std::monostate{}) : status::failure(m_replace_failure);
 }
 
+void raft_driver::release_host(const core::entry_host_id& host) {
+    if (m_node) {
+        step(host_leaving{host});
+    }
+}
+
+void raft_driver::abdicate() {
+    if (m_node) {
+        step(consensus::abdicate{});
+    }
+}
+
 bool raft_driver::is_leader() const {
     return m_node && m_node->is_leader();
 }
--- a/src/consensus/raft_driver.h
+++ b/src/consensus/raft_driver.h
@@ -29,7 +29,8 @@
     // All control hosts of a new cell (one Raft cluster), including this one. Used only while the data folder
     // is empty.
     std::set<core::entry_host_id> m_initial_hosts;
-    bool m_may_bootstrap = true; // See raft_settings.
+    bool m_may_bootstrap = true;    // See raft_settings.
+    std::size_t m_voter_target = 0; // See raft_settings.
     raft_timing m_timing;
     std::uint64_t m_seed = 1;                 // Seed of the election timeouts; should differ between hosts.
     std::uint64_t m_snapshot_interval = 4096; // Number of entries applied between two snapshots.
@@ -92,10 +93,16 @@
     // many entries are uncommitted.
     void propose(std::string payload, propose_callback done);
     // Removes `lost` from the members, unless it is empty, and adds `replacement`, which is a learner until
-    // it has caught up. Fails with a reason on a host that is not the leader and when the change is not
-    // possible. Success means that the change was started, not that it is committed.
+    // it has caught up, and longer if it is a standby. Fails with a reason on a host that is not the leader
+    // and when the change is not possible. Success means that the change was started, not that it is
+    // committed.
     status replace_host(const core::entry_host_id& lost, const core::entry_host_id& replacement);
 
+    // The host is about to stop. On the leader, a standby takes its place if there is one.
+    void release_host(const core::entry_host_id& host);
+    // This host is about to stop. If it leads, another host takes over.
+    void abdicate();
+
     [[nodiscard]] bool is_leader() const;
     // While this is true, no later leader has committed anything, and the local state machine has applied
     // every commit.
@@ -110,7 +117,7 @@
     [[nodiscard]] std::optional<std::vector<committed_entry>> entries_after(core::revision after,
                                                                             std::size_t limit = 1024) const;
     // See raft_node::last_contact().
-    [[nodiscard]] std::optional<core::time_point> last_contact(const core::entry_host_id& voter) const;
+    [[nodiscard]] std::optional<core::time_point> last_contact(const core::entry_host_id& host) const;
     [[nodiscard]] disk_id disk() const;
     // Returns the highest Raft term that this host has seen; on a leader this is its own term.
     [[nodiscard]] raft_term term() const;
--- a/src/consensus/raft_members.cpp
+++ b/src/consensus/raft_members.cpp
@@ -113,8 +113,20 @@
 }
 
 void raft_node::maintain_members() {
-    if (may_change_members() && !readmit_changed_disk()) {
+    if (!may_change_members() || readmit_changed_disk()) {
+        return;
+    }
+    if (m_settings.m_voter_target == 0) {
+        promote_learner();
+        return;
+    }
+    const std::size_t voters = members().m_voters.size();
+    if (voters > m_settings.m_voter_target) {
+        demote_surplus_voter();
+    } else if (voters < m_settings.m_voter_target) {
         promote_learner();
+    } else if (!replace_leaving_voter() && !replace_silent_voter()) {
+        remove_lost_learner();
     }
 }
 
@@ -134,22 +146,102 @@
     return false;
 }
 
-bool raft_node::promote_learner() {
+const member* raft_node::ready_standby() const {
     for (const member& learner : members().m_learners) {
         const auto found = m_progress.find(learner);
-        if (found == m_progress.end() || found->second.m_match < m_commit) {
+        if (found == m_progress.end() || found->second.m_match < m_commit || is_leaving(learner.m_host)) {
             continue;
         }
-        const bool reachable = found->second.m_contact + m_settings.m_timing.m_min_election_timeout > m_now;
-        if (reachable) {
-            membership next = members();
-            next.m_learners.erase(learner);
-            next.m_voters.insert(learner);
-            change_members(next);
-            return true;
+        if (found->second.m_contact + m_settings.m_timing.m_min_election_timeout > m_now) {
+            return &learner;
         }
     }
-    return false;
+    return nullptr;
+}
+
+bool raft_node::promote_learner() {
+    const member* standby = ready_standby();
+    if (standby == nullptr) {
+        return false;
+    }
+    membership next = members();
+    next.m_learners.erase(*standby);
+    next.m_voters.insert(*standby);
+    change_members(next);
+    return true;
+}
+
+void raft_node::demote(const member& voter) {
+    membership next = members();
+    next.m_voters.erase(voter);
+    next.m_learners.insert(voter);
+    change_members(next);
+}
+
+bool raft_node::is_silent(const member& voter) const {
+    const auto contact = last_contact(voter.m_host);
+    return voter != self() && contact && *contact + m_settings.m_timing.m_standby_takeover <= m_now;
+}
+
+bool raft_node::is_leaving(const core::entry_host_id& host) const {
+    const auto found = m_leaving_hosts.find(host);
+    return found != m_leaving_hosts.end() && !found->second.passed(m_now);
+}
+
+bool raft_node::demote_surplus_voter() {
+    const member* chosen = nullptr;
+    for (const member& voter : members().m_voters) {
+        if (voter == self()) {
+            continue;
+        }
+        chosen = &voter;
+        // The request may have expired by now, but the surplus voter was promoted because of it.
+        if (m_leaving_hosts.contains(voter.m_host) || is_silent(voter)) {
+            break;
+        }
+    }
+    if (chosen == nullptr) {
+        return false;
+    }
+    demote(*chosen);
+    return true;
+}
+
+bool raft_node::replace_leaving_voter() {
+    std::erase_if(m_leaving_hosts, [this](const auto& entry) { return entry.second.passed(m_now); });
+    const bool leaves = std::ranges::any_of(members().m_voters, [this](const member& voter) {
+        return voter != self() && is_leaving(voter.m_host);
+    });
+    return leaves && promote_learner();
+}
+
+bool raft_node::replace_silent_voter() {
+    if (ready_standby() == nullptr) {
+        return false;
+    }
+    const auto silent =
+        std::ranges::find_if(members().m_voters, [this](const member& voter) { return is_silent(voter); });
+    if (silent == members().m_voters.end()) {
+        return false;
+    }
+    demote(*silent);
+    return true;
+}
+
+bool raft_node::remove_lost_learner() {
+    const auto lost = std::ranges::find_if(members().m_learners, [this](const member& learner) {
+        const auto found = m_progress.find(learner);
+        return found != m_progress.end() &&
+               std::max(found->second.m_contact, m_leader_since) + m_settings.m_timing.m_learner_retention <=
+                   m_now;
+    });
+    if (lost == members().m_learners.end()) {
+        return false;
+    }
+    membership next = members();
+    next.m_learners.erase(*lost);
+    change_members(next);
+    return true;
 }
 
 void raft_node::change_members(const membership& next) {
@@ -171,13 +263,15 @@
     std::ranges::for_each(members().m_learners, add);
 }
 
-std::optional<core::time_point> raft_node::last_contact(const core::entry_host_id& voter) const {
+std::optional<core::time_point> raft_node::last_contact(const core::entry_host_id& host) const {
     for (const auto& [follower, state] : m_progress) {
-        if (follower.m_host == voter) {
-            return std::max(state.m_contact, m_leader_since);
+        if (follower.m_host == host) {
+            // A former leader was silent before the election already.
+            const bool led = follower == m_last_leader && m_last_leader_contact < m_leader_since;
+            return std::max(state.m_contact, led ? m_last_leader_contact : m_leader_since);
         }
     }
-    return members().contains_host(voter) && is_leader() ? std::optional(m_leader_since) : std::nullopt;
+    return members().contains_host(host) && is_leader() ? std::optional(m_leader_since) : std::nullopt;
 }
 
 std::string raft_node::replace_refusal(const replace_host& change) const {
@@ -210,4 +304,18 @@
     emit(replace_outcome{refusal});
 }
 
+void raft_node::on_event(const host_leaving& event) {
+    if (is_leader() && event.m_host != self().m_host) {
+        m_leaving_hosts[event.m_host] = core::deadline_after(m_now, m_settings.m_timing.m_leave_validity);
+        maintain_members();
+    }
+}
+
+void raft_node::on_event(const abdicate&) {
+    m_abdicated = true;
+    if (m_role != raft_role::follower) {
+        become_follower(m_hard_state.m_term);
+    }
+}
+
 } // namespace mangoquay::consensus
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -134,7 +134,7 @@
 void raft_node::tick_follower() {
     if (m_election.passed(m_now)) {
         m_leader.reset();
-        if (members().is_voter(self()) && !storage_stalled()) {
+        if (members().is_voter(self()) && !storage_stalled() && !m_abdicated) {
             start_pre_vote();
         } else {
             reset_election_timer();
@@ -216,6 +216,7 @@
         m_progress.clear();
         m_rounds.clear();
         m_changed_disks.clear();
+        m_leaving_hosts.clear();
         emit(stepped_down{});
     }
 }
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -38,6 +38,13 @@
     // A leader steps down when storage actions are pending and its disk has confirmed none for this long.
     // Heartbeats need no disk, so its followers would otherwise keep following a leader whose disk hangs.
     core::milliseconds m_storage_stall{2000};
+    // A voter without contact for this long changes places with a standby. Longer than an election, shorter
+    // than the start of a process on most machines: a voter that returns later is a standby itself.
+    core::milliseconds m_standby_takeover{600};
+    // A learner without contact for this long is no longer a member. It may join again.
+    core::milliseconds m_learner_retention{10000};
+    // How long a request of a host to leave holds unless it is repeated.
+    core::milliseconds m_leave_validity{1000};
 };
 
 struct raft_limits {
@@ -66,6 +73,9 @@
     // When false, this host never bootstraps a cell. It only asks the initial hosts for the existing cell,
     // and a host without stored state waits until it is admitted.
     bool m_may_bootstrap = true;
+    // Number of voters of a complete cell. Further hosts stay learners that have the whole log, as standbys:
+    // one of them takes the place of a voter that leaves or is lost. 0: every learner becomes a voter.
+    std::size_t m_voter_target = 0;
     raft_timing m_timing;
     raft_limits m_limits;
     std::uint64_t m_seed = 1;
@@ -93,8 +103,14 @@
     core::entry_host_id m_lost; // Empty when the replacement is added without removing a host.
     core::entry_host_id m_replacement;
 };
-using raft_event =
-    std::variant<message_received, tick, propose_batch, storage_synced, snapshot_taken, replace_host>;
+// The host is about to stop. On a leader, a standby changes places with it if there is one.
+struct host_leaving {
+    core::entry_host_id m_host;
+};
+// This host is about to stop: it leads no longer and starts no election.
+struct abdicate {};
+using raft_event = std::variant<message_received, tick, propose_batch, storage_synced, snapshot_taken,
+                                replace_host, host_leaving, abdicate>;
 
 // Actions.
 struct send_message {
@@ -170,9 +186,9 @@
     // When the lease ends unless it is renewed. Requires holds_lease(now).
     [[nodiscard]] core::deadline lease_end(core::time_point now) const;
     [[nodiscard]] const std::optional<member>& leader() const { return m_leader; }
-    // On a leader, returns the send time of the newest message that the voter has answered, or the time of
-    // its election if there is none.
-    [[nodiscard]] std::optional<core::time_point> last_contact(const core::entry_host_id& voter) const;
+    // On a leader, returns the send time of the newest message that the member has answered. If there is
+    // none, returns the time of the election, or for the former leader the time of its last message.
+    [[nodiscard]] std::optional<core::time_point> last_contact(const core::entry_host_id& host) const;
     [[nodiscard]] const member& self() const { return m_settings.m_self; }
     [[nodiscard]] const membership& members() const { return m_log.members(); }
     [[nodiscard]] const raft_log& log() const { return m_log; }
@@ -219,6 +235,8 @@
     void on_event(const storage_synced& event);
     void on_event(const snapshot_taken& event);
     void on_event(const replace_host& event);
+    void on_event(const host_leaving& event);
+    void on_event(const abdicate& event);
     void dispatch(const member& from, const raft_message& message);
     void dispatch_leader_message(const member& from, const raft_message& message);
     void dispatch_reply(const member& from, const raft_message& message);
@@ -282,9 +300,22 @@
     void on_hello(const member& from, const raft_message& message);
     void on_hello_reply(const member& from, const raft_message& message);
     void bootstrap_if_all_empty();
+    // Makes at most one change, so that tolerated losses between two changes are few.
     void maintain_members();
     bool readmit_changed_disk();
     bool promote_learner();
+    // Makes a voter a learner, without one in its place: one that leaves or has no contact, if there is one.
+    bool demote_surplus_voter();
+    // Promotes a standby beside a voter that leaves, so that both count until that one is demoted.
+    bool replace_leaving_voter();
+    // Makes a voter without contact a learner. A standby is promoted in its place by the next change.
+    bool replace_silent_voter();
+    bool remove_lost_learner();
+    void demote(const member& voter);
+    // A learner that has all committed entries and is in contact. Null if there is none.
+    [[nodiscard]] const member* ready_standby() const;
+    [[nodiscard]] bool is_silent(const member& voter) const;
+    [[nodiscard]] bool is_leaving(const core::entry_host_id& host) const;
     void change_members(const membership& next);
     void update_progress_table();
     [[nodiscard]] bool may_change_members() const;
@@ -317,6 +348,8 @@
     core::time_point m_last_leader_contact{}; // Time of the last message from a leader, initially the start
                                               // time of the process.
     std::set<member> m_votes;
+    member m_last_leader;     // The sender of the last message from a leader.
+    bool m_abdicated = false; // This host is about to stop.
 
     // The following members are used on a leader only, except that m_round also numbers vote requests.
     std::map<member, progress> m_progress; // All members except this one.
@@ -326,6 +359,8 @@
     core::time_point m_leader_since{};
     log_index m_term_start_index = 0;
     std::map<core::entry_host_id, disk_id> m_changed_disks; // Member hosts that returned with another disk.
+    // Hosts that asked to leave, and until when that holds.
+    std::map<core::entry_host_id, core::deadline> m_leaving_hosts;
 
     std::optional<incoming_snapshot> m_incoming;
     // Last hello reply of each host; used while the data folder is empty.
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -82,6 +82,7 @@
         become_follower(m_hard_state.m_term);
     }
     m_leader = from;
+    m_last_leader = from;
     m_last_leader_contact = m_now;
     reset_election_timer();
 }
@@ -172,7 +173,9 @@
     follower.m_next = std::max(follower.m_next, follower.m_match + 1);
     follower.m_probing = false;
     advance_commit();
-    send_append(from, false);
+    if (m_progress.contains(from)) { // A membership change may have removed it.
+        send_append(from, false);
+    }
 }
 
 void raft_node::record_contact(progress& follower, std::uint64_t round) {
@@ -217,6 +220,7 @@
     for (const auto& [follower, state] : m_progress) {
         send_append(follower, true);
     }
+    maintain_members(); // The next membership change need not wait for the next heartbeat.
 }
 
 void raft_node::on_snapshot(const member& from, const raft_message& message) {
--- a/src/fleet/admission_choice.cpp
+++ b/src/fleet/admission_choice.cpp
@@ -23,7 +23,7 @@
     if (lost != nullptr) {
         return admission{lost->m_host};
     }
-    if (request.m_members.size() < request.m_target_size) {
+    if (request.m_members.size() < request.m_target_size + request.m_max_standbys) {
         return admission{};
     }
     return std::nullopt;
--- a/src/fleet/admission_choice.h
+++ b/src/fleet/admission_choice.h
@@ -20,6 +20,7 @@
     core::entry_host_id m_self;            // The leader, which is never replaced.
     std::vector<member_contact> m_members; // Voters and learners.
     std::size_t m_target_size = 3;         // Number of members of a complete cell.
+    std::size_t m_max_standbys = 0;        // Number of further members that wait for a place.
 };
 
 struct admission {
@@ -30,7 +31,8 @@
 // shorter than the expected time until a second host fails.
 inline constexpr core::milliseconds contact_timeout{2500};
 
-// Returns nothing if the host is a member already, or if the cell is complete and all members are in contact.
+// Returns nothing if the host is a member already, or if the cell has all members and standbys and all are in
+// contact. A host that is admitted beyond the target size is a standby.
 std::optional<admission> choose_admission(const admission_request& request, core::time_point now);
 
 } // namespace mangoquay::fleet
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -17,6 +17,11 @@
 // A host that has known no leader for this long requests admission. Elections end within about 1 s.
 constexpr core::milliseconds leaderless_timeout{1000};
 constexpr core::milliseconds join_retry_interval{250};
+// A host that stops waits for a standby to take its place at most this long, which allows for an election and
+// a few changes of members, and for at most half of the time that it has to stop.
+constexpr core::milliseconds max_leave_time{2000};
+constexpr core::milliseconds leave_retry_interval{50};
+constexpr std::size_t min_cell_size = 3;
 // Zones of one region are about 1 ms apart, so the failure of a leader is detected sooner than with the
 // defaults. While the slowest clock of a leader measures a lease of 180 ms, at most 180 * 1.1 / 0.9 = 220 ms
 // pass on the fastest clock of a follower, which grants no vote for 250 ms.
@@ -28,6 +33,18 @@
 constexpr std::uint64_t snapshot_interval = 32;
 constexpr std::uint64_t retained_entries = 32;
 
+std::size_t target_cell_size(const settings::fleet_settings& host_settings) {
+    return 2 * host_settings.m_tolerated_host_failures + 1;
+}
+
+std::string join_hosts(const std::set<consensus::member>& members) {
+    std::string text;
+    for (const consensus::member& listed : members) {
+        text += (text.empty() ? "" : ",") + listed.m_host.value();
+    }
+    return text;
+}
+
 consensus::driver_settings raft_settings(const settings::fleet_settings& host_settings) {
     consensus::driver_settings raft;
     raft.m_self = host_id(host_settings.m_peer_address);
@@ -36,6 +53,7 @@
         raft.m_initial_hosts.insert(host_id(address));
     }
     raft.m_may_bootstrap = host_settings.m_first_start;
+    raft.m_voter_target = std::max(min_cell_size, target_cell_size(host_settings));
     raft.m_seed = std::random_device{}();
     raft.m_timing = cell_timing;
     raft.m_snapshot_interval = snapshot_interval;
@@ -148,6 +166,7 @@
 void control_node::tick() {
     const core::time_point now = core::now();
     log_leader_change();
+    log_member_change();
     join_if_leaderless(now);
     confirm_document(now);
     run_promotions(now);
@@ -165,6 +184,50 @@
     }
 }
 
+void control_node::log_member_change() {
+    const consensus::membership& members = m_raft->members();
+    if (members != m_logged_members) {
+        m_logged_members = members;
+        core::log_line(core::log_level::info, "fleet",
+                       "control members voters=" + join_hosts(members.m_voters) +
+                           " standbys=" + join_hosts(members.m_learners));
+    }
+}
+
+void control_node::leave(std::function<void()> done) {
+    const core::milliseconds limit =
+        std::min<core::milliseconds>(max_leave_time, m_settings.m_stop_timeout / 2);
+    m_on_left = std::move(done);
+    m_leave_deadline = core::deadline_after(core::now(), limit);
+    leave_step();
+}
+
+void control_node::leave_step() {
+    const consensus::membership& members = m_raft->members();
+    const auto is_self = [this](const consensus::member& listed) { return listed.m_host == m_self; };
+    const bool is_voter = std::ranges::any_of(members.m_voters, is_self);
+    const bool has_standby = !std::ranges::all_of(members.m_learners, is_self);
+    const bool timed_out = m_leave_deadline.passed(core::now());
+    if (!is_voter || !has_standby || timed_out) {
+        core::log_line(core::log_level::info, "fleet",
+                       "leaves the cell voter=" + std::to_string(static_cast<int>(is_voter)) +
+                           " standbys=" + std::to_string(members.m_learners.size()) +
+                           " timed_out=" + std::to_string(static_cast<int>(timed_out)));
+        m_on_left();
+        return;
+    }
+    if (m_raft->is_leader()) {
+        m_raft->abdicate();
+    } else if (const auto leader = m_raft->leader()) {
+        wire::cell_joinT request;
+        request.peer_host = m_settings.m_peer_address.m_host;
+        request.peer_port = m_settings.m_peer_address.m_port;
+        request.leaving = true;
+        m_bus.send(*leader, request);
+    }
+    m_loop.run_after(leave_retry_interval, [this] { leave_step(); });
+}
+
 void control_node::run_promotions(core::time_point now) {
     const bool leads = m_raft->holds_lease(now);
     m_leases.authority().set_leading(leads, primary_leases::leader_term(m_raft->term().value()),
@@ -215,7 +278,7 @@
     if (m_raft->leader()) {
         m_leader_last_known = now;
     }
-    if (m_leader_last_known + leaderless_timeout > now) {
+    if (m_leader_last_known + leaderless_timeout > now || m_on_left) {
         return;
     }
     if (m_next_join > now) {
@@ -234,10 +297,15 @@
     if (!m_raft->is_leader()) {
         return;
     }
+    if (request.leaving) {
+        m_raft->release_host(from);
+        return;
+    }
     m_network.set_address(from, {request.peer_host, request.peer_port});
     admission_request admission_input{.m_joining_host = from,
                                       .m_self = m_self,
-                                      .m_target_size = 2 * m_settings.m_tolerated_host_failures + 1};
+                                      .m_target_size = target_cell_size(m_settings),
+                                      .m_max_standbys = m_settings.m_tolerated_host_failures};
     const core::time_point now = core::now();
     const auto add = [&](const consensus::member& member) {
         admission_input.m_members.push_back(
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -60,12 +60,18 @@
     // earlier incarnation than the current one is ignored.
     void deregister_endpoint(const core::endpoint_id& endpoint, std::optional<std::int64_t> started_ms);
 
+    // Hands this host's place in the cell to a standby, if there is one, and calls `done` when that is done
+    // or its time limit has passed. The host must be stopped then.
+    void leave(std::function<void()> done);
+
     // Metrics of this host in the text exposition format of Prometheus.
     [[nodiscard]] std::string metrics_page() const;
 
 private:
     void tick();
     void log_leader_change();
+    void log_member_change();
+    void leave_step();
     void join_if_leaderless(core::time_point now);
     void on_join_requested(const core::entry_host_id& from, const wire::cell_joinT& request);
     void on_committed(const std::string& payload);
@@ -100,6 +106,9 @@
     std::optional<core::entry_host_id> m_logged_leader;
     core::time_point m_leader_last_known{}; // When a leader was last known.
     core::time_point m_next_join{};
+    consensus::membership m_logged_members;
+    std::function<void()> m_on_left; // Set while this host leaves.
+    core::deadline m_leave_deadline;
     bool m_announcement_pending = false;
     std::uint32_t m_term_order_count = 0; // Number of orders in m_token_term.
     std::uint64_t m_total_order_count = 0;
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -4989,6 +4989,7 @@
   typedef cell_join TableType;
   std::string peer_host{};
   uint16_t peer_port = 0;
+  bool leaving = false;
 };
 
 struct cell_join FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4997,7 +4998,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PEER_HOST = 4,
-    VT_PEER_PORT = 6
+    VT_PEER_PORT = 6,
+    VT_LEAVING = 8
   };
   const flatbuffers::String *peer_host() const {
     return GetPointer<const flatbuffers::String *>(VT_PEER_HOST);
@@ -5005,11 +5007,15 @@
   uint16_t peer_port() const {
     return GetField<uint16_t>(VT_PEER_PORT, 0);
   }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PEER_HOST) &&
            verifier.VerifyString(peer_host()) &&
            VerifyField<uint16_t>(verifier, VT_PEER_PORT, 2) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   cell_joinT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5027,6 +5033,9 @@
   void add_peer_port(uint16_t peer_port) {
     fbb_.AddElement<uint16_t>(cell_join::VT_PEER_PORT, peer_port, 0);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(cell_join::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit cell_joinBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5041,10 +5050,12 @@
 inline flatbuffers::Offset<cell_join> Createcell_join(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> peer_host = 0,
-    uint16_t peer_port = 0) {
+    uint16_t peer_port = 0,
+    bool leaving = false) {
   cell_joinBuilder builder_(_fbb);
   builder_.add_peer_host(peer_host);
   builder_.add_peer_port(peer_port);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
@@ -5056,12 +5067,14 @@
 inline flatbuffers::Offset<cell_join> Createcell_joinDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *peer_host = nullptr,
-    uint16_t peer_port = 0) {
+    uint16_t peer_port = 0,
+    bool leaving = false) {
   auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
   return mangoquay::wire::Createcell_join(
       _fbb,
       peer_host__,
-      peer_port);
+      peer_port,
+      leaving);
 }
 
 flatbuffers::Offset<cell_join> Createcell_join(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8267,6 +8280,7 @@
   (void)_resolver;
   { auto _e = peer_host(); if (_e) _o->peer_host = _e->str(); }
   { auto _e = peer_port(); _o->peer_port = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<cell_join> cell_join::Pack(flatbuffers::FlatBufferBuilder &_fbb, const cell_joinT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8279,10 +8293,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const cell_joinT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _peer_host = _o->peer_host.empty() ? 0 : _fbb.CreateString(_o->peer_host);
   auto _peer_port = _o->peer_port;
+  auto _leaving = _o->leaving;
   return mangoquay::wire::Createcell_join(
       _fbb,
       _peer_host,
-      _peer_port);
+      _peer_port,
+      _leaving);
 }
 
 inline primary_assignmentT *primary_assignment::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/test/correctness/consensus_safety.cpp
+++ b/test/correctness/consensus_safety.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(three_hosts_stay_consistent);
     CPPUNIT_TEST(five_hosts_stay_consistent);
     CPPUNIT_TEST(members_change_safely);
+    CPPUNIT_TEST(standbys_take_places_safely);
     CPPUNIT_TEST(empty_hosts_bootstrap_one_cell);
     CPPUNIT_TEST(detects_counted_unsynced_entries);
     CPPUNIT_TEST(detects_missing_log_check);
@@ -87,6 +88,14 @@
     void members_change_safely() {
         check_safety("members change safely", {.m_spare_hosts = 1}, fault_kind::last);
     }
+    // Voters leave, are lost or go silent while standbys wait for their places.
+    void standbys_take_places_safely() {
+        for (const unsigned hosts : {3U, 5U}) {
+            check_safety("standbys take places safely",
+                         {.m_hosts = hosts, .m_spare_hosts = 2, .m_voter_target = hosts},
+                         fault_kind::leave_host);
+        }
+    }
 
     void empty_hosts_bootstrap_one_cell() {
         check_safety("empty hosts bootstrap one cell", {.m_empty_disks = true}, fault_kind::slow_disk);
--- a/test/support/consensus_simulation.h
+++ b/test/support/consensus_simulation.h
@@ -28,6 +28,8 @@
     lose_disk,    // Only while the membership is complete, so that a quorum keeps its disks.
     replace_host, // The other host replaces the target if it is a spare.
     last = replace_host,
+    leave_host, // The target asks the leader to let a standby take its place. Drawn only where a test says
+                // so.
 };
 
 // One step of a script. Hosts are numbered relative to the current leader, so that faults affect leaders
@@ -51,9 +53,11 @@
     unsigned m_spare_hosts = 0; // Additional hosts that are not members at first.
     raft_faults m_faults = {};
     raft_timing m_timing = {};
-    unsigned m_latency_ms = 10;    // Maximum latency of disks and of all but a few messages.
-    bool m_extreme_clocks = false; // The first host is 10 % slow, all others are 10 % fast.
-    bool m_keep_disk_id = false;   // Injected fault: a lost disk returns with the same id.
+    std::size_t m_voter_target = 0; // See raft_settings.
+    unsigned m_latency_ms = 10;     // Maximum latency of disks and of all but a few messages.
+    bool m_lossy_network = true;    // Some messages are lost, duplicated or late by up to 2 s.
+    bool m_extreme_clocks = false;  // The first host is 10 % slow, all others are 10 % fast.
+    bool m_keep_disk_id = false;    // Injected fault: a lost disk returns with the same id.
 };
 
 class consensus_simulation {
@@ -80,6 +84,10 @@
     void crash(unsigned host);
     void restart(unsigned host);
     void replace(unsigned lost, unsigned replacement);
+    // Adds the spare host as a learner.
+    void admit(unsigned host);
+    // The host stops as planned: it hands its place to a standby, for at most 2 s, and ends.
+    void leave_and_end(unsigned host);
     void isolate(unsigned host);
     void disconnect(unsigned first, unsigned other); // In both directions.
     void pause(unsigned host, std::int64_t length_ms) {
--- a/test/support/fleet_hosts.h
+++ b/test/support/fleet_hosts.h
@@ -79,6 +79,9 @@
     // The committed version that this host has applied.
     std::uint64_t applied_version();
     bool leads();
+    // Returns once the host has handed its place to a standby, or has given up. The host must be stopped
+    // then.
+    void leave();
 
 private:
     class refusing_executor final : public fleet::promotion_executor {
@@ -120,6 +123,10 @@
 
     void start(unsigned host);
     void stop(unsigned host) { m_hosts.at(host).reset(); }
+    // Starts a further host with an empty disk, which is not a member of the cell. Returns its index.
+    unsigned add();
+    // Deletes the data folder of a stopped host.
+    void lose_disk(unsigned host);
     control_fleet_host& host(unsigned index) { return *m_hosts.at(index); }
     [[nodiscard]] core::entry_host_id id(unsigned index) const;
     // Endpoints that the host has persisted as in use.
@@ -139,6 +146,7 @@
     temporary_folder m_folder;
     std::uint16_t m_port = 0;
     std::vector<std::unique_ptr<control_fleet_host>> m_hosts;
+    std::size_t m_initial_hosts = 0;
     std::set<unsigned> m_started_before;
 };
 
