--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -16,10 +16,6 @@
 constexpr core::milliseconds idle_tick_interval{100};
 constexpr core::milliseconds summary_period{5000};
 constexpr core::milliseconds drain_interval{100};
-// The load balancer queries readiness every second and removes a host after two failures.
-constexpr core::milliseconds balancer_detection_time{2300};
-// Limits how many callers reconnect at once, so that they spread over the remaining hosts.
-constexpr std::size_t sessions_closed_per_step = 40;
 // Log lines about single statements between two summaries. Further ones are only counted.
 constexpr std::uint64_t max_lines_per_summary = 100;
 // Reserved for descriptors other than those of sessions and database connections.
@@ -291,16 +287,11 @@
 }
 
 void entry_node::shut_down(std::function<void()> on_stopped) {
-    const core::time_point now = core::now();
     m_on_stopped = std::move(on_stopped);
     m_ready = false;
     m_exchange.stop_lending();
     m_subscriber.query_control_hosts();
-    const auto limit = m_settings.m_stop_timeout;
-    m_session_drain_start =
-        core::deadline_after(now, std::min<core::milliseconds>(balancer_detection_time, limit / 2));
-    m_transaction_abort_start = core::deadline_after(now, limit * 55 / 100);
-    m_drain_deadline = core::deadline_after(now, limit * 85 / 100);
+    m_stop.emplace(core::now(), m_settings.m_stop_timeout);
     core::log_line(core::log_level::info, "entry",
                    "stopping sessions=" + std::to_string(m_core.session_count()));
     drain_step();
@@ -308,22 +299,15 @@
 
 void entry_node::drain_step() {
     const core::time_point now = core::now();
-    std::size_t sessions_left = m_core.session_count();
-    if (m_transaction_abort_start.passed(now)) {
-        m_core.abort_idle_transactions(now);
-    }
-    if (m_session_drain_start.passed(now)) {
-        sessions_left = m_core.close_idle_sessions(sessions_closed_per_step);
-    }
-    if (!m_accepting_ended && m_session_drain_start.passed(now) &&
-        (sessions_left == 0 || m_transaction_abort_start.passed(now))) {
+    std::size_t sessions_left = m_stop->step(m_core, now);
+    if (!m_accepting_ended && m_stop->may_end_accepting(sessions_left, now)) {
         m_accepting_ended = true;
         m_callers.stop_accepting();
         sessions_left = 1; // Another step for connections that were accepted before.
     }
     const bool done = m_accepting_ended && sessions_left == 0 && m_callers.open_count() == 0 &&
                       m_exchange.lender().loan_count() == 0;
-    if (done || m_drain_deadline.passed(now)) {
+    if (done || m_stop->is_overdue(now)) {
         core::log_line(core::log_level::info, "entry",
                        "stopped sessions_left=" + std::to_string(sessions_left));
         m_loop.run_after(drain_interval, m_on_stopped); // Delayed so that the last answers are sent.
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -9,6 +9,7 @@
 #include "entry/caller_sessions.h"
 #include "entry/database_connection.h"
 #include "entry/loan_exchange.h"
+#include "entry/planned_stop.h"
 #include "fleet/lease_renewal.h"
 #include "fleet/update_subscriber.h"
 #include "metrics/session_metrics.h"
@@ -94,9 +95,7 @@
     core::time_point m_next_summary{};
     std::uint64_t m_line_count = 0; // Logged since the last summary.
     std::uint64_t m_suppressed_line_count = 0;
-    core::deadline m_session_drain_start; // Set, like the next two, while the host stops.
-    core::deadline m_transaction_abort_start;
-    core::deadline m_drain_deadline;
+    std::optional<planned_stop> m_stop; // Set once the stop has begun.
     std::function<void()> m_on_stopped; // Set while the host stops.
     bool m_accepting_ended = false;
 };
