Answer every statement at a planned stop

Cause: transactions were ended at 55 % of the time to stop only if no statement was in progress at one of the checks, 100 ms apart. A transaction whose statements follow each other went on until 85 %, when the process ends whatever is in progress. Ruled out: the database breaking off, and the route's timeout of 3 s (the record has neither).

Change: from 55 % on, a statement of an open transaction that does not end it is refused with ABORTED and the transaction rolled back; COMMIT still runs. New transactions and single statements are refused as not run. At 85 %, every statement still in progress, queued ones included, is answered with what is known: in doubt for a write or a commit that was sent, not run otherwise. So single statements, commits under way, hedged reads and loans have the same end as transactions.

Test: relay_safety::a_planned_stop_answers_every_statement runs the stop in the relay simulation, at random moments, with run times of up to 40, 320 and 900 ms, transactions of up to 12 statements, own and lent connections, and checks that no statement is cut off and that no refusal as not run is untrue.

--- a/src/entry/planned_stop.cpp
+++ b/src/entry/planned_stop.cpp
@@ -22,8 +22,10 @@
       m_end(core::deadline_after(now, limit * end_percent / 100)) {}
 
 std::size_t planned_stop::step(relay::relay_core& core, core::time_point now) {
-    if (m_transaction_end.passed(now)) {
-        core.abort_idle_transactions(now);
+    if (m_end.passed(now)) {
+        core.answer_all_statements(now);
+    } else if (m_transaction_end.passed(now)) {
+        core.end_transactions(now);
     }
     return m_session_drain_start.passed(now) ? core.close_idle_sessions(sessions_closed_per_step)
                                              : core.session_count();
--- a/src/entry/planned_stop.h
+++ b/src/entry/planned_stop.h
@@ -1,5 +1,9 @@
 // Deadlines of the planned stop of an entry host, and what happens to its sessions at each of them.
 //
+// From m_transaction_end on, no new work starts, because it may not end in time; at m_end, each statement
+// still in progress is answered with what is known of it. So no statement that was received goes without an
+// answer.
+//
 // Deterministic: acts on the relay core only. The entry node calls step() periodically and ends the process
 // once no session is left or is_overdue() is true.
 #pragma once
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -156,8 +156,12 @@
     // Closes sessions without a statement or transaction in progress, at most `max_closed` of them, and marks
     // the others to be closed once theirs has ended. Returns the number of remaining sessions.
     std::size_t close_idle_sessions(std::size_t max_closed);
-    // Aborts open transactions that have no statement in progress.
-    void abort_idle_transactions(core::time_point now);
+    // The host stops soon: aborts open transactions without a statement in progress, and from now on each
+    // other one at its next statement unless that ends it. Other new work is refused as not run.
+    void end_transactions(core::time_point now);
+    // The host stops now: answers every statement in progress. Only what is known not to take effect is
+    // refused as not run.
+    void answer_all_statements(core::time_point now);
 
     void on_connection_opened(connection_id id, std::optional<core::history_position> position,
                               core::time_point now);
@@ -193,6 +197,10 @@
                            core::time_point now);
     void end_transaction(session_id id, session& caller, const session_statement& statement,
                          core::time_point now);
+    // Refuses the statement in progress if the host stops and the statement may not be started any more.
+    // Returns whether it did.
+    bool refuse_while_stopping(session_id id, session& caller, core::time_point now);
+    void lose_transaction(session& caller, const std::string& reason, core::time_point now);
     void set_session_value(session_id id, session& caller, const session_statement& statement,
                            core::time_point now);
     void prepare_statement(session_id id, session& caller, const session_statement& statement,
@@ -311,8 +319,15 @@
     void record_event(const char* action, const session& caller, const std::string& endpoint,
                       const std::string& reason, core::time_point now);
 
+    enum class stop_stage : std::uint8_t {
+        running,
+        ending_transactions, // Transactions may only end, and no other work starts.
+        ended,               // No statement runs.
+    };
+
     relay_ports& m_ports;
     relay_limits m_limits;
+    stop_stage m_stop_stage = stop_stage::running;
     documents::configuration m_configuration;
     std::uint32_t m_lowest_priority = 0; // Largest priority number of all routes.
     std::unordered_map<session_id, session> m_sessions;
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -1,8 +1,10 @@
 // Sessions: statements that need no database, transaction states, and answers to callers.
 #include "relay/relay_core.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace mangoquay::relay {
 namespace {
@@ -87,6 +89,9 @@
     started.m_statement = statement;
     started.m_arrived = now;
     caller.m_operation = std::move(started);
+    if (refuse_while_stopping(id, caller, now)) {
+        return;
+    }
     if (caller.m_state == transaction_state::failed && !ends) {
         if (caller.m_transaction.m_lost) {
             refuse_statement(id, caller, refusal::aborted, "the transaction was ended; nothing of it is kept",
@@ -99,6 +104,32 @@
     (this->*handlers.at(static_cast<std::size_t>(statement.m_kind)))(id, caller, statement, now);
 }
 
+bool relay_core::refuse_while_stopping(session_id id, session& caller, core::time_point now) {
+    if (m_stop_stage == stop_stage::running) {
+        return false;
+    }
+    const statement_kind kind = caller.m_operation->m_statement.m_kind;
+    const bool ends = kind == statement_kind::commit || kind == statement_kind::rollback;
+    if (caller.m_state == transaction_state::open && (!ends || m_stop_stage == stop_stage::ended)) {
+        lose_transaction(caller, "the host is shutting down", now);
+        return false; // Handled like any statement of a transaction that was lost.
+    }
+    const bool is_local = kind == statement_kind::set_value || kind == statement_kind::prepare ||
+                          kind == statement_kind::deallocate;
+    if (caller.m_state != transaction_state::idle || ends || is_local) {
+        return false;
+    }
+    refuse_statement(id, caller, refusal::busy, "the host is shutting down", now);
+    return true;
+}
+
+void relay_core::lose_transaction(session& caller, const std::string& reason, core::time_point now) {
+    detach_connection(caller, now);
+    caller.m_state = transaction_state::failed;
+    caller.m_transaction.m_lost = true;
+    record_event("transaction ended", caller, "", reason, now);
+}
+
 // The transaction begins at the database with its first statement, so an idle time after the begin holds no
 // connection.
 void relay_core::begin_transaction(session_id id, session& caller, const session_statement& statement,
@@ -285,14 +316,42 @@
     return m_sessions.size();
 }
 
-void relay_core::abort_idle_transactions(core::time_point now) {
+void relay_core::end_transactions(core::time_point now) {
+    m_stop_stage = std::max(m_stop_stage, stop_stage::ending_transactions);
     for (auto& [id, caller] : m_sessions) {
         if (caller.m_state == transaction_state::open && !caller.m_operation) {
-            detach_connection(caller, now);
-            caller.m_state = transaction_state::failed;
-            caller.m_transaction.m_lost = true;
-            record_event("transaction ended", caller, "", "the host is shutting down", now);
+            lose_transaction(caller, "the host is shutting down", now);
+        }
+    }
+}
+
+void relay_core::answer_all_statements(core::time_point now) {
+    m_stop_stage = stop_stage::ended;
+    const std::vector<session_id> active(m_active_sessions.begin(), m_active_sessions.end());
+    for (const session_id id : active) {
+        const auto found = m_sessions.find(id);
+        if (found == m_sessions.end() || !found->second.m_operation) {
+            continue;
+        }
+        session& caller = found->second;
+        const bool in_transaction = caller.m_state == transaction_state::open;
+        const bool was_sent = caller.m_operation->m_phase == operation_phase::running;
+        const bool may_take_effect =
+            was_sent && (is_commit(caller) ? caller.m_transaction.m_wrote
+                                           : !in_transaction && caller.m_operation->m_writes);
+        const refusal not_run = in_transaction ? refusal::aborted : refusal::busy;
+        // The end of the connection rolls back what was not committed.
+        if (caller.m_connection) {
+            const connection_id connection = *caller.m_connection;
+            caller.m_connection.reset();
+            remove_connection(connection);
+        }
+        if (is_commit(caller)) {
+            clear_transaction(caller);
         }
+        refuse_statement(id, caller, may_take_effect ? refusal::in_doubt : not_run,
+                         "the host is shutting down", now);
+        start_queued_statements(id, now);
     }
 }
 
--- a/src/relay/relay_ticks.cpp
+++ b/src/relay/relay_ticks.cpp
@@ -34,10 +34,7 @@
     session& caller = found->second;
     if (!caller.m_operation) {
         if (caller.m_state == transaction_state::open && caller.m_transaction.m_idle_deadline.passed(now)) {
-            detach_connection(caller, now);
-            caller.m_state = transaction_state::failed;
-            caller.m_transaction.m_lost = true;
-            record_event("transaction ended", caller, "", "idle time limit exceeded", now);
+            lose_transaction(caller, "idle time limit exceeded", now);
         }
         return;
     }
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(guarantees_hold_over_lent_connections);
     CPPUNIT_TEST(guarantees_hold_when_old_primaries_go_on);
     CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_old_primaries_go_on);
+    CPPUNIT_TEST(a_planned_stop_answers_every_statement);
     CPPUNIT_TEST(leases_that_do_not_end_are_detected);
     CPPUNIT_TEST(read_without_min_position_is_detected);
     CPPUNIT_TEST(read_without_primary_check_is_detected);
@@ -124,6 +125,29 @@
         options.m_connections = scarce_connections;
         check_holds(options);
     }
+    // Guards against a process that ends while a statement is in progress: transactions whose statements
+    // follow each other went on until the end, as did single statements on sessions that stayed open.
+    // Refusals of the stopping host have to be as true as others.
+    static void a_planned_stop_answers_every_statement() {
+        for (const std::int64_t max_run_ms : {40, 320, 900}) {
+            for (const bool lent : {false, true}) {
+                CPPUNIT_ASSERT(rc::check("a planned stop answers every statement", [&] {
+                    relay_simulation_options options;
+                    options.m_seed = *rc::gen::arbitrary<std::uint32_t>();
+                    options.m_operations = 100'000;
+                    options.m_max_run_ms = max_run_ms;
+                    options.m_max_transaction_statements = 12;
+                    options.m_promotions = false;
+                    options.m_lent_connections = lent;
+                    options.m_connections = lent ? scarce_connections : options.m_connections;
+                    options.m_stop_after = mangoquay::core::milliseconds(500 + options.m_seed % 2500);
+                    const std::string violation = violation_of(options);
+                    RC_LOG() << violation;
+                    RC_ASSERT(violation.empty());
+                }));
+            }
+        }
+    }
     static void leases_that_do_not_end_are_detected() {
         bool detected = false;
         for (std::uint64_t seed = 1; seed <= injected_fault_seeds && !detected; ++seed) {
--- a/test/support/relay_simulation.cpp
+++ b/test/support/relay_simulation.cpp
@@ -17,6 +17,8 @@
 constexpr core::milliseconds max_age{400};
 constexpr std::size_t caller_count = 5;
 constexpr core::milliseconds lease_length{300};
+constexpr core::milliseconds stop_limit{6000};
+constexpr core::milliseconds stop_step_interval{100};
 
 documents::configuration configuration_of(std::uint32_t connections) {
     documents::configuration configuration;
@@ -108,7 +110,9 @@
     m_core->configure(configuration_of(m_options.m_connections), m_now);
     announce_endpoints();
     const std::function<void()> tick = [this, &tick] {
-        m_core->tick(m_now);
+        if (!m_process_ended) {
+            m_core->tick(m_now);
+        }
         if (m_lending) {
             m_lending->tick();
         }
@@ -124,11 +128,17 @@
     if (m_options.m_leased) {
         renew_lease();
     }
+    if (m_options.m_stop_after) {
+        schedule(*m_options.m_stop_after, [this] { begin_stop(); });
+    }
     for (std::size_t index = 0; index < caller_count; ++index) {
         schedule(core::milliseconds(100 + random_below(50)), [this] { start_operation(0); });
     }
     const core::time_point end = m_now + std::chrono::minutes(3);
-    while (m_now < end && m_violation.empty() && (m_operations_left > 0 || !m_callers.empty())) {
+    const auto is_active = [this] {
+        return m_operations_left > 0 || !m_callers.empty() || m_now < m_last_run_end;
+    };
+    while (m_now < end && m_violation.empty() && is_active()) {
         const auto next = m_events.begin();
         m_now = next->first.first;
         const auto action = std::move(next->second);
@@ -145,6 +155,32 @@
     }
 }
 
+void relay_simulation::begin_stop() {
+    m_stop.emplace(m_now, stop_limit);
+    stop_step();
+}
+
+void relay_simulation::stop_step() {
+    const std::size_t sessions_left = m_stop->step(*m_core, m_now);
+    if (sessions_left == 0 || m_stop->is_overdue(m_now)) {
+        schedule(stop_step_interval, [this] { end_process(); }); // The last answers are sent by then.
+        return;
+    }
+    schedule(stop_step_interval, [this] { stop_step(); });
+}
+
+void relay_simulation::end_process() {
+    m_process_ended = true;
+    m_operations_left = 0;
+    for (const auto& [session, current] : m_callers) {
+        if (current.m_waiting) {
+            record_violation("a statement was cut off without an answer");
+        }
+    }
+    m_callers.clear();
+    m_last_run_end = m_now + core::milliseconds(2 * m_options.m_max_run_ms);
+}
+
 core::history_position relay_simulation::position_of(const database& server) {
     const core::history_position position{core::term(server.m_term), core::log_position(server.m_log.size())};
     m_last_commit[position] = server.m_log.empty() ? 0 : server.m_log.back().m_attempt;
@@ -360,7 +396,8 @@
     for (const relay::database_request& request : requests) {
         const core::time_point arrives = m_now + core::milliseconds(1 + random_below(3));
         const core::time_point starts = std::max(arrives, session->m_free_at);
-        const core::duration run_time = core::milliseconds(request.m_id.empty() ? 0 : 1 + random_below(40));
+        const core::duration run_time = core::milliseconds(
+            request.m_id.empty() ? 0 : 1 + random_below(static_cast<std::uint64_t>(m_options.m_max_run_ms)));
         session->m_free_at = starts + run_time;
         schedule(starts + run_time - m_now, [this, id, session, request] {
             if (session->m_broken) {
@@ -372,7 +409,7 @@
                 return;
             }
             schedule(core::milliseconds(1), [this, id, session, answer] {
-                if (session->m_broken || !m_connections.contains(id)) {
+                if (session->m_broken || !m_connections.contains(id) || m_process_ended) {
                     return;
                 }
                 if (lending_simulation::is_lender_connection(id)) {
--- a/test/support/relay_simulation.h
+++ b/test/support/relay_simulation.h
@@ -7,6 +7,7 @@
 // statements run in their own transactions and with their own session values.
 #pragma once
 
+#include "entry/planned_stop.h"
 #include "relay/relay_core.h"
 #include "support/lending_simulation.h"
 
@@ -46,6 +47,10 @@
     // An old primary goes on after a promotion, and this host uses primaries under leases that end before.
     bool m_leased = false;
     bool m_lent_connections = false; // Every connection is borrowed from one of two other hosts.
+    std::int64_t m_max_run_ms = 40;  // Maximum run time of a statement at a database.
+    std::uint64_t m_max_transaction_statements = 3;
+    // The host is stopped as planned after this time, while its callers go on.
+    std::optional<core::milliseconds> m_stop_after;
     injected_faults m_injected_faults;
 };
 
@@ -139,6 +144,10 @@
     void promote_after_leases();
     void promote_database(std::size_t chosen);
     void renew_lease();
+    void begin_stop();
+    void stop_step();
+    // The process ends: no statement may be left without an answer.
+    void end_process();
     void replicate();
     void announce_endpoints();
 
@@ -173,6 +182,9 @@
     std::map<std::uint64_t, std::uint64_t> m_session_of; // Session of each attempt.
     std::size_t m_succeeded = 0;
     int m_operations_left = 0;
+    std::optional<entry::planned_stop> m_stop;
+    bool m_process_ended = false;
+    core::time_point m_last_run_end{}; // After the end of the process, the databases go on until then.
     std::string m_violation;
 };
 
--- a/test/support/relay_simulation_callers.cpp
+++ b/test/support/relay_simulation_callers.cpp
@@ -21,6 +21,9 @@
 } // namespace
 
 void relay_simulation::start_operation(std::uint64_t session) {
+    if (m_process_ended || (session != 0 && !m_callers.contains(session))) {
+        return; // The host has closed the session.
+    }
     if (m_operations_left-- <= 0) {
         if (session != 0) {
             m_callers.erase(session);
@@ -77,7 +80,8 @@
         const bool read_only = occurs(30);
         const auto begins = read_only ? statement_kind::begin_read_only : statement_kind::begin;
         current.m_script.push_back(statement(begins, id(), read_only ? "BEGIN READ" : "BEGIN"));
-        for (std::uint64_t count = 1 + random_below(3); count > 0; --count) {
+        for (std::uint64_t count = 1 + random_below(m_options.m_max_transaction_statements); count > 0;
+             --count) {
             add_statement(!read_only && occurs(50));
         }
         const bool rolls_back = occurs(15);
@@ -104,6 +108,9 @@
 }
 
 void relay_simulation::send_answer(relay::session_id session, const relay::session_answer& answer) {
+    if (m_process_ended) {
+        return;
+    }
     const auto found = m_callers.find(session.value());
     if (found == m_callers.end() || !found->second.m_waiting) {
         record_violation("an answer without a statement");
