Keep the leader's connections to replicas of synchronous services open

Change: with synchronous replicas the leader asks each ready replica for its position once a second, which keeps the connection; a refusal is tried again after 100 ms. While a stepped-down primary is waited for, it is asked too, and counts as gone after 1 s without an answer, so that a crash in that time does not end in an endless wait (found by reading).

Open: a new leader still needs one free connection at each database; services without synchronous replicas are unchanged.

--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -300,7 +300,7 @@
     void on_hello(const member& from, const raft_message& message);
     void on_hello_reply(const member& from, const raft_message& message);
     void bootstrap_if_all_empty();
-    // Makes at most one change, so that tolerated losses between two changes are few.
+    // Makes at most one change. The next one follows once it is committed.
     void maintain_members();
     bool readmit_changed_disk();
     bool promote_learner();
--- a/src/promotion/promotion_answers.cpp
+++ b/src/promotion/promotion_answers.cpp
@@ -63,6 +63,10 @@
     if (answer.m_kind == step_kind::probe) {
         state.m_probe_in_flight = false;
     }
+    if (answer.m_kind == step_kind::status && answer.m_connections_exhausted) {
+        state.m_next_replica_query =
+            std::min(state.m_next_replica_query, core::deadline_after(now, successor_query_period));
+    }
     if (answer.m_kind == step_kind::step_down && answer.m_status && state.m_is_leased) {
         on_step_down_answer(service, state, answer, now);
     }
@@ -84,10 +88,14 @@
         on_pause_answer(service, state, answer, now);
     } else if (state.m_phase == phase::catching_up && answer.m_status) {
         state.m_positions[answer.m_endpoint] = answer.m_status->m_received;
+        if (answer.m_endpoint == state.m_primary) {
+            state.m_old_primary_answer_expiry = core::deadline_after(now, old_primary_answer_lifetime);
+        }
     } else if (state.m_phase == phase::stepping_down && answer.m_kind == step_kind::step_down &&
                answer.m_status) {
         state.m_required_position = answer.m_status->m_received;
         state.m_positions = {{answer.m_endpoint, answer.m_status->m_received}};
+        state.m_old_primary_answer_expiry = core::deadline_after(now, old_primary_answer_lifetime);
         enter_phase(state, phase::catching_up, catch_up_timeout, now);
     }
 }
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -161,6 +161,10 @@
         return;
     }
     run_planned_replacement(state, service, *primary, now);
+    if (state.m_phase == phase::watching && state.m_is_synchronous) {
+        // Keeps a connection to each replica: entry hosts may hold all others when one is needed.
+        query_replicas(state, service, *primary, replica_query_period, now);
+    }
 }
 
 // A primary that leaves is stepped down only when a replica is known to hold what it holds and to answer this
@@ -174,6 +178,7 @@
     if (!state.m_planned_wait_end) {
         state.m_planned_wait_end =
             core::deadline_after(now, state.m_is_synchronous ? planned_wait_synchronous : planned_wait);
+        state.m_next_replica_query = core::deadline{now};
     }
     const bool may_start = has_successor(service, primary.m_id) && !state.m_probes_failing_since &&
                            state.m_highest_term.value() > 0 && state.m_next_planned_replacement.passed(now) &&
@@ -192,12 +197,19 @@
                          core::term(state.m_highest_term.value() + 1));
         return;
     }
-    if (state.m_next_successor_query.passed(now)) {
-        state.m_next_successor_query = core::deadline_after(now, successor_query_period);
-        for (const endpoint_report& report : service.m_endpoints) {
-            if (report.m_id != primary.m_id && report.m_state == report_state::ready) {
-                m_ports.run_step(service.m_name, report, step_kind::status, state.m_highest_term);
-            }
+    query_replicas(state, service, primary, successor_query_period, now);
+}
+
+void promotion_core::query_replicas(service_state& state, const service_view& service,
+                                    const endpoint_report& primary, core::milliseconds period,
+                                    core::time_point now) {
+    if (!state.m_next_replica_query.passed(now)) {
+        return;
+    }
+    state.m_next_replica_query = core::deadline_after(now, period);
+    for (const endpoint_report& report : service.m_endpoints) {
+        if (report.m_id != primary.m_id && report.m_state == report_state::ready) {
+            m_ports.run_step(service.m_name, report, step_kind::status, state.m_highest_term);
         }
     }
 }
@@ -308,9 +320,10 @@
                          now);
         return;
     }
+    const endpoint_report* old_primary = find(service, state.m_primary);
     if (state.m_phase_deadline.passed(now)) {
-        if (find(service, state.m_primary) == nullptr) {
-            begin_pause(state, service, "the old primary has left and no replica has its position", now);
+        if (old_primary == nullptr || state.m_old_primary_answer_expiry.passed(now)) {
+            begin_pause(state, service, "the old primary is gone and no replica has its position", now);
             return;
         }
         // The old primary may lead again, unless it is about to leave.
@@ -322,6 +335,9 @@
     if (state.m_next_probe.passed(now)) {
         state.m_next_probe = core::deadline_after(now, catch_up_poll_period);
         send_step_to_replicas(state, service, step_kind::status, state.m_highest_term);
+        if (old_primary != nullptr && state.m_is_synchronous) {
+            m_ports.run_step(service.m_name, *old_primary, step_kind::status, state.m_highest_term);
+        }
     }
 }
 
--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -168,7 +168,7 @@
         std::optional<core::history_position> m_primary_position;
         // A ready replica has answered with at least the position of the primary. Valid until then.
         core::deadline m_successor_current_until;
-        core::deadline m_next_successor_query;
+        core::deadline m_next_replica_query;
         // The wait for a replica in a planned replacement ends then. Set while the primary is draining.
         std::optional<core::deadline> m_planned_wait_end;
         core::deadline m_next_planned_replacement;
@@ -182,6 +182,7 @@
         // Position at which the old primary was stepped down. Set until a later primary may have accepted
         // commits, so a database that holds this position holds all acknowledged commits.
         std::optional<core::history_position> m_required_position;
+        core::deadline m_old_primary_answer_expiry; // The stepped-down primary counts as gone then.
         std::map<core::endpoint_id, core::history_position> m_positions; // Positions of paused replicas.
         std::map<core::endpoint_id, registry::endpoint_report> m_queried_replicas;
         // Times until which replicas are avoided as successors.
@@ -220,6 +221,10 @@
     void on_probe_answer(service_state& state, const step_answer& answer, core::time_point now);
     void run_planned_replacement(service_state& state, const service_view& service,
                                  const registry::endpoint_report& primary, core::time_point now);
+    // Requests the positions of the ready replicas, at most once a period.
+    void query_replicas(service_state& state, const service_view& service,
+                        const registry::endpoint_report& primary, core::milliseconds period,
+                        core::time_point now);
     // Chooses among the databases with a known position of at least `floor`.
     void choose_and_order(service_state& state, const service_view& service,
                           const std::optional<core::history_position>& floor, core::time_point now);
--- a/src/promotion/promotion_limits.h
+++ b/src/promotion/promotion_limits.h
@@ -30,8 +30,12 @@
 inline constexpr core::milliseconds planned_wait{2000};
 inline constexpr core::milliseconds planned_wait_synchronous{6500};
 inline constexpr core::milliseconds successor_query_period{100};
+// Shorter than the time after which an unused connection is closed.
+inline constexpr core::milliseconds replica_query_period{1000};
 // Exceeds the query period by the time for an answer.
 inline constexpr core::milliseconds successor_answer_validity{250};
+// Allows for three lost answers.
+inline constexpr core::milliseconds old_primary_answer_lifetime{1000};
 // When the executor does not answer in this time, the order is repeated under a higher fencing token.
 inline constexpr core::milliseconds order_timeout{1500};
 // A promotion takes about 1 s on the target platform.
--- a/test/correctness/promotion_safety.cpp
+++ b/test/correctness/promotion_safety.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::uint64_t injected_fault_seeds = 300;
 constexpr std::uint64_t late_order_seeds = 200;
+constexpr std::uint64_t full_database_seeds = 30;
 
 std::string violation_of(const promotion_simulation_options& options) {
     promotion_simulation simulation(options);
@@ -61,6 +62,7 @@
     CPPUNIT_TEST(a_commit_acknowledged_after_the_lease_is_detected);
     CPPUNIT_TEST(a_planned_replacement_keeps_acknowledged_commits_when_replicas_lag_or_refuse);
     CPPUNIT_TEST(a_missing_report_does_not_lower_the_quorum);
+    CPPUNIT_TEST(full_databases_do_not_keep_the_leader_from_a_planned_replacement);
     CPPUNIT_TEST_SUITE_END();
 
     static void a_healthy_primary_is_not_replaced() {
@@ -184,7 +186,7 @@
                              .m_databases = databases,
                              .m_leader_changes = leader_changes,
                              .m_lose_calls = leader_changes,
-                             .m_crash = false,
+                             .m_crash = leader_changes && databases == 5,
                              .m_drain = true,
                              .m_leased = true,
                              .m_deaf_replicas = true,
@@ -207,6 +209,22 @@
                      .m_deaf_replicas = true,
                      .m_missing_reports = true});
     }
+    // Guards against a leader that opens its connections only when it needs them, while entry hosts hold all
+    // that the databases accept.
+    static void full_databases_do_not_keep_the_leader_from_a_planned_replacement() {
+        for (std::uint64_t seed = 1; seed <= full_database_seeds; ++seed) {
+            promotion_simulation simulation({.m_seed = seed,
+                                             .m_synchronous_replicas = 1,
+                                             .m_leader_changes = false,
+                                             .m_lose_calls = false,
+                                             .m_crash = false,
+                                             .m_leased = true,
+                                             .m_replicas_stay_full = true});
+            simulation.run();
+            CPPUNIT_ASSERT_EQUAL(std::string(), simulation.violation());
+            CPPUNIT_ASSERT(simulation.promotions_beside_faults() > 0);
+        }
+    }
     static void ignored_entry_hosts_are_detected() {
         check_detects({.m_crash = false,
                        .m_only_leader_is_cut_off = true,
--- a/test/support/promotion_simulation.cpp
+++ b/test/support/promotion_simulation.cpp
@@ -11,6 +11,8 @@
 constexpr core::milliseconds period{50};
 constexpr core::milliseconds fault_phase{12000};
 constexpr core::milliseconds fault_free_phase{15000};
+constexpr core::milliseconds idle_connection_lifetime{3000};
+constexpr core::milliseconds replicas_full_after{7000};
 
 } // namespace
 
@@ -124,6 +126,14 @@
     };
     run_period();
     schedule(core::milliseconds(1000), inject_faults);
+    if (m_options.m_replicas_stay_full) {
+        schedule(replicas_full_after, [this] {
+            for (database& server : m_databases) {
+                server.m_full = true;
+            }
+            start_drain(*current_primary());
+        });
+    }
     while (m_now < end && m_violation.empty()) {
         const auto next = m_events.begin();
         m_now = next->first.first;
@@ -257,10 +267,15 @@
     schedule(core::milliseconds(1 + draw(4)), [this, service, answer, kind, term, issuing_leader]() mutable {
         database& target = *find_database(answer.m_endpoint);
         const bool cut = target.m_cut || (m_options.m_only_leader_is_cut_off && target.m_acts_as_primary);
-        const bool full = target.m_full && !m_faults_ended;
+        // An unused connection is closed, see promotion_runner.
+        const bool connected = target.m_connected_leader == issuing_leader &&
+                               target.m_connection_used + idle_connection_lifetime > m_now;
+        const bool full = target.m_full && !m_faults_ended && !connected;
         const bool reached =
             target.m_up && !cut && !full && !(m_options.m_lose_calls && !m_faults_ended && chance(5));
         answer.m_connections_exhausted = target.m_up && !cut && full;
+        target.m_connected_leader = reached ? issuing_leader : 0;
+        target.m_connection_used = m_now;
         if (reached) {
             apply_step(target, kind, term, answer);
         }
@@ -358,6 +373,7 @@
             return;
         }
         ++m_promotions;
+        m_promotions_beside_faults += m_faults_ended ? 0 : 1;
         std::uint32_t highest_term = 0;
         for (database& server : m_databases) {
             highest_term = std::max(highest_term, server.m_term);
--- a/test/support/promotion_simulation.h
+++ b/test/support/promotion_simulation.h
@@ -77,10 +77,11 @@
     bool m_old_primary_goes_on = false;    // Until it is stepped down or has reached the new one for 1 s.
     bool m_cut = false;                    // The primary and some hosts are cut off at times.
     bool m_suspend_hosts = false;
-    bool m_deaf_replicas = false;   // Replicas receive nothing at times.
-    bool m_full_databases = false;  // Databases refuse the leader's connections at times.
-    bool m_missing_reports = false; // The leader lacks the report of a database at times.
-    bool m_drained_restart = false; // A draining database ends, and another one continues with its log.
+    bool m_deaf_replicas = false;      // Replicas receive nothing at times.
+    bool m_full_databases = false;     // Databases refuse the leader's new connections at times.
+    bool m_replicas_stay_full = false; // Replicas refuse them from 7 s on, until the faults end.
+    bool m_missing_reports = false;    // The leader lacks the report of a database at times.
+    bool m_drained_restart = false;    // A draining database ends, and another one continues with its log.
     promotion_faults m_injected_faults;
 };
 
@@ -97,6 +98,7 @@
     void run();
     [[nodiscard]] const std::string& violation() const { return m_violation; }
     [[nodiscard]] int promotions() const { return m_promotions; }
+    [[nodiscard]] int promotions_beside_faults() const { return m_promotions_beside_faults; }
 
 private:
     struct database {
@@ -109,8 +111,11 @@
         core::time_point m_last_contact{};
         bool m_cut = false; // It reaches only hosts that are cut off as well.
         core::time_point m_promoted_at{};
-        bool m_deaf = false;           // It receives nothing from the primary.
-        bool m_full = false;           // It refuses the leader's connections.
+        bool m_deaf = false; // It receives nothing from the primary.
+        bool m_full = false; // It refuses the leader's new connections.
+        // Leader with a connection to it, and the last use of that connection.
+        std::uint64_t m_connected_leader = 0;
+        core::time_point m_connection_used{};
         bool m_report_missing = false; // The leader has no report of it.
     };
     struct entry_host {
@@ -189,6 +194,7 @@
     std::vector<std::uint64_t> m_acknowledged;
     std::uint64_t m_last_commit = 0;
     int m_promotions = 0;
+    int m_promotions_beside_faults = 0;
     bool m_replacement_justified = false; // A crash or a drain has justified a replacement.
     bool m_faults_ended = false;          // No further faults are injected.
     std::string m_violation;
