Do not take a control host that has just joined for lost

Cause: a member without an answer so far counted as silent since the election, so a new learner exceeded the retention of 10 s at once when the leader had led for that long; choose_admission could take it for lost in the same way. Change: contact counts from when the member joined, or the election if that is later.

Test: replaced_control_host::a_host_that_is_admitted_late_stays_a_standby failed before.

--- a/src/consensus/raft_members.cpp
+++ b/src/consensus/raft_members.cpp
@@ -231,9 +231,9 @@
 bool raft_node::remove_lost_learner() {
     const auto lost = std::ranges::find_if(members().m_learners, [this](const member& learner) {
         const auto found = m_progress.find(learner);
-        return found != m_progress.end() &&
-               std::max(found->second.m_contact, m_leader_since) + m_settings.m_timing.m_learner_retention <=
-                   m_now;
+        return found != m_progress.end() && std::max(found->second.m_contact, found->second.m_tracked_since) +
+                                                    m_settings.m_timing.m_learner_retention <=
+                                                m_now;
     });
     if (lost == members().m_learners.end()) {
         return false;
@@ -256,7 +256,8 @@
     std::erase_if(m_progress, [this](const auto& peer) { return !members().contains(peer.first); });
     const auto add = [this](const member& peer) {
         if (peer != self() && peer.m_disk != disk_id{}) {
-            m_progress.try_emplace(peer, progress{.m_next = m_log.last_index() + 1});
+            m_progress.try_emplace(peer,
+                                   progress{.m_next = m_log.last_index() + 1, .m_tracked_since = m_now});
         }
     };
     std::ranges::for_each(members().m_voters, add);
@@ -268,7 +269,7 @@
         if (follower.m_host == host) {
             // A former leader was silent before the election already.
             const bool led = follower == m_last_leader && m_last_leader_contact < m_leader_since;
-            return std::max(state.m_contact, led ? m_last_leader_contact : m_leader_since);
+            return std::max(state.m_contact, led ? m_last_leader_contact : state.m_tracked_since);
         }
     }
     return members().contains_host(host) && is_leader() ? std::optional(m_leader_since) : std::nullopt;
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -187,7 +187,8 @@
     [[nodiscard]] core::deadline lease_end(core::time_point now) const;
     [[nodiscard]] const std::optional<member>& leader() const { return m_leader; }
     // On a leader, returns the send time of the newest message that the member has answered. If there is
-    // none, returns the time of the election, or for the former leader the time of its last message.
+    // none, returns when it joined, at the earliest the time of the election; for the former leader the time
+    // of its last message.
     [[nodiscard]] std::optional<core::time_point> last_contact(const core::entry_host_id& host) const;
     [[nodiscard]] const member& self() const { return m_settings.m_self; }
     [[nodiscard]] const membership& members() const { return m_log.members(); }
@@ -201,6 +202,7 @@
         log_index m_next = 1;  // Next entry to send.
         bool m_probing = true; // m_next is a guess; no entries are sent until the follower confirms it.
         core::time_point m_contact = core::time_point::min(); // Send time of the newest answered round.
+        core::time_point m_tracked_since{};                   // Time of the election, or of joining after it.
         std::uint64_t m_snapshot_offset = 0;                  // Next byte of the snapshot to send.
         log_index m_snapshot_index = 0;                       // 0 while the follower receives entries.
     };
--- a/test/correctness/replaced_control_host.cpp
+++ b/test/correctness/replaced_control_host.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(a_lost_disk_after_the_end_of_a_follower_is_survived);
     CPPUNIT_TEST(a_lost_disk_after_the_end_of_the_leader_is_survived);
     CPPUNIT_TEST(a_lost_disk_after_an_end_without_notice_is_survived);
+    CPPUNIT_TEST(a_host_that_is_admitted_late_stays_a_standby);
     CPPUNIT_TEST(a_host_that_restarts_beside_a_standby_stays_in_the_cell);
     CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +107,20 @@
     static void a_lost_disk_after_an_end_without_notice_is_survived() {
         check_fleet({.m_leader_goes = false, .m_is_planned = false, .m_until_loss_ms = 1500});
     }
+    // Guards against a standby that counts as lost since the election of the leader, although it has just
+    // joined.
+    static void a_host_that_is_admitted_late_stays_a_standby() {
+        constexpr unsigned spare = 3;
+        consensus::consensus_simulation cell(
+            {.m_hosts = 3, .m_spare_hosts = 1, .m_timing = cell_timing, .m_voter_target = 3}, 1);
+        cell.run_for_ms(15000);
+        cell.admit(spare);
+        for (int step = 0; step < 150; ++step) {
+            cell.run_for_ms(20);
+            CPPUNIT_ASSERT(cell.leader() != nullptr &&
+                           cell.leader()->members().contains_host(cell.node(spare)->self().m_host));
+        }
+    }
     // A voter that only restarts may become the standby, but the cell keeps its size and loses nothing.
     static void a_host_that_restarts_beside_a_standby_stays_in_the_cell() {
         test::fleet_cell cell(3);
