Wait for a database that has left only while others may lack what it received

After a planned replacement of a service with synchronous replicas, the quorum of an unplanned one counted a database that never comes back, for 10 minutes: no primary could be chosen.

Change: a database that has left counts until as many others as the service requires have answered with a position of the primary that was sampled after it left; every commit that it may have received is at these then. The log line names the quorum in place of the copies.

The simulation's replicas now leave and come back with their log, where reports were hidden before; the test of that is renamed.

--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -68,13 +68,14 @@
     const documents::configuration& configuration, const registry::endpoint_registry& endpoints,
     const std::map<core::entry_host_id, subscriber_record>& subscribers, core::time_point now) const {
     std::vector<promotion::service_view> services;
-    const auto address_counts = endpoints.address_counts();
+    const auto departures = endpoints.departures();
     for (const documents::service_rule& rule : configuration.m_services) {
-        const auto copies = address_counts.find(rule.m_name);
+        const auto departed = departures.find(rule.m_name);
         services.push_back({.m_name = rule.m_name,
                             .m_synchronous_replicas = rule.m_synchronous_replicas,
                             .m_is_leased = documents::needs_primary_lease(rule, m_executor_fences),
-                            .m_copies = copies == address_counts.end() ? 0 : copies->second});
+                            .m_departures = departed == departures.end() ? std::vector<core::time_point>{}
+                                                                         : departed->second});
         for (const auto& [host, subscriber] : subscribers) {
             const bool is_reporting = subscriber.m_last_contact + observation_lifetime > now;
             services.back().m_reporting_hosts += subscriber.m_is_entry && is_reporting ? 1 : 0;
--- a/src/promotion/promotion_answers.cpp
+++ b/src/promotion/promotion_answers.cpp
@@ -76,6 +76,7 @@
     if (state.m_phase == phase::watching && answer.m_kind == step_kind::probe) {
         on_probe_answer(state, answer, now);
     } else if (state.m_phase == phase::watching && answer.m_kind == step_kind::status && answer.m_status) {
+        state.m_replica_positions[answer.m_endpoint] = answer.m_status->m_received;
         if (state.m_primary_position && answer.m_status->m_received >= *state.m_primary_position) {
             state.m_successor_current_until = core::deadline_after(now, successor_answer_validity);
         }
@@ -157,6 +158,7 @@
     if (answer.m_position) {
         state.m_primary_term = answer.m_position->m_term;
         state.m_primary_position = answer.m_position;
+        state.m_primary_position_at = state.m_probe_sent_at;
     }
     if (state.m_last_probe_accepted) {
         state.m_required_position.reset();
--- a/src/promotion/promotion_core.cpp
+++ b/src/promotion/promotion_core.cpp
@@ -77,7 +77,7 @@
             found->second.m_settle_deadline = core::deadline_after(now, settle_time);
         }
         found->second.m_is_leased = service.m_is_leased;
-        found->second.m_is_synchronous = service.m_synchronous_replicas > 0;
+        found->second.m_synchronous_replicas = service.m_synchronous_replicas;
         (this->*handlers.at(static_cast<std::size_t>(found->second.m_phase)))(found->second, service, now);
     }
 }
@@ -96,6 +96,7 @@
         return;
     }
     state.m_probe_in_flight = true;
+    state.m_probe_sent_at = now;
     state.m_next_probe =
         core::deadline_after(now, state.m_phase == phase::confirming ? confirm_probe_period : probe_period);
     m_ports.run_step(service.m_name, target, step_kind::probe, state.m_highest_term);
@@ -121,6 +122,7 @@
         state.m_last_probe_accepted = false;
         state.m_primary_term = {};
         state.m_primary_position.reset();
+        state.m_replica_positions.clear();
         state.m_successor_current_until = {};
         state.m_planned_wait_end.reset();
     }
@@ -161,7 +163,8 @@
         return;
     }
     run_planned_replacement(state, service, *primary, now);
-    if (state.m_phase == phase::watching && state.m_is_synchronous) {
+    if (state.m_phase == phase::watching && state.is_synchronous()) {
+        update_replicated_time(state, service);
         // Keeps a connection to each replica: entry hosts may hold all others when one is needed.
         query_replicas(state, service, *primary, replica_query_period, now);
     }
@@ -177,12 +180,12 @@
     }
     if (!state.m_planned_wait_end) {
         state.m_planned_wait_end =
-            core::deadline_after(now, state.m_is_synchronous ? planned_wait_synchronous : planned_wait);
+            core::deadline_after(now, state.is_synchronous() ? planned_wait_synchronous : planned_wait);
         state.m_next_replica_query = core::deadline{now};
     }
     const bool may_start = has_successor(service, primary.m_id) && !state.m_probes_failing_since &&
                            state.m_highest_term.value() > 0 && state.m_next_planned_replacement.passed(now) &&
-                           (!state.m_is_synchronous || state.m_earlier_orders_fenced);
+                           (!state.is_synchronous() || state.m_earlier_orders_fenced);
     if (!may_start) {
         return;
     }
@@ -200,6 +203,32 @@
     query_replicas(state, service, primary, successor_query_period, now);
 }
 
+void promotion_core::update_replicated_time(service_state& state, const service_view& service) {
+    if (!state.m_primary_position) {
+        return;
+    }
+    const auto current = std::ranges::count_if(service.m_endpoints, [&](const endpoint_report& report) {
+        const auto held = state.m_replica_positions.find(report.m_id);
+        return report.m_id != state.m_primary && held != state.m_replica_positions.end() &&
+               held->second >= *state.m_primary_position;
+    });
+    if (current >= static_cast<std::ptrdiff_t>(state.m_synchronous_replicas)) {
+        state.m_replicated_as_of = state.m_primary_position_at;
+    }
+}
+
+// A commit is acknowledged once the primary and as many replicas as the service requires have received it, so
+// any (copies - required) databases include one that holds it, whether the old primary is one of them or not.
+// A database that has left counts until the others are known to hold all that it may have received.
+std::size_t promotion_core::quorum_of(const service_state& state, const service_view& service) {
+    const auto departed = std::ranges::count_if(
+        service.m_departures, [&](core::time_point left) { return left >= state.m_replicated_as_of; });
+    const std::size_t copies = service.m_endpoints.size() + static_cast<std::size_t>(departed);
+    return service.m_synchronous_replicas == 0 || copies <= service.m_synchronous_replicas
+               ? 1
+               : copies - service.m_synchronous_replicas;
+}
+
 void promotion_core::query_replicas(service_state& state, const service_view& service,
                                     const endpoint_report& primary, core::milliseconds period,
                                     core::time_point now) {
@@ -286,19 +315,14 @@
     if (!all && !state.m_phase_deadline.passed(now)) {
         return;
     }
-    // A commit is acknowledged once the primary and as many replicas as the service requires have received
-    // it, so any `needed` databases include one that holds it, whether the old primary is one of them or not.
-    const std::size_t copies = std::max<std::size_t>(service.m_copies, service.m_endpoints.size());
-    const std::size_t needed = service.m_synchronous_replicas == 0 || copies <= service.m_synchronous_replicas
-                                   ? 1
-                                   : copies - service.m_synchronous_replicas;
+    const std::size_t needed = quorum_of(state, service);
     std::optional<core::history_position> highest;
     for (const auto& [id, position] : state.m_positions) {
         highest = std::max(highest, std::optional(position));
     }
     const bool holds_required = state.m_required_position && highest >= state.m_required_position;
     if (highest && (state.m_positions.size() >= needed || holds_required)) {
-        choose_and_order(state, service, state.m_is_synchronous ? highest : std::nullopt, now);
+        choose_and_order(state, service, state.is_synchronous() ? highest : std::nullopt, now);
         return;
     }
     end_replacement(state, service.m_name,
@@ -315,8 +339,8 @@
         return report != nullptr && report->m_state == report_state::ready &&
                held.second >= *state.m_required_position;
     });
-    if (reached || (state.m_phase_deadline.passed(now) && !state.m_is_synchronous)) {
-        choose_and_order(state, service, state.m_is_synchronous ? state.m_required_position : std::nullopt,
+    if (reached || (state.m_phase_deadline.passed(now) && !state.is_synchronous())) {
+        choose_and_order(state, service, state.is_synchronous() ? state.m_required_position : std::nullopt,
                          now);
         return;
     }
@@ -335,7 +359,7 @@
     if (state.m_next_probe.passed(now)) {
         state.m_next_probe = core::deadline_after(now, catch_up_poll_period);
         send_step_to_replicas(state, service, step_kind::status, state.m_highest_term);
-        if (old_primary != nullptr && state.m_is_synchronous) {
+        if (old_primary != nullptr && state.is_synchronous()) {
             m_ports.run_step(service.m_name, *old_primary, step_kind::status, state.m_highest_term);
         }
     }
@@ -376,7 +400,7 @@
                           "position=" + to_text(std::get<core::history_position>(best_rank)) +
                               " required=" + (floor ? to_text(*floor) : "none") +
                               " positions=" + std::to_string(state.m_positions.size()) +
-                              " copies=" + std::to_string(service.m_copies)});
+                              " quorum=" + std::to_string(quorum_of(state, service))});
     enter_phase(state, phase::reserving, reserve_timeout, now);
     run_reserving(state, service, now);
 }
@@ -463,7 +487,7 @@
 }
 
 void promotion_core::restore_leases(const service_state& state, const core::service_name& service) {
-    if (state.m_is_leased && (!state.m_is_synchronous || state.m_earlier_orders_fenced)) {
+    if (state.m_is_leased && (!state.is_synchronous() || state.m_earlier_orders_fenced)) {
         m_lease_authority.restore(service);
     }
 }
--- a/src/promotion/promotion_core.h
+++ b/src/promotion/promotion_core.h
@@ -68,9 +68,8 @@
     std::uint32_t m_synchronous_replicas = 0;
     // Entry hosts use only the assigned primary, under a lease.
     bool m_is_leased = false;
-    // Number of databases that may hold commits of the service, including those without a usable report: one
-    // that was removed leaves its log to another one at its address.
-    std::uint32_t m_copies = 0;
+    // When databases of the service left whose logs are not continued at their addresses.
+    std::vector<core::time_point> m_departures;
     std::vector<registry::endpoint_report> m_endpoints;
     std::map<core::endpoint_id, core::time_point> m_last_contact; // Time of the last report.
     std::map<core::endpoint_id, entry_host_counts> m_entry_host_counts;
@@ -160,12 +159,20 @@
         bool m_probe_in_flight = false;
         // The next two are as in the last service_view.
         bool m_is_leased = false;
-        bool m_is_synchronous = false;
+        std::uint32_t m_synchronous_replicas = 0;
+        [[nodiscard]] bool is_synchronous() const { return m_synchronous_replicas > 0; }
         // Time since which the assigned endpoint is not among those of the service.
         std::optional<core::time_point> m_assigned_absent_since;
         core::term m_primary_term; // Term of the monitored primary, by its last accepted probe.
-        // Position of the monitored primary, by its last accepted probe.
+        // Position of the monitored primary, by its last accepted probe, and when that probe was sent.
         std::optional<core::history_position> m_primary_position;
+        core::time_point m_primary_position_at{};
+        core::time_point m_probe_sent_at{};
+        // Last position of each replica of the monitored primary.
+        std::map<core::endpoint_id, core::history_position> m_replica_positions;
+        // Every commit that was acknowledged before is held by the primary and as many other databases as the
+        // service requires, not counting those that had left by then.
+        core::time_point m_replicated_as_of{};
         // A ready replica has answered with at least the position of the primary. Valid until then.
         core::deadline m_successor_current_until;
         core::deadline m_next_replica_query;
@@ -225,6 +232,9 @@
     void query_replicas(service_state& state, const service_view& service,
                         const registry::endpoint_report& primary, core::milliseconds period,
                         core::time_point now);
+    void update_replicated_time(service_state& state, const service_view& service);
+    // Number of databases of which one must hold a given acknowledged commit.
+    [[nodiscard]] static std::size_t quorum_of(const service_state& state, const service_view& service);
     // Chooses among the databases with a known position of at least `floor`.
     void choose_and_order(service_state& state, const service_view& service,
                           const std::optional<core::history_position>& floor, core::time_point now);
--- a/src/registry/endpoint_registry.cpp
+++ b/src/registry/endpoint_registry.cpp
@@ -92,12 +92,12 @@
     });
 }
 
-std::map<control::socket_address, const endpoint_report*> endpoint_registry::newest_by_address() const {
-    std::map<control::socket_address, const endpoint_report*> newest;
+std::map<control::socket_address, const endpoint_entry*> endpoint_registry::newest_by_address() const {
+    std::map<control::socket_address, const endpoint_entry*> newest;
     for (const auto& [id, entry] : m_entries) {
-        const endpoint_report*& stored = newest[entry.m_report.m_address];
-        if (stored == nullptr || stored->m_started_ms < entry.m_report.m_started_ms) {
-            stored = &entry.m_report;
+        const endpoint_entry*& stored = newest[entry.m_report.m_address];
+        if (stored == nullptr || stored->m_report.m_started_ms < entry.m_report.m_started_ms) {
+            stored = &entry;
         }
     }
     return newest;
@@ -105,20 +105,22 @@
 
 std::vector<endpoint_report> endpoint_registry::usable_reports() const {
     std::vector<endpoint_report> reports;
-    for (const auto& [address, report] : newest_by_address()) {
-        if (report->m_state != report_state::removed) {
-            reports.push_back(*report);
+    for (const auto& [address, entry] : newest_by_address()) {
+        if (entry->m_report.m_state != report_state::removed) {
+            reports.push_back(entry->m_report);
         }
     }
     return reports;
 }
 
-std::map<core::service_name, std::uint32_t> endpoint_registry::address_counts() const {
-    std::map<core::service_name, std::uint32_t> counts;
-    for (const auto& [address, report] : newest_by_address()) {
-        ++counts[report->m_service];
+std::map<core::service_name, std::vector<core::time_point>> endpoint_registry::departures() const {
+    std::map<core::service_name, std::vector<core::time_point>> times;
+    for (const auto& [address, entry] : newest_by_address()) {
+        if (entry->m_report.m_state == report_state::removed) {
+            times[entry->m_report.m_service].push_back(entry->m_last_contact);
+        }
     }
-    return counts;
+    return times;
 }
 
 std::vector<endpoint_report> endpoint_registry::all_reports() const {
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -77,9 +77,8 @@
 
     // Reports of the endpoints that may be used: not removed, and the latest to start at their address.
     [[nodiscard]] std::vector<endpoint_report> usable_reports() const;
-    // Number of addresses of each service at which a database holds its log, by the latest record of each
-    // address. One that was removed leaves its log to another one at its address, so it counts.
-    [[nodiscard]] std::map<core::service_name, std::uint32_t> address_counts() const;
+    // When endpoints of each service were removed, as far as no other one has started at their addresses.
+    [[nodiscard]] std::map<core::service_name, std::vector<core::time_point>> departures() const;
     // Reports of all known endpoints, removed ones included.
     [[nodiscard]] std::vector<endpoint_report> all_reports() const;
     [[nodiscard]] const endpoint_entry* find(const core::endpoint_id& id) const;
@@ -90,7 +89,7 @@
 
 private:
     // The record that was the latest to start at each address.
-    [[nodiscard]] std::map<control::socket_address, const endpoint_report*> newest_by_address() const;
+    [[nodiscard]] std::map<control::socket_address, const endpoint_entry*> newest_by_address() const;
 
     std::map<core::endpoint_id, endpoint_entry> m_entries;
 };
--- a/test/correctness/promotion_safety.cpp
+++ b/test/correctness/promotion_safety.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t injected_fault_seeds = 300;
 constexpr std::uint64_t late_order_seeds = 200;
 constexpr std::uint64_t full_database_seeds = 30;
+constexpr std::uint64_t departure_seeds = 30;
 
 std::string violation_of(const promotion_simulation_options& options) {
     promotion_simulation simulation(options);
@@ -61,7 +62,8 @@
     CPPUNIT_TEST(a_lease_that_outlives_its_suspension_is_detected);
     CPPUNIT_TEST(a_commit_acknowledged_after_the_lease_is_detected);
     CPPUNIT_TEST(a_planned_replacement_keeps_acknowledged_commits_when_replicas_lag_or_refuse);
-    CPPUNIT_TEST(a_missing_report_does_not_lower_the_quorum);
+    CPPUNIT_TEST(a_replica_that_left_does_not_lower_the_quorum);
+    CPPUNIT_TEST(a_replica_that_left_for_good_is_not_waited_for);
     CPPUNIT_TEST(full_databases_do_not_keep_the_leader_from_a_planned_replacement);
     CPPUNIT_TEST_SUITE_END();
 
@@ -195,19 +197,36 @@
             }
         }
     }
-    // Guards against a quorum that counts only the databases whose reports the leader has: with one of two
-    // replicas unreported, the answer of the other one would suffice.
-    static void a_missing_report_does_not_lower_the_quorum() {
+    // Guards against a quorum that counts only the databases that are known at the moment: with one of two
+    // replicas gone, the answer of the other one would suffice, although it may lack what only that one had
+    // received. Also guards against a replica that stays paused because it is known only after the others
+    // were resumed.
+    static void a_replica_that_left_does_not_lower_the_quorum() {
         check_holds({.m_synchronous_replicas = 1,
                      .m_leased = true,
                      .m_deaf_replicas = true,
                      .m_full_databases = true,
-                     .m_missing_reports = true});
+                     .m_replicas_leave = true});
         check_holds({.m_synchronous_replicas = 2,
                      .m_databases = 5,
                      .m_leased = true,
                      .m_deaf_replicas = true,
-                     .m_missing_reports = true});
+                     .m_replicas_leave = true});
+    }
+    // Guards against a quorum that counts a replica that left, although the others hold all that it received.
+    static void a_replica_that_left_for_good_is_not_waited_for() {
+        for (std::uint64_t seed = 1; seed <= departure_seeds; ++seed) {
+            promotion_simulation simulation({.m_seed = seed,
+                                             .m_synchronous_replicas = 1,
+                                             .m_leader_changes = false,
+                                             .m_lose_calls = false,
+                                             .m_crash = false,
+                                             .m_leased = true,
+                                             .m_replica_leaves_for_good = true});
+            simulation.run();
+            CPPUNIT_ASSERT_EQUAL(std::string(), simulation.violation());
+            CPPUNIT_ASSERT(simulation.promotions_beside_faults() > 0);
+        }
     }
     // Guards against a leader that opens its connections only when it needs them, while entry hosts hold all
     // that the databases accept.
--- a/test/support/promotion_simulation.cpp
+++ b/test/support/promotion_simulation.cpp
@@ -12,6 +12,8 @@
 constexpr core::milliseconds fault_phase{12000};
 constexpr core::milliseconds fault_free_phase{15000};
 constexpr core::milliseconds idle_connection_lifetime{3000};
+constexpr core::milliseconds replica_leaves_after{3000};
+constexpr core::milliseconds primary_crashes_after{7000};
 constexpr core::milliseconds replicas_full_after{7000};
 
 } // namespace
@@ -126,6 +128,13 @@
     };
     run_period();
     schedule(core::milliseconds(1000), inject_faults);
+    if (m_options.m_replica_leaves_for_good) {
+        schedule(replica_leaves_after, [this] { end_database(m_databases.back()); });
+        schedule(primary_crashes_after, [this] {
+            m_replacement_justified = true;
+            current_primary()->m_up = false;
+        });
+    }
     if (m_options.m_replicas_stay_full) {
         schedule(replicas_full_after, [this] {
             for (database& server : m_databases) {
@@ -160,18 +169,26 @@
     }
     const core::milliseconds until_end(7000 + draw(2000));
     schedule(until_end, [this, id = primary.m_report.m_id] {
-        database& ended = *find_database(id);
-        ended.m_up = false;
-        ended.m_report_missing = true;
-        ended.m_acts_as_primary = false;
-        schedule(core::milliseconds(500 + draw(2000)), [this, id] {
-            database& successor = *find_database(id); // It has the log and the address of the one that ended.
-            successor.m_up = true;
-            successor.m_paused_below_term = 0;
-            successor.m_report_missing = false;
-            successor.m_report.m_is_primary = false;
-            successor.m_report.m_state = registry::report_state::ready;
-        });
+        end_database(*find_database(id));
+        start_successor(id, core::milliseconds(500 + draw(2000)));
+    });
+}
+
+void promotion_simulation::end_database(database& ended) {
+    ended.m_up = false;
+    ended.m_has_left = true;
+    ended.m_left_at = m_now;
+    ended.m_acts_as_primary = false;
+}
+
+void promotion_simulation::start_successor(const core::endpoint_id& id, core::duration delay) {
+    schedule(delay, [this, id] {
+        database& successor = *find_database(id); // It has the log of the one that ended.
+        successor.m_up = true;
+        successor.m_paused_below_term = 0;
+        successor.m_has_left = false;
+        successor.m_report.m_is_primary = false;
+        successor.m_report.m_state = registry::report_state::ready;
     });
 }
 
@@ -192,8 +209,9 @@
         if (m_options.m_full_databases && chance(25)) {
             set_for_a_while(server, &database::m_full);
         }
-        if (m_options.m_missing_reports && chance(10)) {
-            set_for_a_while(server, &database::m_report_missing);
+        if (m_options.m_replicas_leave && server.m_up && chance(10)) {
+            end_database(server);
+            start_successor(server.m_report.m_id, core::milliseconds(300 + draw(6000)));
         }
     }
 }
@@ -242,9 +260,9 @@
     for (const entry_host& host : m_hosts) {
         result.m_nonreporting_hosts += host.m_cut && m_authority.may_use_primaries(host.m_id, m_now) ? 1 : 0;
     }
-    result.m_copies = static_cast<std::uint32_t>(m_databases.size());
     for (const database& server : m_databases) {
-        if (server.m_report_missing) {
+        if (server.m_has_left) {
+            result.m_departures.push_back(server.m_left_at);
             continue;
         }
         result.m_endpoints.push_back(server.m_report);
--- a/test/support/promotion_simulation.h
+++ b/test/support/promotion_simulation.h
@@ -80,8 +80,10 @@
     bool m_deaf_replicas = false;      // Replicas receive nothing at times.
     bool m_full_databases = false;     // Databases refuse the leader's new connections at times.
     bool m_replicas_stay_full = false; // Replicas refuse them from 7 s on, until the faults end.
-    bool m_missing_reports = false;    // The leader lacks the report of a database at times.
-    bool m_drained_restart = false;    // A draining database ends, and another one continues with its log.
+    bool m_replicas_leave = false;     // Replicas leave at times; others continue with their logs later.
+    // A replica leaves for good after 3 s, and the primary crashes for good after 7 s.
+    bool m_replica_leaves_for_good = false;
+    bool m_drained_restart = false; // A draining database ends, and another one continues with its log.
     promotion_faults m_injected_faults;
 };
 
@@ -116,7 +118,8 @@
         // Leader with a connection to it, and the last use of that connection.
         std::uint64_t m_connected_leader = 0;
         core::time_point m_connection_used{};
-        bool m_report_missing = false; // The leader has no report of it.
+        bool m_has_left = false; // It has ended and is no longer known.
+        core::time_point m_left_at{};
     };
     struct entry_host {
         core::entry_host_id m_id;
@@ -158,6 +161,9 @@
     // Makes replicas deaf, full or unreported for a while, as the options allow.
     void inject_replica_fault();
     void start_drain(database& primary);
+    // The database leaves: it ends and is no longer known.
+    void end_database(database& ended);
+    void start_successor(const core::endpoint_id& id, core::duration delay);
     // Sets the member of the database, and resets it after a random time.
     void set_for_a_while(database& server, bool database::*member);
 
