Log when a process did not run and when no control host answers

The hypotheses on CONFIG differ in what an entry host with an old configuration did meanwhile: it did not run, it ran and heard of no control host, or it heard and fetched late. The log showed the last one only. The event loop now logs a delay of half a second or more beyond its intended wait, and of its handlers; a subscriber logs when no control host has answered for 2 s and when they answer again.

--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -20,6 +20,8 @@
 // A control host that has not answered for this long is removed, unless it is the only one known. A host that
 // is still a member of the cell is added again by the next update of another control host.
 constexpr core::milliseconds control_host_retention{20000};
+// Control hosts answer every query, so a host that has heard nothing for this long is out of contact.
+constexpr core::milliseconds logged_silence{2000};
 // Each control host confirms its list every 500 ms. One that has not done so for longer may be partitioned,
 // and its list out of date.
 constexpr core::milliseconds ready_list_lifetime{2000};
@@ -61,8 +63,18 @@
     core::log_line(core::log_level::info, "fleet", "control host added host=" + host.value());
 }
 
+void update_subscriber::log_contact_change(core::time_point now) {
+    const bool is_silent = m_last_contact && *m_last_contact + logged_silence < now;
+    if (std::exchange(m_logged_silent, is_silent) != is_silent) {
+        core::log_line(core::log_level::info, "fleet",
+                       (is_silent ? "no control host answers known=" : "control hosts answer again known=") +
+                           std::to_string(m_control_hosts.size()));
+    }
+}
+
 void update_subscriber::tick() {
     const core::time_point now = core::now();
+    log_contact_change(now);
     std::erase_if(m_control_hosts, [&](const core::entry_host_id& host) {
         const bool is_expired =
             m_control_hosts.size() > 1 && m_last_answers[host] + control_host_retention < now;
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -73,6 +73,7 @@
 
 private:
     void tick();
+    void log_contact_change(core::time_point now);
     [[nodiscard]] wire::fleet_followT make_query() const;
     // Requests an announced document from one control host, if a fetch is due.
     void fetch_document();
@@ -104,6 +105,7 @@
     documents::document_fetch m_fetch;
     bool m_fetch_timer_set = false;
     std::optional<core::time_point> m_last_contact;
+    bool m_logged_silent = false;
 };
 
 } // namespace mangoquay::fleet
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -1,6 +1,8 @@
 // Event loop based on epoll: ready sockets, then due timers, then posted tasks.
 #include "transport/event_loop.h"
 
+#include "core/log.h"
+
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -10,6 +12,7 @@
 #include <cerrno>
 #include <cstdio>
 #include <cstdlib>
+#include <string>
 #include <utility>
 
 namespace mangoquay::transport {
@@ -18,6 +21,17 @@
 constexpr int events_per_wait = 64;
 // Upper limit of one wait. A lost wake-up delays a task by this time at most.
 constexpr int max_wait_ms = 1000;
+// Shorter delays of the loop are not logged: all timeouts of peers allow for them.
+constexpr core::milliseconds min_logged_delay{500};
+
+// Tells apart, in a log, a host that did not run from one that heard nothing.
+void log_if_delayed(const char* cause, core::duration delay) {
+    if (delay >= min_logged_delay) {
+        core::log_line(core::log_level::info, "event_loop",
+                       std::string(cause) + " ms=" +
+                           std::to_string(std::chrono::duration_cast<core::milliseconds>(delay).count()));
+    }
+}
 
 [[noreturn]] void abort_with_errno(const char* operation) {
     std::perror(operation);
@@ -55,7 +69,11 @@
     m_stopped = false;
     while (!m_stopped) {
         std::array<epoll_event, events_per_wait> ready{};
-        const int count = epoll_wait(m_epoll, ready.data(), events_per_wait, wait_ms());
+        const int longest_wait = wait_ms();
+        const core::time_point wait_start = now();
+        const int count = epoll_wait(m_epoll, ready.data(), events_per_wait, longest_wait);
+        const core::time_point wait_end = now();
+        log_if_delayed("the process did not run", wait_end - wait_start - core::milliseconds(longest_wait));
         if (count < 0 && errno != EINTR) {
             abort_with_errno("epoll_wait");
         }
@@ -73,6 +91,7 @@
         }
         run_due_timers();
         run_posted();
+        log_if_delayed("handlers took long, or the process did not run", now() - wait_end);
     }
 }
 
