Confirm the configuration before new work after a pause of an entry host

Seen: a route that had been added by an acknowledged change was refused as unknown, and a moved route was served by its former service, by an entry host whose process had not run for some seconds (stopped, or short of processor time). Requests that queued up meanwhile were handled before the host had heard of the change. The log of the host has "the process did not run" and no request for the version before the refusals. Cause: a process acts on what it knew before the pause. A start was covered by the confirmation of the first configuration, a pause was not, although other hosts go on in both cases. Change: after a second without an iteration of the loop, messages of callers wait until a control host has confirmed which version is current (leader's lease or read index, as for the first configuration) and that version is in force, for at most 500 ms. A host that is cut off goes on then with what it holds. The number of a confirmation replaces the number of the process in queries. Nothing is sent and nothing waits while the process runs.

--- a/src/entry/caller_sessions.cpp
+++ b/src/entry/caller_sessions.cpp
@@ -19,8 +19,9 @@
 } // namespace
 
 caller_sessions::caller_sessions(transport::event_loop& loop, const session_protocol& protocol,
-                                 caller_limits limits)
-    : m_loop(loop), m_protocol(protocol), m_limits(limits), m_listener(loop) {}
+                                 caller_limits limits, std::function<bool()> may_start_work)
+    : m_loop(loop), m_protocol(protocol), m_limits(limits), m_may_start_work(std::move(may_start_work)),
+      m_listener(loop) {}
 
 core::result<std::uint16_t> caller_sessions::listen(const control::socket_address& address,
                                                     relay::relay_core& core) {
@@ -46,6 +47,10 @@
 }
 
 void caller_sessions::on_data_received(relay::session_id id, std::string& bytes) {
+    if (!m_may_start_work()) {
+        m_waiting_sessions.insert(id); // The bytes stay in the stream.
+        return;
+    }
     std::size_t offset = 0;
     while (auto message = m_protocol.decode_caller_message(bytes, offset)) {
         if (!handle_message(id, std::move(*message)) || !m_connections.contains(id)) {
@@ -55,6 +60,14 @@
     bytes.erase(0, offset);
 }
 
+void caller_sessions::resume() {
+    for (const relay::session_id id : std::exchange(m_waiting_sessions, {})) {
+        if (const auto found = m_connections.find(id); found != m_connections.end()) {
+            found->second.m_stream->deliver_received(); // May erase the connection.
+        }
+    }
+}
+
 bool caller_sessions::handle_message(relay::session_id id, caller_message message) {
     connection& caller = m_connections.at(id);
     switch (message.m_kind) {
--- a/src/entry/caller_sessions.h
+++ b/src/entry/caller_sessions.h
@@ -8,7 +8,9 @@
 #include "relay/relay_core.h"
 #include "transport/byte_stream.h"
 
+#include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace mangoquay::entry {
@@ -21,13 +23,17 @@
 
 class caller_sessions {
 public:
-    caller_sessions(transport::event_loop& loop, const session_protocol& protocol, caller_limits limits);
+    // While `may_start_work` returns false, messages of callers wait until resume() is called.
+    caller_sessions(transport::event_loop& loop, const session_protocol& protocol, caller_limits limits,
+                    std::function<bool()> may_start_work);
 
     // Returns the port. `core` receives the sessions and statements and must outlive this object.
     core::result<std::uint16_t> listen(const control::socket_address& address, relay::relay_core& core);
 
     // Accepts the connections that callers have established already; later ones are refused.
     void stop_accepting() { m_listener.accept_rest_and_close(); }
+    // Handles the messages that have waited.
+    void resume();
     void send_answer(relay::session_id session, const relay::session_answer& answer);
     // Closes the connection when all data is sent. Does not notify the relay core.
     void close_session(relay::session_id session);
@@ -56,6 +62,8 @@
     transport::event_loop& m_loop;
     const session_protocol& m_protocol;
     caller_limits m_limits;
+    std::function<bool()> m_may_start_work;
+    std::set<relay::session_id> m_waiting_sessions; // Received messages that have not been handled.
     transport::stream_listener m_listener;
     relay::relay_core* m_core = nullptr;
     std::unordered_map<relay::session_id, connection> m_connections;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -38,7 +38,7 @@
     : m_loop(loop), m_bus(bus), m_settings(host_settings), m_protocol(protocol), m_decoder(decoder),
       m_core(*this, relay::relay_limits{.m_zone = host_settings.m_zone,
                                         .m_executor_fences = host_settings.m_executor_fences}),
-      m_callers(loop, protocol, limits_from(host_settings)),
+      m_callers(loop, protocol, limits_from(host_settings), [this] { return m_subscriber.may_start_work(); }),
       m_subscriber(loop, bus, network,
                    {fleet::host_id(host_settings.m_peer_address), host_settings.m_peer_address, true,
                     host_settings.m_zone},
@@ -67,6 +67,7 @@
     handlers.m_primary_observations = [this] { return m_core.primary_observations(core::now()); };
     handlers.m_ready = [this] { return ready(); };
     handlers.m_document_version = [this] { return m_core.version(); };
+    handlers.m_work_resumed = [this] { m_callers.resume(); };
     return handlers;
 }
 
@@ -166,6 +167,7 @@
 
 void entry_node::tick() {
     const core::time_point now = core::now();
+    m_subscriber.may_start_work(); // Notices pauses while no caller sends anything.
     m_core.tick(now);
     report_failing_primaries(now);
     if (now >= m_next_summary) {
--- a/src/fleet/update_publisher.cpp
+++ b/src/fleet/update_publisher.cpp
@@ -59,8 +59,9 @@
     subscriber.m_ready = query.ready;
     subscriber.m_zone = core::availability_zone(query.zone);
     subscriber.m_last_contact = now;
-    if (subscriber.m_waiting_process != query.process) {
-        subscriber.m_waiting_process = query.process;
+    const documents::confirmation_number awaited(query.confirmation);
+    if (subscriber.m_awaited != awaited) {
+        subscriber.m_awaited = awaited;
         subscriber.m_waiting_since = now;
     }
     subscriber.m_primaries.clear();
@@ -74,7 +75,7 @@
     add_control_hosts(update, control_hosts, query.control_hosts_digest);
     update.entry_hosts = entry_host_count();
     update.document_version = m_documents.version().value();
-    update.current_for_process = is_confirmed_for(subscriber) ? subscriber.m_waiting_process : 0;
+    update.confirmed = is_confirmed_for(subscriber) ? subscriber.m_awaited.value() : 0;
     if (query.wants_document && query.document_version < update.document_version) {
         add_document(update);
     }
@@ -141,7 +142,7 @@
 }
 
 bool update_publisher::is_waiting(const subscriber_record& subscriber) const {
-    return subscriber.m_waiting_process != 0 && !is_confirmed_for(subscriber);
+    return subscriber.m_awaited.value() != 0 && !is_confirmed_for(subscriber);
 }
 
 bool update_publisher::is_confirmed_for(const subscriber_record& subscriber) const {
@@ -166,7 +167,7 @@
         if (is_confirmed_for(subscriber)) {
             wire::fleet_updateT update;
             update.document_version = m_documents.version().value();
-            update.current_for_process = subscriber.m_waiting_process;
+            update.confirmed = subscriber.m_awaited.value();
             m_bus.send(host, std::move(update));
         }
     }
--- a/src/fleet/update_publisher.h
+++ b/src/fleet/update_publisher.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "documents/document_register.h"
+#include "documents/resume_check.h"
 #include "registry/endpoint_registry.h"
 #include "transport/message_bus.h"
 #include "transport/peer_network.h"
@@ -33,9 +34,9 @@
     bool m_ready = false; // Accepts callers.
     core::availability_zone m_zone;
     core::time_point m_last_contact{};
-    // The subscriber's process as long as it has no document; 0 otherwise.
-    std::uint64_t m_waiting_process = 0;
-    core::time_point m_waiting_since{}; // Arrival of the first query of that process.
+    // The confirmation that the subscriber waits for; 0 if it waits for none.
+    documents::confirmation_number m_awaited;
+    core::time_point m_waiting_since{}; // Arrival of the first query for that confirmation.
     std::map<endpoint_hash, primary_view> m_primaries;
 };
 
--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -26,9 +26,10 @@
 // and its list out of date.
 constexpr core::milliseconds ready_list_lifetime{2000};
 
-std::uint64_t random_process_id() {
+// Differs between two processes of a host. 0 stands for no confirmation.
+documents::confirmation_number random_confirmation_number() {
     std::random_device source;
-    return (std::uint64_t{source()} << 32U | source()) | 1U; // 0 means no process.
+    return documents::confirmation_number((std::uint64_t{source()} << 32U | source()) | 1U);
 }
 
 } // namespace
@@ -41,7 +42,8 @@
                                      transport::peer_network& network, subscriber_identity identity,
                                      subscriber_handlers handlers)
     : m_loop(loop), m_bus(bus), m_network(network), m_identity(std::move(identity)),
-      m_process(random_process_id()), m_handlers(std::move(handlers)), m_fetch(m_identity.m_self) {
+      m_handlers(std::move(handlers)), m_fetch(m_identity.m_self),
+      m_resume_check(random_confirmation_number()) {
     m_bus.set_handler<wire::fleet_updateT>(
         [this](const auto& from, const auto& update) { on_update_received(from, update); });
 }
@@ -102,7 +104,8 @@
     query.peer_port = m_identity.m_peer_address.m_port;
     query.zone = m_identity.m_zone.value();
     query.document_version = m_handlers.m_document_version().value();
-    query.process = query.document_version == 0 ? m_process : 0;
+    const bool needs_confirmation = query.document_version == 0 || m_resume_check.is_awaited();
+    query.confirmation = needs_confirmation ? m_resume_check.number().value() : 0;
     query.registry_digest = m_registry.digest();
     for (const relay::primary_observation& seen : m_handlers.m_primary_observations()) {
         if (seen.m_answered || seen.m_failing) {
@@ -221,8 +224,10 @@
             std::ranges::max_element(m_entry_host_counts, {}, [](const auto& one) { return one.second; });
         m_handlers.m_entry_host_count_received(largest->second);
     }
-    if (update.current_for_process == m_process) {
-        m_fetch.on_current_version_confirmed(documents::document_version(update.document_version));
+    if (update.confirmed == m_resume_check.number().value()) {
+        const documents::document_version current(update.document_version);
+        m_fetch.on_current_version_confirmed(current);
+        m_resume_check.on_confirmed(m_resume_check.number(), current);
     }
     if (!update.document.empty()) {
         on_document_received(from, update);
@@ -235,6 +240,35 @@
     }
     m_fetch.on_version_announced(from, documents::document_version(update.document_version));
     fetch_document();
+    resume_work_if_allowed();
+}
+
+bool update_subscriber::may_start_work() {
+    if (m_resume_check.on_running(core::now())) {
+        core::log_line(core::log_level::info, "fleet",
+                       "resumed after a pause; new work waits for the current configuration held=" +
+                           std::to_string(m_handlers.m_document_version().value()));
+        m_work_waits = true;
+        query_control_hosts();
+        m_loop.run_at(m_resume_check.wait_deadline().m_at, [this] { resume_work_if_allowed(); });
+    }
+    return may_rely_on_document();
+}
+
+bool update_subscriber::may_rely_on_document() const {
+    return m_resume_check.may_rely_on(m_handlers.m_document_version(), core::now());
+}
+
+void update_subscriber::resume_work_if_allowed() {
+    if (!m_work_waits || !may_rely_on_document()) {
+        return;
+    }
+    m_work_waits = false;
+    core::log_line(
+        core::log_level::info, "fleet",
+        "new work starts again configuration=" + std::to_string(m_handlers.m_document_version().value()) +
+            " confirmed=" + (m_resume_check.is_awaited() ? "no" : "yes"));
+    m_handlers.m_work_resumed();
 }
 
 } // namespace mangoquay::fleet
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -8,6 +8,7 @@
 
 #include "documents/configuration.h"
 #include "documents/document_fetch.h"
+#include "documents/resume_check.h"
 #include "lending/lender_choice.h"
 #include "registry/endpoint_registry.h"
 #include "relay/relay_core.h"
@@ -48,6 +49,8 @@
     std::function<std::vector<relay::primary_observation>()> m_primary_observations;
     std::function<bool()> m_ready;
     std::function<documents::document_version()> m_document_version;
+    // New work that waited since may_start_work() returned false may start now.
+    std::function<void()> m_work_resumed = [] {};
 };
 
 class update_subscriber {
@@ -56,6 +59,11 @@
                       transport::peer_network& network, subscriber_identity identity,
                       subscriber_handlers handlers);
 
+    // Whether new work may rely on the document in force. False for at most documents::max_confirmation_wait
+    // after the process has not run for a while. A subscriber whose work relies on documents must call this
+    // before it starts new work, and at least every 100 ms.
+    bool may_start_work();
+
     // Starts the periodic queries.
     void start(const std::vector<control::socket_address>& known_control);
     // Queries all known control hosts now.
@@ -74,6 +82,9 @@
 private:
     void tick();
     void log_contact_change(core::time_point now);
+    [[nodiscard]] bool may_rely_on_document() const;
+    // Calls m_work_resumed if work has waited and may start now.
+    void resume_work_if_allowed();
     [[nodiscard]] wire::fleet_followT make_query() const;
     // Requests an announced document from one control host, if a fetch is due.
     void fetch_document();
@@ -87,7 +98,6 @@
     transport::message_bus& m_bus;
     transport::peer_network& m_network;
     subscriber_identity m_identity;
-    std::uint64_t m_process; // Differs between two processes of a host.
     subscriber_handlers m_handlers;
     std::set<core::entry_host_id> m_control_hosts;
     std::map<core::entry_host_id, core::time_point> m_last_answers;
@@ -103,6 +113,8 @@
     lending::hosts_by_zone m_ready_hosts;
     registry::endpoint_registry m_registry;
     documents::document_fetch m_fetch;
+    documents::resume_check m_resume_check;
+    bool m_work_waits = false; // m_work_resumed is to be called.
     bool m_fetch_timer_set = false;
     std::optional<core::time_point> m_last_contact;
     bool m_logged_silent = false;
--- a/src/transport/byte_stream.cpp
+++ b/src/transport/byte_stream.cpp
@@ -109,6 +109,12 @@
     m_handlers.m_on_bytes_received(m_received); // May destroy this object.
 }
 
+void byte_stream::deliver_received() {
+    if (!m_failed && !m_received.empty()) {
+        m_handlers.m_on_bytes_received(m_received); // May destroy this object.
+    }
+}
+
 void byte_stream::write(std::string_view bytes) {
     if (m_failed) {
         return;
--- a/src/transport/byte_stream.h
+++ b/src/transport/byte_stream.h
@@ -44,6 +44,8 @@
 
     // Sends the bytes, or buffers them until the socket accepts them. Ignored after a failure.
     void write(std::string_view bytes);
+    // Passes the received bytes that are not consumed yet to m_on_bytes_received again.
+    void deliver_received();
     // Closes the connection 1 s later if there are unsent bytes, so that they can still be sent; immediately
     // otherwise. Received bytes are discarded, and m_on_closed is not called any more.
     static void close_when_sent(std::unique_ptr<byte_stream> stream);
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -4439,7 +4439,7 @@
   uint64_t ready_hosts_digest = 0;
   std::vector<mangoquay::wire::primary_sighting> sightings{};
   uint64_t control_hosts_digest = 0;
-  uint64_t process = 0;
+  uint64_t confirmation = 0;
   fleet_followT() = default;
   fleet_followT(const fleet_followT &o);
   fleet_followT(fleet_followT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4463,7 +4463,7 @@
     VT_READY_HOSTS_DIGEST = 22,
     VT_SIGHTINGS = 24,
     VT_CONTROL_HOSTS_DIGEST = 26,
-    VT_PROCESS = 28
+    VT_CONFIRMATION = 28
   };
   bool is_entry() const {
     return GetField<uint8_t>(VT_IS_ENTRY, 0) != 0;
@@ -4501,8 +4501,8 @@
   uint64_t control_hosts_digest() const {
     return GetField<uint64_t>(VT_CONTROL_HOSTS_DIGEST, 0);
   }
-  uint64_t process() const {
-    return GetField<uint64_t>(VT_PROCESS, 0);
+  uint64_t confirmation() const {
+    return GetField<uint64_t>(VT_CONFIRMATION, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -4523,7 +4523,7 @@
            VerifyOffset(verifier, VT_SIGHTINGS) &&
            verifier.VerifyVector(sightings()) &&
            VerifyField<uint64_t>(verifier, VT_CONTROL_HOSTS_DIGEST, 8) &&
-           VerifyField<uint64_t>(verifier, VT_PROCESS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIRMATION, 8) &&
            verifier.EndTable();
   }
   fleet_followT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4571,8 +4571,8 @@
   void add_control_hosts_digest(uint64_t control_hosts_digest) {
     fbb_.AddElement<uint64_t>(fleet_follow::VT_CONTROL_HOSTS_DIGEST, control_hosts_digest, 0);
   }
-  void add_process(uint64_t process) {
-    fbb_.AddElement<uint64_t>(fleet_follow::VT_PROCESS, process, 0);
+  void add_confirmation(uint64_t confirmation) {
+    fbb_.AddElement<uint64_t>(fleet_follow::VT_CONFIRMATION, confirmation, 0);
   }
   explicit fleet_followBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -4599,9 +4599,9 @@
     uint64_t ready_hosts_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<const mangoquay::wire::primary_sighting *>> sightings = 0,
     uint64_t control_hosts_digest = 0,
-    uint64_t process = 0) {
+    uint64_t confirmation = 0) {
   fleet_followBuilder builder_(_fbb);
-  builder_.add_process(process);
+  builder_.add_confirmation(confirmation);
   builder_.add_control_hosts_digest(control_hosts_digest);
   builder_.add_ready_hosts_digest(ready_hosts_digest);
   builder_.add_registry_digest(registry_digest);
@@ -4636,7 +4636,7 @@
     uint64_t ready_hosts_digest = 0,
     const std::vector<mangoquay::wire::primary_sighting> *sightings = nullptr,
     uint64_t control_hosts_digest = 0,
-    uint64_t process = 0) {
+    uint64_t confirmation = 0) {
   auto peer_host__ = peer_host ? _fbb.CreateString(peer_host) : 0;
   auto primaries__ = primaries ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_view>>(*primaries) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -4655,7 +4655,7 @@
       ready_hosts_digest,
       sightings__,
       control_hosts_digest,
-      process);
+      confirmation);
 }
 
 flatbuffers::Offset<fleet_follow> Createfleet_follow(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4671,7 +4671,7 @@
   std::vector<std::unique_ptr<mangoquay::wire::zone_hostsT>> ready_hosts{};
   uint64_t ready_hosts_digest = 0;
   uint64_t control_hosts_digest = 0;
-  uint64_t current_for_process = 0;
+  uint64_t confirmed = 0;
   fleet_updateT() = default;
   fleet_updateT(const fleet_updateT &o);
   fleet_updateT(fleet_updateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4692,7 +4692,7 @@
     VT_READY_HOSTS = 16,
     VT_READY_HOSTS_DIGEST = 18,
     VT_CONTROL_HOSTS_DIGEST = 20,
-    VT_CURRENT_FOR_PROCESS = 22
+    VT_CONFIRMED = 22
   };
   uint64_t document_version() const {
     return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
@@ -4721,8 +4721,8 @@
   uint64_t control_hosts_digest() const {
     return GetField<uint64_t>(VT_CONTROL_HOSTS_DIGEST, 0);
   }
-  uint64_t current_for_process() const {
-    return GetField<uint64_t>(VT_CURRENT_FOR_PROCESS, 0);
+  uint64_t confirmed() const {
+    return GetField<uint64_t>(VT_CONFIRMED, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -4742,7 +4742,7 @@
            verifier.VerifyVectorOfTables(ready_hosts()) &&
            VerifyField<uint64_t>(verifier, VT_READY_HOSTS_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONTROL_HOSTS_DIGEST, 8) &&
-           VerifyField<uint64_t>(verifier, VT_CURRENT_FOR_PROCESS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIRMED, 8) &&
            verifier.EndTable();
   }
   fleet_updateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4781,8 +4781,8 @@
   void add_control_hosts_digest(uint64_t control_hosts_digest) {
     fbb_.AddElement<uint64_t>(fleet_update::VT_CONTROL_HOSTS_DIGEST, control_hosts_digest, 0);
   }
-  void add_current_for_process(uint64_t current_for_process) {
-    fbb_.AddElement<uint64_t>(fleet_update::VT_CURRENT_FOR_PROCESS, current_for_process, 0);
+  void add_confirmed(uint64_t confirmed) {
+    fbb_.AddElement<uint64_t>(fleet_update::VT_CONFIRMED, confirmed, 0);
   }
   explicit fleet_updateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -4806,9 +4806,9 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>>> ready_hosts = 0,
     uint64_t ready_hosts_digest = 0,
     uint64_t control_hosts_digest = 0,
-    uint64_t current_for_process = 0) {
+    uint64_t confirmed = 0) {
   fleet_updateBuilder builder_(_fbb);
-  builder_.add_current_for_process(current_for_process);
+  builder_.add_confirmed(confirmed);
   builder_.add_control_hosts_digest(control_hosts_digest);
   builder_.add_ready_hosts_digest(ready_hosts_digest);
   builder_.add_document_version(document_version);
@@ -4837,7 +4837,7 @@
     const std::vector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> *ready_hosts = nullptr,
     uint64_t ready_hosts_digest = 0,
     uint64_t control_hosts_digest = 0,
-    uint64_t current_for_process = 0) {
+    uint64_t confirmed = 0) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::endpoint_entry>>(*endpoints) : 0;
   auto control_hosts__ = control_hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control_hosts) : 0;
@@ -4853,7 +4853,7 @@
       ready_hosts__,
       ready_hosts_digest,
       control_hosts_digest,
-      current_for_process);
+      confirmed);
 }
 
 flatbuffers::Offset<fleet_update> Createfleet_update(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8048,7 +8048,7 @@
         ready_hosts_digest(o.ready_hosts_digest),
         sightings(o.sightings),
         control_hosts_digest(o.control_hosts_digest),
-        process(o.process) {
+        confirmation(o.confirmation) {
   primaries.reserve(o.primaries.size());
   for (const auto &primaries_ : o.primaries) { primaries.emplace_back((primaries_) ? new mangoquay::wire::primary_viewT(*primaries_) : nullptr); }
 }
@@ -8066,7 +8066,7 @@
   std::swap(ready_hosts_digest, o.ready_hosts_digest);
   std::swap(sightings, o.sightings);
   std::swap(control_hosts_digest, o.control_hosts_digest);
-  std::swap(process, o.process);
+  std::swap(confirmation, o.confirmation);
   return *this;
 }
 
@@ -8091,7 +8091,7 @@
   { auto _e = ready_hosts_digest(); _o->ready_hosts_digest = _e; }
   { auto _e = sightings(); if (_e) { _o->sightings.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->sightings[_i] = *_e->Get(_i); } } }
   { auto _e = control_hosts_digest(); _o->control_hosts_digest = _e; }
-  { auto _e = process(); _o->process = _e; }
+  { auto _e = confirmation(); _o->confirmation = _e; }
 }
 
 inline flatbuffers::Offset<fleet_follow> fleet_follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_followT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8114,7 +8114,7 @@
   auto _ready_hosts_digest = _o->ready_hosts_digest;
   auto _sightings = _o->sightings.size() ? _fbb.CreateVectorOfStructs(_o->sightings) : 0;
   auto _control_hosts_digest = _o->control_hosts_digest;
-  auto _process = _o->process;
+  auto _confirmation = _o->confirmation;
   return mangoquay::wire::Createfleet_follow(
       _fbb,
       _is_entry,
@@ -8129,7 +8129,7 @@
       _ready_hosts_digest,
       _sightings,
       _control_hosts_digest,
-      _process);
+      _confirmation);
 }
 
 inline fleet_updateT::fleet_updateT(const fleet_updateT &o)
@@ -8140,7 +8140,7 @@
         document_bytes(o.document_bytes),
         ready_hosts_digest(o.ready_hosts_digest),
         control_hosts_digest(o.control_hosts_digest),
-        current_for_process(o.current_for_process) {
+        confirmed(o.confirmed) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new mangoquay::wire::endpoint_entryT(*endpoints_) : nullptr); }
   ready_hosts.reserve(o.ready_hosts.size());
@@ -8157,7 +8157,7 @@
   std::swap(ready_hosts, o.ready_hosts);
   std::swap(ready_hosts_digest, o.ready_hosts_digest);
   std::swap(control_hosts_digest, o.control_hosts_digest);
-  std::swap(current_for_process, o.current_for_process);
+  std::swap(confirmed, o.confirmed);
   return *this;
 }
 
@@ -8179,7 +8179,7 @@
   { auto _e = ready_hosts(); if (_e) { _o->ready_hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ready_hosts[_i] = std::unique_ptr<mangoquay::wire::zone_hostsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = ready_hosts_digest(); _o->ready_hosts_digest = _e; }
   { auto _e = control_hosts_digest(); _o->control_hosts_digest = _e; }
-  { auto _e = current_for_process(); _o->current_for_process = _e; }
+  { auto _e = confirmed(); _o->confirmed = _e; }
 }
 
 inline flatbuffers::Offset<fleet_update> fleet_update::Pack(flatbuffers::FlatBufferBuilder &_fbb, const fleet_updateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8199,7 +8199,7 @@
   auto _ready_hosts = _o->ready_hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::zone_hosts>> (_o->ready_hosts.size(), [](size_t i, _VectorArgs *__va) { return Createzone_hosts(*__va->__fbb, __va->__o->ready_hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _ready_hosts_digest = _o->ready_hosts_digest;
   auto _control_hosts_digest = _o->control_hosts_digest;
-  auto _current_for_process = _o->current_for_process;
+  auto _confirmed = _o->confirmed;
   return mangoquay::wire::Createfleet_update(
       _fbb,
       _document_version,
@@ -8211,7 +8211,7 @@
       _ready_hosts,
       _ready_hosts_digest,
       _control_hosts_digest,
-      _current_for_process);
+      _confirmed);
 }
 
 inline read_index_requestT *read_index_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/test/support/fleet_hosts.cpp
+++ b/test/support/fleet_hosts.cpp
@@ -145,9 +145,26 @@
         fleet::subscriber_identity{fleet::host_id(address), address, true, core::availability_zone("makati")},
         std::move(handlers));
     m_subscriber->start(control_hosts);
+    keep_running();
     run();
 }
 
+void subscribed_host::keep_running() {
+    m_subscriber->may_start_work();
+    m_loop.run_after(core::milliseconds(100), [this] { keep_running(); });
+}
+
+bool subscribed_host::may_start_work_after_pause(core::milliseconds length) {
+    return call([this, length] {
+        std::this_thread::sleep_for(length);
+        return m_subscriber->may_start_work();
+    });
+}
+
+bool subscribed_host::may_start_work() {
+    return call([this] { return m_subscriber->may_start_work(); });
+}
+
 std::vector<std::uint64_t> subscribed_host::received_versions() {
     return call([this] { return m_received; });
 }
--- a/test/support/fleet_hosts.h
+++ b/test/support/fleet_hosts.h
@@ -108,10 +108,16 @@
 
     // Versions in the order in which this host received them.
     std::vector<std::uint64_t> received_versions();
+    // Stops the host's thread for this long, as if the process got no processor time. Returns whether new
+    // work was allowed to start right afterwards.
+    bool may_start_work_after_pause(core::milliseconds length);
+    bool may_start_work();
     // Endpoints that this host may use.
     std::vector<registry::endpoint_report> usable_endpoints();
 
 private:
+    void keep_running();
+
     std::vector<std::uint64_t> m_received;
     std::unique_ptr<fleet::update_subscriber> m_subscriber;
 };
