Keep a transaction on the connection of its first statement

Seen: a database connection was lost, or a database reported a failure, while the first statement of a transaction ran. The entry host began the transaction again on another connection, possibly at another database, and sent the statement a second time under the same id. The first run was rolled back with its connection, but the transaction had moved (PINNED), which three cases of the users' record may be. Cause: "nothing of it is kept" was taken for "it has not run". Only a refusal that guarantees that the statement did not run, or a loss before it was sent, permits a second start elsewhere. Change: in all other cases the caller is told that its transaction is aborted, which is true and lets it try again with new ids.

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -230,10 +230,11 @@
         op.m_not_before.m_at = now + retry_pause;
         return;
     }
+    const bool not_run = guarantees_not_run(reason);
+    // A transaction stays on the connection of the first statement that ran.
     if (caller.m_state == transaction_state::open &&
-        (caller.m_transaction.m_has_results || is_commit(caller))) {
+        (!not_run || caller.m_transaction.m_has_results || is_commit(caller))) {
         const bool commits = is_commit(caller);
-        const bool not_run = guarantees_not_run(reason);
         detach_connection(caller, now);
         if (commits) {
             clear_transaction(caller);
--- a/src/relay/relay_connections.cpp
+++ b/src/relay/relay_connections.cpp
@@ -98,7 +98,8 @@
         refuse_statement(owner, caller, wrote ? refusal::in_doubt : refusal::aborted, reason, now);
         return;
     }
-    if (in_transaction && (caller.m_transaction.m_has_results || is_commit(caller))) {
+    // The statement may have run, and a transaction stays on the connection of its first statement.
+    if (in_transaction && (sent || caller.m_transaction.m_has_results || is_commit(caller))) {
         if (is_commit(caller)) {
             clear_transaction(caller);
         }
@@ -110,11 +111,6 @@
         refuse_statement(owner, caller, refusal::in_doubt, reason, now);
         return;
     }
-    // A statement of a transaction whose commit was not sent has no lasting effect.
-    if (in_transaction) {
-        op.m_phase = operation_phase::preparing;
-        caller.m_transaction.m_wrote = false;
-    }
     retry_or_refuse(owner, caller, refusal::timed_out, reason, now);
 }
 
