A refused peer message is not delivered later

What callers saw: nothing that could be tied to it; found by reading. A message that send() refused could reach its peer with a later connection, when what it says (a version, a grant, a read index) is out of date.

Cause: when connecting failed at once, outgoing_connection::send() still queued the body, returned false, and the next connection sent it.

Evidence: peer_connections::a_frame_that_was_refused_is_not_delivered_later failed before the fix: the receiver got the refused frame first (expression received == {accepted}); it passes with it.

Why it works: a body is queued only while a connection is being opened, whose failure drops the queue.

--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -76,6 +76,9 @@
             return false;
         }
         start_connecting();
+        if (m_state == connection_state::closed) {
+            return false; // Connecting failed at once.
+        }
     }
     if (m_pending_bytes + m_unsent.size() - m_sent + body.size() > max_backlog_bytes) {
         return false;
@@ -83,7 +86,7 @@
     if (m_state != connection_state::open) {
         m_pending_bytes += body.size();
         m_pending.push_back(std::move(body));
-        return m_state != connection_state::closed;
+        return true;
     }
     m_sealer->seal(body, m_unsent);
     if (!m_watching_writes) {
--- a/test/correctness/peer_connections.cpp
+++ b/test/correctness/peer_connections.cpp
@@ -17,12 +17,14 @@
     transport::event_loop m_loop;
     transport::peer_network m_sender;
     transport::peer_network m_receiver;
+    std::uint16_t m_port = 0; // Of the receiver.
 
     connected_peers(const std::string& sender_key, const std::string& receiver_key)
         : m_sender(m_loop, sender_id, sender_key), m_receiver(m_loop, receiver_id, receiver_key) {
         const auto port = m_receiver.listen({"127.0.0.1", 0});
         CPPUNIT_ASSERT(static_cast<bool>(port));
-        m_sender.set_address(receiver_id, {"127.0.0.1", *port});
+        m_port = *port;
+        m_sender.set_address(receiver_id, {"127.0.0.1", m_port});
     }
 };
 
@@ -32,6 +34,7 @@
     CPPUNIT_TEST_SUITE(peer_connections);
     CPPUNIT_TEST(frames_arrive_whole_and_in_order);
     CPPUNIT_TEST(frames_of_a_peer_without_the_cluster_key_are_dropped);
+    CPPUNIT_TEST(a_frame_that_was_refused_is_not_delivered_later);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,6 +65,24 @@
         peers.m_loop.run();
         CPPUNIT_ASSERT(!received);
     }
+
+    // Guards against a refused message that a later connection delivers, when what it says is out of date.
+    void a_frame_that_was_refused_is_not_delivered_later() {
+        constexpr std::uint8_t refused = 1;
+        constexpr std::uint8_t accepted = 2;
+        connected_peers peers("key", "key");
+        std::vector<std::uint8_t> received;
+        peers.m_receiver.on_frame([&](const entry_host_id&, transport::frame body) {
+            received.push_back(body[0]);
+            peers.m_loop.stop();
+        });
+        peers.m_sender.set_address(receiver_id, {"no address", peers.m_port}); // Connecting fails at once.
+        CPPUNIT_ASSERT(!peers.m_sender.send(receiver_id, {refused}));
+        peers.m_sender.set_address(receiver_id, {"127.0.0.1", peers.m_port});
+        CPPUNIT_ASSERT(peers.m_sender.send(receiver_id, {accepted}));
+        peers.m_loop.run();
+        CPPUNIT_ASSERT(received == std::vector<std::uint8_t>{accepted});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(peer_connections);
