Answers to an earlier process of a host confirm nothing to the new one

What callers saw: not observed. A host that ends and starts again at its address may be sent an answer that was meant for its former process: a grant passes up to three hosts, each of which may be short of the processor for seconds. The new process then held a primary lease beyond the end that the leader waits for (a read or write at a withdrawn primary), or took a configuration for current that lacks later commits.

Cause: the requests of primary leases and of read indexes were numbered from 1 in every process, so the numbers of two processes met.

Evidence: primary_lease_rules::a_grant_for_an_earlier_process_of_the_host_extends_nothing and read_barrier_rules::an_answer_to_an_earlier_process_confirms_nothing failed before the fix (the lease was usable; the time was confirmed) and pass with it.

--- /dev/null
+++ b/src/core/process_number.h
@@ -0,0 +1,12 @@
+// Random numbers that tell the processes of a host apart.
+#pragma once
+
+#include <cstdint>
+
+namespace mangoquay::core {
+
+// Returns a number from which a process may count its messages upwards. A message that was delayed over a
+// restart of the process is then not taken for one of the new process. Not 0.
+std::uint64_t random_first_number();
+
+} // namespace mangoquay::core
--- a/src/fleet/read_barrier.h
+++ b/src/fleet/read_barrier.h
@@ -11,6 +11,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "core/process_number.h"
 
 #include <cstdint>
 #include <deque>
@@ -56,7 +57,7 @@
     std::optional<pending_commit> m_pending;
     core::revision m_applied;
     core::deadline m_next_request;
-    std::uint64_t m_last_number = 0;
+    std::uint64_t m_last_number = core::random_first_number();
     std::optional<core::time_point> m_current_as_of;
 };
 
--- a/src/primary_leases/lease_holder.h
+++ b/src/primary_leases/lease_holder.h
@@ -6,6 +6,7 @@
 // Invariant: m_version never decreases, so a grant that was delayed does not restore a withdrawn primary.
 #pragma once
 
+#include "core/process_number.h"
 #include "primary_leases/primary_list.h"
 
 #include <deque>
@@ -30,7 +31,7 @@
         core::time_point m_at{};
     };
 
-    request_number m_last_number;
+    request_number m_last_number{core::random_first_number()};
     std::deque<sent_request> m_sent; // The latest requests, oldest first.
     list_version m_version;
     primary_list m_primaries;
--- a/src/primary_leases/primary_list.h
+++ b/src/primary_leases/primary_list.h
@@ -18,7 +18,7 @@
 using leader_term = core::strong_value<struct leader_term_tag, std::uint64_t>;
 // Counts the lists of one leader.
 using list_number = core::strong_value<struct list_number_tag, std::uint64_t>;
-// Counts the lease requests of one process; 0 in a grant that answers no request.
+// Counts the lease requests of one process, from a random number on; 0 in a grant that answers no request.
 using request_number = core::strong_value<struct request_number_tag, std::uint64_t>;
 
 // Orders lists: that of a later leader wins, then the later one of the same leader.
--- a/test/correctness/primary_lease_rules.cpp
+++ b/test/correctness/primary_lease_rules.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(a_lease_counts_from_the_request);
     CPPUNIT_TEST(a_late_grant_does_not_restore_a_withdrawn_primary);
     CPPUNIT_TEST(a_grant_of_an_unknown_request_extends_nothing);
+    CPPUNIT_TEST(a_grant_for_an_earlier_process_of_the_host_extends_nothing);
     CPPUNIT_TEST(a_list_of_another_leader_ends_the_lease);
     CPPUNIT_TEST(a_withdrawal_waits_for_hosts_that_have_not_confirmed_it);
     CPPUNIT_TEST(a_confirmed_withdrawal_needs_no_wait);
@@ -104,6 +105,17 @@
         CPPUNIT_ASSERT(!m_near.on_grant(grant));
         CPPUNIT_ASSERT(m_near.lease_end().m_at == at(0) + lease_length);
     }
+    // Otherwise a grant that was delayed over a restart would extend the lease beyond the end that the leader
+    // waits for.
+    void a_grant_for_an_earlier_process_of_the_host_extends_nothing() {
+        lease_holder earlier_process;
+        const auto delayed = m_granter.on_request(near_host, earlier_process.next_request(at(100)), at(100));
+        lease_holder restarted;
+        restarted.next_request(at(1500));
+        restarted.on_grant(*delayed);
+        CPPUNIT_ASSERT(!may_use(restarted, old_primary, at(1500)));
+    }
+
     void a_list_of_another_leader_ends_the_lease() {
         lease_granter second;
         second.start_leading(second_term, {{ledger, successor}}, at(100));
--- a/test/correctness/read_barrier_rules.cpp
+++ b/test/correctness/read_barrier_rules.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(a_commit_that_is_not_applied_confirms_nothing);
     CPPUNIT_TEST(a_late_answer_confirms_only_the_time_of_its_own_request);
     CPPUNIT_TEST(unknown_answers_are_ignored);
+    CPPUNIT_TEST(an_answer_to_an_earlier_process_confirms_nothing);
     CPPUNIT_TEST(a_host_that_lags_behind_a_busy_leader_makes_progress);
     CPPUNIT_TEST(requests_are_repeated_after_the_interval_only);
     CPPUNIT_TEST_SUITE_END();
@@ -75,6 +76,17 @@
     }
 
     // The leader commits ten entries in the time in which this host applies nine.
+    // An answer may be delayed over a restart of the host.
+    static void an_answer_to_an_earlier_process_confirms_nothing() {
+        read_barrier earlier_process;
+        const auto number = earlier_process.next_request(start);
+        read_barrier restarted;
+        restarted.on_applied(core::revision(31));
+        CPPUNIT_ASSERT(restarted.next_request(after_ms(1500)));
+        restarted.on_answer(*number, core::revision(31));
+        CPPUNIT_ASSERT(!restarted.current_as_of());
+    }
+
     static void a_host_that_lags_behind_a_busy_leader_makes_progress() {
         read_barrier barrier;
         for (std::int64_t ms = 0; ms < 2000; ms += 10) {
