The folder of the log survives a loss of power

What callers saw: not observed on our machines. A control host that starts with an empty disk and loses power may start without its log, although every file in it was synced; with the loss of another disk the cell loses what it acknowledged.

Cause: data_folder/control was created and its entry in the parent folder never synced.

Evidence: data_folder_damage::folders_that_it_creates_survive_a_loss_of_power and a_folder_that_was_created_before_survives_a_loss_of_power failed before the fix (the parent is not among the synced folders) and pass with it. The test program takes the place of fsync() and records what is synced.

Why it works: each folder that is created, and one that an earlier process may have created without syncing, is synced in its parent before anything in it is acknowledged. The file of endpoints lies in the data folder itself, which replace_file() syncs.

--- a/src/consensus/atomic_file.cpp
+++ b/src/consensus/atomic_file.cpp
@@ -5,6 +5,8 @@
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace mangoquay::consensus {
@@ -30,6 +32,14 @@
     int m_file;
 };
 
+status sync_folder(const std::string& folder) {
+    const file_descriptor directory(folder, O_RDONLY | O_DIRECTORY);
+    if (directory.get() < 0 || ::fsync(directory.get()) != 0) {
+        return status::failure(system_error("sync", folder));
+    }
+    return std::monostate{};
+}
+
 } // namespace
 
 std::string system_error(const std::string& action, const std::string& path) {
@@ -87,12 +97,23 @@
     if (::rename(temporary.c_str(), target.c_str()) != 0) {
         return status::failure(system_error("rename", temporary));
     }
-    // The rename is durable only after the folder has been synced.
-    const file_descriptor directory(folder, O_RDONLY | O_DIRECTORY);
-    if (directory.get() < 0 || ::fsync(directory.get()) != 0) {
-        return status::failure(system_error("sync", folder));
+    return sync_folder(folder); // The rename is durable only after this.
+}
+
+status create_folder(const std::string& folder) {
+    std::error_code error;
+    const std::filesystem::path path = std::filesystem::absolute(folder, error).lexically_normal();
+    if (!error && std::filesystem::is_directory(path, error)) {
+        // An earlier process may have created it and ended before it was synced.
+        return sync_folder(path.parent_path());
     }
-    return std::monostate{};
+    if (auto parent = create_folder(path.parent_path()); !parent) {
+        return parent;
+    }
+    if (::mkdir(path.c_str(), 0777) != 0 && errno != EEXIST) {
+        return status::failure(system_error("create", folder));
+    }
+    return sync_folder(path.parent_path());
 }
 
 } // namespace mangoquay::consensus
--- a/src/consensus/atomic_file.h
+++ b/src/consensus/atomic_file.h
@@ -15,6 +15,8 @@
 // Writes a temporary file in the same folder, syncs it, renames it to `name` and syncs the folder. When it
 // succeeds, the new content is durable; when it fails, the file has either its old or its new content.
 status replace_file(const std::string& folder, const std::string& name, std::string_view content);
+// Creates the folder and its missing parents. When it succeeds, all of them are durable.
+status create_folder(const std::string& folder);
 // Writes all bytes to the open file descriptor at `offset` and retries after partial writes. Does not sync.
 status write_all(int file, std::string_view bytes, std::uint64_t offset);
 // Returns "cannot <action> <path>: <text of errno>".
--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -74,10 +74,8 @@
 
 core::result<std::unique_ptr<durable_log>> durable_log::open(const std::string& folder) {
     using outcome = core::result<std::unique_ptr<durable_log>>;
-    std::error_code error;
-    std::filesystem::create_directories(folder, error);
-    if (error) {
-        return outcome::failure("cannot create data folder " + folder + ": " + error.message());
+    if (auto created = create_folder(folder); !created) {
+        return outcome::failure("data folder " + folder + ": " + created.reason());
     }
     std::unique_ptr<durable_log> opened(new durable_log(folder));
     if (auto locked = opened->lock(); !locked) {
--- a/test/error/data_folder_damage.cpp
+++ b/test/error/data_folder_damage.cpp
@@ -2,6 +2,7 @@
 // two processes that write to one folder.
 #include "consensus/durable_log.h"
 #include "consensus/log_record.h"
+#include "support/recorded_syncs.h"
 #include "support/temporary_folder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -76,6 +77,8 @@
     CPPUNIT_TEST(log_that_starts_after_the_snapshot_is_refused);
     CPPUNIT_TEST(crash_between_snapshot_and_log_is_recovered);
     CPPUNIT_TEST(second_process_is_refused);
+    CPPUNIT_TEST(folders_that_it_creates_survive_a_loss_of_power);
+    CPPUNIT_TEST(a_folder_that_was_created_before_survives_a_loss_of_power);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +188,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), recovered_count(path()));
     }
 
+    // A folder whose entry in its parent is not durable is lost with all its files, although they were
+    // synced.
+    void folders_that_it_creates_survive_a_loss_of_power() {
+        const std::string parent = m_folder->path() / "data";
+        const mangoquay::test::recorded_syncs recorded;
+        open(parent + "/control");
+        CPPUNIT_ASSERT(recorded.paths().contains(parent));
+        CPPUNIT_ASSERT(recorded.paths().contains(m_folder->path()));
+    }
+
+    // The process that created the folder may have ended before it was durable.
+    void a_folder_that_was_created_before_survives_a_loss_of_power() {
+        const std::string folder = m_folder->path() / "control";
+        std::filesystem::create_directory(folder);
+        const mangoquay::test::recorded_syncs recorded;
+        open(folder);
+        CPPUNIT_ASSERT(recorded.paths().contains(m_folder->path()));
+    }
+
     void second_process_is_refused() {
         const auto first = open(path());
         CPPUNIT_ASSERT(contains(open_failure(path()), "is used by another process"));
