Silence of all control hosts at once removes none of them

What callers saw: not observed. An entry host that is cut off from all control hosts for 20 s, or does not run for that long, kept one control host only, the last in the order of addresses. If that one is gone, the entry host never finds the cell again and serves by the configuration that it holds.

Cause: the time since a host's last answer was taken as that host's silence, also while no host answered or this process did not run. The hosts of the settings were forgotten as well.

Why it works: silence counts only from one round of queries to the next in which another known host answers and this process runs. While none answers, the hosts of the settings are asked too.

--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -3,11 +3,11 @@
 
 #include "core/deflate.h"
 #include "core/log.h"
+#include "core/process_number.h"
 #include "fleet/update_publisher.h"
 #include "registry/registry_wire.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace mangoquay::fleet {
@@ -17,18 +17,10 @@
 constexpr core::milliseconds query_interval{500};
 // Interval until the first configuration has arrived.
 constexpr core::milliseconds initial_query_interval{100};
-// A control host that has not answered for this long is removed, unless it is the only one known. A host that
-// is still a member of the cell is added again by the next update of another control host.
-constexpr core::milliseconds control_host_retention{20000};
 // Each control host confirms its list every 500 ms. One that has not done so for longer may be partitioned,
 // and its list out of date.
 constexpr core::milliseconds ready_list_lifetime{2000};
 
-std::uint64_t random_process_id() {
-    std::random_device source;
-    return (std::uint64_t{source()} << 32U | source()) | 1U; // 0 means no process.
-}
-
 } // namespace
 
 core::entry_host_id host_id(const control::socket_address& address) {
@@ -39,7 +31,8 @@
                                      transport::peer_network& network, subscriber_identity identity,
                                      subscriber_handlers handlers)
     : m_loop(loop), m_bus(bus), m_network(network), m_identity(std::move(identity)),
-      m_process(random_process_id()), m_handlers(std::move(handlers)), m_fetch(m_identity.m_self) {
+      m_process(core::random_first_number()), m_handlers(std::move(handlers)),
+      m_control_hosts(m_identity.m_self), m_fetch(m_identity.m_self) {
     m_bus.set_handler<wire::fleet_updateT>(
         [this](const auto& from, const auto& update) { on_update_received(from, update); });
 }
@@ -47,15 +40,15 @@
 void update_subscriber::start(const std::vector<control::socket_address>& known_control) {
     for (const control::socket_address& address : known_control) {
         add_control_host(host_id(address));
+        m_control_hosts.add_seed(host_id(address), core::now());
     }
     tick();
 }
 
 void update_subscriber::add_control_host(const core::entry_host_id& host) {
-    if (host == m_identity.m_self || !m_control_hosts.insert(host).second) {
+    if (!m_control_hosts.add(host, core::now())) {
         return;
     }
-    m_last_answers[host] = core::now();
     // All hosts of a fleet use the same peer port.
     m_network.set_address(host, {host.value(), m_identity.m_peer_address.m_port});
     core::log_line(core::log_level::info, "fleet", "control host added host=" + host.value());
@@ -63,25 +56,29 @@
 
 void update_subscriber::tick() {
     const core::time_point now = core::now();
-    std::erase_if(m_control_hosts, [&](const core::entry_host_id& host) {
-        const bool is_expired =
-            m_control_hosts.size() > 1 && m_last_answers[host] + control_host_retention < now;
-        if (is_expired) {
-            core::log_line(core::log_level::info, "fleet",
-                           "control host removed because it does not answer host=" + host.value());
-            m_fetch.remove_host(host);
-            m_control_lists.clear(); // Lists that name the host are sent again and add it again.
-            m_entry_host_counts.erase(host);
-            m_ready_lists.erase(host);
-        }
-        return is_expired;
-    });
+    update_control_hosts(now);
     m_registry.erase_expired(now);
     query_control_hosts();
     const bool has_document = m_handlers.m_document_version().value() > 0;
     m_loop.run_after(has_document ? query_interval : initial_query_interval, [this] { tick(); });
 }
 
+void update_subscriber::update_control_hosts(core::time_point now) {
+    const round_changes changes = m_control_hosts.start_round(now);
+    for (const core::entry_host_id& host : changes.m_removed) {
+        core::log_line(core::log_level::info, "fleet",
+                       "control host removed because it does not answer host=" + host.value());
+        m_fetch.remove_host(host);
+        m_control_lists.clear(); // Lists that name the host are sent again and add it again.
+        m_entry_host_counts.erase(host);
+        m_ready_lists.erase(host);
+    }
+    for (const core::entry_host_id& host : changes.m_added) {
+        core::log_line(core::log_level::info, "fleet",
+                       "control host of the settings added again host=" + host.value());
+    }
+}
+
 wire::fleet_followT update_subscriber::make_query() const {
     wire::fleet_followT query;
     query.is_entry = m_identity.m_is_entry;
@@ -102,7 +99,7 @@
 
 void update_subscriber::query_control_hosts() {
     wire::fleet_followT query = make_query();
-    for (const core::entry_host_id& host : m_control_hosts) {
+    for (const core::entry_host_id& host : m_control_hosts.hosts()) {
         const auto known = m_ready_lists.find(host);
         query.ready_hosts_digest = known == m_ready_lists.end() ? 0 : known->second.m_digest;
         const auto list = m_control_lists.find(host);
@@ -191,7 +188,7 @@
                                            const wire::fleet_updateT& update) {
     const core::time_point now = core::now();
     m_last_contact = now;
-    m_last_answers[from] = now;
+    m_control_hosts.on_answer(from, now);
     for (const std::string& host : update.control_hosts) {
         add_control_host(core::entry_host_id(host));
     }
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -8,6 +8,7 @@
 
 #include "documents/configuration.h"
 #include "documents/document_fetch.h"
+#include "fleet/control_host_list.h"
 #include "lending/lender_choice.h"
 #include "registry/endpoint_registry.h"
 #include "relay/relay_core.h"
@@ -65,7 +66,9 @@
 
     [[nodiscard]] registry::endpoint_registry& endpoints() { return m_registry; }
     [[nodiscard]] const registry::endpoint_registry& endpoints() const { return m_registry; }
-    [[nodiscard]] const std::set<core::entry_host_id>& control_hosts() const { return m_control_hosts; }
+    [[nodiscard]] const std::set<core::entry_host_id>& control_hosts() const {
+        return m_control_hosts.hosts();
+    }
     // The entry hosts that accept callers, by availability zone.
     [[nodiscard]] const lending::hosts_by_zone& ready_hosts() const { return m_ready_hosts; }
     // When any control host last sent an update.
@@ -73,6 +76,7 @@
 
 private:
     void tick();
+    void update_control_hosts(core::time_point now);
     [[nodiscard]] wire::fleet_followT make_query() const;
     // Requests an announced document from one control host, if a fetch is due.
     void fetch_document();
@@ -88,8 +92,7 @@
     subscriber_identity m_identity;
     std::uint64_t m_process; // Differs between two processes of a host.
     subscriber_handlers m_handlers;
-    std::set<core::entry_host_id> m_control_hosts;
-    std::map<core::entry_host_id, core::time_point> m_last_answers;
+    control_host_list m_control_hosts;
     // Digest of the list of control hosts that each of them sent last.
     std::map<core::entry_host_id, std::uint64_t> m_control_lists;
     std::map<core::entry_host_id, std::uint32_t> m_entry_host_counts; // As counted by each control host.
