Test: an entry host follows a cell whose hosts are all replaced without notice

Three control hosts are silenced in turn, the leader last, with their connections left open; a host with an empty disk takes the place of each.

--- a/test/support/fleet_hosts.cpp
+++ b/test/support/fleet_hosts.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <numeric>
 
 namespace mangoquay::test {
 namespace {
@@ -11,6 +12,12 @@
 constexpr core::milliseconds poll_interval{10};
 constexpr std::chrono::seconds wait_limit{20};
 
+constexpr unsigned max_host_index = 253;
+
+std::string host_address(unsigned index) {
+    return "127.1.0." + std::to_string(index + 1);
+}
+
 // All hosts of a fleet use the same peer port.
 std::uint16_t choose_free_port() {
     transport::event_loop loop;
@@ -64,6 +71,14 @@
     call([this, peers] { m_network.set_blocked_peers(peers); });
 }
 
+void fleet_host::isolate() {
+    std::set<core::entry_host_id> everyone;
+    for (unsigned index = 0; index <= max_host_index; ++index) {
+        everyone.insert(core::entry_host_id(host_address(index)));
+    }
+    block(everyone);
+}
+
 void control_fleet_host::refusing_executor::execute_order(
     const fleet::promotion_order&, std::function<void(promotion::order_outcome)> done) {
     done(promotion::order_outcome::refused);
@@ -163,7 +178,7 @@
 }
 
 control::socket_address fleet_cell::address(unsigned index) const {
-    return {"127.1.0." + std::to_string(index + 1), m_port};
+    return {host_address(index), m_port};
 }
 
 core::entry_host_id fleet_cell::id(unsigned index) const {
@@ -190,15 +205,25 @@
     host_settings.m_stop_timeout = std::chrono::seconds(6);
     host_settings.m_data_folder = data_folder(host);
     std::filesystem::create_directories(host_settings.m_data_folder);
-    for (unsigned index = 0; index < m_initial_hosts; ++index) {
+    const auto known = m_known_hosts.find(host);
+    for (const unsigned index : known == m_known_hosts.end() ? initial_indexes() : known->second) {
         host_settings.m_known_control_addresses.push_back(address(index));
     }
     m_hosts.at(host) = std::make_unique<control_fleet_host>(host_settings);
 }
 
-unsigned fleet_cell::add() {
+std::vector<unsigned> fleet_cell::initial_indexes() const {
+    std::vector<unsigned> indexes(m_initial_hosts);
+    std::iota(indexes.begin(), indexes.end(), 0U);
+    return indexes;
+}
+
+unsigned fleet_cell::add(const std::vector<unsigned>& known) {
     m_hosts.emplace_back();
     const auto added = static_cast<unsigned>(m_hosts.size() - 1);
+    if (!known.empty()) {
+        m_known_hosts[added] = known;
+    }
     start(added);
     return added;
 }
--- a/test/support/fleet_hosts.h
+++ b/test/support/fleet_hosts.h
@@ -9,6 +9,7 @@
 #include "support/temporary_folder.h"
 
 #include <future>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -34,6 +35,9 @@
 
     // Discards all messages from and to these hosts.
     void block(const std::set<core::entry_host_id>& peers);
+    // Discards all messages from and to others. Connections stay open, as those to a host that has lost
+    // power.
+    void isolate();
 
 protected:
     void run();
@@ -123,8 +127,9 @@
 
     void start(unsigned host);
     void stop(unsigned host) { m_hosts.at(host).reset(); }
-    // Starts a further host with an empty disk, which is not a member of the cell. Returns its index.
-    unsigned add();
+    // Starts a further host with an empty disk, which is not a member of the cell. Its settings name the
+    // hosts in `known`, or the initial ones. Returns its index.
+    unsigned add(const std::vector<unsigned>& known = {});
     // Deletes the data folder of a stopped host.
     void lose_disk(unsigned host);
     control_fleet_host& host(unsigned index) { return *m_hosts.at(index); }
@@ -141,6 +146,7 @@
 
 private:
     [[nodiscard]] control::socket_address address(unsigned index) const;
+    [[nodiscard]] std::vector<unsigned> initial_indexes() const;
     [[nodiscard]] std::filesystem::path data_folder(unsigned host) const;
 
     temporary_folder m_folder;
@@ -148,6 +154,7 @@
     std::vector<std::unique_ptr<control_fleet_host>> m_hosts;
     std::size_t m_initial_hosts = 0;
     std::set<unsigned> m_started_before;
+    std::map<unsigned, std::vector<unsigned>> m_known_hosts; // By added host.
 };
 
 // Waits until the condition holds, at most 20 s. Returns whether it holds.
