End the wait after a pause also for a process that pauses again and again

Change: a confirmation of any request of this process counts, as of the time of that request, if that is at most 2 s before the end of the last pause. The wait lasts 500 ms without an answer of any control host and 1.5 s at most otherwise, is not prolonged by further pauses, and asks each 100 ms. A planned stop waits for it.

--- a/src/entry/caller_sessions.cpp
+++ b/src/entry/caller_sessions.cpp
@@ -163,6 +163,7 @@
 }
 
 void caller_sessions::end_session(relay::session_id id) {
+    m_waiting_sessions.erase(id);
     close_session(id);
     m_core->on_session_closed(id, core::now());
 }
--- a/src/entry/caller_sessions.h
+++ b/src/entry/caller_sessions.h
@@ -34,6 +34,7 @@
     void stop_accepting() { m_listener.accept_rest_and_close(); }
     // Handles the messages that have waited.
     void resume();
+    [[nodiscard]] bool has_waiting_messages() const { return !m_waiting_sessions.empty(); }
     void send_answer(relay::session_id session, const relay::session_answer& answer);
     // Closes the connection when all data is sent. Does not notify the relay core.
     void close_session(relay::session_id session);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -301,6 +301,11 @@
 
 void entry_node::drain_step() {
     const core::time_point now = core::now();
+    if (m_callers.has_waiting_messages() && !m_stop->is_overdue(now)) {
+        // The core takes a session for idle whose statement waits for the confirmation of the configuration.
+        m_loop.run_after(drain_interval, [this] { drain_step(); });
+        return;
+    }
     std::size_t sessions_left = m_stop->step(m_core, now);
     if (!m_accepting_ended && m_stop->may_end_accepting(sessions_left, now)) {
         m_accepting_ended = true;
--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -219,10 +219,10 @@
             std::ranges::max_element(m_entry_host_counts, {}, [](const auto& one) { return one.second; });
         m_handlers.m_entry_host_count_received(largest->second);
     }
-    if (update.confirmed == m_resume_check.number().value()) {
-        const documents::document_version current(update.document_version);
-        m_fetch.on_current_version_confirmed(current);
-        m_resume_check.on_confirmed(m_resume_check.number(), current);
+    m_resume_check.on_contact();
+    const documents::document_version version(update.document_version);
+    if (m_resume_check.on_confirmed(documents::confirmation_number(update.confirmed), version)) {
+        m_fetch.on_current_version_confirmed(version);
     }
     if (!update.document.empty()) {
         on_document_received(from, update);
@@ -243,13 +243,22 @@
         core::log_line(core::log_level::info, "fleet",
                        "resumed after a pause; new work waits for the current configuration held=" +
                            std::to_string(m_handlers.m_document_version().value()));
-        m_work_waits = true;
-        query_control_hosts();
-        m_loop.run_at(m_resume_check.wait_deadline().m_at, [this] { resume_work_if_allowed(); });
+        if (!std::exchange(m_work_waits, true)) {
+            await_confirmation();
+        }
     }
     return may_rely_on_document();
 }
 
+// Queries often, because one lost message would use up most of the wait.
+void update_subscriber::await_confirmation() {
+    resume_work_if_allowed();
+    if (m_work_waits) {
+        query_control_hosts();
+        m_loop.run_after(initial_query_interval, [this] { await_confirmation(); });
+    }
+}
+
 bool update_subscriber::may_rely_on_document() const {
     return m_resume_check.may_rely_on(m_handlers.m_document_version(), core::now());
 }
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -60,9 +60,9 @@
                       transport::peer_network& network, subscriber_identity identity,
                       subscriber_handlers handlers);
 
-    // Whether new work may rely on the document in force. False for at most documents::max_confirmation_wait
-    // after the process has not run for a while. A subscriber whose work relies on documents must call this
-    // before it starts new work, and at least every 100 ms.
+    // Whether new work may rely on the document in force. False for a limited time after the process has not
+    // run for a while. A subscriber whose work relies on documents must call this before it starts new work,
+    // and at least every 100 ms.
     bool may_start_work();
 
     // Starts the periodic queries.
@@ -86,6 +86,7 @@
     void tick();
     void log_contact_change(core::time_point now);
     [[nodiscard]] bool may_rely_on_document() const;
+    void await_confirmation();
     // Calls m_work_resumed if work has waited and may start now.
     void resume_work_if_allowed();
     void update_control_hosts(core::time_point now);
