Updates are taken only from control hosts that this host knows

What callers saw: not observed. Every process with the cluster key could put a configuration, endpoints or further control hosts in force at an entry host that never queried it: a control host of another fleet with the same key, or one that was removed.

Cause: update_subscriber processed each update, whoever sent it, and counted it as contact to the cell.

Evidence: unknown_control_hosts::send_no_configuration and ::name_no_control_hosts failed before the fix (the configuration was received, the host was added) and pass with it.

Why it works: a control host sends updates only to hosts that have queried it, so none that matters is lost. One that was removed and is still a member is added again by the list of another. An address in the settings that another fleet uses now is still believed.

--- a/src/fleet/control_host_list.cpp
+++ b/src/fleet/control_host_list.cpp
@@ -25,11 +25,13 @@
     return true;
 }
 
-void control_host_list::on_answer(const core::entry_host_id& host, core::time_point now) {
-    if (m_hosts.contains(host)) {
-        m_last_answers[host] = now;
-        m_answered_in_round = true;
+bool control_host_list::on_answer(const core::entry_host_id& host, core::time_point now) {
+    if (!m_hosts.contains(host)) {
+        return false;
     }
+    m_last_answers[host] = now;
+    m_answered_in_round = true;
+    return true;
 }
 
 round_changes control_host_list::start_round(core::time_point now) {
--- a/src/fleet/control_host_list.h
+++ b/src/fleet/control_host_list.h
@@ -33,7 +33,8 @@
     void add_seed(const core::entry_host_id& host, core::time_point now);
     // Returns false if the host is known already, or is this host itself.
     bool add(const core::entry_host_id& host, core::time_point now);
-    void on_answer(const core::entry_host_id& host, core::time_point now);
+    // Returns false if the host is not known.
+    bool on_answer(const core::entry_host_id& host, core::time_point now);
     // Called before each round of queries.
     round_changes start_round(core::time_point now);
 
--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -187,8 +187,15 @@
 void update_subscriber::on_update_received(const core::entry_host_id& from,
                                            const wire::fleet_updateT& update) {
     const core::time_point now = core::now();
+    if (!m_control_hosts.on_answer(from, now)) {
+        if (m_unknown_senders.insert(from).second) {
+            core::log_line(core::log_level::warning, "fleet",
+                           "updates ignored because the sender is not a known control host host=" +
+                               from.value());
+        }
+        return;
+    }
     m_last_contact = now;
-    m_control_hosts.on_answer(from, now);
     for (const std::string& host : update.control_hosts) {
         add_control_host(core::entry_host_id(host));
     }
--- a/src/fleet/update_subscriber.h
+++ b/src/fleet/update_subscriber.h
@@ -93,6 +93,7 @@
     std::uint64_t m_process; // Differs between two processes of a host.
     subscriber_handlers m_handlers;
     control_host_list m_control_hosts;
+    std::set<core::entry_host_id> m_unknown_senders; // Logged once each.
     // Digest of the list of control hosts that each of them sent last.
     std::map<core::entry_host_id, std::uint64_t> m_control_lists;
     std::map<core::entry_host_id, std::uint32_t> m_entry_host_counts; // As counted by each control host.
