A long backlog to a slow peer is not copied for each frame

What callers saw: not observed alone. While a peer does not read (it does not run, or its host is gone), every further message to it copied the whole backlog, up to 32 MiB, on the event loop of the sender, which serves callers meanwhile.

Cause: frame_sealer::seal() reserved exactly what the frame needs, so the buffer was moved at each frame instead of growing geometrically.

Evidence: peer_connections::a_long_backlog_is_not_copied_for_each_frame failed before the fix (more than 64 moves for 2,000 frames) and passes with it.

Why it works: without the reservation the vector grows geometrically.

--- a/src/transport/frame_codec.cpp
+++ b/src/transport/frame_codec.cpp
@@ -77,7 +77,6 @@
 
 void frame_sealer::seal(std::span<const std::uint8_t> body, std::vector<std::uint8_t>& out) {
     const std::size_t start = out.size();
-    out.reserve(start + frame_header_bytes + body.size());
     put_big_endian(body.size(), 4, out);
     put_big_endian(m_sequence++, 8, out);
     const mac tag = frame_mac(m_key, std::span(out).subspan(start, 12), body);
--- a/test/correctness/peer_connections.cpp
+++ b/test/correctness/peer_connections.cpp
@@ -1,5 +1,6 @@
 // Guards against frames that are lost, truncated or reordered on an intact connection, and against frames
 // that are accepted from a peer that does not know the cluster key.
+#include "transport/frame_codec.h"
 #include "transport/peer_network.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -35,6 +36,7 @@
     CPPUNIT_TEST(frames_arrive_whole_and_in_order);
     CPPUNIT_TEST(frames_of_a_peer_without_the_cluster_key_are_dropped);
     CPPUNIT_TEST(a_frame_that_was_refused_is_not_delivered_later);
+    CPPUNIT_TEST(a_long_backlog_is_not_copied_for_each_frame);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +68,21 @@
         CPPUNIT_ASSERT(!received);
     }
 
+    // Guards against an event loop that stands still because a peer is slow to read.
+    void a_long_backlog_is_not_copied_for_each_frame() {
+        constexpr int frame_count = 2000;
+        constexpr int max_moves = 64;
+        transport::frame_sealer sealer({});
+        std::vector<std::uint8_t> backlog;
+        int moves = 0;
+        for (int index = 0; index < frame_count; ++index) {
+            const std::size_t capacity = backlog.capacity();
+            sealer.seal(std::vector<std::uint8_t>(1000, 7), backlog);
+            moves += backlog.capacity() == capacity ? 0 : 1;
+        }
+        CPPUNIT_ASSERT(moves <= max_moves);
+    }
+
     // Guards against a refused message that a later connection delivers, when what it says is out of date.
     void a_frame_that_was_refused_is_not_delivered_later() {
         constexpr std::uint8_t refused = 1;
