Request a loan again that was lost before its first answer

A statement that waited for a borrowed connection waited on until it was refused if the lender lost the connection between the grant and the first answer: handle_lost_connection() knew the session of a connection in use only, and the session kept the id of a loan that no longer existed. The loss now ends the wait and the statement is dispatched again.

The relay simulation plays further events: databases that restart, answer late, lose single answers and break connections after any request, transactions that a database ends, values that a rollback discards, endpoints that disappear or report a false role, routes that move, a host that pauses or restarts, lenders that restart, late messages, differing lists and statements that do not wait for answers. It checks the invariants of sessions, connections and endpoint counts after each event, the shape of prepared names, changed texts, and the connection of a transaction, for each statement in the state of its own turn.

--- a/src/relay/relay_connections.cpp
+++ b/src/relay/relay_connections.cpp
@@ -78,6 +78,9 @@
         handle_loss_for_session(owner, reason, now);
         start_queued_statements(owner, now);
     }
+    if (lost.m_requested_by) { // A loan that was lost before its first answer arrived.
+        m_sessions.at(*lost.m_requested_by).m_operation->m_loan.reset();
+    }
     dispatch_waiting(now);
 }
 
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -31,6 +31,10 @@
 #include <unordered_map>
 #include <vector>
 
+namespace mangoquay::test {
+class relay_invariants;
+} // namespace mangoquay::test
+
 namespace mangoquay::relay {
 
 // A decision about a caller's statement, for the log.
@@ -186,6 +190,8 @@
     [[nodiscard]] std::vector<primary_observation> primary_observations(core::time_point now) const;
 
 private:
+    friend class test::relay_invariants;
+
     using statement_handler = void (relay_core::*)(session_id, session&, const session_statement&,
                                                    core::time_point);
 
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -16,6 +16,8 @@
 // Fewer than one for each host, so that every connection is lent.
 constexpr std::uint32_t scarce_connections = 3;
 
+constexpr int process_event_seeds = 25;
+
 std::string violation_of(const relay_simulation_options& options) {
     relay_simulation simulation(options);
     simulation.run();
@@ -45,6 +47,20 @@
     CPPUNIT_ASSERT_MESSAGE("the injected fault was not detected", detected);
 }
 
+void check_holds_with(const process_events& events, relay_simulation_options options = {}) {
+    options.m_events = events;
+    CPPUNIT_ASSERT(meets_expectation(
+        expectation::holds,
+        [&options] {
+            relay_simulation_options seeded = options;
+            seeded.m_seed = *rc::gen::arbitrary<std::uint32_t>();
+            const std::string violation = violation_of(seeded);
+            RC_LOG() << violation;
+            RC_ASSERT(violation.empty());
+        },
+        process_event_seeds));
+}
+
 class relay_safety : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(relay_safety);
     CPPUNIT_TEST(writes_succeed_without_faults);
@@ -57,6 +73,10 @@
     CPPUNIT_TEST(guarantees_hold_when_old_primaries_go_on);
     CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_old_primaries_go_on);
     CPPUNIT_TEST(a_planned_stop_answers_every_statement);
+    CPPUNIT_TEST(loan_lost_before_its_first_answer_is_requested_again);
+    CPPUNIT_TEST(other_shape_under_a_prepared_name_is_detected);
+    CPPUNIT_TEST(changed_statement_is_detected);
+    CPPUNIT_TEST(open_transaction_after_a_rollback_is_detected);
     CPPUNIT_TEST(leases_that_do_not_end_are_detected);
     CPPUNIT_TEST(read_without_min_position_is_detected);
     CPPUNIT_TEST(read_without_primary_check_is_detected);
@@ -148,6 +168,18 @@
             }
         }
     }
+    // Guards against a statement that waits until it is refused for a loan that was lost before.
+    static void loan_lost_before_its_first_answer_is_requested_again() {
+        relay_simulation_options options;
+        options.m_lent_connections = true;
+        options.m_connections = scarce_connections;
+        check_holds_with({.m_database_faults = true}, options);
+    }
+    static void other_shape_under_a_prepared_name_is_detected() { check_detects({.m_mix_up_shapes = true}); }
+    static void changed_statement_is_detected() { check_detects({.m_change_texts = true}); }
+    static void open_transaction_after_a_rollback_is_detected() {
+        check_detects({.m_leave_transaction_open = true});
+    }
     static void leases_that_do_not_end_are_detected() {
         bool detected = false;
         for (std::uint64_t seed = 1; seed <= injected_fault_seeds && !detected; ++seed) {
--- a/test/support/lending_simulation.h
+++ b/test/support/lending_simulation.h
@@ -16,6 +16,8 @@
 
 struct lending_faults {
     bool m_lose_messages = false;
+    bool m_late_messages = false;   // Some messages arrive seconds late.
+    bool m_differing_lists = false; // Hosts disagree about which databases are lent by whom.
     // Injected faults: connections are returned as if they had no session values, or no open transaction.
     bool m_hide_session_values = false;
     bool m_hide_open_transaction = false;
@@ -24,6 +26,8 @@
 // Access to simulated time, randomness and databases.
 struct lending_environment {
     std::function<void(core::duration, std::function<void()>)> m_schedule;
+    std::function<void(std::function<void()>)> m_post;    // Runs an action on the borrower's host later.
+    std::function<void(std::function<void()>)> m_on_host; // Runs it at once unless the host is paused.
     std::function<core::time_point()> m_now;
     std::function<std::uint64_t(std::uint64_t)> m_random_below;
     std::function<void(relay::connection_id, const registry::endpoint_report&)> m_open_connection;
@@ -43,8 +47,12 @@
     void set_core(relay::relay_core& core);
     // Lends the connections of all `listed` databases, by two lenders.
     void announce_endpoints(const std::vector<registry::endpoint_report>& listed);
-    void tick();
+    void tick(bool borrower_runs);
     void disconnect_random_lender();
+    // The lender's process ends and another starts at its address. The borrower is told within seconds.
+    void restart_random_lender();
+    // As above, for the borrower's process.
+    void restart_borrower();
 
     void borrow(relay::connection_id connection, const core::endpoint_id& endpoint,
                 const lending::loan_terms& terms,
@@ -65,12 +73,17 @@
     class lender_host;
     class borrower_host;
 
+    [[nodiscard]] lender_host* owner_of(relay::connection_id connection) const;
+    lender_host& host_of(const core::entry_host_id& lender);
+    void announce_to(lender_host& lender);
+
     // Calls the handler after the message delay between two hosts, in sending order. Some messages are lost.
     void deliver(const core::entry_host_id& lender, std::function<void()> handler);
 
     lending_environment m_environment;
     lending_faults m_faults;
     relay::relay_core* m_core = nullptr;
+    std::vector<registry::endpoint_report> m_listed;
     std::vector<std::unique_ptr<lender_host>> m_lenders;
     std::unique_ptr<borrower_host> m_borrower;
     std::map<core::entry_host_id, core::time_point> m_last_arrival;
--- a/test/support/relay_simulation.cpp
+++ b/test/support/relay_simulation.cpp
@@ -7,15 +7,9 @@
 namespace mangoquay::test {
 namespace {
 
-using relay::refusal;
-using relay::request_kind;
-using relay::session_statement;
-using relay::statement_kind;
-using relay::transaction_state;
-
 constexpr const char* service = "ledger";
-constexpr core::milliseconds max_age{400};
-constexpr std::size_t caller_count = 5;
+constexpr const char* other_service = "archive";
+constexpr std::uint32_t other_databases = 2;
 constexpr core::milliseconds lease_length{300};
 constexpr core::milliseconds stop_limit{6000};
 constexpr core::milliseconds stop_step_interval{100};
@@ -33,34 +27,30 @@
         route.m_statement_timeout = core::milliseconds(1000);
         route.m_target_latency = core::milliseconds(300);
         route.m_max_attempts = 2;
-        route.m_max_age = max_age;
+        route.m_max_age = simulated_max_age;
         route.m_service = core::service_name(service);
         configuration.m_routes.push_back(route);
     }
     configuration.m_services.push_back({core::service_name(service), connections, 0});
+    configuration.m_services.push_back({core::service_name(other_service), connections, 0});
     configuration.m_transaction_idle_timeout = core::milliseconds(2000);
     return configuration;
 }
 
-std::uint64_t attempt_of(const std::string& id) {
-    return std::stoull(id.substr(0, id.find('-')));
-}
-
 } // namespace
 
 relay_simulation::relay_simulation(relay_simulation_options options)
     : m_options(options), m_random(options.m_seed), m_operations_left(options.m_operations) {
-    relay::relay_limits limits;
-    limits.m_zone = core::availability_zone("zone0");
-    limits.m_entry_hosts = 4;
-    limits.m_executor_fences = !options.m_leased;
-    relay::relay_ports& ports = *this;
-    m_core = std::make_unique<relay::relay_core>(ports, limits);
+    start_host();
     if (options.m_lent_connections) {
         lending_environment environment;
         environment.m_schedule = [this](core::duration delay, std::function<void()> action) {
             schedule(delay, std::move(action));
         };
+        environment.m_post = [this](std::function<void()> action) {
+            schedule({}, on_host(std::move(action)));
+        };
+        environment.m_on_host = [this](std::function<void()> action) { on_host(std::move(action))(); };
         environment.m_now = [this] { return m_now; };
         environment.m_random_below = [this](std::uint64_t below) { return random_below(below); };
         environment.m_open_connection = [this](auto id, const auto& target) {
@@ -71,20 +61,23 @@
         };
         environment.m_close_connection = [this](auto id) { close_database_connection(id); };
         m_lending = std::make_unique<lending_simulation>(
-            environment, lending_faults{options.m_connection_faults,
+            environment, lending_faults{options.m_connection_faults, options.m_events.m_pauses,
+                                        options.m_events.m_endpoint_changes,
                                         options.m_injected_faults.m_return_with_session_values,
                                         options.m_injected_faults.m_return_in_transaction});
         m_lending->set_core(*m_core);
     }
-    for (std::uint32_t index = 0; index < options.m_databases; ++index) {
+    const std::uint32_t others = options.m_events.m_route_changes ? other_databases : 0;
+    for (std::uint32_t index = 0; index < options.m_databases + others; ++index) {
+        const bool is_other = index >= options.m_databases;
         database server;
         server.m_report.m_id = core::endpoint_id("db" + std::to_string(index));
-        server.m_report.m_service = core::service_name(service);
+        server.m_report.m_service = core::service_name(is_other ? other_service : service);
         server.m_report.m_address = {"10.0.0." + std::to_string(index + 1), 5000};
         server.m_report.m_zone = core::availability_zone("zone" + std::to_string(index % 3));
         server.m_report.m_slots = 4;
         server.m_report.m_sequence = 1;
-        server.m_acts_as_primary = index == 0;
+        server.m_acts_as_primary = index == 0 || index == options.m_databases;
         server.m_report.m_is_primary = server.m_acts_as_primary;
         m_databases.push_back(server);
     }
@@ -107,14 +100,14 @@
 }
 
 void relay_simulation::run() {
-    m_core->configure(configuration_of(m_options.m_connections), m_now);
-    announce_endpoints();
+    m_configuration = configuration_of(m_options.m_connections);
+    configure();
     const std::function<void()> tick = [this, &tick] {
-        if (!m_process_ended) {
+        if (!m_process_ended && !m_paused) {
             m_core->tick(m_now);
         }
         if (m_lending) {
-            m_lending->tick();
+            m_lending->tick(!m_paused);
         }
         replicate();
         schedule(core::milliseconds(10), tick);
@@ -122,6 +115,7 @@
     tick();
     const std::function<void()> inject_faults = [this, &inject_faults] {
         inject_random_fault();
+        inject_process_event();
         schedule(core::milliseconds(40 + random_below(300)), inject_faults);
     };
     schedule(core::milliseconds(300), inject_faults);
@@ -131,9 +125,7 @@
     if (m_options.m_stop_after) {
         schedule(*m_options.m_stop_after, [this] { begin_stop(); });
     }
-    for (std::size_t index = 0; index < caller_count; ++index) {
-        schedule(core::milliseconds(100 + random_below(50)), [this] { start_operation(0); });
-    }
+    start_callers();
     const core::time_point end = m_now + std::chrono::minutes(3);
     const auto is_active = [this] {
         return m_operations_left > 0 || !m_callers.empty() || m_now < m_last_run_end;
@@ -144,6 +136,9 @@
         const auto action = std::move(next->second);
         m_events.erase(next);
         action();
+        if (!m_process_ended) {
+            check_invariants();
+        }
     }
     if (!m_callers.empty()) {
         record_violation("a statement was never answered");
@@ -166,7 +161,7 @@
         schedule(stop_step_interval, [this] { end_process(); }); // The last answers are sent by then.
         return;
     }
-    schedule(stop_step_interval, [this] { stop_step(); });
+    schedule(stop_step_interval, on_host([this] { stop_step(); }));
 }
 
 void relay_simulation::end_process() {
@@ -183,7 +178,8 @@
 
 core::history_position relay_simulation::position_of(const database& server) {
     const core::history_position position{core::term(server.m_term), core::log_position(server.m_log.size())};
-    m_last_commit[position] = server.m_log.empty() ? 0 : server.m_log.back().m_attempt;
+    m_last_commit[{server.m_report.m_service, position}] =
+        server.m_log.empty() ? 0 : server.m_log.back().m_attempt;
     return position;
 }
 
@@ -194,15 +190,17 @@
     if (length == 0) {
         return true;
     }
-    return server.m_log.size() >= length && server.m_log[length - 1].m_attempt == m_last_commit.at(position);
+    return server.m_log.size() >= length &&
+           server.m_log[length - 1].m_attempt == m_last_commit.at({server.m_report.m_service, position});
 }
 
 void relay_simulation::replicate() {
     for (database& server : m_databases) {
         const database* primary = nullptr; // An old one may go on beside the latest.
         for (const database& other : m_databases) {
-            const bool is_latest =
-                other.m_acts_as_primary && (primary == nullptr || primary->m_term < other.m_term);
+            const bool is_latest = other.m_acts_as_primary &&
+                                   other.m_report.m_service == server.m_report.m_service &&
+                                   (primary == nullptr || primary->m_term < other.m_term);
             primary = is_latest ? &other : primary;
         }
         if (primary == nullptr || server.m_acts_as_primary ||
@@ -231,9 +229,10 @@
     if (m_assigned_primary) {
         const core::time_point end =
             m_options.m_injected_faults.m_endless_leases ? core::time_point::max() : m_now + lease_length;
-        m_core->set_primary_leases(
-            {{core::service_name(service), m_databases[*m_assigned_primary].m_report.m_id}},
-            core::deadline{end}, m_now);
+        const primary_leases::primary_list primaries{
+            {core::service_name(service), m_databases[*m_assigned_primary].m_report.m_id}};
+        on_host(
+            [this, primaries, end] { m_core->set_primary_leases(primaries, core::deadline{end}, m_now); })();
     }
     schedule(lease_length / 3, [this] { renew_lease(); });
 }
@@ -250,6 +249,9 @@
     const std::vector<commit> retained_log = m_databases[chosen].m_log;
     std::uint32_t latest_term = 0;
     for (database& server : m_databases) {
+        if (server.m_report.m_service != m_databases[chosen].m_report.m_service) {
+            continue;
+        }
         latest_term = std::max(latest_term, server.m_term);
         for (const commit& entry : server.m_log) {
             const bool retained = std::ranges::any_of(
@@ -279,15 +281,20 @@
 
 void relay_simulation::announce_endpoints() {
     std::vector<registry::endpoint_report> listed;
-    for (database& server : m_databases) {
-        server.m_report.m_is_primary = server.m_acts_as_primary;
+    for (std::size_t index = 0; index < m_databases.size(); ++index) {
+        database& server = m_databases[index];
+        server.m_report.m_is_primary = server.m_acts_as_primary != m_misreported_databases.contains(index);
         ++server.m_report.m_sequence;
-        listed.push_back(server.m_report);
-    }
-    m_core->on_endpoints_changed(listed, m_now);
-    if (m_lending) {
-        m_lending->announce_endpoints(listed);
+        if (!m_unlisted_databases.contains(index)) {
+            listed.push_back(server.m_report);
+        }
     }
+    on_host([this, listed] {
+        m_core->on_endpoints_changed(listed, m_now);
+        if (m_lending) {
+            m_lending->announce_endpoints(listed);
+        }
+    })();
 }
 
 void relay_simulation::inject_random_fault() {
@@ -310,11 +317,7 @@
         picked->second->m_loses_answers = true;
         return;
     }
-    const relay::connection_id connection = picked->first;
-    picked->second->m_broken = true;
-    m_connections.erase(picked);
-    schedule(core::milliseconds(random_below(20)),
-             [this, connection] { report_connection_failure(connection); });
+    break_connection(picked->first, core::milliseconds(random_below(20)));
 }
 
 void relay_simulation::report_connection_failure(relay::connection_id id) {
@@ -351,8 +354,9 @@
         }
     }
     m_connections[id] = session;
-    schedule(core::milliseconds(12), [this, id, session] {
-        if (m_connections.contains(id) && !session->m_loses_answers) {
+    const auto opened = [this, id, session] {
+        const auto found = m_connections.find(id);
+        if (found != m_connections.end() && found->second == session && !session->m_loses_answers) {
             const core::history_position position = position_of(m_databases[session->m_database]);
             if (lending_simulation::is_lender_connection(id)) {
                 m_lending->on_connection_opened(id, position);
@@ -360,7 +364,8 @@
                 m_core->on_connection_opened(id, position, m_now);
             }
         }
-    });
+    };
+    schedule(core::milliseconds(12), lending_simulation::is_lender_connection(id) ? opened : on_host(opened));
 }
 
 void relay_simulation::close_connection(relay::connection_id id) {
@@ -393,183 +398,53 @@
         return;
     }
     const std::shared_ptr<server_session> session = found->second;
+    const bool database_faults = m_options.m_events.m_database_faults;
     for (const relay::database_request& request : requests) {
         const core::time_point arrives = m_now + core::milliseconds(1 + random_below(3));
         const core::time_point starts = std::max(arrives, session->m_free_at);
-        const core::duration run_time = core::milliseconds(
+        core::duration run_time = core::milliseconds(
             request.m_id.empty() ? 0 : 1 + random_below(static_cast<std::uint64_t>(m_options.m_max_run_ms)));
-        session->m_free_at = starts + run_time;
-        schedule(starts + run_time - m_now, [this, id, session, request] {
-            if (session->m_broken) {
-                return; // The connection broke before the request arrived.
-            }
-            const relay::database_answer answer = execute(*session, request);
-            if (session->m_loses_answers || (m_options.m_connection_faults && random_below(400) == 0)) {
-                session->m_loses_answers = true; // The request ran and its answer is lost.
-                return;
-            }
-            schedule(core::milliseconds(1), [this, id, session, answer] {
-                if (session->m_broken || !m_connections.contains(id) || m_process_ended) {
-                    return;
-                }
-                if (lending_simulation::is_lender_connection(id)) {
-                    m_lending->on_connection_answered(id, answer);
-                } else {
-                    m_core->on_answer_received(id, answer, m_now);
-                }
-            });
-        });
-    }
-}
-
-relay::database_answer relay_simulation::execute(server_session& session,
-                                                 const relay::database_request& request) {
-    database& server = m_databases[session.m_database];
-    relay::database_answer answer;
-    answer.m_text = "-";
-    const auto completed_answer = [&] {
-        answer.m_state = session.m_failed           ? transaction_state::failed
-                         : session.m_in_transaction ? transaction_state::open
-                                                    : transaction_state::idle;
-        answer.m_position = position_of(server);
-        return answer;
-    };
-    const bool checks_position = request.m_min_position && !m_options.m_injected_faults.m_drop_min_positions;
-    if (checks_position && !has_position(server, *request.m_min_position)) {
-        answer.m_refusal = refusal::lagging;
-        return completed_answer();
-    }
-    switch (request.m_kind) {
-    case request_kind::reset:
-        session.m_values.clear();
-        session.m_prepared.clear();
-        return completed_answer();
-    case request_kind::set_value:
-        if (!m_options.m_injected_faults.m_drop_session_values) {
-            session.m_values[request.m_name] = request.m_argument;
+        if (database_faults && random_below(200) == 0) {
+            run_time += core::milliseconds(random_below(3000));
         }
-        return completed_answer();
-    case request_kind::prepare:
-        session.m_prepared[request.m_name] = request.m_argument;
-        return completed_answer();
-    case request_kind::begin:
-    case request_kind::begin_read_only:
-        session.m_in_primary_transaction = request.m_kind == request_kind::begin;
-        if (session.m_in_primary_transaction && !server.m_acts_as_primary &&
-            !m_options.m_injected_faults.m_skip_primary_check) {
-            answer.m_refusal = refusal::read_only;
-            return completed_answer();
-        }
-        session.m_in_transaction = true;
-        session.m_failed = false;
-        session.m_transaction_term = server.m_term;
-        session.m_attempt = 0;
-        session.m_writes.clear();
-        return completed_answer();
-    case request_kind::rollback:
-        session.m_in_transaction = false;
-        session.m_failed = false;
-        session.m_writes.clear();
-        return completed_answer();
-    default:
-        answer = execute_statement(session, request, request.m_argument, answer);
-        return completed_answer();
+        session->m_free_at = starts + run_time;
+        schedule(starts + run_time - m_now,
+                 [this, id, session, request] { run_request(id, session, request); });
     }
 }
 
-void relay_simulation::check_session_state(const server_session& session, std::uint64_t attempt) {
-    const auto owner = m_callers.find(m_session_of.at(attempt));
-    if (owner == m_callers.end() || owner->second.m_attempt != attempt) {
-        return; // Its caller has started another operation.
-    }
-    if (owner->second.m_transaction && !session.m_in_transaction) {
-        record_violation("a statement ran outside its transaction");
+void relay_simulation::run_request(relay::connection_id id, const std::shared_ptr<server_session>& session,
+                                   const relay::database_request& request) {
+    if (session->m_broken) {
+        return; // The connection broke before the request arrived.
     }
-    if (session.m_in_transaction && session.m_attempt != 0 && session.m_attempt != attempt) {
-        record_violation("a statement ran inside another caller's transaction");
-    }
-    if (session.m_values != owner->second.m_values) {
-        record_violation("a statement ran with other session values");
+    const bool database_faults = m_options.m_events.m_database_faults;
+    const relay::database_answer answer = execute(session, request);
+    if (database_faults && random_below(150) == 0 && m_connections.contains(id) &&
+        m_connections.at(id) == session) {
+        break_connection(id, core::milliseconds(random_below(20)));
+        return;
     }
-}
-
-// Called when the session's database runs a read of the attempt: its log must hold every commit that the
-// caller must see.
-void relay_simulation::check_read_result(const server_session& session, std::uint64_t attempt) {
-    const database& server = m_databases[session.m_database];
-    const auto owner = m_callers.find(m_session_of.at(attempt));
-    if (owner == m_callers.end() || owner->second.m_attempt != attempt) {
+    if (session->m_loses_answers || (m_options.m_connection_faults && random_below(400) == 0)) {
+        session->m_loses_answers = true; // The request ran and its answer is lost.
         return;
     }
-    for (const acknowledged_commit& acknowledgement : m_acknowledged) {
-        const bool own_commit = acknowledgement.m_session == owner->first;
-        const bool must_include =
-            owner->second.m_route == 0 ? acknowledgement.m_at < owner->second.m_started
-            : acknowledgement.m_at + max_age < owner->second.m_started
-                ? true
-                : owner->second.m_route == 2 && own_commit && acknowledgement.m_at < owner->second.m_started;
-        const bool held = std::ranges::any_of(
-            server.m_log, [&](const commit& entry) { return entry.m_attempt == acknowledgement.m_attempt; });
-        if (must_include && !held && !m_rolled_back.contains(acknowledgement.m_attempt)) {
-            record_violation("a read lacks an acknowledged commit route=" +
-                             std::to_string(owner->second.m_route));
-        }
+    if (database_faults && random_below(200) == 0) {
+        return; // Later answers arrive.
     }
-}
-
-relay::database_answer relay_simulation::execute_statement(server_session& session,
-                                                           const relay::database_request& request,
-                                                           const std::string& text,
-                                                           relay::database_answer base) {
-    database& server = m_databases[session.m_database];
-    const std::uint64_t attempt = attempt_of(request.m_id);
-    const bool executes = request.m_kind == request_kind::execute;
-    const bool writes = executes ? request.m_name.starts_with("w_") : text.starts_with("WRITE");
-    const bool commits = text == "COMMIT" && !executes;
-    const auto refuse = [&](refusal reason) {
-        base.m_refusal = reason;
-        session.m_failed = session.m_in_transaction;
-        return base;
-    };
-    if (executes && !session.m_prepared.contains(request.m_name)) {
-        record_violation("a prepared statement does not exist on its connection");
-    }
-    check_session_state(session, attempt);
-    if (random_below(60) == 0) {
-        base.m_refusal = refusal::busy;
-        return base;
-    }
-    const bool lost_primary_role =
-        session.m_in_transaction && session.m_in_primary_transaction &&
-        (!server.m_acts_as_primary || server.m_term != session.m_transaction_term) &&
-        !m_options.m_injected_faults.m_skip_primary_check;
-    if ((lost_primary_role && !(commits && session.m_writes.empty())) ||
-        (writes && !server.m_acts_as_primary)) {
-        return refuse(refusal::read_only);
-    }
-    session.m_attempt = attempt;
-    base.m_text = "signature of " + request.m_id;
-    if (commits) {
-        session.m_in_transaction = false;
-        if (!session.m_writes.empty()) {
-            server.m_log.push_back({attempt, server.m_term});
+    const std::function<void()> answered = [this, id, session, answer] {
+        const auto found = m_connections.find(id);
+        if (session->m_broken || found == m_connections.end() || found->second != session) {
+            return;
         }
-    } else if (writes && session.m_in_transaction) {
-        session.m_writes.push_back(attempt);
-        return base;
-    } else if (writes) {
-        server.m_log.push_back({attempt, server.m_term});
-    } else {
-        check_read_result(session, attempt);
-        return base;
-    }
-    if (!commits || !session.m_writes.empty()) {
-        if (++m_committed[attempt] > 1) {
-            record_violation("a write took effect twice");
+        if (lending_simulation::is_lender_connection(id)) {
+            m_lending->on_connection_answered(id, answer);
+        } else {
+            m_core->on_answer_received(id, answer, m_now);
         }
-        session.m_writes.clear();
-    }
-    return base;
+    };
+    schedule(core::milliseconds(1),
+             lending_simulation::is_lender_connection(id) ? answered : on_host(answered));
 }
 
 } // namespace mangoquay::test
--- a/test/support/relay_simulation.h
+++ b/test/support/relay_simulation.h
@@ -22,6 +22,9 @@
 
 namespace mangoquay::test {
 
+// Age limit of reads on all routes of the simulation.
+inline constexpr core::milliseconds simulated_max_age{400};
+
 // Rules of the relay that the simulation breaks on purpose, to show that its checks detect it.
 struct injected_faults {
     bool m_drop_min_positions = false;      // Databases ignore the minimum position of reads.
@@ -33,7 +36,25 @@
     bool m_return_with_session_values = false;
     // A borrowed connection is returned, as if it had none, with an open transaction.
     bool m_return_in_transaction = false;
-    bool m_endless_leases = false; // Primary leases do not end before a promotion.
+    bool m_endless_leases = false;         // Primary leases do not end before a promotion.
+    bool m_mix_up_shapes = false;          // Prepared statements run another shape than was prepared.
+    bool m_change_texts = false;           // Some statements arrive with another text.
+    bool m_leave_transaction_open = false; // Databases ignore a rollback.
+};
+
+// Events of real processes and databases, beside lost connections, lag and promotions.
+struct process_events {
+    // Databases restart, break connections after any request, lose single answers and answer late.
+    bool m_database_faults = false;
+    bool m_ended_transactions = false;   // Databases end transactions without a request and say so.
+    bool m_rolled_back_values = false;   // A rollback at a database also discards session values.
+    bool m_endpoint_changes = false;     // Endpoints disappear from the list, return and report a false role.
+    bool m_route_changes = false;        // Routes move to another service, disappear and return.
+    bool m_pauses = false;               // The process does not run for seconds.
+    bool m_host_restarts = false;        // The process is killed and starts again at its address.
+    bool m_pipelined_statements = false; // Callers send further statements without waiting for answers.
+
+    static process_events all() { return {true, true, true, true, true, true, true, true}; }
 };
 
 struct relay_simulation_options {
@@ -51,6 +72,7 @@
     std::uint64_t m_max_transaction_statements = 3;
     // The host is stopped as planned after this time, while its callers go on.
     std::optional<core::milliseconds> m_stop_after;
+    process_events m_events;
     injected_faults m_injected_faults;
 };
 
@@ -85,8 +107,13 @@
         bool m_broken = false;        // The connection broke.
         bool m_loses_answers = false; // All further answers are lost.
         std::map<std::string, std::string> m_values;
-        std::map<std::string, std::string> m_prepared;
+        std::map<std::string, relay::prepared_statement> m_prepared;
+        // As of the start of the transaction.
+        std::map<std::string, std::string> m_saved_values;
+        std::map<std::string, relay::prepared_statement> m_saved_prepared;
         bool m_in_transaction = false;
+        bool m_ends_transaction = false; // The database ends the transaction after the next statement.
+        bool m_was_ended = false;        // The database ended the transaction; the next request is refused.
         bool m_in_primary_transaction = false;
         bool m_failed = false;
         std::uint32_t m_transaction_term = 0;
@@ -94,21 +121,40 @@
         std::vector<std::uint64_t> m_writes;
         core::time_point m_free_at{}; // Time when the next request can run; answers are sent in order.
     };
+    // More than one if a lost connection ran the statement as well.
+    using connection_list = std::vector<std::weak_ptr<server_session>>;
+    // State in which a statement has to run: that of its session when the statement is next in turn.
+    struct expected_state {
+        std::map<std::string, std::string> m_values;
+        std::map<std::string, relay::prepared_statement> m_prepared;
+        bool m_transaction = false;
+        bool m_single_write = false;
+        // Ran the former statements of the transaction, if there are any.
+        std::optional<connection_list> m_connections;
+    };
     struct acknowledged_commit {
         std::uint64_t m_attempt = 0;
         std::uint64_t m_session = 0;
         core::time_point m_at{};
+        std::string m_service;
     };
     struct caller {
         std::size_t m_route = 0;
         std::map<std::string, std::string> m_values;
+        std::map<std::string, relay::prepared_statement> m_prepared;
         std::vector<relay::session_statement> m_script; // Statements of the operation in progress.
-        std::size_t m_next = 0;
+        std::size_t m_next = 0;                         // The statement that is answered next.
+        std::size_t m_sent = 0;                         // Number of statements sent.
+        bool m_pipelined = false;
+        // Ran the answered statements of the transaction, if there are any.
+        std::optional<connection_list> m_transaction_connections;
         std::uint64_t m_attempt = 0;
         bool m_writes = false;
         bool m_transaction = false;
         core::time_point m_started{};
         bool m_waiting = false;
+        bool m_refused = false; // A statement of the operation was refused.
+        relay::transaction_state m_state = relay::transaction_state::idle; // As last reported.
     };
 
     void send_answer(relay::session_id session, const relay::session_answer& answer) override;
@@ -127,16 +173,40 @@
     // Connections to the databases, of the relay core and of the lenders.
     void open_database_connection(relay::connection_id id, const registry::endpoint_report& target);
     void send_to_database(relay::connection_id id, const std::vector<relay::database_request>& requests);
+    void run_request(relay::connection_id id, const std::shared_ptr<server_session>& session,
+                     const relay::database_request& request);
     void close_database_connection(relay::connection_id id);
     void report_connection_failure(relay::connection_id id);
 
     void schedule(core::duration delay, std::function<void()> action);
+    // An event of the host: ignored once the host has restarted, and late if the host is paused then.
+    [[nodiscard]] std::function<void()> on_host(std::function<void()> action);
+    // Events of real processes, in relay_simulation_events.cpp.
+    void inject_process_event();
+    void restart_database();
+    void break_connection(relay::connection_id id, core::duration report_delay);
+    void end_random_transaction();
+    void change_endpoints();
+    void change_routes();
+    void configure();
+    void pause_host(core::duration length);
+    void restart_host();
+    void start_host();
+    void check_invariants();
     [[nodiscard]] std::uint64_t random_below(std::uint64_t below);
     [[nodiscard]] bool occurs(std::uint64_t percent) { return random_below(100) < percent; }
     void record_violation(const std::string& what);
 
+    void start_callers();
+    void leave(std::uint64_t session);
+    void expect_state(const caller& current);
+    void write_script(std::uint64_t session, caller& current);
     void start_operation(std::uint64_t session);
     void send_next_statement(std::uint64_t session);
+    void add_statement(caller& current, bool writes);
+    void add_value(caller& current);
+    void record_success(std::uint64_t session, caller& current, const relay::session_statement& sent,
+                        const relay::session_answer& answer);
     void on_operation_refused(std::uint64_t session);
     void inject_random_fault();
     void promote();
@@ -151,10 +221,14 @@
     void replicate();
     void announce_endpoints();
 
-    relay::database_answer execute(server_session& session, const relay::database_request& request);
-    relay::database_answer execute_statement(server_session& session, const relay::database_request& request,
-                                             const std::string& text, relay::database_answer base);
-    void check_session_state(const server_session& session, std::uint64_t attempt);
+    relay::database_answer execute(const std::shared_ptr<server_session>& session,
+                                   const relay::database_request& request);
+    relay::database_answer execute_statement(const std::shared_ptr<server_session>& connection,
+                                             const relay::database_request& request, const std::string& text,
+                                             relay::database_answer base);
+    void end_database_transaction(server_session& session);
+    void check_statement(const server_session& session, const relay::database_request& request);
+    void check_session_state(const server_session& session, const relay::database_request& request);
     void check_read_result(const server_session& session, std::uint64_t attempt);
     [[nodiscard]] bool has_position(const database& server, const core::history_position& position) const;
     [[nodiscard]] core::history_position position_of(const database& server);
@@ -170,7 +244,7 @@
     std::unique_ptr<lending_simulation> m_lending; // Set if connections are lent.
     std::vector<database> m_databases;
     // Attempt of the last commit before each position.
-    std::map<core::history_position, std::uint64_t> m_last_commit;
+    std::map<std::pair<core::service_name, core::history_position>, std::uint64_t> m_last_commit;
     std::map<relay::connection_id, std::shared_ptr<server_session>> m_connections;
     std::map<std::uint64_t, caller> m_callers;
     std::vector<acknowledged_commit> m_acknowledged;
@@ -179,7 +253,17 @@
     std::set<std::uint64_t> m_reported_not_run; // Attempts of which a refusal guaranteed that nothing ran.
     std::uint64_t m_last_attempt = 0;
     std::uint64_t m_last_session = 0;
-    std::map<std::uint64_t, std::uint64_t> m_session_of; // Session of each attempt.
+    std::map<std::uint64_t, std::uint64_t> m_session_of;               // Session of each attempt.
+    std::map<std::string, relay::session_statement> m_sent_statements; // Every one, by its id.
+    std::map<std::string, expected_state> m_expected_states;           // Of each sent statement.
+    std::map<std::string, connection_list> m_ran_on;                   // Connections that ran each statement.
+    std::map<std::uint64_t, std::string> m_service_of_commit;          // Service of each attempt.
+    documents::configuration m_configuration;
+    std::set<std::size_t> m_unlisted_databases;
+    std::set<std::size_t> m_misreported_databases; // They report another role than they have.
+    std::uint64_t m_generation = 0;                // Number of starts of the host.
+    bool m_paused = false;
+    std::vector<std::function<void()>> m_deferred_events;
     std::size_t m_succeeded = 0;
     int m_operations_left = 0;
     std::optional<entry::planned_stop> m_stop;
--- a/test/support/relay_simulation_callers.cpp
+++ b/test/support/relay_simulation_callers.cpp
@@ -10,6 +10,8 @@
 using relay::session_statement;
 using relay::statement_kind;
 
+constexpr std::size_t caller_count = 5;
+
 session_statement statement(statement_kind kind, std::string id, std::string text) {
     session_statement result;
     result.m_kind = kind;
@@ -20,91 +22,156 @@
 
 } // namespace
 
+void relay_simulation::start_callers() {
+    for (std::size_t index = 0; index < caller_count; ++index) {
+        schedule(core::milliseconds(100 + random_below(50)), [this] { start_operation(0); });
+    }
+}
+
+void relay_simulation::leave(std::uint64_t session) {
+    m_callers.erase(session);
+    on_host([this, session] { m_core->on_session_closed(relay::session_id(session), m_now); })();
+}
+
 void relay_simulation::start_operation(std::uint64_t session) {
     if (m_process_ended || (session != 0 && !m_callers.contains(session))) {
         return; // The host has closed the session.
     }
     if (m_operations_left-- <= 0) {
         if (session != 0) {
-            m_callers.erase(session);
-            m_core->on_session_closed(relay::session_id(session), m_now);
+            leave(session);
         }
         return;
     }
     if (session == 0 || occurs(20)) {
         if (session != 0) {
-            m_callers.erase(session);
-            m_core->on_session_closed(relay::session_id(session), m_now);
+            leave(session);
         }
         session = ++m_last_session;
         m_callers[session].m_route = random_below(3);
-        m_core->on_session_opened(relay::session_id(session),
-                                  "database" + std::to_string(m_callers[session].m_route));
+        const std::string name = "database" + std::to_string(m_callers[session].m_route);
+        on_host([this, session, name] {
+            if (!m_core->on_session_opened(relay::session_id(session), name)) {
+                m_callers.erase(session); // Its route is removed.
+                schedule(core::milliseconds(20), [this] { start_operation(0); });
+            }
+        })();
+        if (!m_callers.contains(session)) {
+            return;
+        }
     }
-    caller& current = m_callers[session];
+    write_script(session, m_callers[session]);
+    send_next_statement(session);
+}
+
+void relay_simulation::write_script(std::uint64_t session, caller& current) {
     current.m_attempt = ++m_last_attempt;
     m_session_of[current.m_attempt] = session;
     current.m_script.clear();
     current.m_next = 0;
+    current.m_sent = 0;
     current.m_writes = false;
+    current.m_transaction_connections.reset();
+    current.m_pipelined = m_options.m_events.m_pipelined_statements && occurs(50);
     const auto id = [&] {
         return std::to_string(current.m_attempt) + "-" + std::to_string(current.m_script.size());
     };
-    const auto add_statement = [&](bool writes) {
-        current.m_writes = current.m_writes || writes;
-        if (!occurs(30)) {
-            const auto kind = writes ? statement_kind::write : statement_kind::read;
-            current.m_script.push_back(statement(kind, id(), writes ? "WRITE item data" : "READ item"));
-            return;
-        }
-        session_statement prepares = statement(statement_kind::prepare, id(), "PREPARE p");
-        prepares.m_name = "p";
-        prepares.m_argument = "shape" + std::to_string(random_below(2));
-        prepares.m_access = writes ? relay::access_kind::write : relay::access_kind::read;
-        current.m_script.push_back(prepares);
-        session_statement executes = statement(statement_kind::execute, id(), "EXECUTE p item");
-        executes.m_name = "p";
-        executes.m_argument = "item";
-        current.m_script.push_back(executes);
-    };
     if (occurs(25)) {
-        session_statement sets = statement(statement_kind::set_value, id(), "SET name");
-        sets.m_name = "name" + std::to_string(random_below(2));
-        sets.m_argument = std::to_string(random_below(3));
-        current.m_script.push_back(sets);
+        add_value(current);
     }
     current.m_transaction = occurs(40);
     if (!current.m_transaction) {
-        add_statement(occurs(40));
+        add_statement(current, occurs(40));
     } else {
         const bool read_only = occurs(30);
         const auto begins = read_only ? statement_kind::begin_read_only : statement_kind::begin;
         current.m_script.push_back(statement(begins, id(), read_only ? "BEGIN READ" : "BEGIN"));
         for (std::uint64_t count = 1 + random_below(m_options.m_max_transaction_statements); count > 0;
              --count) {
-            add_statement(!read_only && occurs(50));
+            if (occurs(20)) {
+                add_value(current);
+            }
+            add_statement(current, !read_only && occurs(50));
         }
         const bool rolls_back = occurs(15);
         current.m_script.push_back(statement(rolls_back ? statement_kind::rollback : statement_kind::commit,
                                              id(), rolls_back ? "ROLLBACK" : "COMMIT"));
     }
     current.m_started = m_now;
-    send_next_statement(session);
 }
 
+void relay_simulation::add_value(caller& current) {
+    session_statement sets = statement(
+        statement_kind::set_value,
+        std::to_string(current.m_attempt) + "-" + std::to_string(current.m_script.size()), "SET name");
+    sets.m_name = "name" + std::to_string(random_below(2));
+    sets.m_argument = std::to_string(random_below(3));
+    current.m_script.push_back(sets);
+}
+
+void relay_simulation::add_statement(caller& current, bool writes) {
+    const auto id = [&] {
+        return std::to_string(current.m_attempt) + "-" + std::to_string(current.m_script.size());
+    };
+    current.m_writes = current.m_writes || writes;
+    if (!occurs(30)) {
+        const auto kind = writes ? statement_kind::write : statement_kind::read;
+        current.m_script.push_back(statement(kind, id(), writes ? "WRITE item data" : "READ item"));
+        return;
+    }
+    session_statement prepares = statement(statement_kind::prepare, id(), "PREPARE p");
+    prepares.m_name = "p" + std::to_string(random_below(2));
+    prepares.m_argument = "shape" + std::to_string(random_below(2));
+    prepares.m_access = writes ? relay::access_kind::write : relay::access_kind::read;
+    current.m_script.push_back(prepares);
+    session_statement executes = statement(statement_kind::execute, id(), "EXECUTE p item");
+    executes.m_name = prepares.m_name;
+    executes.m_argument = "item" + std::to_string(random_below(9));
+    current.m_script.push_back(executes);
+    if (occurs(30)) {
+        session_statement drops = statement(statement_kind::deallocate, id(), "DEALLOCATE p");
+        drops.m_name = prepares.m_name;
+        current.m_script.push_back(drops);
+    }
+}
+
+void relay_simulation::expect_state(const caller& current) {
+    m_expected_states[current.m_script[current.m_next].m_id] = {
+        current.m_values, current.m_prepared, current.m_transaction,
+        !current.m_transaction && current.m_writes, current.m_transaction_connections};
+}
+
+// Sends the next statement, or all further ones if the caller does not wait for answers.
 void relay_simulation::send_next_statement(std::uint64_t session) {
     const auto found = m_callers.find(session);
     if (found == m_callers.end()) {
         return;
     }
     caller& current = found->second;
-    const session_statement next = current.m_script[current.m_next];
-    if (!current.m_transaction || next.m_kind == statement_kind::begin ||
-        next.m_kind == statement_kind::begin_read_only) {
-        current.m_started = m_now;
-    }
+    const std::uint64_t attempt = current.m_attempt;
+    std::vector<session_statement> sent;
+    do {
+        const session_statement& next = current.m_script[current.m_sent++];
+        if (!current.m_transaction || next.m_kind == statement_kind::begin ||
+            next.m_kind == statement_kind::begin_read_only) {
+            current.m_started = m_now;
+        }
+        m_sent_statements[next.m_id] = next;
+        sent.push_back(next);
+    } while (current.m_pipelined && current.m_sent < current.m_script.size() &&
+             sent.back().m_kind != statement_kind::begin &&
+             sent.back().m_kind != statement_kind::begin_read_only);
     current.m_waiting = true;
-    m_core->on_statement_received(relay::session_id(session), next, m_now);
+    expect_state(current);
+    for (const session_statement& next : sent) {
+        on_host([this, session, next] {
+            m_core->on_statement_received(relay::session_id(session), next, m_now);
+        })();
+        const auto left = m_callers.find(session);
+        if (left == m_callers.end() || left->second.m_attempt != attempt) {
+            return;
+        }
+    }
 }
 
 void relay_simulation::send_answer(relay::session_id session, const relay::session_answer& answer) {
@@ -117,8 +184,7 @@
         return;
     }
     caller& current = found->second;
-    current.m_waiting = false;
-    const session_statement& sent = current.m_script[current.m_next];
+    const session_statement sent = current.m_script[current.m_next];
     if (answer.m_request != sent.m_id) {
         record_violation("an answer to another statement");
     }
@@ -130,9 +196,32 @@
         if (current.m_writes && relay::guarantees_not_run(reported)) {
             m_reported_not_run.insert(current.m_attempt);
         }
+        current.m_refused = true;
+    } else {
+        record_success(session.value(), current, sent, answer);
+    }
+    ++current.m_next;
+    current.m_state = answer.m_state;
+    current.m_waiting = current.m_next < current.m_sent;
+    if (current.m_waiting) {
+        expect_state(current);
+        return;
+    }
+    if (current.m_refused) {
         schedule(core::milliseconds(1), [this, id = session.value()] { on_operation_refused(id); });
         return;
     }
+    if (current.m_next == current.m_script.size()) {
+        schedule(core::milliseconds(1 + random_below(60)),
+                 [this, id = session.value()] { start_operation(id); });
+        return;
+    }
+    schedule(core::milliseconds(1 + random_below(20)),
+             [this, id = session.value()] { send_next_statement(id); });
+}
+
+void relay_simulation::record_success(std::uint64_t session, caller& current, const session_statement& sent,
+                                      const relay::session_answer& answer) {
     const bool forwarded = sent.m_kind == statement_kind::read || sent.m_kind == statement_kind::write ||
                            sent.m_kind == statement_kind::execute || sent.m_kind == statement_kind::commit;
     const std::string expected =
@@ -142,20 +231,23 @@
     }
     if (sent.m_kind == statement_kind::set_value) {
         current.m_values[sent.m_name] = sent.m_argument;
+    } else if (sent.m_kind == statement_kind::prepare) {
+        current.m_prepared[sent.m_name] = {sent.m_access, sent.m_argument};
+    } else if (sent.m_kind == statement_kind::deallocate) {
+        current.m_prepared.erase(sent.m_name);
+    }
+    if (current.m_transaction && forwarded && sent.m_kind != statement_kind::commit) {
+        current.m_transaction_connections = m_ran_on.at(sent.m_id);
     }
     const bool commits =
         sent.m_kind == statement_kind::commit || (forwarded && !current.m_transaction && current.m_writes);
     if (commits && current.m_writes) {
-        m_acknowledged.push_back({current.m_attempt, session.value(), m_now});
+        if (!m_committed.contains(current.m_attempt)) {
+            record_violation("a commit was acknowledged that did not take effect");
+        }
+        m_acknowledged.push_back({current.m_attempt, session, m_now, m_service_of_commit[current.m_attempt]});
         m_succeeded += 1;
     }
-    if (++current.m_next == current.m_script.size()) {
-        schedule(core::milliseconds(1 + random_below(60)),
-                 [this, id = session.value()] { start_operation(id); });
-        return;
-    }
-    schedule(core::milliseconds(1 + random_below(20)),
-             [this, id = session.value()] { send_next_statement(id); });
 }
 
 // After a refusal the caller rolls back its transaction, if one is open, and starts another operation.
@@ -165,10 +257,8 @@
         return;
     }
     caller& current = found->second;
-    const statement_kind failed = current.m_script[current.m_next].m_kind;
-    const bool open = current.m_transaction && failed != statement_kind::commit &&
-                      failed != statement_kind::rollback && failed != statement_kind::begin &&
-                      failed != statement_kind::set_value;
+    const bool open = current.m_state != relay::transaction_state::idle;
+    current.m_refused = false;
     current.m_transaction = false;
     current.m_writes = false;
     if (!open) {
@@ -180,6 +270,9 @@
     current.m_script = {
         statement(statement_kind::rollback, std::to_string(current.m_attempt) + "-0", "ROLLBACK")};
     current.m_next = 0;
+    current.m_sent = 0;
+    current.m_pipelined = false;
+    current.m_transaction_connections.reset();
     send_next_statement(session);
 }
 
