Keep an endpoint lent that disappears and returns

A host opened connections of its own to a lent endpoint that had just been listed (again), because statements were dispatched to it before the list of lent endpoints was set, and that list applied to known endpoints only. The list now covers endpoints that follow, and is set first.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -155,8 +155,8 @@
 }
 
 void entry_node::on_endpoints_changed() {
+    update_lending(); // Before statements are dispatched to new endpoints, which may be lent.
     m_core.on_endpoints_changed(m_subscriber.endpoints().usable_reports(), core::now());
-    update_lending();
     m_ready = m_core.configured() && !m_on_stopped;
 }
 
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -141,7 +141,8 @@
     // Number of connections that all entry hosts together may use at one database of the service.
     [[nodiscard]] std::uint32_t usable_connections(const core::service_name& service) const;
     // Sets the endpoints whose connections are lent from now on, each with the number of connections that
-    // this host keeps for itself. To all other endpoints it opens its own.
+    // this host keeps for itself. To all other endpoints it opens its own. The list may name endpoints that
+    // on_endpoints_changed() has not listed yet.
     void set_lent_endpoints(const std::map<core::endpoint_id, std::uint32_t>& own_shares,
                             core::time_point now);
 
@@ -269,6 +270,8 @@
 
     // Whether the connection's endpoint may be used as a primary.
     [[nodiscard]] bool may_use_primary(const connection& conn, core::time_point now) const;
+    // Sets which endpoints are lent.
+    void apply_lent_endpoints();
     // Sets which endpoints need a lease, by the configuration, and which ones have it.
     void apply_primary_leases();
 
@@ -340,6 +343,7 @@
     std::set<session_id> m_active_sessions; // Sessions with a statement or transaction in progress.
     std::map<connection_id, connection> m_connections;
     endpoint_views m_endpoints;
+    std::map<core::endpoint_id, std::uint32_t> m_own_shares; // Of the lent endpoints, also of future ones.
     std::map<core::service_name, position_samples> m_position_samples;
     std::map<core::service_name, connection_id> m_probes; // Connections with a probe in progress.
     std::uint64_t m_last_connection = 0;
--- a/src/relay/relay_endpoints.cpp
+++ b/src/relay/relay_endpoints.cpp
@@ -44,12 +44,17 @@
 
 void relay_core::set_lent_endpoints(const std::map<core::endpoint_id, std::uint32_t>& own_shares,
                                     core::time_point now) {
+    m_own_shares = own_shares;
+    apply_lent_endpoints();
+    preopen_connections(now);
+}
+
+void relay_core::apply_lent_endpoints() {
     for (auto& [id, view] : m_endpoints) {
-        const auto found = own_shares.find(id);
-        view.m_lent = found != own_shares.end();
+        const auto found = m_own_shares.find(id);
+        view.m_lent = found != m_own_shares.end();
         view.m_own_connection_share = view.m_lent ? found->second : 0;
     }
-    preopen_connections(now);
 }
 
 // Idle transactions hold a connection without using a slot, so the busiest host may need several times its
@@ -150,6 +155,7 @@
         }
         it = m_endpoints.erase(it);
     }
+    apply_lent_endpoints();
     apply_primary_leases();
     preopen_connections(now);
     dispatch_waiting(now);
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -61,6 +61,13 @@
         process_event_seeds));
 }
 
+// Without databases that end transactions by themselves.
+process_events events_of_hosts() {
+    process_events events = process_events::all();
+    events.m_ended_transactions = false;
+    return events;
+}
+
 class relay_safety : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(relay_safety);
     CPPUNIT_TEST(writes_succeed_without_faults);
@@ -74,6 +81,7 @@
     CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_old_primaries_go_on);
     CPPUNIT_TEST(a_planned_stop_answers_every_statement);
     CPPUNIT_TEST(loan_lost_before_its_first_answer_is_requested_again);
+    CPPUNIT_TEST(endpoints_that_return_stay_lent);
     CPPUNIT_TEST(other_shape_under_a_prepared_name_is_detected);
     CPPUNIT_TEST(changed_statement_is_detected);
     CPPUNIT_TEST(open_transaction_after_a_rollback_is_detected);
@@ -175,6 +183,13 @@
         options.m_connections = scarce_connections;
         check_holds_with({.m_database_faults = true}, options);
     }
+    // Guards against own connections to a lent endpoint that disappeared for a while.
+    static void endpoints_that_return_stay_lent() {
+        relay_simulation_options options;
+        options.m_lent_connections = true;
+        options.m_connections = scarce_connections;
+        check_holds_with({.m_endpoint_changes = true}, options);
+    }
     static void other_shape_under_a_prepared_name_is_detected() { check_detects({.m_mix_up_shapes = true}); }
     static void changed_statement_is_detected() { check_detects({.m_change_texts = true}); }
     static void open_transaction_after_a_rollback_is_detected() {
--- a/test/support/relay_simulation.cpp
+++ b/test/support/relay_simulation.cpp
@@ -290,10 +290,10 @@
         }
     }
     on_host([this, listed] {
-        m_core->on_endpoints_changed(listed, m_now);
         if (m_lending) {
             m_lending->announce_endpoints(listed);
         }
+        m_core->on_endpoints_changed(listed, m_now);
     })();
 }
 
