Reset a connection whose rolled back transaction set values

Where a database discards at a rollback what the transaction set, the next statement on the connection ran with other session values, or with a prepared name that did not exist: the record of the connection kept both. Such a rollback is now followed by a reset, which is right for either kind of database.

--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -4,7 +4,7 @@
 // - answers arrive in the order of m_expected_answers, one for each entry;
 // - m_session is empty exactly while no statement of a caller uses the connection;
 // - m_values and m_prepared are what the database holds for the connection once every entry of
-//   m_expected_answers is answered.
+//   m_expected_answers is answered, provided that a transaction with m_changed_in_transaction commits.
 #pragma once
 
 #include "core/ids.h"
@@ -34,6 +34,7 @@
     begin_read_only,
     statement, // Runs the caller's statement.
     rollback,  // Ends a transaction that the relay or the caller abandoned.
+    reset,     // Clears session values and prepared statements after a rollback.
     probe,     // Begins an empty transaction to obtain the primary's position.
 };
 
@@ -53,6 +54,8 @@
     std::deque<expected_answer> m_expected_answers;
     std::map<std::string, std::string> m_values;
     std::set<std::string> m_prepared; // Names of prepared statements, from prepared_name().
+    // The open transaction set values or prepared statements, which a rollback may discard.
+    bool m_changed_in_transaction = false;
     // Deadline of the first entry of m_expected_answers, or of opening the connection.
     core::deadline m_answer_deadline;
     core::time_point m_last_contact{}; // Time of the last answer.
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -45,6 +45,13 @@
             record_refusal(conn.m_endpoint, *answer.m_refusal, now);
         }
         break;
+    case request_step::reset:
+        if (answer.m_refusal) {
+            handle_lost_connection(id, "the reset was refused", now);
+        } else {
+            release_connection(id, now);
+        }
+        break;
     case request_step::rollback:
         if (conn.m_expected_answers.empty()) {
             release_connection(id, now);
--- a/src/relay/relay_connections.cpp
+++ b/src/relay/relay_connections.cpp
@@ -157,7 +157,14 @@
         return;
     }
     conn.m_answer_deadline.m_at = now + rollback_timeout;
-    send_requests(id, conn, {{.m_kind = request_kind::rollback}}, {request_step::rollback}, now);
+    if (!conn.m_changed_in_transaction) {
+        send_requests(id, conn, {{.m_kind = request_kind::rollback}}, {request_step::rollback}, now);
+        return;
+    }
+    conn.m_values.clear();
+    conn.m_prepared.clear();
+    send_requests(id, conn, {{.m_kind = request_kind::rollback}, {.m_kind = request_kind::reset}},
+                  {request_step::rollback, request_step::reset}, now);
 }
 
 void relay_core::return_connection(connection_id id, bool in_transaction) {
@@ -181,6 +188,7 @@
     }
     conn.m_phase = connection_phase::idle;
     conn.m_session.reset();
+    conn.m_changed_in_transaction = false;
     conn.m_answer_deadline.m_at = core::time_point::max();
     if (conn.m_borrowed) {
         return_connection(id, false);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -240,6 +240,8 @@
     preparation needed;
     needed.m_requests = missing_session_state(caller, conn);
     needed.m_steps.assign(needed.m_requests.size(), request_step::prepare);
+    conn.m_changed_in_transaction =
+        conn.m_changed_in_transaction || (caller.m_transaction.m_begun && !needed.m_requests.empty());
     if (auto start = transaction_start(caller, now)) {
         caller.m_operation->m_primary_only =
             caller.m_operation->m_primary_only || (caller.m_state == transaction_state::idle);
