Start the statements behind one that is refused while being prepared

A session whose statement was refused while its connection was prepared never started its queued statements, and queued all later ones behind them, so that the caller got no answer until it left. They are now started as after any other answer.

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -57,10 +57,15 @@
             release_connection(id, now);
         }
         break;
-    default:
+    default: {
+        const std::optional<session_id> owner = conn.m_session;
         on_preparation_answered(id, expected.m_step, answer, now);
+        if (owner) {
+            start_queued_statements(*owner, now);
+        }
         break;
     }
+    }
 }
 
 void relay_core::update_from_answer(const connection& conn, const expected_answer& expected,
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_old_primaries_go_on);
     CPPUNIT_TEST(a_planned_stop_answers_every_statement);
     CPPUNIT_TEST(session_values_of_rolled_back_transactions_are_set_again);
+    CPPUNIT_TEST(statements_behind_a_refused_one_are_answered);
     CPPUNIT_TEST(loan_lost_before_its_first_answer_is_requested_again);
     CPPUNIT_TEST(endpoints_that_return_stay_lent);
     CPPUNIT_TEST(other_shape_under_a_prepared_name_is_detected);
@@ -182,6 +183,11 @@
     static void session_values_of_rolled_back_transactions_are_set_again() {
         check_holds_with({.m_rolled_back_values = true});
     }
+    // Guards against a session whose further statements are never started after a refusal during the
+    // preparation of a connection.
+    static void statements_behind_a_refused_one_are_answered() {
+        check_holds_with({.m_pauses = true, .m_pipelined_statements = true});
+    }
     // Guards against a statement that waits until it is refused for a loan that was lost before.
     static void loan_lost_before_its_first_answer_is_requested_again() {
         relay_simulation_options options;
