Keep the own commits of a session by service

When a route moved to another service, a read-your-writes session required the position of its latest commit at the former service, which says nothing about the log of the new one: reads were refused as lagging or not covered by what they need, and a commit at the new service replaced the position that a read needs once the route is back. Positions are now kept for each service.

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -191,8 +191,7 @@
     }
     ++(view.m_report.m_is_primary ? m_counters.m_served_by_primaries : m_counters.m_served_by_replicas);
     if (wrote && answer.m_position && answer.m_state == transaction_state::idle) {
-        caller.m_own_commit = answer.m_position;
-        caller.m_committed_at = now;
+        caller.m_own_commits.insert_or_assign(view.m_report.m_service, own_commit{*answer.m_position, now});
         m_position_samples[view.m_report.m_service].add(expected.m_sent, *answer.m_position);
     }
     session_answer reply{.m_rows = answer.m_rows, .m_text = answer.m_text, .m_position = answer.m_position};
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -154,10 +154,11 @@
         return false;
     }
     request.m_position = position_covering;
-    if (route.m_consistency == documents::consistency::read_your_writes && caller.m_own_commit &&
-        *caller.m_own_commit > *position_covering) {
-        request.m_position = caller.m_own_commit;
-        request.m_position_is_recent = caller.m_committed_at + typical_replica_lag > now;
+    const auto own = caller.m_own_commits.find(route.m_service);
+    if (route.m_consistency == documents::consistency::read_your_writes &&
+        own != caller.m_own_commits.end() && own->second.m_position > *position_covering) {
+        request.m_position = own->second.m_position;
+        request.m_position_is_recent = own->second.m_at + typical_replica_lag > now;
     }
     return true;
 }
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/ids.h"
 #include "core/strong_value.h"
 #include "relay/statement.h"
 
@@ -69,6 +70,12 @@
     core::deadline m_idle_deadline; // The transaction is aborted if no statement is in progress by then.
 };
 
+// Latest commit of a service that was acknowledged to the caller.
+struct own_commit {
+    core::history_position m_position;
+    core::time_point m_at{};
+};
+
 struct session {
     std::string m_database; // Database name that the caller connected to.
     std::map<std::string, std::string> m_values;
@@ -76,8 +83,8 @@
     transaction_state m_state = transaction_state::idle;
     session_transaction m_transaction; // Meaningful unless m_state is idle.
     std::optional<connection_id> m_connection;
-    std::optional<core::history_position> m_own_commit; // Latest commit that was acknowledged to the caller.
-    core::time_point m_committed_at{};
+    // By service, because positions of different services cannot be compared and a route may move.
+    std::map<core::service_name, own_commit> m_own_commits;
     std::optional<operation> m_operation;
     std::deque<session_statement> m_queued_statements;
     bool m_closing = false; // The session is closed once nothing is in progress.
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(a_planned_stop_answers_every_statement);
     CPPUNIT_TEST(session_values_of_rolled_back_transactions_are_set_again);
     CPPUNIT_TEST(statements_behind_a_refused_one_are_answered);
+    CPPUNIT_TEST(own_commit_at_another_service_is_not_required);
     CPPUNIT_TEST(loan_lost_before_its_first_answer_is_requested_again);
     CPPUNIT_TEST(endpoints_that_return_stay_lent);
     CPPUNIT_TEST(other_shape_under_a_prepared_name_is_detected);
@@ -188,6 +189,11 @@
     static void statements_behind_a_refused_one_are_answered() {
         check_holds_with({.m_pauses = true, .m_pipelined_statements = true});
     }
+    // Guards against reads that require the position of a commit at the service that the route had before,
+    // and against the loss of that requirement once the route is back.
+    static void own_commit_at_another_service_is_not_required() {
+        check_holds_with({.m_route_changes = true});
+    }
     // Guards against a statement that waits until it is refused for a loan that was lost before.
     static void loan_lost_before_its_first_answer_is_requested_again() {
         relay_simulation_options options;
