Prepare a read again whose route moves in the meantime

A read whose connection was prepared when its route moved was sent to the former service with the position that the new one requires, or with none if no position of the new service was known yet or the route was gone: the read could lack an acknowledged commit. A read without a position that covers it is now never sent; it is dispatched again by the route in force.

--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -283,9 +283,17 @@
         request.m_argument = statement.m_argument;
     }
     const documents::route_rule* route = route_of(caller);
-    if (caller.m_state == transaction_state::idle && !op.m_writes && !op.m_primary_only && route != nullptr) {
+    if (caller.m_state == transaction_state::idle && !op.m_writes && !op.m_primary_only) {
         placement_request needed;
-        require_position(caller, *route, needed, now);
+        const bool moved =
+            route == nullptr || route->m_service != m_endpoints.at(conn.m_endpoint).m_report.m_service;
+        if (moved || !require_position(caller, *route, needed, now)) {
+            const session_id owner = *conn.m_session;
+            op.m_phase = operation_phase::preparing; // Not dispatched when the connection is released.
+            detach_connection(caller, now);
+            retry_or_refuse(owner, caller, refusal::busy, "the route changed", now);
+            return;
+        }
         request.m_min_position = needed.m_position;
     }
     op.m_phase = operation_phase::running;
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -80,9 +80,13 @@
     CPPUNIT_TEST(guarantees_hold_when_old_primaries_go_on);
     CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_old_primaries_go_on);
     CPPUNIT_TEST(a_planned_stop_answers_every_statement);
+    CPPUNIT_TEST(guarantees_hold_when_processes_fail_and_pause);
+    CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_processes_fail_and_pause);
+    CPPUNIT_TEST(guarantees_hold_when_old_primaries_go_on_and_processes_fail);
     CPPUNIT_TEST(session_values_of_rolled_back_transactions_are_set_again);
     CPPUNIT_TEST(statements_behind_a_refused_one_are_answered);
     CPPUNIT_TEST(own_commit_at_another_service_is_not_required);
+    CPPUNIT_TEST(reads_prepared_while_their_route_moves_are_fresh);
     CPPUNIT_TEST(loan_lost_before_its_first_answer_is_requested_again);
     CPPUNIT_TEST(endpoints_that_return_stay_lent);
     CPPUNIT_TEST(other_shape_under_a_prepared_name_is_detected);
@@ -179,6 +183,26 @@
             }
         }
     }
+    // Databases and hosts restart, pause and change while statements are in progress.
+    static void guarantees_hold_when_processes_fail_and_pause() {
+        check_holds_with(events_of_hosts());
+        relay_simulation_options scarce;
+        scarce.m_connections = 8;
+        check_holds_with(events_of_hosts(), scarce);
+    }
+    static void guarantees_hold_over_lent_connections_when_processes_fail_and_pause() {
+        relay_simulation_options options;
+        options.m_lent_connections = true;
+        options.m_connections = scarce_connections;
+        check_holds_with(events_of_hosts(), options);
+    }
+    static void guarantees_hold_when_old_primaries_go_on_and_processes_fail() {
+        relay_simulation_options options;
+        options.m_leased = true;
+        process_events events = events_of_hosts();
+        events.m_route_changes = false;
+        check_holds_with(events, options);
+    }
     // Guards against a statement that runs without values or prepared statements that a transaction set and a
     // rollback of the database discarded.
     static void session_values_of_rolled_back_transactions_are_set_again() {
@@ -194,6 +218,15 @@
     static void own_commit_at_another_service_is_not_required() {
         check_holds_with({.m_route_changes = true});
     }
+    // Guards against a read that requires a position of the new service, or none, at the former service on
+    // whose connection it was prepared.
+    static void reads_prepared_while_their_route_moves_are_fresh() {
+        relay_simulation_options options;
+        options.m_events.m_route_changes = true;
+        for (options.m_seed = 320; options.m_seed < 340; ++options.m_seed) {
+            CPPUNIT_ASSERT_EQUAL(std::string(), violation_of(options));
+        }
+    }
     // Guards against a statement that waits until it is refused for a loan that was lost before.
     static void loan_lost_before_its_first_answer_is_requested_again() {
         relay_simulation_options options;
