--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -45,15 +45,27 @@
             record_refusal(conn.m_endpoint, *answer.m_refusal, now);
         }
         break;
+    case request_step::reset:
+        if (answer.m_refusal) {
+            handle_lost_connection(id, "the reset was refused", now);
+        } else {
+            release_connection(id, now);
+        }
+        break;
     case request_step::rollback:
         if (conn.m_expected_answers.empty()) {
             release_connection(id, now);
         }
         break;
-    default:
+    default: {
+        const std::optional<session_id> owner = conn.m_session;
         on_preparation_answered(id, expected.m_step, answer, now);
+        if (owner) {
+            start_queued_statements(*owner, now);
+        }
         break;
     }
+    }
 }
 
 void relay_core::update_from_answer(const connection& conn, const expected_answer& expected,
@@ -179,8 +191,7 @@
     }
     ++(view.m_report.m_is_primary ? m_counters.m_served_by_primaries : m_counters.m_served_by_replicas);
     if (wrote && answer.m_position && answer.m_state == transaction_state::idle) {
-        caller.m_own_commit = answer.m_position;
-        caller.m_committed_at = now;
+        caller.m_own_commits.insert_or_assign(view.m_report.m_service, own_commit{*answer.m_position, now});
         m_position_samples[view.m_report.m_service].add(expected.m_sent, *answer.m_position);
     }
     session_answer reply{.m_rows = answer.m_rows, .m_text = answer.m_text, .m_position = answer.m_position};
--- a/src/relay/relay_connections.cpp
+++ b/src/relay/relay_connections.cpp
@@ -78,6 +78,9 @@
         handle_loss_for_session(owner, reason, now);
         start_queued_statements(owner, now);
     }
+    if (lost.m_requested_by) { // A loan that was lost before its first answer arrived.
+        m_sessions.at(*lost.m_requested_by).m_operation->m_loan.reset();
+    }
     dispatch_waiting(now);
 }
 
@@ -150,7 +153,14 @@
         return;
     }
     conn.m_answer_deadline.m_at = now + rollback_timeout;
-    send_requests(id, conn, {{.m_kind = request_kind::rollback}}, {request_step::rollback}, now);
+    if (!conn.m_changed_in_transaction) {
+        send_requests(id, conn, {{.m_kind = request_kind::rollback}}, {request_step::rollback}, now);
+        return;
+    }
+    conn.m_values.clear();
+    conn.m_prepared.clear();
+    send_requests(id, conn, {{.m_kind = request_kind::rollback}, {.m_kind = request_kind::reset}},
+                  {request_step::rollback, request_step::reset}, now);
 }
 
 void relay_core::return_connection(connection_id id, bool in_transaction) {
@@ -174,6 +184,7 @@
     }
     conn.m_phase = connection_phase::idle;
     conn.m_session.reset();
+    conn.m_changed_in_transaction = false;
     conn.m_answer_deadline.m_at = core::time_point::max();
     if (conn.m_borrowed) {
         return_connection(id, false);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -154,10 +154,11 @@
         return false;
     }
     request.m_position = position_covering;
-    if (route.m_consistency == documents::consistency::read_your_writes && caller.m_own_commit &&
-        *caller.m_own_commit > *position_covering) {
-        request.m_position = caller.m_own_commit;
-        request.m_position_is_recent = caller.m_committed_at + typical_replica_lag > now;
+    const auto own = caller.m_own_commits.find(route.m_service);
+    if (route.m_consistency == documents::consistency::read_your_writes &&
+        own != caller.m_own_commits.end() && own->second.m_position > *position_covering) {
+        request.m_position = own->second.m_position;
+        request.m_position_is_recent = own->second.m_at + typical_replica_lag > now;
     }
     return true;
 }
@@ -240,6 +241,8 @@
     preparation needed;
     needed.m_requests = missing_session_state(caller, conn);
     needed.m_steps.assign(needed.m_requests.size(), request_step::prepare);
+    conn.m_changed_in_transaction =
+        conn.m_changed_in_transaction || (caller.m_transaction.m_begun && !needed.m_requests.empty());
     if (auto start = transaction_start(caller, now)) {
         caller.m_operation->m_primary_only =
             caller.m_operation->m_primary_only || (caller.m_state == transaction_state::idle);
@@ -280,9 +283,17 @@
         request.m_argument = statement.m_argument;
     }
     const documents::route_rule* route = route_of(caller);
-    if (caller.m_state == transaction_state::idle && !op.m_writes && !op.m_primary_only && route != nullptr) {
+    if (caller.m_state == transaction_state::idle && !op.m_writes && !op.m_primary_only) {
         placement_request needed;
-        require_position(caller, *route, needed, now);
+        const bool moved =
+            route == nullptr || route->m_service != m_endpoints.at(conn.m_endpoint).m_report.m_service;
+        if (moved || !require_position(caller, *route, needed, now)) {
+            const session_id owner = *conn.m_session;
+            op.m_phase = operation_phase::preparing; // Not dispatched when the connection is released.
+            detach_connection(caller, now);
+            retry_or_refuse(owner, caller, refusal::busy, "the route changed", now);
+            return;
+        }
         request.m_min_position = needed.m_position;
     }
     op.m_phase = operation_phase::running;
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -16,6 +16,8 @@
 // Fewer than one for each host, so that every connection is lent.
 constexpr std::uint32_t scarce_connections = 3;
 
+constexpr int process_event_seeds = 25;
+
 std::string violation_of(const relay_simulation_options& options) {
     relay_simulation simulation(options);
     simulation.run();
@@ -45,6 +47,27 @@
     CPPUNIT_ASSERT_MESSAGE("the injected fault was not detected", detected);
 }
 
+void check_holds_with(const process_events& events, relay_simulation_options options = {}) {
+    options.m_events = events;
+    CPPUNIT_ASSERT(meets_expectation(
+        expectation::holds,
+        [&options] {
+            relay_simulation_options seeded = options;
+            seeded.m_seed = *rc::gen::arbitrary<std::uint32_t>();
+            const std::string violation = violation_of(seeded);
+            RC_LOG() << violation;
+            RC_ASSERT(violation.empty());
+        },
+        process_event_seeds));
+}
+
+// Without databases that end transactions by themselves.
+process_events events_of_hosts() {
+    process_events events = process_events::all();
+    events.m_ended_transactions = false;
+    return events;
+}
+
 class relay_safety : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(relay_safety);
     CPPUNIT_TEST(writes_succeed_without_faults);
@@ -57,6 +80,18 @@
     CPPUNIT_TEST(guarantees_hold_when_old_primaries_go_on);
     CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_old_primaries_go_on);
     CPPUNIT_TEST(a_planned_stop_answers_every_statement);
+    CPPUNIT_TEST(guarantees_hold_when_processes_fail_and_pause);
+    CPPUNIT_TEST(guarantees_hold_over_lent_connections_when_processes_fail_and_pause);
+    CPPUNIT_TEST(guarantees_hold_when_old_primaries_go_on_and_processes_fail);
+    CPPUNIT_TEST(session_values_of_rolled_back_transactions_are_set_again);
+    CPPUNIT_TEST(statements_behind_a_refused_one_are_answered);
+    CPPUNIT_TEST(own_commit_at_another_service_is_not_required);
+    CPPUNIT_TEST(reads_prepared_while_their_route_moves_are_fresh);
+    CPPUNIT_TEST(loan_lost_before_its_first_answer_is_requested_again);
+    CPPUNIT_TEST(endpoints_that_return_stay_lent);
+    CPPUNIT_TEST(other_shape_under_a_prepared_name_is_detected);
+    CPPUNIT_TEST(changed_statement_is_detected);
+    CPPUNIT_TEST(open_transaction_after_a_rollback_is_detected);
     CPPUNIT_TEST(leases_that_do_not_end_are_detected);
     CPPUNIT_TEST(read_without_min_position_is_detected);
     CPPUNIT_TEST(read_without_primary_check_is_detected);
@@ -148,6 +183,69 @@
             }
         }
     }
+    // Databases and hosts restart, pause and change while statements are in progress.
+    static void guarantees_hold_when_processes_fail_and_pause() {
+        check_holds_with(events_of_hosts());
+        relay_simulation_options scarce;
+        scarce.m_connections = 8;
+        check_holds_with(events_of_hosts(), scarce);
+    }
+    static void guarantees_hold_over_lent_connections_when_processes_fail_and_pause() {
+        relay_simulation_options options;
+        options.m_lent_connections = true;
+        options.m_connections = scarce_connections;
+        check_holds_with(events_of_hosts(), options);
+    }
+    static void guarantees_hold_when_old_primaries_go_on_and_processes_fail() {
+        relay_simulation_options options;
+        options.m_leased = true;
+        process_events events = events_of_hosts();
+        events.m_route_changes = false;
+        check_holds_with(events, options);
+    }
+    // Guards against a statement that runs without values or prepared statements that a transaction set and a
+    // rollback of the database discarded.
+    static void session_values_of_rolled_back_transactions_are_set_again() {
+        check_holds_with({.m_rolled_back_values = true});
+    }
+    // Guards against a session whose further statements are never started after a refusal during the
+    // preparation of a connection.
+    static void statements_behind_a_refused_one_are_answered() {
+        check_holds_with({.m_pauses = true, .m_pipelined_statements = true});
+    }
+    // Guards against reads that require the position of a commit at the service that the route had before,
+    // and against the loss of that requirement once the route is back.
+    static void own_commit_at_another_service_is_not_required() {
+        check_holds_with({.m_route_changes = true});
+    }
+    // Guards against a read that requires a position of the new service, or none, at the former service on
+    // whose connection it was prepared.
+    static void reads_prepared_while_their_route_moves_are_fresh() {
+        relay_simulation_options options;
+        options.m_events.m_route_changes = true;
+        for (options.m_seed = 320; options.m_seed < 340; ++options.m_seed) {
+            CPPUNIT_ASSERT_EQUAL(std::string(), violation_of(options));
+        }
+    }
+    // Guards against a statement that waits until it is refused for a loan that was lost before.
+    static void loan_lost_before_its_first_answer_is_requested_again() {
+        relay_simulation_options options;
+        options.m_lent_connections = true;
+        options.m_connections = scarce_connections;
+        check_holds_with({.m_database_faults = true}, options);
+    }
+    // Guards against own connections to a lent endpoint that disappeared for a while.
+    static void endpoints_that_return_stay_lent() {
+        relay_simulation_options options;
+        options.m_lent_connections = true;
+        options.m_connections = scarce_connections;
+        check_holds_with({.m_endpoint_changes = true}, options);
+    }
+    static void other_shape_under_a_prepared_name_is_detected() { check_detects({.m_mix_up_shapes = true}); }
+    static void changed_statement_is_detected() { check_detects({.m_change_texts = true}); }
+    static void open_transaction_after_a_rollback_is_detected() {
+        check_detects({.m_leave_transaction_open = true});
+    }
     static void leases_that_do_not_end_are_detected() {
         bool detected = false;
         for (std::uint64_t seed = 1; seed <= injected_fault_seeds && !detected; ++seed) {
