End transactions that the database is no longer in

Callers saw writes of an open transaction committed one by one, statements of two callers in one transaction, and success for statements whose transaction was gone. The relay did not compare the state that a database reports with the state of the session: after a success in state I it sent the next write of the transaction on the same connection, a BEGIN without a transaction counted as begun, and a connection whose rollback was refused was used for the next session.

A statement of a transaction that is answered in another state now ends the transaction: ABORTED after a read, INDOUBT after a write, which may have been committed by itself. A connection is prepared only if the state of the last answer is the one that the statement needs, and is closed if a rollback leaves it in a transaction; lenders close it as well. A sample of the primary's position needs a transaction that has begun. Queued statements go on after a refused preparation.

The tests run an entry node over sockets, with its control host, databases that misbehave on request and blocking callers.

--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -227,7 +227,7 @@
     }
     const core::endpoint_id endpoint = connection.m_endpoint;
     if (connection.m_state == connection_state::cleaning) {
-        if (answer.m_refusal) {
+        if (answer.m_refusal || answer.m_state != relay::transaction_state::idle) {
             drop_connection(id);
         } else if (connection.m_pending_answers.empty()) {
             connection.m_state = connection_state::idle;
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -46,7 +46,9 @@
         }
         break;
     case request_step::rollback:
-        if (conn.m_expected_answers.empty()) {
+        if (answer.m_state != transaction_state::idle) {
+            handle_lost_connection(id, "still in a transaction after its rollback", now);
+        } else if (conn.m_expected_answers.empty()) {
             release_connection(id, now);
         }
         break;
@@ -76,7 +78,8 @@
     }
     // Only a primary accepts a plain begin, so its position is a sample of the primary.
     const bool from_primary =
-        expected.m_step == request_step::begin || expected.m_step == request_step::probe;
+        (expected.m_step == request_step::begin || expected.m_step == request_step::probe) &&
+        answer.m_state == transaction_state::open;
     if (from_primary && answer.m_position && may_act_as_primary(view, expected.m_sent)) {
         m_position_samples[view.m_report.m_service].add(expected.m_sent, *answer.m_position);
     }
@@ -106,18 +109,27 @@
         if (!clean) {
             remove_connection(id);
             handle_loss_for_session(owner, text, now);
+            start_queued_statements(owner, now);
             return;
         }
         release_connection(id, now);
         retry_or_refuse(owner, caller, reason, text, now);
+        start_queued_statements(owner, now);
         return;
     }
-    if (step == request_step::begin || step == request_step::begin_read_only) {
+    const bool begins = step == request_step::begin || step == request_step::begin_read_only;
+    if (begins) {
         caller.m_transaction.m_begun = caller.m_state == transaction_state::open;
     }
     if (!conn.m_expected_answers.empty()) {
         return;
     }
+    const bool is_open = answer.m_state == transaction_state::open;
+    if (is_open != (begins || caller.m_transaction.m_begun)) {
+        caller.m_operation->m_avoided.insert(conn.m_endpoint);
+        handle_lost_connection(id, "the database is not in the transaction of the session", now);
+        return;
+    }
     const bool single_write = caller.m_operation->m_writes && caller.m_state == transaction_state::idle;
     if (single_write && !may_use_primary(conn, now)) { // It ended while the connection was prepared.
         detach_connection(caller, now);
@@ -139,8 +151,19 @@
         return;
     }
     const session_id owner = *conn.m_session;
+    session& caller = m_sessions.at(owner);
+    const bool ended_by_database = caller.m_state == transaction_state::open && !is_commit(caller) &&
+                                   answer.m_state != transaction_state::open;
     if (answer.m_refusal) {
         on_statement_refused(owner, id, answer, now);
+    } else if (ended_by_database) {
+        // The database may have run and committed a write by itself.
+        const refusal reason = caller.m_operation->m_writes ? refusal::in_doubt : refusal::aborted;
+        caller.m_connection.reset();
+        remove_connection(id);
+        lose_transaction(caller, "the database ended it", now);
+        refuse_statement(owner, caller, reason, "the database ended the transaction", now);
+        dispatch_waiting(now);
     } else {
         on_statement_succeeded(owner, id, expected, answer, now);
     }
--- a/test/support/fleet_hosts.cpp
+++ b/test/support/fleet_hosts.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr const char* key = "a cluster key of tests";
+constexpr unsigned entry_index = 100;
 constexpr core::milliseconds poll_interval{10};
 constexpr std::chrono::seconds wait_limit{20};
 
@@ -237,8 +238,20 @@
     for (const unsigned index : blocked_hosts) {
         blocked.insert(id(index));
     }
-    constexpr unsigned subscriber_index = 100;
-    return std::make_unique<subscribed_host>(address(subscriber_index), key, known, blocked);
+    return std::make_unique<subscribed_host>(address(entry_index), key, known, blocked);
+}
+
+settings::fleet_settings fleet_cell::entry_settings() const {
+    settings::fleet_settings host_settings;
+    host_settings.m_host_name = "entry";
+    host_settings.m_zone = core::availability_zone("makati");
+    host_settings.m_peer_address = address(entry_index);
+    host_settings.m_cluster_key = key;
+    host_settings.m_stop_timeout = std::chrono::seconds(6);
+    for (unsigned index = 0; index < m_initial_hosts; ++index) {
+        host_settings.m_known_control_addresses.push_back(address(index));
+    }
+    return host_settings;
 }
 
 } // namespace mangoquay::test
--- a/test/support/fleet_hosts.h
+++ b/test/support/fleet_hosts.h
@@ -138,6 +138,8 @@
     // Starts a subscriber that knows some control hosts and is cut off from others.
     std::unique_ptr<subscribed_host> subscribe(const std::vector<unsigned>& control_hosts,
                                                const std::vector<unsigned>& blocked_hosts = {});
+    // Settings of an entry host of this fleet, without the addresses for callers.
+    [[nodiscard]] settings::fleet_settings entry_settings() const;
 
 private:
     [[nodiscard]] control::socket_address address(unsigned index) const;
--- /dev/null
+++ b/test/support/scripted_database.cpp
@@ -0,0 +1,253 @@
+// Threads and statements of the scripted database.
+#include "support/scripted_database.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+namespace mangoquay::test {
+namespace {
+
+constexpr const char* line_end = "\r\n";
+
+std::string take_word(std::string& text) {
+    const std::size_t blank = text.find(' ');
+    std::string word = text.substr(0, blank);
+    text = blank == std::string::npos ? "" : text.substr(blank + 1);
+    return word;
+}
+
+bool send_all(int socket, const char* bytes, std::size_t size) {
+    while (size > 0) {
+        const ssize_t count = ::send(socket, bytes, size, MSG_NOSIGNAL);
+        if (count < 0) {
+            return false;
+        }
+        bytes += count;
+        size -= static_cast<std::size_t>(count);
+    }
+    return true;
+}
+
+} // namespace
+
+void reset_socket(int socket) {
+    const linger abort{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+    ::close(socket);
+}
+
+scripted_database::scripted_database(session_record& record, std::string id)
+    : m_record(record), m_id(std::move(id)) {
+    listen();
+}
+
+scripted_database::~scripted_database() {
+    stop();
+}
+
+void scripted_database::listen() {
+    m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    if (::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+        ::listen(m_listener, 64) != 0 ||
+        getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+        throw std::runtime_error("the database cannot listen");
+    }
+    m_port = ntohs(address.sin_port);
+    m_acceptor = std::thread([this] { accept_all(); });
+}
+
+void scripted_database::stop() {
+    ::shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    ::close(m_listener);
+    reset_connections();
+    for (connection& ended : m_connections) {
+        ended.m_thread.join();
+    }
+    m_connections.clear();
+}
+
+void scripted_database::restart(const std::string& id) {
+    stop();
+    m_id = id;
+    listen();
+}
+
+void scripted_database::set_script(script next) {
+    const std::lock_guard lock(m_mutex);
+    m_script = std::move(next);
+}
+
+void scripted_database::reset_connections() {
+    const std::lock_guard lock(m_mutex);
+    for (connection& open : m_connections) {
+        if (open.m_socket >= 0) {
+            const linger abort{1, 0};
+            setsockopt(open.m_socket, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+            ::shutdown(open.m_socket, SHUT_RDWR); // Wakes its thread, which closes it.
+        }
+    }
+}
+
+void scripted_database::accept_all() {
+    for (;;) {
+        const int socket = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (socket < 0) {
+            return;
+        }
+        ++m_accepted;
+        const std::lock_guard lock(m_mutex);
+        connection& added = m_connections.emplace_back();
+        added.m_socket = socket;
+        added.m_thread = std::thread([this, &added] { serve(added); });
+    }
+}
+
+std::optional<std::string> scripted_database::read_line(connection& served) {
+    for (;;) {
+        const std::size_t end = served.m_received.find(line_end);
+        if (end != std::string::npos) {
+            std::string line = served.m_received.substr(0, end);
+            served.m_received.erase(0, end + 2);
+            return line;
+        }
+        std::array<char, 4096> buffer{};
+        const ssize_t count = ::recv(served.m_socket, buffer.data(), buffer.size(), 0);
+        if (count <= 0) {
+            return std::nullopt;
+        }
+        served.m_received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+}
+
+void scripted_database::serve(connection& served) {
+    bool open = false;
+    while (auto line = read_line(served)) {
+        const std::string kind = take_word(*line);
+        if (!open) {
+            open = kind == "STARTUP" && line->ends_with(" " + m_id);
+            const std::string answer = open ? "READY I 1.1\r\n" : "ERROR MISROUTED " + m_id + line_end;
+            if (!send_all(served.m_socket, answer.data(), answer.size()) || !open) {
+                break;
+            }
+        } else if (!handle_query(served, *line)) {
+            break;
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    reset_socket(std::exchange(served.m_socket, -1));
+}
+
+bool scripted_database::handle_query(connection& served, const std::string& line) {
+    std::string text = line;
+    const std::string id = take_word(text);
+    database_reaction reaction;
+    {
+        std::unique_lock lock(m_mutex);
+        const script current = m_script;
+        lock.unlock();
+        if (current) {
+            reaction = current({id, text, served.m_transaction != 0});
+        }
+    }
+    std::this_thread::sleep_for(reaction.m_delay);
+    std::string answer = reaction.m_refusal.empty() ? run(served, id, text)
+                                                    : "ERROR " + reaction.m_refusal + " scripted" + line_end;
+    if (reaction.m_loses_transaction) {
+        served.m_transaction = 0;
+        served.m_writes.clear();
+    }
+    const char state = served.m_transaction != 0 ? 'T' : 'I';
+    answer += std::string("READY ") + reaction.m_state.value_or(state) + " 1.1" + line_end;
+    return reaction.m_loses_answer || send_answer(served, answer + reaction.m_extra, reaction);
+}
+
+bool scripted_database::send_answer(const connection& served, const std::string& bytes,
+                                    const database_reaction& reaction) {
+    const std::size_t size = std::min(bytes.size(), reaction.m_reset_after.value_or(bytes.size()));
+    const std::size_t piece = reaction.m_piece == 0 ? size : reaction.m_piece;
+    for (std::size_t sent = 0; sent < size; sent += piece) {
+        if (!send_all(served.m_socket, bytes.data() + sent, std::min(piece, size - sent))) {
+            return false;
+        }
+        if (reaction.m_piece != 0) {
+            std::this_thread::sleep_for(std::chrono::microseconds(200));
+        }
+    }
+    return !reaction.m_reset_after;
+}
+
+std::string scripted_database::run(connection& served, const std::string& id, const std::string& text) {
+    std::string rest = text;
+    if (rest.starts_with("AFTER ")) {
+        take_word(rest);
+        take_word(rest);
+    }
+    return id == "-" ? run_own(served, rest) : run_forwarded(served, id, rest);
+}
+
+std::string scripted_database::run_own(connection& served, const std::string& text) {
+    std::string rest = text;
+    const std::string word = take_word(rest);
+    if (word == "BEGIN" && served.m_transaction != 0) { // It goes on with the open one.
+        return "COMPLETE -\r\n";
+    }
+    if (word == "BEGIN") {
+        served.m_transaction = m_record.next_number();
+    } else if (word == "ROLLBACK") {
+        if (std::exchange(served.m_transaction, 0) == 0) {
+            return "ERROR MALFORMED no transaction\r\n";
+        }
+        served.m_writes.clear();
+    } else if (word == "SET") {
+        const std::string name = take_word(rest);
+        served.m_values[name] = rest;
+    } else if (word == "RESET") {
+        served.m_values.clear();
+        served.m_prepared.clear();
+    } else if (word == "PREPARE") {
+        const std::string name = take_word(rest);
+        served.m_prepared[name] = rest;
+    } else {
+        m_record.add_run({"-", text, {}, 0}); // Found by the check: no caller sends this id.
+    }
+    return "COMPLETE -\r\n";
+}
+
+std::string scripted_database::run_forwarded(connection& served, const std::string& id,
+                                             const std::string& text) {
+    std::string meant = text;
+    std::string rest = text;
+    if (take_word(rest) == "EXECUTE") {
+        const auto prepared = served.m_prepared.find(take_word(rest));
+        if (prepared == served.m_prepared.end()) {
+            return "ERROR NOSTMT no such name\r\n";
+        }
+        meant = prepared->second + " " + rest;
+    }
+    m_record.add_run({id, meant, served.m_values, served.m_transaction});
+    if (meant == "COMMIT") {
+        m_record.add_commit({id, std::exchange(served.m_transaction, 0), std::exchange(served.m_writes, {})});
+    } else if (meant.starts_with("WRITE ") && served.m_transaction != 0) {
+        served.m_writes.push_back(id);
+    } else if (meant.starts_with("WRITE ")) {
+        m_record.add_commit({id, 0, {id}});
+    }
+    const std::string row = meant.starts_with("READ ") ? "ROW row-" + id + line_end : "";
+    return row + "COMPLETE signature-" + id + line_end;
+}
+
+} // namespace mangoquay::test
