--- /dev/null
+++ b/test/soak/platform_callers.h
@@ -0,0 +1,51 @@
+// Callers in threads: long and short sessions with single statements, transactions, session values and
+// prepared statements. Each statement is recorded before it is sent.
+#pragma once
+
+#include "soak/platform_session.h"
+#include "soak/soak_world.h"
+
+namespace mangoquay::soak {
+
+class platform_caller {
+public:
+    platform_caller(soak_world& world, std::uint64_t seed, bool keeps_sessions);
+    // Until the world stops.
+    void run();
+
+private:
+    struct planned_statement {
+        statement_kind m_kind = statement_kind::read;
+        std::string m_text;
+        std::optional<prepared_shape> m_prepared{};
+        std::string m_arguments{};
+    };
+    bool open_session();
+    void run_session();
+    void run_operation();
+    void run_transaction();
+    void run_single();
+    void set_value();
+    void prepare();
+    // Leaves the transaction without its end.
+    void leave();
+    planned_statement plan(bool may_write);
+    sent_statement record(const planned_statement& planned, transaction_number transaction);
+    session_answer send(const planned_statement& planned, transaction_number transaction);
+    void check(const statement_id& id, const planned_statement& planned, const session_answer& answer);
+    void pause(int low_ms, int high_ms);
+
+    soak_world& m_world;
+    std::mt19937_64 m_random;
+    const bool m_keeps_sessions;
+    const int m_number;
+    platform_session m_session;
+    std::string m_database;
+    core::entry_host_id m_entry;
+    boot_number m_boot;
+    session_values m_values;                          // Acknowledged.
+    std::map<std::string, prepared_shape> m_prepared; // Acknowledged.
+    steady_time m_began;                              // Of the transaction.
+};
+
+} // namespace mangoquay::soak
--- /dev/null
+++ b/test/soak/platform_database_connection.cpp
@@ -0,0 +1,318 @@
+// Runs the statements of a connection.
+#include "soak/platform_database_connection.h"
+
+#include <atomic>
+#include <sstream>
+
+namespace mangoquay::soak {
+namespace {
+
+std::atomic<std::uint64_t> last_connection{0};
+constexpr std::chrono::hours no_limit{1};
+
+std::vector<std::string> split(const std::string& text) {
+    std::istringstream in(text);
+    std::vector<std::string> words;
+    for (std::string word; in >> word;) {
+        words.push_back(word);
+    }
+    return words;
+}
+
+// `text` without its first `count` words.
+std::string skip_words(const std::string& text, int count) {
+    std::size_t at = 0;
+    for (int skipped = 0; skipped < count && at != std::string::npos; ++skipped) {
+        at = text.find(' ', at);
+        at = at == std::string::npos ? at : at + 1;
+    }
+    return at == std::string::npos ? std::string() : text.substr(at);
+}
+
+} // namespace
+
+const std::vector<platform_database_connection::command> platform_database_connection::commands{
+    {"BEGIN", &platform_database_connection::begin},
+    {"COMMIT", &platform_database_connection::commit},
+    {"ROLLBACK", &platform_database_connection::rollback},
+    {"READ", &platform_database_connection::run_statement},
+    {"WRITE", &platform_database_connection::run_statement},
+    {"EXECUTE", &platform_database_connection::run_statement},
+    {"RESET", &platform_database_connection::reset},
+    {"SET", &platform_database_connection::set_value},
+    {"PREPARE", &platform_database_connection::prepare},
+    {"DEALLOCATE", &platform_database_connection::deallocate},
+    {"STATUS", &platform_database_connection::status},
+    {"PAUSE", &platform_database_connection::status},
+    {"RESUME", &platform_database_connection::status},
+    {"STEPDOWN", &platform_database_connection::status}};
+
+platform_database_connection::platform_database_connection(platform_database& database, connection& peer)
+    : m_database(database), m_service(database.service()), m_member(database.m_state), m_peer(peer),
+      m_number(++last_connection) {}
+
+void platform_database_connection::serve() {
+    auto line = m_peer.read_line(steady_clock::now() + no_limit);
+    if (line && start(*line)) {
+        do {
+            line = m_peer.read_line(steady_clock::now() + no_limit);
+        } while (line && *line != "TERMINATE" && answer(*line));
+    }
+    const lock held(m_service.m_mutex);
+    m_member.m_connections -= m_counted ? 1 : 0;
+}
+
+bool platform_database_connection::start(const std::string& line) {
+    const auto words = split(line);
+    const bool is_ours = words.size() >= 2 && words[0] == "STARTUP" && words[1] == m_service.m_name.value() &&
+                         (words.size() < 4 || words[3] == m_database.id());
+    if (!is_ours) {
+        (void)m_peer.send("ERROR MISROUTED " + m_database.id() + "\r\n");
+        return false;
+    }
+    {
+        const lock held(m_service.m_mutex);
+        m_counted = m_member.m_connections < m_service.m_limits.m_max_connections;
+        m_member.m_connections += m_counted ? 1 : 0;
+    }
+    if (!m_counted) {
+        (void)m_peer.send("ERROR TOOMANY connections\r\n");
+        return false;
+    }
+    sleep_for(m_service.m_limits.m_connect);
+    const lock held(m_service.m_mutex);
+    m_service.receive(m_member);
+    return m_peer.send("READY I " + to_text(m_service.place_of(m_member)) + "\r\n");
+}
+
+bool platform_database_connection::answer(const std::string& line) {
+    const auto words = split(line);
+    if (words.size() < 3 || words[0] != "QUERY") {
+        return false;
+    }
+    std::string text = skip_words(line, 2);
+    m_after.reset();
+    if (words[2] == "AFTER" && words.size() > 4) {
+        m_after = parse_log_place(words[3]);
+        text = skip_words(text, 2);
+    }
+    m_words = split(text);
+    observed_run run{m_database.id(),    m_service.m_name, m_number, statement_id(words[1]), text,
+                     skip_words(text, 2)};
+    run.m_is_execution = m_words[0] == "EXECUTE";
+    run.m_transaction = m_state == 'I' ? nullptr : &m_transaction;
+    run.m_values = &m_values;
+    const auto prepared =
+        run.m_is_execution && m_words.size() > 1 ? m_prepared.find(m_words[1]) : m_prepared.end();
+    if (prepared != m_prepared.end()) {
+        run.m_prepared = prepared->second;
+    }
+    const outcome ended = handle(run);
+    if (ended.m_close || (ended.m_signature != "-" && m_database.loses_answer())) {
+        return false;
+    }
+    const lock held(m_service.m_mutex);
+    return m_peer.send(ended.m_rows +
+                       (ended.m_error.empty() ? "COMPLETE " + ended.m_signature : "ERROR " + ended.m_error) +
+                       "\r\nREADY " + m_state + " " + to_text(m_service.place_of(m_member)) + "\r\n");
+}
+
+platform_database_connection::outcome platform_database_connection::handle(const observed_run& run) {
+    lock held(m_service.m_mutex);
+    m_service.receive(m_member);
+    for (const command& one : commands) {
+        if (m_words[0] == one.m_word) {
+            return (this->*one.m_handler)(run, held);
+        }
+    }
+    return {"MALFORMED " + m_words[0]};
+}
+
+platform_database_connection::outcome platform_database_connection::fail(std::string error) {
+    m_state = m_state == 'T' && !error.starts_with("BUSY") ? 'E' : m_state;
+    return {std::move(error)};
+}
+
+void platform_database_connection::end_transaction() {
+    m_state = 'I';
+    m_transaction = {};
+    m_writes.clear();
+}
+
+bool platform_database_connection::needs_lead(bool writes) const {
+    return writes || (m_state != 'I' && !m_is_read_only);
+}
+
+std::string platform_database_connection::work(milliseconds duration, lock& held) {
+    const service_limits& limits = m_service.m_limits;
+    if (m_member.m_running >= limits.m_slots && m_member.m_waiting >= limits.m_queue) {
+        return "BUSY";
+    }
+    ++m_member.m_waiting;
+    m_service.m_changed.wait(held, [&] { return !m_member.m_is_up || m_member.m_running < limits.m_slots; });
+    --m_member.m_waiting;
+    ++m_member.m_running;
+    held.unlock();
+    sleep_for(duration);
+    held.lock();
+    --m_member.m_running;
+    m_service.m_changed.notify_all();
+    m_service.receive(m_member);
+    return {};
+}
+
+platform_database_connection::outcome platform_database_connection::run_statement(const observed_run& run,
+                                                                                  lock& held) {
+    const bool writes = m_words[0] == "WRITE" || (run.m_prepared && run.m_prepared->m_writes);
+    if (m_state == 'E') {
+        return {"MALFORMED the transaction failed"};
+    }
+    if (m_after && m_service.lacks(m_member, *m_after)) {
+        return fail("LAGGING " + m_database.id());
+    }
+    if (run.m_is_execution && !run.m_prepared) {
+        m_service.m_judge.check_run(run);
+        return fail("NOSTMT " + m_words.at(1));
+    }
+    if (needs_lead(writes) && !m_member.m_is_primary) {
+        return fail("READONLY " + m_database.id());
+    }
+    if (const std::string refused = work(m_service.m_limits.m_run, held); !refused.empty()) {
+        return fail(refused);
+    }
+    if (!m_member.m_is_up) {
+        return {.m_close = true};
+    }
+    if (needs_lead(writes) && !m_member.m_is_primary) {
+        return fail("READONLY " + m_database.id());
+    }
+    m_service.m_judge.check_run(run);
+    const auto arguments = split(run.m_is_execution ? run.m_arguments : skip_words(run.m_text, 1));
+    outcome done;
+    done.m_signature = "sig." + run.m_id.value() + "." + std::to_string(m_number.value());
+    if (writes) {
+        m_writes.emplace_back(arguments.at(0), arguments.size() > 1 ? arguments[1] : "");
+    } else {
+        done.m_rows = "ROW " + m_service.read(m_member, arguments.at(0)) + "\r\n";
+    }
+    if (writes && m_state == 'I') {
+        m_service.commit(m_member, {run.m_id, {}, std::exchange(m_writes, {})});
+    }
+    m_service.m_judge.add_signature(run.m_id, done.m_rows + done.m_signature);
+    return done;
+}
+
+platform_database_connection::outcome platform_database_connection::begin(const observed_run& run,
+                                                                          lock& /*held*/) {
+    const bool reads = m_words.size() > 1 && m_words[1] == "READ";
+    if (m_state != 'I') {
+        return {"MALFORMED a transaction is open"};
+    }
+    if (!reads && !m_member.m_is_primary) {
+        return {"READONLY " + m_database.id()};
+    }
+    if (m_after && m_service.lacks(m_member, *m_after)) {
+        return {"LAGGING " + m_database.id()};
+    }
+    end_transaction();
+    m_state = 'T';
+    m_is_read_only = reads;
+    if (run.m_id.value() != "-") {
+        observed_run begun = run;
+        begun.m_transaction = &m_transaction;
+        m_service.m_judge.check_begin(begun);
+    }
+    return {};
+}
+
+platform_database_connection::outcome platform_database_connection::commit(const observed_run& run,
+                                                                           lock& held) {
+    if (m_state == 'I') {
+        return {"MALFORMED no transaction is open"};
+    }
+    if (m_state == 'E') {
+        end_transaction();
+        return {"ABORTED the transaction had failed"};
+    }
+    const bool needs_primary = !m_writes.empty();
+    if (needs_primary && !m_member.m_is_primary) {
+        return fail("READONLY " + m_database.id());
+    }
+    if (const std::string refused = work(m_service.m_limits.m_commit, held); !refused.empty()) {
+        return fail(refused);
+    }
+    if (!m_member.m_is_up) {
+        return {.m_close = true};
+    }
+    if (needs_primary && !m_member.m_is_primary) {
+        return fail("READONLY " + m_database.id());
+    }
+    m_service.m_judge.check_commit(run);
+    if (needs_primary) {
+        m_service.commit(m_member, {run.m_id, {}, m_writes});
+    }
+    end_transaction();
+    outcome done;
+    done.m_signature = "sig." + run.m_id.value() + "." + std::to_string(m_number.value());
+    m_service.m_judge.add_signature(run.m_id, done.m_signature);
+    return done;
+}
+
+platform_database_connection::outcome platform_database_connection::rollback(const observed_run& /*run*/,
+                                                                             lock& /*held*/) {
+    if (m_state == 'I') {
+        return {"MALFORMED no transaction is open"};
+    }
+    end_transaction();
+    return {};
+}
+
+platform_database_connection::outcome platform_database_connection::reset(const observed_run& /*run*/,
+                                                                          lock& /*held*/) {
+    m_values.clear();
+    m_prepared.clear();
+    return {};
+}
+
+platform_database_connection::outcome platform_database_connection::set_value(const observed_run& run,
+                                                                              lock& /*held*/) {
+    m_values[m_words.at(1)] = skip_words(run.m_text, 2);
+    return {};
+}
+
+platform_database_connection::outcome platform_database_connection::prepare(const observed_run& run,
+                                                                            lock& /*held*/) {
+    m_prepared[m_words.at(1)] = {m_words.at(2) == "WRITE", skip_words(run.m_text, 3)};
+    return {};
+}
+
+platform_database_connection::outcome platform_database_connection::deallocate(const observed_run& /*run*/,
+                                                                               lock& /*held*/) {
+    if (m_prepared.erase(m_words.at(1)) == 0) {
+        return {"NOSTMT " + m_words.at(1)};
+    }
+    return {};
+}
+
+platform_database_connection::outcome platform_database_connection::status(const observed_run& /*run*/,
+                                                                           lock& /*held*/) {
+    const auto term = m_words.size() > 1 ? std::strtoul(m_words[1].c_str(), nullptr, 10) : 0;
+    if (m_words[0] == "PAUSE" && !m_member.m_is_primary) {
+        m_member.m_is_paused = term > m_service.m_term;
+    } else if (m_words[0] == "RESUME") {
+        m_member.m_is_paused = false;
+        m_service.receive(m_member);
+    } else if (m_words[0] == "STEPDOWN" && m_member.m_is_primary && m_member.m_term < term) {
+        m_member.m_is_primary = false;
+        m_member.m_report_now = true;
+        m_service.m_record.write("database " + m_database.id() + " is stepped down");
+    }
+    m_service.m_changed.notify_all();
+    const std::string place = to_text(m_service.place_of(m_member));
+    return {{},
+            "ROW " + std::string(m_member.m_is_primary ? "primary " : "replica ") +
+                std::to_string(m_member.m_term) + " " + place + " 0 0 " + std::to_string(m_member.m_running) +
+                " " + std::to_string(m_member.m_connections) + "\r\n"};
+}
+
+} // namespace mangoquay::soak
--- /dev/null
+++ b/test/soak/platform_statement_judge.cpp
@@ -0,0 +1,207 @@
+// Checks of statements.
+#include "soak/statement_judge.h"
+
+namespace mangoquay::soak {
+namespace {
+
+std::string to_text(const session_values& values) {
+    std::string text;
+    for (const auto& [name, value] : values) {
+        text += name + "=" + value + ",";
+    }
+    return text;
+}
+
+} // namespace
+
+void statement_judge::add_sent(sent_statement statement) {
+    const std::lock_guard lock(m_mutex);
+    const statement_id id = statement.m_id;
+    m_statements.emplace(id, known_statement{std::move(statement)});
+}
+
+void statement_judge::report(rule broken, const observed_run& run, const std::string& what) {
+    m_violations.add({broken, run.m_id.value(),
+                      what + ": \"" + run.m_text + "\" at " + run.m_endpoint + " (" + run.m_service.value() +
+                          ") connection " + std::to_string(run.m_connection.value())});
+}
+
+statement_judge::known_statement* statement_judge::find(const observed_run& run) {
+    const auto found = m_statements.find(run.m_id);
+    if (found == m_statements.end()) {
+        report(rule::unasked, run, "no caller sent this id");
+        return nullptr;
+    }
+    return &found->second;
+}
+
+void statement_judge::check_run(const observed_run& run) {
+    const std::lock_guard lock(m_mutex);
+    ++m_runs;
+    const known_statement* known = find(run);
+    if (known == nullptr) {
+        return;
+    }
+    const sent_statement& sent = known->m_sent;
+    const bool same_text = sent.m_prepared ? run.m_is_execution && run.m_arguments == sent.m_arguments
+                                           : !run.m_is_execution && run.m_text == sent.m_text;
+    if (!same_text) {
+        report(rule::unasked, run, "the caller sent \"" + sent.m_text + "\"");
+    }
+    check_session(run, sent);
+    check_place(run, sent);
+    check_route(run, sent);
+}
+
+void statement_judge::check_session(const observed_run& run, const sent_statement& sent) {
+    if (sent.m_prepared && run.m_is_execution && run.m_prepared != sent.m_prepared) {
+        report(rule::pinned, run,
+               run.m_prepared ? "the prepared name stands for " + run.m_prepared->m_shape + " instead of " +
+                                    sent.m_prepared->m_shape
+                              : std::string("the prepared name is unknown"));
+    }
+    if (run.m_values != nullptr && sent.m_values != nullptr && *run.m_values != *sent.m_values) {
+        report(rule::pinned, run,
+               "the session values are " + to_text(*run.m_values) + " instead of " + to_text(*sent.m_values));
+    }
+}
+
+void statement_judge::check_place(const observed_run& run, const sent_statement& sent) {
+    const bool is_single = sent.m_transaction.value() == 0;
+    if (is_single) {
+        if (run.m_transaction != nullptr) {
+            report(rule::pinned, run, "a single statement runs inside a transaction");
+        }
+        return;
+    }
+    if (run.m_transaction == nullptr) {
+        const bool writes = sent.m_kind == statement_kind::write;
+        report(writes ? rule::unasked : rule::pinned, run,
+               "a statement of transaction " + std::to_string(sent.m_transaction.value()) +
+                   " runs outside it");
+        return;
+    }
+    if (run.m_transaction->m_owner.value() == 0) {
+        run.m_transaction->m_owner = sent.m_transaction;
+    }
+    if (run.m_transaction->m_owner != sent.m_transaction) {
+        report(rule::pinned, run, "it runs inside another caller's transaction");
+    }
+    auto& transaction = m_transactions[sent.m_transaction];
+    if (transaction.m_connection.value() == 0) {
+        transaction.m_connection = run.m_connection;
+    }
+    if (transaction.m_connection != run.m_connection) {
+        report(rule::pinned, run,
+               "transaction " + std::to_string(sent.m_transaction.value()) + " has run on connection " +
+                   std::to_string(transaction.m_connection.value()));
+    }
+}
+
+void statement_judge::check_route(const observed_run& run, const sent_statement& sent) {
+    m_configuration.check({sent.m_entry, m_disturbances.boot_of(sent.m_entry), sent.m_id.value(),
+                           sent.m_database, run.m_service, sent.m_began});
+}
+
+void statement_judge::check_begin(const observed_run& run) {
+    const std::lock_guard lock(m_mutex);
+    const known_statement* known = find(run);
+    if (known != nullptr && run.m_transaction != nullptr) {
+        run.m_transaction->m_owner = known->m_sent.m_transaction;
+    }
+}
+
+void statement_judge::check_commit(const observed_run& run) {
+    const std::lock_guard lock(m_mutex);
+    const known_statement* known = find(run);
+    if (known == nullptr || run.m_transaction == nullptr) {
+        return;
+    }
+    if (known->m_sent.m_kind != statement_kind::commit) {
+        report(rule::unasked, run, "the caller has not sent the commit");
+    }
+    if (run.m_transaction->m_owner.value() != 0 &&
+        run.m_transaction->m_owner != known->m_sent.m_transaction) {
+        report(rule::unasked, run, "the commit belongs to another transaction");
+    }
+}
+
+void statement_judge::add_committed(const statement_id& id) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_statements.find(id);
+    if (found == m_statements.end()) {
+        return;
+    }
+    ++m_committed;
+    const transaction_number transaction = found->second.m_sent.m_transaction;
+    int& commits = transaction.value() == 0 ? found->second.m_commits : m_transactions[transaction].m_commits;
+    if (++commits > 1) {
+        m_violations.add(
+            {rule::twice, id.value(), "\"" + found->second.m_sent.m_text + "\" took effect again"});
+    }
+}
+
+void statement_judge::add_rolled_back(const statement_id& id) {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_statements.find(id);
+    if (found == m_statements.end()) {
+        return;
+    }
+    const transaction_number transaction = found->second.m_sent.m_transaction;
+    --(transaction.value() == 0 ? found->second.m_commits : m_transactions[transaction].m_commits);
+}
+
+void statement_judge::add_signature(const statement_id& id, const std::string& answer) {
+    const std::lock_guard lock(m_mutex);
+    if (const auto found = m_statements.find(id); found != m_statements.end()) {
+        found->second.m_answers.insert(answer);
+    }
+}
+
+void statement_judge::check_success(const statement_id& id, const std::string& answer) {
+    const std::lock_guard lock(m_mutex);
+    ++m_successes;
+    const known_statement& known = m_statements.at(id);
+    if (!known.m_answers.contains(answer)) {
+        m_violations.add(
+            {rule::mixed, id.value(),
+             "success \"" + answer + "\" for \"" + known.m_sent.m_text + "\" is of no database"});
+    }
+}
+
+void statement_judge::add_promise(const statement_id& id, const std::string& promise) {
+    const std::lock_guard lock(m_mutex);
+    known_statement& known = m_statements.at(id);
+    const transaction_number transaction = known.m_sent.m_transaction;
+    if (transaction.value() == 0) {
+        known.m_promise = promise;
+        return;
+    }
+    m_transactions[transaction].m_promise = promise;
+    m_transactions[transaction].m_promised_at = id;
+}
+
+void statement_judge::check_promises() {
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [id, known] : m_statements) {
+        if (known.m_commits > 0 && !known.m_promise.empty()) {
+            m_violations.add({rule::refused, id.value(), "committed though answered " + known.m_promise});
+        }
+    }
+    for (const auto& [number, transaction] : m_transactions) {
+        if (transaction.m_commits > 0 && !transaction.m_promise.empty()) {
+            m_violations.add({rule::refused, transaction.m_promised_at.value(),
+                              "transaction " + std::to_string(number.value()) +
+                                  " is committed though answered " + transaction.m_promise});
+        }
+    }
+}
+
+std::string statement_judge::summary() const {
+    const std::lock_guard lock(m_mutex);
+    return "sent=" + std::to_string(m_statements.size()) + " run=" + std::to_string(m_runs) +
+           " succeeded=" + std::to_string(m_successes) + " committed=" + std::to_string(m_committed) +
+           " transactions=" + std::to_string(m_transactions.size());
+}
+
+} // namespace mangoquay::soak
