--- a/test/soak/network.cpp
+++ b/test/soak/network.cpp
@@ -125,6 +125,16 @@
     return true;
 }
 
+bool connection::send_in_parts(const std::string& text, std::size_t cut, milliseconds pause) const {
+    if (!send(text.substr(0, cut))) {
+        return false;
+    }
+    if (cut < text.size()) {
+        sleep_for(pause);
+    }
+    return cut >= text.size() || send(text.substr(cut));
+}
+
 bool connection::receive(steady_time deadline) {
     if (m_ended || !wait_for(m_socket, POLLIN, deadline)) {
         return false;
--- a/test/soak/network.h
+++ b/test/soak/network.h
@@ -33,6 +33,8 @@
 
     static std::unique_ptr<connection> open(const ip_endpoint& target, milliseconds limit);
     [[nodiscard]] bool send(const std::string& text) const;
+    // Sends the first `cut` bytes, and the rest after a pause, so that the peer reads them apart.
+    [[nodiscard]] bool send_in_parts(const std::string& text, std::size_t cut, milliseconds pause) const;
     // The next line without CR LF; nothing at the deadline and at the end of the connection.
     std::optional<std::string> read_line(steady_time deadline);
     // Exactly `size` bytes; nothing if they do not arrive.
--- a/test/soak/platform_callers.cpp
+++ b/test/soak/platform_callers.cpp
@@ -10,6 +10,7 @@
 constexpr int items = 60;
 constexpr int names = 3; // Few, so that callers use the same ones.
 constexpr int longest_transaction = 5;
+constexpr int longest_data = 40000;
 
 } // namespace
 
@@ -97,11 +98,15 @@
 
 session_answer platform_caller::send(const planned_statement& planned, transaction_number transaction) {
     const sent_statement sent = record(planned, transaction);
+    if (draw(m_random, 1, percent) <= 5) {
+        m_session.split_next(static_cast<std::size_t>(draw(m_random, 1, 60)));
+    }
     const session_answer answer = m_session.query(sent.m_id, planned.m_text, statement_limit);
     check(sent.m_id, planned, answer);
     if (answer.m_is_complete && answer.m_error == "NODB") {
         m_world.m_configuration_judge.check(
             {m_entry, m_boot, sent.m_id.value(), m_database, std::nullopt, sent.m_began});
+        m_session.close();
     }
     return answer;
 }
@@ -125,7 +130,10 @@
 
 platform_caller::planned_statement platform_caller::plan(bool may_write) {
     const std::string item = "i" + std::to_string(draw(m_random, 1, items));
-    const std::string data = "d" + std::to_string(m_random() % 100000);
+    std::string data = "d" + std::to_string(m_random() % 100000);
+    if (draw(m_random, 1, percent) <= 2) {
+        data.append(static_cast<std::size_t>(draw(m_random, 1, longest_data)), 'x');
+    }
     if (!m_prepared.empty() && draw(m_random, 1, percent) <= 50) {
         auto prepared = m_prepared.begin();
         std::advance(prepared, static_cast<std::ptrdiff_t>(m_random() % m_prepared.size()));
@@ -173,7 +181,13 @@
 }
 
 void platform_caller::leave() {
-    if (draw(m_random, 0, 1) == 0) {
+    const int way = draw(m_random, 0, 2);
+    if (way == 0) {
+        // The text that is recorded is one that no database may run.
+        sent_statement sent = record({statement_kind::commit, "(incomplete)"}, transaction_number(0));
+        m_session.send_incomplete(sent.m_id, draw(m_random, 0, 1) == 0 ? "COMMIT" : "WRITE i1 cut");
+        m_session.close();
+    } else if (way == 1) {
         m_session.reset();
     } else {
         m_session.close();
--- a/test/soak/platform_database_connection.cpp
+++ b/test/soak/platform_database_connection.cpp
@@ -109,13 +109,29 @@
         run.m_prepared = prepared->second;
     }
     const outcome ended = handle(run);
-    if (ended.m_close || (ended.m_signature != "-" && m_database.loses_answer())) {
+    if (ended.m_close) {
         return false;
     }
-    const lock held(m_service.m_mutex);
-    return m_peer.send(ended.m_rows +
+    return send_answer(ended);
+}
+
+bool platform_database_connection::send_answer(const outcome& ended) {
+    std::string text = ended.m_rows +
                        (ended.m_error.empty() ? "COMPLETE " + ended.m_signature : "ERROR " + ended.m_error) +
-                       "\r\nREADY " + m_state + " " + to_text(m_service.place_of(m_member)) + "\r\n");
+                       "\r\nREADY " + m_state + " ";
+    {
+        const lock held(m_service.m_mutex);
+        text += to_text(m_service.place_of(m_member)) + "\r\n";
+    }
+    constexpr milliseconds part_pause{1};
+    constexpr std::uint64_t split_each = 13;
+    const std::size_t cut = (m_number.value() * split_each + ++m_answers) % text.size();
+    if (ended.m_signature != "-" && m_database.loses_answer()) {
+        // Half of the lost answers are cut off in the middle.
+        (void)(cut % 2 == 0 && m_peer.send(text.substr(0, cut)));
+        return false;
+    }
+    return m_peer.send_in_parts(text, m_answers % split_each == 0 ? cut : text.size(), part_pause);
 }
 
 platform_database_connection::outcome platform_database_connection::handle(const observed_run& run) {
--- a/test/soak/platform_database_connection.h
+++ b/test/soak/platform_database_connection.h
@@ -28,6 +28,7 @@
 
     bool start(const std::string& line);
     bool answer(const std::string& line);
+    bool send_answer(const outcome& ended);
     void parse(const std::string& line);
     outcome handle(const observed_run& run);
     outcome begin(const observed_run& run, lock& held);
@@ -51,6 +52,7 @@
     connection& m_peer;
     connection_number m_number;
     bool m_counted = false;
+    std::uint64_t m_answers = 0;
     char m_state = 'I';
     bool m_is_read_only = false;
     open_transaction m_transaction;
--- a/test/soak/platform_operator.cpp
+++ b/test/soak/platform_operator.cpp
@@ -129,6 +129,7 @@
             m_world.m_history.mark_acknowledged(version);
             m_world.m_record.write("version " + std::to_string(version.value()) + " is acknowledged by " +
                                    to_text(*host));
+            repeat_older_change();
             return host;
         }
         sleep_for(retry_delay);
@@ -136,6 +137,16 @@
     return std::nullopt;
 }
 
+// An older change may arrive again, which may change nothing.
+void platform_operator::repeat_older_change() {
+    constexpr int one_in = 5;
+    const document_version version(m_version > 4 ? m_version - 4 : 0);
+    const std::string body = m_world.m_history.body_of(version);
+    if (!m_paused && !body.empty() && draw(m_random, 1, one_in) == 1) {
+        (void)send(version, body);
+    }
+}
+
 void platform_operator::run_changes() {
     constexpr milliseconds longest_call{20000};
     constexpr milliseconds between{900};
--- a/test/soak/platform_operator.h
+++ b/test/soak/platform_operator.h
@@ -25,6 +25,7 @@
 private:
     std::string next_body(document_version version);
     void draw_change();
+    void repeat_older_change();
     std::optional<ip_endpoint> send(document_version version, const std::string& body);
     bool check_reading(const ip_endpoint& host, document_version expected);
 
--- a/test/soak/platform_session.cpp
+++ b/test/soak/platform_session.cpp
@@ -4,10 +4,12 @@
 #include <algorithm>
 #include <array>
 #include <string_view>
+#include <utility>
 
 namespace mangoquay::soak {
 namespace {
 
+constexpr milliseconds part_pause{2};
 constexpr std::array<std::string_view, 6> promises{"BUSY",     "ABORTED",   "LAGGING",
                                                    "READONLY", "MISROUTED", "TOOMANY"};
 
@@ -45,11 +47,20 @@
 }
 
 void platform_session::send_only(const statement_id& id, const std::string& text) {
-    if (m_connection != nullptr && !m_connection->send("QUERY " + id.value() + " " + text + "\r\n")) {
+    const std::string line = "QUERY " + id.value() + " " + text + "\r\n";
+    const auto cut = std::exchange(m_cut, std::nullopt);
+    if (m_connection != nullptr &&
+        !m_connection->send_in_parts(line, cut ? std::min(*cut, line.size()) : line.size(), part_pause)) {
         close();
     }
 }
 
+void platform_session::send_incomplete(const statement_id& id, const std::string& text) {
+    if (m_connection != nullptr) {
+        (void)m_connection->send("QUERY " + id.value() + " " + text);
+    }
+}
+
 session_answer platform_session::read_answer(steady_time deadline) {
     session_answer answer;
     while (const auto line = m_connection->read_line(deadline)) {
--- a/test/soak/platform_session.h
+++ b/test/soak/platform_session.h
@@ -27,6 +27,10 @@
     session_answer query(const statement_id& id, const std::string& text, milliseconds limit);
     // Sends without waiting for the answer.
     void send_only(const statement_id& id, const std::string& text);
+    // Sends the statement without the end of its line, which may not be run.
+    void send_incomplete(const statement_id& id, const std::string& text);
+    // The next statement is sent in two parts.
+    void split_next(std::size_t cut) { m_cut = cut; }
     // True if it is closed or something came that nobody asked for.
     [[nodiscard]] bool is_broken() const { return m_connection == nullptr || m_connection->is_disturbed(); }
     void terminate();
@@ -36,6 +40,7 @@
 private:
     session_answer read_answer(steady_time deadline);
     std::unique_ptr<connection> m_connection;
+    std::optional<std::size_t> m_cut; // Where the next statement is split.
 };
 
 } // namespace mangoquay::soak
--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -6,6 +6,7 @@
 namespace mangoquay::soak {
 namespace {
 
+constexpr std::size_t longest_text = 400;
 constexpr std::size_t log_lines_shown = 20;
 constexpr std::size_t violations_shown_per_rule = 8;
 
@@ -33,6 +34,9 @@
 
 void violation_list::add(violation found) {
     found.m_time = time_of_day();
+    if (found.m_text.size() > longest_text) {
+        found.m_text.resize(longest_text);
+    }
     m_record.write("VIOLATION " + to_text(found.m_rule) + " id=" + found.m_id + " " + found.m_text);
     const std::lock_guard lock(m_mutex);
     m_found.push_back(std::move(found));
