--- a/test/soak/fault_series.cpp
+++ b/test/soak/fault_series.cpp
@@ -33,6 +33,7 @@
             next();
         }
         poll_processes();
+        watch_control();
         sleep_for(poll_interval);
     }
 }
--- a/test/soak/platform_database_connection.h
+++ b/test/soak/platform_database_connection.h
@@ -35,6 +35,8 @@
     outcome commit(const observed_run& run, lock& held);
     outcome rollback(const observed_run& run, lock& held);
     outcome run_statement(const observed_run& run, lock& held);
+    std::optional<outcome> refuse_before_run(const observed_run& run, bool writes);
+    outcome complete(const observed_run& run, bool writes);
     outcome reset(const observed_run& run, lock& held);
     outcome set_value(const observed_run& run, lock& held);
     outcome prepare(const observed_run& run, lock& held);
