--- a/test/soak/fault_series.h
+++ b/test/soak/fault_series.h
@@ -17,6 +17,8 @@
     void plan_record_shape(milliseconds duration);
     // Single faults that overlap.
     void plan_mixed_shape(milliseconds duration);
+    // Adds stops of entry hosts that excuse nothing to what has been planned.
+    void plan_unnoticed_freezes(milliseconds duration);
     // Runs what has been planned; returns at the end of the duration.
     void run();
     // Continues and starts every host, so that the fleet can be judged.
@@ -51,6 +53,7 @@
     void kill_control();
     void replace_one_control();
     void freeze(host_process& host, milliseconds duration);
+    void freeze_entry_unnoticed();
     void reset_database();
     void restart_database();
     void lose_answers();
--- a/test/soak/hosts.cpp
+++ b/test/soak/hosts.cpp
@@ -145,18 +145,26 @@
     m_record.write(host.m_name.value() + " " + host.m_ip + " starts, process " + std::to_string(child));
 }
 
-void host_fleet::send_signal(host_process& host, int number) {
+void host_fleet::send_unnoticed_signal(host_process& host, int number) {
     if (host.m_pid <= 0) {
         return;
     }
     ::kill(host.m_pid, number);
     host.m_stopped = number == SIGSTOP || (host.m_stopped && number != SIGCONT);
+    m_record.write(host.m_name.value() + " gets SIG" + ::sigabbrev_np(number));
+}
+
+void host_fleet::send_signal(host_process& host, int number) {
+    if (host.m_pid <= 0) {
+        return;
+    }
+    // Noted before the process can act on it.
     if (host.m_role == host_role::entry) {
         m_disturbances.add_entry(host.m_name);
     } else {
         m_disturbances.add_control(false);
     }
-    m_record.write(host.m_name.value() + " gets SIG" + ::sigabbrev_np(number));
+    send_unnoticed_signal(host, number);
 }
 
 void host_fleet::kill(host_process& host) {
--- a/test/soak/hosts.h
+++ b/test/soak/hosts.h
@@ -57,6 +57,8 @@
     // Sends SIGKILL and waits for the end.
     void kill(host_process& host);
     void send_signal(host_process& host, int number);
+    // SIGSTOP or SIGCONT that excuses nothing, like a machine that does not run the process for a while.
+    void send_unnoticed_signal(host_process& host, int number);
     // True if the process has ended by itself or after a signal; never waits.
     bool reap(host_process& host);
     void lose_disk(host_process& host);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -17,9 +17,11 @@
 constexpr const char* usage =
     "usage: mangoquay_soak [--seed N] [--seconds S] [--control N] [--entry N] [--program PATH]\n"
     "       [--shape record|mixed] [--callers N] [--keep] [--allow-repeated-start]\n"
+    "       [--unnoticed-freezes]\n"
     "--keep keeps the folder with all logs also if every rule held.\n"
     "--allow-repeated-start accepts that a transaction without results starts again when its connection "
-    "ends.\n";
+    "ends.\n"
+    "--unnoticed-freezes stops entry hosts for 2 to 5 s, which excuses nothing.\n";
 constexpr int min_seconds = 30;
 
 struct command_line {
@@ -29,6 +31,7 @@
     std::string m_shape = "mixed";
     bool m_keep = false;
     bool m_allow_repeated_start = false;
+    bool m_unnoticed_freezes = false;
     bool m_invalid = false;
     fleet_options m_fleet{"build/mangoquay"};
 };
@@ -41,12 +44,17 @@
 }
 
 command_line parse_command_line(int argc, char** argv) {
-    const option names[] = {
-        {"seed", required_argument, nullptr, 's'},           {"seconds", required_argument, nullptr, 't'},
-        {"control", required_argument, nullptr, 'c'},        {"entry", required_argument, nullptr, 'e'},
-        {"program", required_argument, nullptr, 'p'},        {"shape", required_argument, nullptr, 'h'},
-        {"callers", required_argument, nullptr, 'n'},        {"keep", no_argument, nullptr, 'k'},
-        {"allow-repeated-start", no_argument, nullptr, 'r'}, {nullptr, 0, nullptr, 0}};
+    const option names[] = {{"seed", required_argument, nullptr, 's'},
+                            {"seconds", required_argument, nullptr, 't'},
+                            {"control", required_argument, nullptr, 'c'},
+                            {"entry", required_argument, nullptr, 'e'},
+                            {"program", required_argument, nullptr, 'p'},
+                            {"shape", required_argument, nullptr, 'h'},
+                            {"callers", required_argument, nullptr, 'n'},
+                            {"keep", no_argument, nullptr, 'k'},
+                            {"allow-repeated-start", no_argument, nullptr, 'r'},
+                            {"unnoticed-freezes", no_argument, nullptr, 'u'},
+                            {nullptr, 0, nullptr, 0}};
     command_line parsed;
     for (int code = 0; (code = getopt_long(argc, argv, "", names, nullptr)) != -1;) {
         switch (code) {
@@ -74,6 +82,9 @@
         case 'k':
             parsed.m_keep = true;
             break;
+        case 'u':
+            parsed.m_unnoticed_freezes = true;
+            break;
         case 'r':
             parsed.m_allow_repeated_start = true;
             break;
@@ -164,6 +175,9 @@
     } else {
         faults.plan_mixed_shape(milliseconds{1000} * options.m_seconds);
     }
+    if (options.m_unnoticed_freezes) {
+        faults.plan_unnoticed_freezes(milliseconds{1000} * options.m_seconds);
+    }
     faults.run();
     faults.repair_all();
     world.m_stopped = true;
--- a/test/soak/mixed_faults.cpp
+++ b/test/soak/mixed_faults.cpp
@@ -112,6 +112,27 @@
     }
 }
 
+void fault_series::freeze_entry_unnoticed() {
+    host_process* host = draw_host(host_role::entry);
+    if (host == nullptr) {
+        return;
+    }
+    m_world.m_record.write("the next stop excuses nothing");
+    m_world.m_fleet.send_unnoticed_signal(*host, SIGSTOP);
+    after(milliseconds{draw(m_random, 2000, 5000)}, [this, host] {
+        if (host->m_stopped) {
+            m_world.m_fleet.send_unnoticed_signal(*host, SIGCONT);
+        }
+    });
+}
+
+void fault_series::plan_unnoticed_freezes(milliseconds duration) {
+    constexpr milliseconds between{3500};
+    for (milliseconds at = between; at < duration - quiet_end; at += between) {
+        after(at, [this] { freeze_entry_unnoticed(); });
+    }
+}
+
 void fault_series::freeze_control() {
     host_process* host = control_is_whole() ? draw_host(host_role::control) : nullptr;
     if (host != nullptr) {
