Join the parts: one place starts queued statements, the soak without its exception

The simulation of relay_safety plays databases that end transactions by themselves in all its runs. Folders that exist above the data folder are not synced: they belong to the platform.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 build="${MANGOQUAY_BUILD:-build}"
 for shape in record mixed; do
-    "$build/mangoquay_soak" --seed 1 --seconds 45 --control 3 --entry 4 --shape "$shape" \
-        --program "$build/mangoquay" --allow-repeated-start
+    "$build/mangoquay_soak" --seed 1 --seconds 45 --control 3 --entry 4 --shape "$shape" --unnoticed-freezes \
+        --program "$build/mangoquay"
 done
--- a/src/consensus/atomic_file.cpp
+++ b/src/consensus/atomic_file.cpp
@@ -107,8 +107,11 @@
         // An earlier process may have created it and ended before it was synced.
         return sync_folder(path.parent_path());
     }
-    if (auto parent = create_folder(path.parent_path()); !parent) {
-        return parent;
+    // A parent that exists belongs to the platform, which may not permit to sync it.
+    if (!std::filesystem::is_directory(path.parent_path(), error)) {
+        if (auto parent = create_folder(path.parent_path()); !parent) {
+            return parent;
+        }
     }
     if (::mkdir(path.c_str(), 0777) != 0 && errno != EEXIST) {
         return status::failure(system_error("create", folder));
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -121,12 +121,10 @@
         if (!clean) {
             remove_connection(id);
             handle_loss_for_session(owner, text, now);
-            start_queued_statements(owner, now);
             return;
         }
         release_connection(id, now);
         retry_or_refuse(owner, caller, reason, text, now);
-        start_queued_statements(owner, now);
         return;
     }
     const bool begins = step == request_step::begin || step == request_step::begin_read_only;
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -61,13 +61,6 @@
         process_event_seeds));
 }
 
-// Without databases that end transactions by themselves.
-process_events events_of_hosts() {
-    process_events events = process_events::all();
-    events.m_ended_transactions = false;
-    return events;
-}
-
 class relay_safety : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(relay_safety);
     CPPUNIT_TEST(writes_succeed_without_faults);
@@ -185,21 +178,21 @@
     }
     // Databases and hosts restart, pause and change while statements are in progress.
     static void guarantees_hold_when_processes_fail_and_pause() {
-        check_holds_with(events_of_hosts());
+        check_holds_with(process_events::all());
         relay_simulation_options scarce;
         scarce.m_connections = 8;
-        check_holds_with(events_of_hosts(), scarce);
+        check_holds_with(process_events::all(), scarce);
     }
     static void guarantees_hold_over_lent_connections_when_processes_fail_and_pause() {
         relay_simulation_options options;
         options.m_lent_connections = true;
         options.m_connections = scarce_connections;
-        check_holds_with(events_of_hosts(), options);
+        check_holds_with(process_events::all(), options);
     }
     static void guarantees_hold_when_old_primaries_go_on_and_processes_fail() {
         relay_simulation_options options;
         options.m_leased = true;
-        process_events events = events_of_hosts();
+        process_events events = process_events::all();
         events.m_route_changes = false;
         check_holds_with(events, options);
     }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -16,11 +16,8 @@
 
 constexpr const char* usage =
     "usage: mangoquay_soak [--seed N] [--seconds S] [--control N] [--entry N] [--program PATH]\n"
-    "       [--shape record|mixed] [--callers N] [--keep] [--allow-repeated-start]\n"
-    "       [--unnoticed-freezes]\n"
+    "       [--shape record|mixed] [--callers N] [--keep] [--unnoticed-freezes]\n"
     "--keep keeps the folder with all logs also if every rule held.\n"
-    "--allow-repeated-start accepts that a transaction without results starts again when its connection "
-    "ends.\n"
     "--unnoticed-freezes stops entry hosts for 2 to 5 s, which excuses nothing.\n";
 constexpr int min_seconds = 30;
 
@@ -30,7 +27,6 @@
     int m_callers = 24;
     std::string m_shape = "mixed";
     bool m_keep = false;
-    bool m_allow_repeated_start = false;
     bool m_unnoticed_freezes = false;
     bool m_invalid = false;
     fleet_options m_fleet{"build/mangoquay"};
@@ -44,17 +40,12 @@
 }
 
 command_line parse_command_line(int argc, char** argv) {
-    const option names[] = {{"seed", required_argument, nullptr, 's'},
-                            {"seconds", required_argument, nullptr, 't'},
-                            {"control", required_argument, nullptr, 'c'},
-                            {"entry", required_argument, nullptr, 'e'},
-                            {"program", required_argument, nullptr, 'p'},
-                            {"shape", required_argument, nullptr, 'h'},
-                            {"callers", required_argument, nullptr, 'n'},
-                            {"keep", no_argument, nullptr, 'k'},
-                            {"allow-repeated-start", no_argument, nullptr, 'r'},
-                            {"unnoticed-freezes", no_argument, nullptr, 'u'},
-                            {nullptr, 0, nullptr, 0}};
+    const option names[] = {
+        {"seed", required_argument, nullptr, 's'},        {"seconds", required_argument, nullptr, 't'},
+        {"control", required_argument, nullptr, 'c'},     {"entry", required_argument, nullptr, 'e'},
+        {"program", required_argument, nullptr, 'p'},     {"shape", required_argument, nullptr, 'h'},
+        {"callers", required_argument, nullptr, 'n'},     {"keep", no_argument, nullptr, 'k'},
+        {"unnoticed-freezes", no_argument, nullptr, 'u'}, {nullptr, 0, nullptr, 0}};
     command_line parsed;
     for (int code = 0; (code = getopt_long(argc, argv, "", names, nullptr)) != -1;) {
         switch (code) {
@@ -85,9 +76,6 @@
         case 'u':
             parsed.m_unnoticed_freezes = true;
             break;
-        case 'r':
-            parsed.m_allow_repeated_start = true;
-            break;
         default:
             parsed.m_invalid = true;
         }
@@ -158,9 +146,6 @@
 }
 
 int play(soak_world& world, const command_line& options) {
-    if (options.m_allow_repeated_start) {
-        world.m_judge.allow_repeated_start();
-    }
     start_services(world);
     const platform_executor executor(world);
     platform_operator configurations(world, options.m_seed);
--- a/test/soak/platform_database_connection.cpp
+++ b/test/soak/platform_database_connection.cpp
@@ -58,7 +58,6 @@
             line = m_peer.read_line(steady_clock::now() + no_limit);
         } while (line && *line != "TERMINATE" && answer(*line));
     }
-    m_service.m_judge.add_ended_connection(m_number);
     const lock held(m_service.m_mutex);
     m_member.m_connections -= m_counted ? 1 : 0;
 }
--- a/test/soak/platform_statement_judge.cpp
+++ b/test/soak/platform_statement_judge.cpp
@@ -94,20 +94,9 @@
         transaction.m_connection = run.m_connection;
         return;
     }
-    const std::string text = "transaction " + std::to_string(sent.m_transaction.value()) +
-                             " has run on connection " + std::to_string(before.value());
-    if (m_allows_repeated_start && m_ended_connections.contains(before) && !transaction.m_has_results) {
-        transaction.m_connection = run.m_connection;
-        m_violations.add_excused("the connection ended during the first statement",
-                                 run.m_id.value() + " " + text);
-        return;
-    }
-    report(rule::pinned, run, text);
-}
-
-void statement_judge::add_ended_connection(connection_number connection) {
-    const std::lock_guard lock(m_mutex);
-    m_ended_connections.insert(connection);
+    report(rule::pinned, run,
+           "transaction " + std::to_string(sent.m_transaction.value()) + " has run on connection " +
+               std::to_string(before.value()));
 }
 
 void statement_judge::check_wrapped(const observed_run& run, const sent_statement& sent) {
@@ -195,7 +184,6 @@
         return;
     }
     const known_statement& known = found->second;
-    m_transactions[known.m_sent.m_transaction].m_has_results = true;
     if (!known.m_answers.contains(answer)) {
         m_violations.add(
             {rule::mixed, id.value(),
--- a/test/soak/statement_judge.h
+++ b/test/soak/statement_judge.h
@@ -37,10 +37,6 @@
                     violation_list& violations)
         : m_configuration(configuration), m_disturbances(disturbances), m_violations(violations) {}
 
-    // Allows that a transaction without any result starts again after its connection has ended. Otherwise
-    // each change of the connection is a violation.
-    void allow_repeated_start() { m_allows_repeated_start = true; }
-
     // Called before the statement is sent.
     void add_sent(sent_statement statement);
     void check_run(const observed_run& run);
@@ -48,8 +44,6 @@
     void check_begin(const observed_run& run);
     // Called before a commit takes effect.
     void check_commit(const observed_run& run);
-    // The database has rolled back what was open on the connection.
-    void add_ended_connection(connection_number connection);
     // A commit took effect, or a promotion took it back.
     void add_committed(const statement_id& id);
     void add_rolled_back(const statement_id& id);
@@ -71,8 +65,7 @@
     };
     struct known_transaction {
         connection_number m_connection{};
-        bool m_has_results = false; // The caller has received a success.
-        int m_commits = 0;          // That are in force.
+        int m_commits = 0; // That are in force.
         std::string m_promise{};
         statement_id m_promised_at{};
     };
@@ -87,11 +80,9 @@
     configuration_judge& m_configuration;
     const disturbance_log& m_disturbances;
     violation_list& m_violations;
-    bool m_allows_repeated_start = false; // Set before the run.
-    mutable std::mutex m_mutex;           // Guards all members below.
+    mutable std::mutex m_mutex; // Guards all members below.
     std::unordered_map<statement_id, known_statement> m_statements;
     std::unordered_map<transaction_number, known_transaction> m_transactions;
-    std::set<connection_number> m_ended_connections;
     std::size_t m_runs = 0;
     std::size_t m_successes = 0;
     std::size_t m_committed = 0;
