Close a database connection that answers more than it was asked

Callers could get the success of no statement: when a database sent a second answer in the segment of the first one, the first let the relay send the next statement on the connection, and the second answer was taken for that statement's. The connection now counts its requests and fails if bytes are left after the answer to the last one, before a handler can send another.

The test failed before: the second statement succeeded with "signature-of-nobody". Afterwards it passes, as do the other tests of the session path over sockets.

--- a/src/entry/database_connection.cpp
+++ b/src/entry/database_connection.cpp
@@ -24,6 +24,7 @@
     for (const relay::database_request& request : requests) {
         m_protocol.encode_request(request, bytes);
     }
+    m_unanswered_count += requests.size();
     m_stream->write(bytes);
 }
 
@@ -40,6 +41,12 @@
             m_handlers.m_failed(std::nullopt, "malformed answer from the database");
             return;
         }
+        --m_unanswered_count;
+        // A handler may send the next request, whose answer the rest would be taken for.
+        if (m_unanswered_count == 0 && offset < bytes.size()) {
+            m_handlers.m_failed(std::nullopt, "answer to no request from the database");
+            return;
+        }
         const relay::database_answer answer = std::exchange(m_partial_answer, {}).m_answer;
         if (m_opened) {
             m_handlers.m_answered(answer);
--- a/src/entry/database_connection.h
+++ b/src/entry/database_connection.h
@@ -7,6 +7,7 @@
 #include "entry/session_protocol.h"
 #include "transport/byte_stream.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -36,6 +37,7 @@
     const session_protocol& m_protocol;
     database_connection_handlers m_handlers;
     bool m_opened = false;
+    std::size_t m_unanswered_count = 1; // Requests without an answer, including the startup.
     partial_answer m_partial_answer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
     std::unique_ptr<transport::byte_stream> m_stream;
--- a/test/correctness/session_path_faults.cpp
+++ b/test/correctness/session_path_faults.cpp
@@ -151,6 +151,7 @@
 
 class session_path_faults : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(session_path_faults);
+    CPPUNIT_TEST(answer_that_nobody_waits_for_is_not_given_to_the_next_statement);
     CPPUNIT_TEST(late_answer_is_not_given_to_another_session);
     CPPUNIT_TEST(restarted_database_is_not_taken_for_the_former_one);
     CPPUNIT_TEST(callers_run_only_their_own_statements_when_answers_fail);
@@ -207,6 +208,22 @@
     }
 
 public:
+    void answer_that_nobody_waits_for_is_not_given_to_the_next_statement() {
+        test::entry_fleet fleet;
+        const auto caller = fleet.open_session("own");
+        fleet.set_script([](const database_query& query) {
+            return query.m_text == "WRITE a 1"
+                       ? database_reaction{.m_extra = "COMPLETE signature-of-nobody\r\nREADY I 1.1\r\n"}
+                       : database_reaction{};
+        });
+        caller->send_bytes(caller->encode("WRITE a 1") + caller->encode("WRITE a 2"));
+        caller->receive();
+        const auto second = caller->receive();
+        CPPUNIT_ASSERT_MESSAGE(second.m_text,
+                               !second.succeeded() || second.m_text == "signature-" + caller->last_id());
+        assert_no_violation(fleet);
+    }
+
     void late_answer_is_not_given_to_another_session() {
         test::entry_fleet fleet;
         fleet.set_script([](const database_query& query) {
