Inject a rollback that a database confirms and ignores

The relay now closes a connection whose database says that it is still in a transaction after a rollback, so the fault that open_transaction_after_a_rollback_is_detected injected no longer reaches a caller and the check could not be seen failing. The database of the simulation now confirms the rollback and keeps the transaction, which only the check can detect.

--- a/test/correctness/session_path_callers.cpp
+++ b/test/correctness/session_path_callers.cpp
@@ -190,8 +190,10 @@
         test::entry_fleet fleet;
         fleet.set_script([](const database_query&) { return database_reaction{.m_delay = 15ms}; });
         std::atomic<bool> ended{false};
+        constexpr int caller_count = 8;
         std::vector<std::thread> callers;
-        for (int index = 0; index < 8; ++index) {
+        callers.reserve(caller_count);
+        for (int index = 0; index < caller_count; ++index) {
             callers.emplace_back([&fleet, &ended, index] {
                 while (!ended) {
                     try {
--- a/test/support/relay_simulation_databases.cpp
+++ b/test/support/relay_simulation_databases.cpp
@@ -98,7 +98,9 @@
         if (!m_options.m_injected_faults.m_leave_transaction_open) {
             end_database_transaction(session);
         }
-        return completed_answer();
+        completed_answer();
+        answer.m_state = transaction_state::idle;
+        return answer;
     default:
         answer = execute_statement(connection, request, request.m_argument, answer);
         if (session.m_ends_transaction && session.m_in_transaction) {
