Do not begin a wait again that has ended

Found while reading the change: an answer of a control host that arrived after the silent wait had ended moved its deadline, so that messages received after that were held with nothing to release them. The test a_late_answer_does_not_begin_the_wait_again covers it.

--- a/src/documents/resume_check.cpp
+++ b/src/documents/resume_check.cpp
@@ -32,8 +32,10 @@
     return true;
 }
 
-void resume_check::on_contact() {
-    m_deadline = m_latest_deadline;
+void resume_check::on_contact(core::time_point now) {
+    if (!m_deadline.passed(now)) {
+        m_deadline = m_latest_deadline;
+    }
 }
 
 bool resume_check::on_confirmed(confirmation_number number, document_version current) {
--- a/src/documents/resume_check.h
+++ b/src/documents/resume_check.h
@@ -39,8 +39,8 @@
     // The process runs at `now`. Returns whether it has just resumed after a pause, so that a confirmation is
     // needed.
     bool on_running(core::time_point now);
-    // A control host has answered a query.
-    void on_contact();
+    // A control host has answered a query. Does not begin a wait again that has ended.
+    void on_contact(core::time_point now);
     // A control host has confirmed that `current` is not older than any version that was committed before the
     // first request of this number. Returns false if the number is not one of this process.
     bool on_confirmed(confirmation_number number, document_version current);
--- a/src/fleet/update_subscriber.cpp
+++ b/src/fleet/update_subscriber.cpp
@@ -226,7 +226,7 @@
             std::ranges::max_element(m_entry_host_counts, {}, [](const auto& one) { return one.second; });
         m_handlers.m_entry_host_count_received(largest->second);
     }
-    m_resume_check.on_contact();
+    m_resume_check.on_contact(now);
     const documents::document_version version(update.document_version);
     if (m_resume_check.on_confirmed(documents::confirmation_number(update.confirmed), version)) {
         m_fetch.on_current_version_confirmed(version);
--- a/test/correctness/configuration_after_pause.cpp
+++ b/test/correctness/configuration_after_pause.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(the_wait_of_a_process_that_pauses_again_and_again_ends);
     CPPUNIT_TEST(a_confirmation_reaches_a_process_that_pauses_again_and_again);
     CPPUNIT_TEST(the_wait_is_short_only_where_no_control_host_answers);
+    CPPUNIT_TEST(a_late_answer_does_not_begin_the_wait_again);
     CPPUNIT_TEST_SUITE_END();
 
     static void new_work_waits_for_a_change_made_during_the_pause() {
@@ -100,7 +101,7 @@
             now += min_pause;
             check.on_running(now);
             relied = relied || check.may_rely_on(document_version(1), now + max_silent_wait);
-            check.on_contact();
+            check.on_contact(now);
         }
         CPPUNIT_ASSERT(relied);
     }
@@ -127,10 +128,23 @@
         now += min_pause;
         check.on_running(now);
         CPPUNIT_ASSERT(check.may_rely_on(document_version(1), now + max_silent_wait));
-        check.on_contact();
+        check.on_contact(now);
         CPPUNIT_ASSERT(!check.may_rely_on(document_version(1), now + max_silent_wait));
         CPPUNIT_ASSERT(check.may_rely_on(document_version(1), now + max_confirmation_wait));
     }
+
+    // Messages that arrive after the end of the wait would otherwise be held with nothing to release them.
+    static void a_late_answer_does_not_begin_the_wait_again() {
+        documents::resume_check check{documents::confirmation_number(7)};
+        core::time_point now{};
+        check.on_running(now);
+        now += min_pause;
+        check.on_running(now);
+        now += max_silent_wait;
+        CPPUNIT_ASSERT(check.may_rely_on(document_version(1), now));
+        check.on_contact(now);
+        CPPUNIT_ASSERT(check.may_rely_on(document_version(1), now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_after_pause);
