--- a/test/support/relay_simulation.h
+++ b/test/support/relay_simulation.h
@@ -226,7 +226,7 @@
     relay::database_answer execute_statement(const std::shared_ptr<server_session>& connection,
                                              const relay::database_request& request, const std::string& text,
                                              relay::database_answer base);
-    void end_database_transaction(server_session& session);
+    void end_database_transaction(server_session& session) const;
     void check_statement(const server_session& session, const relay::database_request& request);
     void check_session_state(const server_session& session, const relay::database_request& request);
     void check_read_result(const server_session& session, std::uint64_t attempt);
--- a/test/support/relay_simulation_databases.cpp
+++ b/test/support/relay_simulation_databases.cpp
@@ -111,7 +111,7 @@
     }
 }
 
-void relay_simulation::end_database_transaction(server_session& session) {
+void relay_simulation::end_database_transaction(server_session& session) const {
     session.m_in_transaction = false;
     session.m_failed = false;
     session.m_writes.clear();
--- a/test/support/session_client.cpp
+++ b/test/support/session_client.cpp
@@ -92,7 +92,7 @@
     return "QUERY " + m_last_id + " " + text + "\r\n";
 }
 
-bool session_client::send_bytes(const std::string& bytes, std::size_t piece) {
+bool session_client::send_bytes(const std::string& bytes, std::size_t piece) const {
     const std::size_t step = piece == 0 ? bytes.size() : piece;
     for (std::size_t sent = 0; sent < bytes.size();) {
         const ssize_t count =
--- a/test/support/session_client.h
+++ b/test/support/session_client.h
@@ -36,7 +36,7 @@
     [[nodiscard]] std::string startup() const { return "STARTUP " + m_database + "\r\n"; }
     [[nodiscard]] const std::string& last_id() const { return m_last_id; }
     // Returns false if the connection is closed.
-    bool send_bytes(const std::string& bytes, std::size_t piece = 0);
+    bool send_bytes(const std::string& bytes, std::size_t piece = 0) const;
     // The reply to the oldest statement without one.
     session_reply receive();
     session_reply ask(const std::string& text);
