--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -38,6 +38,8 @@
     probe,     // Begins an empty transaction to obtain the primary's position.
 };
 
+const char* to_string(request_step step);
+
 struct expected_answer {
     request_step m_step = request_step::statement;
     core::time_point m_sent{};
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -109,6 +109,8 @@
     if (answer.m_refusal) {
         const refusal reason = *answer.m_refusal;
         const std::string text = answer.m_text;
+        record_event("preparation refused", caller, conn.m_endpoint.value(),
+                     std::string(to_string(step)) + ": " + to_string(reason) + " " + text, now);
         record_refusal(conn.m_endpoint, reason, now);
         caller.m_operation->m_avoided.insert(conn.m_endpoint);
         if (reason == refusal::lagging && m_endpoints.at(conn.m_endpoint).m_report.m_is_primary) {
