--- a/src/entry/session_protocol.h
+++ b/src/entry/session_protocol.h
@@ -51,6 +51,8 @@
 
     virtual void encode_startup(const registry::endpoint_report& target, std::string& out) const = 0;
     virtual void encode_request(const relay::database_request& request, std::string& out) const = 0;
+    // Whether the request can be sent in one message.
+    [[nodiscard]] virtual bool fits_in_message(const relay::database_request& request) const = 0;
     // Decodes the row that answers a status request or a promotion step. Returns nothing if it is malformed.
     [[nodiscard]] virtual std::optional<promotion::endpoint_status>
     decode_status(const std::string& row) const = 0;
--- a/src/lending/lending_wire.cpp
+++ b/src/lending/lending_wire.cpp
@@ -9,11 +9,15 @@
 namespace mangoquay::lending {
 namespace {
 
-// Only kinds up to this one may be sent on a lent connection; promotion steps are reserved for control hosts.
-constexpr auto last_kind = relay::request_kind::rollback;
 constexpr auto last_refusal = relay::refusal::malformed;
 constexpr auto last_state = relay::transaction_state::failed;
 
+// Whether a borrower may send the request; promotion steps are reserved for control hosts.
+bool may_be_lent(std::uint8_t kind) {
+    return kind <= static_cast<std::uint8_t>(relay::request_kind::rollback) ||
+           kind == static_cast<std::uint8_t>(relay::request_kind::deallocate);
+}
+
 template <class Enumeration>
 bool in_range(std::uint8_t value, Enumeration last) {
     return value <= static_cast<std::uint8_t>(last);
@@ -100,7 +104,7 @@
     std::vector<relay::database_request> requests;
     requests.reserve(encoded.size());
     for (const auto& item : encoded) {
-        if (!in_range(item->kind, last_kind) || !in_range(item->access, relay::access_kind::write)) {
+        if (!may_be_lent(item->kind) || !in_range(item->access, relay::access_kind::write)) {
             return std::nullopt;
         }
         requests.push_back({.m_kind = static_cast<relay::request_kind>(item->kind),
--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -13,7 +13,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace mangoquay::relay {
@@ -55,7 +54,7 @@
     bool m_running = false;                   // A caller's statement was sent and is not answered yet.
     std::deque<expected_answer> m_expected_answers;
     std::map<std::string, std::string> m_values;
-    std::set<std::string> m_prepared; // Names of prepared statements, from prepared_name().
+    held_statements m_prepared;
     // The open transaction set values or prepared statements, which a rollback may discard.
     bool m_changed_in_transaction = false;
     // Deadline of the first entry of m_expected_answers, or of opening the connection.
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -81,6 +81,8 @@
     // Closes an own connection or ends a loan, granted or not. No event of the connection follows.
     virtual void close_connection(connection_id id) = 0;
     virtual void record_event(const statement_event& event) = 0;
+    // Whether the protocol of databases can carry the request in one message.
+    [[nodiscard]] virtual bool fits_in_message(const database_request& request) const = 0;
     // Adds the statement to the metrics.
     virtual void count_statement(const answered_statement& statement) = 0;
 };
@@ -93,6 +95,14 @@
     bool m_extra_connections = true; // A host opens more connections than its share while it needs them.
 };
 
+// Limits of the session values and prepared statements that callers make this host keep. A message holds at
+// most 1 MiB, so a session can keep several of the largest ones.
+struct session_state_limits {
+    std::size_t m_max_entries = 1000;                       // Of one session.
+    std::size_t m_max_bytes = std::size_t{4} << 20U;        // Of one session.
+    std::size_t m_max_total_bytes = std::size_t{64} << 20U; // Of all sessions.
+};
+
 struct relay_limits {
     core::availability_zone m_zone;
     // Connections kept free at each database for control hosts and for hosts that are just starting.
@@ -102,6 +112,7 @@
     scheduling_rules m_rules;
     // See documents::needs_primary_lease().
     bool m_executor_fences = true;
+    session_state_limits m_session_state;
 };
 
 struct relay_counters {
@@ -216,6 +227,12 @@
                               core::time_point now);
     void run_statement(session_id id, session& caller, const session_statement& statement,
                        core::time_point now);
+    // Replaces an entry of the session's values or prepared statements by one of another size; 0: no entry.
+    // Returns false if that would exceed a limit.
+    bool change_state_size(session& caller, std::size_t before, std::size_t after);
+    void remove_session(session_id id);
+    // Returns false if no database could read the statement in progress in one message.
+    bool fit_in_message(session& caller);
     void reject_malformed(session_id id, session& caller, const session_statement& statement,
                           core::time_point now);
     void answer_locally(session_id id, session& caller, const session_statement& statement);
@@ -247,6 +264,8 @@
     // Requests that have to precede the statement. Updates the record of the connection's state.
     preparation prepare_requests(session& caller, connection& conn, core::time_point now);
     void send_statement(session& caller, connection_id conn_id, core::time_point now);
+    // The request that runs the statement in progress, without a position.
+    static database_request statement_request(const session& caller);
     // Requests for the session values and prepared statements that the connection lacks. Updates the record
     // of the connection's state.
     static std::vector<database_request> missing_session_state(const session& caller, connection& conn);
@@ -339,12 +358,14 @@
     stop_stage m_stop_stage = stop_stage::running;
     documents::configuration m_configuration;
     std::uint32_t m_lowest_priority = 0; // Largest priority number of all routes.
+    statement_catalog m_statements;      // Declared before the sessions and connections that refer to it.
     std::unordered_map<session_id, session> m_sessions;
     std::set<session_id> m_active_sessions; // Sessions with a statement or transaction in progress.
     std::map<connection_id, connection> m_connections;
     endpoint_views m_endpoints;
     std::map<core::endpoint_id, std::uint32_t> m_own_shares; // Of the lent endpoints, also of future ones.
     std::map<core::service_name, position_samples> m_position_samples;
+    std::size_t m_session_state_bytes = 0;                // Sum of session::m_state_bytes.
     std::map<core::service_name, connection_id> m_probes; // Connections with a probe in progress.
     std::uint64_t m_last_connection = 0;
     // Expected run time of a statement, by the database name of its route.
@@ -355,7 +376,4 @@
     relay_counters m_counters;
 };
 
-// The name under which a statement is prepared on every connection, independent of the name that callers use.
-std::string prepared_name(const prepared_statement& statement);
-
 } // namespace mangoquay::relay
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -19,10 +19,6 @@
 
 } // namespace
 
-std::string prepared_name(const prepared_statement& statement) {
-    return (statement.m_access == access_kind::write ? "w_" : "r_") + statement.m_template;
-}
-
 bool relay_core::needs_primary(const session& caller, const documents::route_rule& route) const {
     if (route.m_consistency == documents::consistency::latest || caller.m_operation->m_writes ||
         caller.m_operation->m_primary_only) {
@@ -194,13 +190,12 @@
     }
     const session_statement& statement = caller.m_operation->m_statement;
     if (statement.m_kind == statement_kind::execute) {
-        const prepared_statement& prepared = caller.m_prepared.at(statement.m_name);
-        const std::string name = prepared_name(prepared);
-        if (conn.m_prepared.insert(name).second) {
-            requests.push_back({.m_kind = request_kind::prepare,
-                                .m_name = name,
-                                .m_argument = prepared.m_template,
-                                .m_access = prepared.m_access});
+        const statement_handle& prepared = caller.m_prepared.at(statement.m_name);
+        if (!conn.m_prepared.use(prepared)) {
+            requests.push_back(preparation_of(*prepared));
+            for (const statement_handle& dropped : conn.m_prepared.add(prepared)) {
+                requests.push_back({.m_kind = request_kind::deallocate, .m_name = database_name(*dropped)});
+            }
         }
     }
     return requests;
@@ -272,16 +267,21 @@
     send_requests(conn_id, conn, needed.m_requests, needed.m_steps, now);
 }
 
+database_request relay_core::statement_request(const session& caller) {
+    const session_statement& statement = caller.m_operation->m_statement;
+    if (statement.m_kind != statement_kind::execute) {
+        return {.m_id = statement.m_id, .m_argument = statement.m_text};
+    }
+    return {.m_kind = request_kind::execute,
+            .m_id = statement.m_id,
+            .m_name = database_name(*caller.m_prepared.at(statement.m_name)),
+            .m_argument = statement.m_argument};
+}
+
 void relay_core::send_statement(session& caller, connection_id conn_id, core::time_point now) {
     connection& conn = m_connections.at(conn_id);
     operation& op = *caller.m_operation;
-    const session_statement& statement = op.m_statement;
-    database_request request{.m_id = statement.m_id, .m_argument = statement.m_text};
-    if (statement.m_kind == statement_kind::execute) {
-        request.m_kind = request_kind::execute;
-        request.m_name = prepared_name(caller.m_prepared.at(statement.m_name));
-        request.m_argument = statement.m_argument;
-    }
+    database_request request = statement_request(caller);
     const documents::route_rule* route = route_of(caller);
     if (caller.m_state == transaction_state::idle && !op.m_writes && !op.m_primary_only) {
         placement_request needed;
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,23 @@
 constexpr core::milliseconds retry_when_busy{100};
 
 constexpr const char* local_answer_text = "-";
+constexpr const char* too_long = "the statement is too long for a database";
+constexpr const char* too_much_state = "too many or too large session values and prepared statements";
+
+// What the relay adds to a shorter statement cannot exceed the limit of a message.
+constexpr std::size_t large_statement_bytes = std::size_t{256} << 10U;
+const core::history_position longest_position{core::term(std::numeric_limits<std::uint32_t>::max()),
+                                              core::log_position(std::numeric_limits<std::uint64_t>::max())};
+
+std::size_t entry_size(const std::string& name, const std::string& text) {
+    return name.size() + text.size();
+}
+
+// Size of the prepared statement with the caller's name; 0 if there is none.
+std::size_t state_size(const session& caller, const std::string& name) {
+    const auto held = caller.m_prepared.find(name);
+    return held == caller.m_prepared.end() ? 0 : entry_size(name, held->second->m_statement.m_template);
+}
 
 core::duration fraction_of(core::milliseconds total, double fraction) {
     return std::chrono::duration_cast<core::duration>(total * fraction);
@@ -172,23 +190,62 @@
 }
 
 void relay_core::set_session_value(session_id id, session& caller, const session_statement& statement,
-                                   core::time_point) {
-    caller.m_values[statement.m_name] = statement.m_argument;
+                                   core::time_point now) {
+    const auto held = caller.m_values.find(statement.m_name);
+    const std::size_t before = held == caller.m_values.end() ? 0 : entry_size(held->first, held->second);
+    if (!change_state_size(caller, before, entry_size(statement.m_name, statement.m_argument))) {
+        refuse_statement(id, caller, refusal::failed, too_much_state, now);
+        return;
+    }
+    caller.m_values.insert_or_assign(statement.m_name, statement.m_argument);
     answer_locally(id, caller, statement);
 }
 
 void relay_core::prepare_statement(session_id id, session& caller, const session_statement& statement,
-                                   core::time_point) {
-    caller.m_prepared[statement.m_name] = {statement.m_access, statement.m_argument};
+                                   core::time_point now) {
+    statement_handle prepared = m_statements.find_or_add({statement.m_access, statement.m_argument});
+    if (!m_ports.fits_in_message(preparation_of(*prepared))) {
+        refuse_statement(id, caller, refusal::malformed, too_long, now);
+        return;
+    }
+    if (!change_state_size(caller, state_size(caller, statement.m_name),
+                           entry_size(statement.m_name, statement.m_argument))) {
+        refuse_statement(id, caller, refusal::failed, too_much_state, now);
+        return;
+    }
+    caller.m_prepared.insert_or_assign(statement.m_name, std::move(prepared));
     answer_locally(id, caller, statement);
 }
 
+bool relay_core::change_state_size(session& caller, std::size_t before, std::size_t after) {
+    const session_state_limits& limits = m_limits.m_session_state;
+    const std::size_t entries = caller.m_values.size() + caller.m_prepared.size() + (before == 0 ? 1 : 0);
+    const std::size_t bytes = caller.m_state_bytes - before + after;
+    const std::size_t total_bytes = m_session_state_bytes - before + after;
+    if (after > before && (entries > limits.m_max_entries || bytes > limits.m_max_bytes ||
+                           total_bytes > limits.m_max_total_bytes)) {
+        return false;
+    }
+    caller.m_state_bytes = bytes;
+    m_session_state_bytes = total_bytes;
+    return true;
+}
+
+void relay_core::remove_session(session_id id) {
+    const auto found = m_sessions.find(id);
+    m_session_state_bytes -= found->second.m_state_bytes;
+    m_sessions.erase(found);
+}
+
 void relay_core::deallocate_statement(session_id id, session& caller, const session_statement& statement,
                                       core::time_point now) {
-    if (caller.m_prepared.erase(statement.m_name) == 0) {
+    const auto held = caller.m_prepared.find(statement.m_name);
+    if (held == caller.m_prepared.end()) {
         refuse_statement(id, caller, refusal::unknown_statement, "no prepared statement of that name", now);
         return;
     }
+    change_state_size(caller, state_size(caller, statement.m_name), 0);
+    caller.m_prepared.erase(held);
     answer_locally(id, caller, statement);
 }
 
@@ -213,7 +270,11 @@
                              now);
             return;
         }
-        op.m_writes = prepared->second.m_access == access_kind::write;
+        op.m_writes = prepared->second->m_statement.m_access == access_kind::write;
+    }
+    if (statement.m_text.size() >= large_statement_bytes && !fit_in_message(caller)) {
+        refuse_statement(id, caller, refusal::malformed, too_long, now);
+        return;
     }
     op.m_deadline.m_at = now + route->m_statement_timeout - answer_margin;
     op.m_refusal_deadline.m_at =
@@ -224,6 +285,20 @@
     dispatch(id, now);
 }
 
+// A caller's message may be as long as the protocol allows. A name or a position that the relay adds can make
+// it too long for a database. The primary reads without a position.
+bool relay_core::fit_in_message(session& caller) {
+    database_request request = statement_request(caller);
+    if (request.m_kind == request_kind::execute && !m_ports.fits_in_message(request)) {
+        return false;
+    }
+    request.m_min_position = longest_position;
+    operation& op = *caller.m_operation;
+    const bool may_carry_position = !op.m_writes && caller.m_state == transaction_state::idle;
+    op.m_primary_only = op.m_primary_only || (may_carry_position && !m_ports.fits_in_message(request));
+    return true;
+}
+
 void relay_core::answer_locally(session_id id, session& caller, const session_statement& statement) {
     session_answer answer;
     answer.m_request = statement.m_id;
@@ -271,7 +346,7 @@
     caller.m_transaction.m_idle_deadline = idle_deadline(now);
     m_ports.send_answer(id, answer);
     if (caller.m_closing && caller.m_state == transaction_state::idle && caller.m_queued_statements.empty()) {
-        m_sessions.erase(id);
+        remove_session(id);
         m_ports.close_session(id);
     }
 }
@@ -294,7 +369,7 @@
     cancel_loan(found->second);
     detach_connection(found->second, now);
     m_active_sessions.erase(id);
-    m_sessions.erase(found);
+    remove_session(id);
     dispatch_waiting(now);
 }
 
@@ -310,7 +385,8 @@
         }
         ++closed;
         const session_id id = it->first;
-        it = m_sessions.erase(it);
+        ++it;
+        remove_session(id);
         m_ports.close_session(id);
     }
     return m_sessions.size();
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/strong_value.h"
+#include "relay/prepared_statements.h"
 #include "relay/statement.h"
 
 #include <deque>
@@ -24,13 +25,6 @@
 using session_id = core::strong_value<struct session_id_tag, std::uint64_t>;
 using connection_id = core::strong_value<struct connection_id_tag, std::uint64_t>;
 
-struct prepared_statement {
-    access_kind m_access = access_kind::read;
-    std::string m_template; // Statement text without its arguments.
-
-    friend bool operator==(const prepared_statement&, const prepared_statement&) = default;
-};
-
 enum class operation_phase : std::uint8_t {
     waiting,   // Waits for an endpoint, a connection or a sufficiently recent position of the primary.
     preparing, // The connection is brought to the session's state, or the transaction begins.
@@ -79,7 +73,7 @@
 struct session {
     std::string m_database; // Database name that the caller connected to.
     std::map<std::string, std::string> m_values;
-    std::map<std::string, prepared_statement> m_prepared;
+    std::map<std::string, statement_handle> m_prepared; // By the caller's name.
     transaction_state m_state = transaction_state::idle;
     session_transaction m_transaction; // Meaningful unless m_state is idle.
     std::optional<connection_id> m_connection;
@@ -87,7 +81,8 @@
     std::map<core::service_name, own_commit> m_own_commits;
     std::optional<operation> m_operation;
     std::deque<session_statement> m_queued_statements;
-    bool m_closing = false; // The session is closed once nothing is in progress.
+    std::size_t m_state_bytes = 0; // Size of the names and texts in m_values and m_prepared.
+    bool m_closing = false;        // The session is closed once nothing is in progress.
 };
 
 // Whether the statement in progress is a commit. Requires a statement in progress.
--- a/src/relay/statement.h
+++ b/src/relay/statement.h
@@ -91,6 +91,8 @@
     pause_replication,
     resume_replication,
     step_down,
+    // Issued by the relay itself. Hosts send each other the values, so new ones are added at the end.
+    deallocate,
 };
 
 struct database_request {
--- a/test/support/relay_simulation_databases.cpp
+++ b/test/support/relay_simulation_databases.cpp
@@ -16,6 +16,12 @@
     return std::stoull(id.substr(0, id.find('-')));
 }
 
+relay::access_kind prepared_access(const std::map<std::string, relay::prepared_statement>& prepared,
+                                   const std::string& name) {
+    const auto held = prepared.find(name);
+    return held == prepared.end() ? relay::access_kind::read : held->second.m_access;
+}
+
 relay::database_request changed(relay::database_request request) {
     request.m_argument += " changed";
     return request;
@@ -70,6 +76,11 @@
         session.m_prepared[request.m_name] = {
             request.m_access, m_options.m_injected_faults.m_mix_up_shapes ? "other" : request.m_argument};
         return completed_answer();
+    case request_kind::deallocate:
+        if (session.m_prepared.erase(request.m_name) == 0) {
+            record_violation("a name was deallocated that its connection does not hold");
+        }
+        return completed_answer();
     case request_kind::begin:
     case request_kind::begin_read_only:
         if (session.m_in_transaction) {
@@ -206,7 +217,9 @@
     database& server = m_databases[session.m_database];
     const std::uint64_t attempt = attempt_of(request.m_id);
     const bool executes = request.m_kind == request_kind::execute;
-    const bool writes = executes ? request.m_name.starts_with("w_") : text.starts_with("WRITE");
+    const bool writes = executes
+                            ? prepared_access(session.m_prepared, request.m_name) == relay::access_kind::write
+                            : text.starts_with("WRITE");
     const bool commits = text == "COMMIT" && !executes;
     const auto refuse = [&](refusal reason) {
         base.m_refusal = reason;
