A lender resets a connection by its own record of what borrowers set

A lender resets a returned connection only if the borrower says that it set values or prepared statements. With numbered names, two borrowers use equal names for different statements, so a borrower that is wrong about it would let the next one run another statement. The lender now records session state itself. The injected fault of session_values_on_a_returned_connection_are_detected has no effect any more.

--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -20,6 +20,10 @@
 // A rollback or reset needs no slot, so a reachable database answers within one round trip.
 constexpr core::milliseconds clean_up_timeout{400};
 
+bool changes_session_state(const relay::database_request& request) {
+    return request.m_kind == relay::request_kind::set_value || request.m_kind == relay::request_kind::prepare;
+}
+
 bool is_statement(const relay::database_request& request) {
     return request.m_kind == relay::request_kind::forward || request.m_kind == relay::request_kind::execute;
 }
@@ -124,6 +128,7 @@
     connection.m_deadline = core::deadline_after(now, borrower_timeout);
     for (const relay::database_request& request : requests) {
         connection.m_pending_answers.push_back(is_statement(request));
+        connection.m_has_session_state = connection.m_has_session_state || changes_session_state(request);
     }
     if (std::ranges::any_of(requests, is_statement)) {
         set_occupies_slot(connection, true);
@@ -159,7 +164,7 @@
     if (state.m_in_transaction) {
         requests.push_back({.m_kind = relay::request_kind::rollback});
     }
-    if (state.m_has_session_values) {
+    if (std::exchange(connection.m_has_session_state, false) || state.m_has_session_values) {
         requests.push_back({.m_kind = relay::request_kind::reset});
     }
     connection.m_state = requests.empty() ? connection_state::idle : connection_state::cleaning;
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -137,7 +137,9 @@
         loan_key m_key;                          // Set while the connection is lent.
         std::uint32_t m_next_request_number = 0; // Number that the borrower's next message must carry.
         std::uint32_t m_next_answer_number = 0;  // Number of the next answer to the borrower.
-        bool m_occupies_slot = false;            // A statement is in transit to the database or runs there.
+        // The borrowers have set values or prepared statements since the connection was last reset.
+        bool m_has_session_state = false;
+        bool m_occupies_slot = false;       // A statement is in transit to the database or runs there.
         std::deque<bool> m_pending_answers; // For each request without an answer, whether it is a statement.
         core::time_point m_last_contact{};  // Time of the last answer of the database.
         // For the opening, the borrower's next message or the clean-up, depending on m_state.
--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -91,7 +91,8 @@
     CPPUNIT_TEST(missing_session_values_are_detected);
     CPPUNIT_TEST(executed_write_reported_as_busy_is_detected);
     CPPUNIT_TEST(answer_to_another_statement_is_detected);
-    CPPUNIT_TEST(session_values_on_a_returned_connection_are_detected);
+    CPPUNIT_TEST(session_values_that_a_reset_leaves_are_detected);
+    CPPUNIT_TEST(session_values_that_a_borrower_conceals_do_not_reach_the_next_one);
     CPPUNIT_TEST(open_transaction_on_a_returned_connection_is_detected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -260,8 +261,16 @@
     static void open_transaction_on_a_returned_connection_is_detected() {
         check_detects({.m_return_in_transaction = true}, true);
     }
-    static void session_values_on_a_returned_connection_are_detected() {
-        check_detects({.m_return_with_session_values = true}, true);
+    static void session_values_that_a_reset_leaves_are_detected() {
+        check_detects({.m_keep_session_state = true}, true);
+    }
+    // Guards against lenders that rely on what a borrower says of a connection that it returns.
+    static void session_values_that_a_borrower_conceals_do_not_reach_the_next_one() {
+        relay_simulation_options options;
+        options.m_lent_connections = true;
+        options.m_connections = scarce_connections;
+        options.m_injected_faults = {.m_return_with_session_values = true};
+        check_holds_with({}, options);
     }
 };
 
--- a/test/support/relay_simulation.h
+++ b/test/support/relay_simulation.h
@@ -40,6 +40,7 @@
     bool m_mix_up_shapes = false;          // Prepared statements run another shape than was prepared.
     bool m_change_texts = false;           // Some statements arrive with another text.
     bool m_leave_transaction_open = false; // Databases confirm a rollback and ignore it.
+    bool m_keep_session_state = false;     // Databases confirm a reset and ignore it.
 };
 
 // Events of real processes and databases, beside lost connections, lag and promotions.
--- a/test/support/relay_simulation_databases.cpp
+++ b/test/support/relay_simulation_databases.cpp
@@ -64,8 +64,10 @@
     }
     switch (request.m_kind) {
     case request_kind::reset:
-        session.m_values.clear();
-        session.m_prepared.clear();
+        if (!m_options.m_injected_faults.m_keep_session_state) {
+            session.m_values.clear();
+            session.m_prepared.clear();
+        }
         return completed_answer();
     case request_kind::set_value:
         if (!m_options.m_injected_faults.m_drop_session_values) {
