Encode statements that are sent together in a fixed order in two tests

large_statements_arrive_unchanged and answer_that_nobody_waits_for_is_not_given_to_the_next_statement called encode() twice in one expression.

--- a/test/correctness/session_path_callers.cpp
+++ b/test/correctness/session_path_callers.cpp
@@ -162,8 +162,7 @@
         const auto caller = fleet.open_session("latest");
         for (int round = 0; round < 3; ++round) {
             const std::string large = "WRITE a " + std::string(large_bytes, static_cast<char>('a' + round));
-            caller->send_bytes(caller->encode("BEGIN") + caller->encode(large) + caller->encode(large) +
-                               caller->encode("COMMIT") + caller->encode("WRITE a 1"));
+            caller->send_bytes(caller->encode_all({"BEGIN", large, large, "COMMIT", "WRITE a 1"}));
             for (int answer = 0; answer < 5; ++answer) {
                 const auto reply = caller->receive();
                 CPPUNIT_ASSERT_MESSAGE(reply.m_text, reply.succeeded());
--- a/test/correctness/session_path_faults.cpp
+++ b/test/correctness/session_path_faults.cpp
@@ -216,7 +216,7 @@
                        ? database_reaction{.m_extra = "COMPLETE signature-of-nobody\r\nREADY I 1.1\r\n"}
                        : database_reaction{};
         });
-        caller->send_bytes(caller->encode("WRITE a 1") + caller->encode("WRITE a 2"));
+        caller->send_bytes(caller->encode_all({"WRITE a 1", "WRITE a 2"}));
         caller->receive();
         const auto second = caller->receive();
         CPPUNIT_ASSERT_MESSAGE(second.m_text,
--- a/test/support/session_client.cpp
+++ b/test/support/session_client.cpp
@@ -92,6 +92,14 @@
     return "QUERY " + m_last_id + " " + text + "\r\n";
 }
 
+std::string session_client::encode_all(const std::vector<std::string>& texts) {
+    std::string bytes;
+    for (const std::string& text : texts) {
+        bytes += encode(text);
+    }
+    return bytes;
+}
+
 bool session_client::send_bytes(const std::string& bytes, std::size_t piece) const {
     const std::size_t step = piece == 0 ? bytes.size() : piece;
     for (std::size_t sent = 0; sent < bytes.size();) {
--- a/test/support/session_client.h
+++ b/test/support/session_client.h
@@ -33,6 +33,8 @@
     bool open();
     // The bytes of a statement, recorded as sent.
     std::string encode(const std::string& text);
+    // The bytes of several statements, recorded as sent in this order.
+    std::string encode_all(const std::vector<std::string>& texts);
     [[nodiscard]] std::string startup() const { return "STARTUP " + m_database + "\r\n"; }
     [[nodiscard]] const std::string& last_id() const { return m_last_id; }
     // Returns false if the connection is closed.
