Test the limits of prepared statements on connections and in sessions

The test client and database read fields by single blanks, as the protocol does, and know DEALLOCATE.

--- a/test/support/scripted_database.cpp
+++ b/test/support/scripted_database.cpp
@@ -221,6 +221,11 @@
     } else if (word == "PREPARE") {
         const std::string name = take_word(rest);
         served.m_prepared[name] = rest;
+        m_max_prepared = std::max(m_max_prepared.load(), served.m_prepared.size());
+    } else if (word == "DEALLOCATE") {
+        if (served.m_prepared.erase(rest) == 0) {
+            return "ERROR NOSTMT no such name\r\n";
+        }
     } else {
         m_record.add_run({"-", text, {}, 0}); // Found by the check: no caller sends this id.
     }
--- a/test/support/scripted_database.h
+++ b/test/support/scripted_database.h
@@ -56,6 +56,8 @@
     // Ends like a process, and starts again at the same address.
     void restart(const std::string& id);
     [[nodiscard]] std::size_t accepted_count() const { return m_accepted; }
+    // The largest number of prepared statements that one connection has held.
+    [[nodiscard]] std::size_t max_prepared() const { return m_max_prepared; }
 
 private:
     struct connection {
@@ -85,6 +87,7 @@
     std::uint16_t m_port = 0;
     int m_listener = -1;
     std::atomic<std::size_t> m_accepted{0};
+    std::atomic<std::size_t> m_max_prepared{0};
     std::mutex m_mutex;
     script m_script;
     std::list<connection> m_connections;
--- a/test/support/session_client.cpp
+++ b/test/support/session_client.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <set>
-#include <sstream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -22,6 +21,14 @@
     return promises.contains(code);
 }
 
+// Removes the first field, and the blank after it, from the text.
+std::string take_field(std::string& text) {
+    const std::size_t blank = text.find(' ');
+    std::string field = text.substr(0, blank);
+    text = blank == std::string::npos ? "" : text.substr(blank + 1);
+    return field;
+}
+
 } // namespace
 
 session_client::session_client(session_record& record, std::uint16_t port, std::string database,
@@ -61,12 +68,9 @@
 
 // Applies the statement to what the session is to hold, in the order of sending.
 void session_client::follow(const std::string& text) {
-    std::istringstream words(text);
-    std::string word;
-    std::string name;
-    words >> word >> name >> std::ws;
-    std::string rest;
-    std::getline(words, rest);
+    std::string rest = text;
+    const std::string word = take_field(rest);
+    const std::string name = take_field(rest);
     if (word == "BEGIN") {
         m_transaction = m_record.next_number();
     } else if (word == "COMMIT" || word == "ROLLBACK") {
@@ -75,6 +79,8 @@
         m_values[name] = rest;
     } else if (word == "PREPARE") {
         m_prepared[name] = rest;
+    } else if (word == "DEALLOCATE") {
+        m_prepared.erase(name);
     }
 }
 
