--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -58,8 +58,8 @@
                        const std::vector<relay::database_request>& requests) override;
     void close_connection(relay::connection_id connection) override;
     void record_event(const relay::statement_event& event) override;
-    [[nodiscard]] bool fits_in_message(const relay::database_request& request) const override {
-        return m_protocol.fits_in_message(request);
+    [[nodiscard]] bool can_encode(const relay::database_request& request) const override {
+        return m_protocol.can_encode(request);
     }
     void count_statement(const relay::answered_statement& statement) override {
         m_metrics.record_statement(statement);
--- a/src/entry/loan_exchange.cpp
+++ b/src/entry/loan_exchange.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "lending/lending_wire.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -39,7 +40,7 @@
     m_bus.set_handler<wire::loan_requestT>([this](const auto& from, const wire::loan_requestT& message) {
         const lending::loan_id loan(message.loan);
         const auto initial_requests = lending::from_wire(message.first_work);
-        if (!initial_requests) {
+        if (!initial_requests || !can_encode(*initial_requests)) {
             log_malformed(from);
             send_refusal(from, loan, lending::loan_refusal::not_lending);
             return;
@@ -50,7 +51,7 @@
     m_bus.set_handler<wire::loan_workT>([this](const auto& from, const wire::loan_workT& message) {
         const lending::loan_id loan(message.loan);
         const auto requests = lending::from_wire(message.requests);
-        if (!requests) {
+        if (!requests || !can_encode(*requests)) {
             log_malformed(from);
             m_lender.on_loan_ended(from, loan, {.m_reusable = false}, core::now());
             return;
@@ -101,6 +102,11 @@
     m_borrower.on_host_lost(host, core::now());
 }
 
+bool loan_exchange::can_encode(const std::vector<relay::database_request>& requests) const {
+    return std::ranges::all_of(
+        requests, [this](const relay::database_request& request) { return m_protocol.can_encode(request); });
+}
+
 bool loan_exchange::send(relay::connection_id connection,
                          const std::vector<relay::database_request>& requests) {
     if (!m_borrower.has_loan(connection)) {
--- a/src/entry/loan_exchange.h
+++ b/src/entry/loan_exchange.h
@@ -92,6 +92,8 @@
 
     void listen_to_borrowers();
     void listen_to_lenders();
+    // Whether a database would read each request as the borrower means it.
+    [[nodiscard]] bool can_encode(const std::vector<relay::database_request>& requests) const;
     void tick();
 
     transport::event_loop& m_loop;
--- a/src/relay/prepared_statements.cpp
+++ b/src/relay/prepared_statements.cpp
@@ -24,7 +24,7 @@
     const auto added = std::make_shared<const numbered_statement>(
         numbered_statement{std::move(statement), statement_number(++m_last_number)});
     const text_key key{added->m_statement.m_access, added->m_statement.m_template};
-    const statement_handle handle(added.get(), [this, added](const numbered_statement* /*unused*/) {
+    statement_handle handle(added.get(), [this, added](const numbered_statement* /*unused*/) {
         m_statements.erase({added->m_statement.m_access, added->m_statement.m_template});
     });
     m_statements.emplace(key, handle);
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -81,8 +81,8 @@
     // Closes an own connection or ends a loan, granted or not. No event of the connection follows.
     virtual void close_connection(connection_id id) = 0;
     virtual void record_event(const statement_event& event) = 0;
-    // Whether the protocol of databases can carry the request in one message.
-    [[nodiscard]] virtual bool fits_in_message(const database_request& request) const = 0;
+    // Whether the protocol of databases can carry the request, in one message.
+    [[nodiscard]] virtual bool can_encode(const database_request& request) const = 0;
     // Adds the statement to the metrics.
     virtual void count_statement(const answered_statement& statement) = 0;
 };
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -204,7 +204,7 @@
 void relay_core::prepare_statement(session_id id, session& caller, const session_statement& statement,
                                    core::time_point now) {
     statement_handle prepared = m_statements.find_or_add({statement.m_access, statement.m_argument});
-    if (!m_ports.fits_in_message(preparation_of(*prepared))) {
+    if (!m_ports.can_encode(preparation_of(*prepared))) {
         refuse_statement(id, caller, refusal::malformed, too_long, now);
         return;
     }
@@ -289,13 +289,13 @@
 // it too long for a database. The primary reads without a position.
 bool relay_core::fit_in_message(session& caller) {
     database_request request = statement_request(caller);
-    if (request.m_kind == request_kind::execute && !m_ports.fits_in_message(request)) {
+    if (request.m_kind == request_kind::execute && !m_ports.can_encode(request)) {
         return false;
     }
     request.m_min_position = longest_position;
     operation& op = *caller.m_operation;
     const bool may_carry_position = !op.m_writes && caller.m_state == transaction_state::idle;
-    op.m_primary_only = op.m_primary_only || (may_carry_position && !m_ports.fits_in_message(request));
+    op.m_primary_only = op.m_primary_only || (may_carry_position && !m_ports.can_encode(request));
     return true;
 }
 
--- a/test/correctness/transaction_after_lost_connection.cpp
+++ b/test/correctness/transaction_after_lost_connection.cpp
@@ -33,7 +33,7 @@
     }
     void close_connection(relay::connection_id) override {}
     void record_event(const relay::statement_event&) override {}
-    [[nodiscard]] bool fits_in_message(const relay::database_request& /*request*/) const override {
+    [[nodiscard]] bool can_encode(const relay::database_request& /*request*/) const override {
         return true;
     }
     void count_statement(const relay::answered_statement&) override {}
--- a/test/support/load_replay.cpp
+++ b/test/support/load_replay.cpp
@@ -34,9 +34,7 @@
                            const std::vector<relay::database_request>&) override {}
     void return_connection(relay::connection_id, const lending::returned_state&) override {}
     void record_event(const relay::statement_event&) override {}
-    [[nodiscard]] bool fits_in_message(const relay::database_request& /*request*/) const override {
-        return true;
-    }
+    [[nodiscard]] bool can_encode(const relay::database_request& /*request*/) const override { return true; }
     void count_statement(const relay::answered_statement&) override {}
 
     struct operation {
--- a/test/support/relay_simulation.h
+++ b/test/support/relay_simulation.h
@@ -169,9 +169,7 @@
                            const std::vector<relay::database_request>& initial_requests) override;
     void return_connection(relay::connection_id id, const lending::returned_state& state) override;
     void record_event(const relay::statement_event&) override {}
-    [[nodiscard]] bool fits_in_message(const relay::database_request& /*request*/) const override {
-        return true;
-    }
+    [[nodiscard]] bool can_encode(const relay::database_request& /*request*/) const override { return true; }
     void count_statement(const relay::answered_statement&) override {}
 
     // Connections to the databases, of the relay core and of the lenders.
