--- a/test/correctness/review_prepared_statements.cpp
+++ b/test/correctness/review_prepared_statements.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(statement_with_a_long_id_is_not_sent_beyond_the_limit);
     CPPUNIT_TEST(line_of_the_largest_size_may_arrive_without_its_line_feed);
     CPPUNIT_TEST(closed_sessions_and_removed_names_do_not_count_towards_the_limit);
+    CPPUNIT_TEST(connection_whose_database_denies_the_transaction_is_not_used_as_it_is);
     CPPUNIT_TEST_SUITE_END();
 
     static void rolled_back_preparation_is_repeated_after_its_caller_has_left() {
@@ -213,6 +214,19 @@
             relay.close(session);
         }
     }
+
+    static void connection_whose_database_denies_the_transaction_is_not_used_as_it_is() {
+        relay_with_primary relay;
+        relay.open(1);
+        relay.send(1, "r1", "READ item"); // Inside a transaction of the relay.
+        const auto used = relay.sent().back().first;
+        const std::size_t first = relay.sent().size();
+        relay.answer("r1", std::nullopt, transaction_state::idle);
+        relay.send(1, "r2", "READ item");
+        const auto next = relay.sent().begin() + static_cast<std::ptrdiff_t>(first);
+        CPPUNIT_ASSERT(next != relay.sent().end());
+        CPPUNIT_ASSERT(next->first != used || next->second.m_kind == request_kind::rollback);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(review_prepared_statements);
