The soak draws what the protocol allows and reads lines as databases do

Names and similar shapes are few, some statements are nearly 1 MiB long, callers deallocate names, and some transactions execute 70 to 90 shapes, more than a connection holds. - Databases read lines with test/support/protocol_reader. A line that they cannot read, or a write's execution without data, is answered MALFORMED and counts as UNASKED, because no caller of the soak sends one. - Texts in the record and in reports are printed in ASCII, on one line and shortened. - The summary counts deallocations and the longest statement that ran.

--- a/test/soak/platform_callers.cpp
+++ b/test/soak/platform_callers.cpp
@@ -7,16 +7,12 @@
 constexpr milliseconds open_limit{2000};
 constexpr milliseconds statement_limit{1500};
 constexpr int percent = 100;
-constexpr int items = 60;
-constexpr int names = 3; // Few, so that callers use the same ones.
 constexpr int longest_transaction = 5;
-constexpr int longest_data = 40000;
 
 } // namespace
 
 platform_caller::platform_caller(soak_world& world, std::uint64_t seed, bool keeps_sessions)
-    : m_world(world), m_random(seed), m_keeps_sessions(keeps_sessions),
-      m_number(static_cast<int>(seed % 100000)) {}
+    : m_world(world), m_random(seed), m_keeps_sessions(keeps_sessions), m_texts(m_random()) {}
 
 void platform_caller::pause(int low_ms, int high_ms) {
     sleep_for(milliseconds{draw(m_random, low_ms, high_ms)});
@@ -73,10 +69,14 @@
 
 void platform_caller::run_operation() {
     const int kind = draw(m_random, 1, percent);
-    if (kind <= 8) {
+    if (kind <= 1) {
+        run_many_shapes();
+    } else if (kind <= 4) {
+        deallocate();
+    } else if (kind <= 12) {
         set_value();
     } else if (kind <= 24) {
-        prepare();
+        prepare(m_texts.draw_name(), {draw(m_random, 0, 1) == 1, m_texts.draw_shape()});
     } else if (kind <= 60) {
         run_single();
     } else {
@@ -128,25 +128,30 @@
     }
 }
 
-platform_caller::planned_statement platform_caller::plan(bool may_write) {
-    const std::string item = "i" + std::to_string(draw(m_random, 1, items));
-    std::string data = "d" + std::to_string(m_random() % 100000);
-    if (draw(m_random, 1, percent) <= 2) {
-        data.append(static_cast<std::size_t>(draw(m_random, 1, longest_data)), 'x');
+platform_caller::planned_statement platform_caller::plan_execution(const std::string& name) {
+    const auto& shape = m_prepared.at(name);
+    std::string arguments = m_texts.draw_item();
+    if (shape->m_writes || draw(m_random, 1, percent) <= 10) {
+        arguments += " " + m_texts.draw_data();
     }
+    return {shape->m_writes ? statement_kind::write : statement_kind::read,
+            std::string("EXECUTE ").append(name).append(" ").append(arguments), shape, arguments};
+}
+
+platform_caller::planned_statement platform_caller::plan(bool may_write) {
     if (!m_prepared.empty() && draw(m_random, 1, percent) <= 50) {
         auto prepared = m_prepared.begin();
         std::advance(prepared, static_cast<std::ptrdiff_t>(m_random() % m_prepared.size()));
-        if (may_write || !prepared->second.m_writes) {
-            const std::string arguments = prepared->second.m_writes ? item + " " + data : item;
-            return {prepared->second.m_writes ? statement_kind::write : statement_kind::read,
-                    "EXECUTE " + prepared->first + " " + arguments, prepared->second, arguments};
+        if (may_write || !prepared->second->m_writes) {
+            return plan_execution(prepared->first);
         }
     }
     if (may_write && draw(m_random, 1, percent) <= 50) {
-        return {statement_kind::write, "WRITE " + item + " " + data};
+        const std::string item = m_texts.draw_item();
+        return {statement_kind::write,
+                std::string("WRITE ").append(item).append(" ").append(m_texts.draw_data())};
     }
-    return {statement_kind::read, "READ " + item};
+    return {statement_kind::read, "READ " + m_texts.draw_last_item()};
 }
 
 void platform_caller::run_single() {
@@ -157,9 +162,10 @@
 }
 
 void platform_caller::set_value() {
-    const std::string name = "v" + std::to_string(draw(m_random, 1, names));
-    const std::string value = "c" + std::to_string(m_number) + "x" + std::to_string(m_random() % 1000);
-    const auto answer = send({statement_kind::set_value, "SET " + name + " " + value}, transaction_number(0));
+    const std::string name = m_texts.draw_name();
+    const std::string value = m_texts.draw_value();
+    const std::string text = std::string("SET ").append(name).append(" ").append(value);
+    const auto answer = send({statement_kind::set_value, text}, transaction_number(0));
     if (!answer.is_success()) {
         m_session.close();
         return;
@@ -167,17 +173,45 @@
     m_values[name] = value;
 }
 
-void platform_caller::prepare() {
-    const std::string name = "s" + std::to_string(draw(m_random, 1, names));
-    const prepared_shape shape{draw(m_random, 0, 1) == 1, "q" + std::to_string(draw(m_random, 1, 40))};
-    const auto answer = send({statement_kind::prepare,
-                              "PREPARE " + name + (shape.m_writes ? " WRITE " : " READ ") + shape.m_shape},
-                             transaction_number(0));
+bool platform_caller::prepare(const std::string& name, prepared_shape shape) {
+    const std::string text = std::string("PREPARE ")
+                                 .append(name)
+                                 .append(shape.m_writes ? " WRITE " : " READ ")
+                                 .append(shape.m_shape);
+    const auto answer = send({statement_kind::prepare, text}, transaction_number(0));
+    if (!answer.is_success()) {
+        m_session.close();
+        return false;
+    }
+    m_prepared[name] = std::make_shared<const prepared_shape>(std::move(shape));
+    return true;
+}
+
+void platform_caller::deallocate() {
+    if (m_prepared.empty()) {
+        return;
+    }
+    const std::string name = m_prepared.begin()->first;
+    const auto answer = send({statement_kind::prepare, "DEALLOCATE " + name}, transaction_number(0));
     if (!answer.is_success()) {
         m_session.close();
         return;
     }
-    m_prepared[name] = shape;
+    m_prepared.erase(name);
+}
+
+void platform_caller::run_many_shapes() {
+    const transaction_number transaction = m_world.next_transaction();
+    m_began = steady_clock::now();
+    auto answer = send({statement_kind::begin, "BEGIN READ"}, transaction);
+    for (int left = draw(m_random, 70, 90); left > 0 && answer.is_success(); --left) {
+        const std::string name = "m" + std::to_string(left);
+        if (!prepare(name, {false, m_texts.draw_shape() + " " + name})) {
+            return;
+        }
+        answer = send(plan_execution(name), transaction);
+    }
+    end_transaction(answer, transaction);
 }
 
 void platform_caller::leave() {
@@ -217,6 +251,10 @@
         }
         answer = send(planned, transaction);
     }
+    end_transaction(answer, transaction);
+}
+
+void platform_caller::end_transaction(session_answer answer, transaction_number transaction) {
     if (!answer.m_is_complete) {
         m_session.close();
         return;
--- a/test/soak/platform_database_connection.cpp
+++ b/test/soak/platform_database_connection.cpp
@@ -2,7 +2,6 @@
 #include "soak/platform_database_connection.h"
 
 #include <atomic>
-#include <sstream>
 
 namespace mangoquay::soak {
 namespace {
@@ -10,29 +9,17 @@
 std::atomic<std::uint64_t> last_connection{0};
 constexpr std::chrono::hours no_limit{1};
 
-std::vector<std::string> split(const std::string& text) {
-    std::istringstream in(text);
-    std::vector<std::string> words;
-    for (std::string word; in >> word;) {
-        words.push_back(word);
-    }
-    return words;
-}
-
-// `text` without its first `count` words.
-std::string skip_words(const std::string& text, int count) {
-    std::size_t at = 0;
-    for (int skipped = 0; skipped < count && at != std::string::npos; ++skipped) {
-        at = text.find(' ', at);
-        at = at == std::string::npos ? at : at + 1;
-    }
-    return at == std::string::npos ? std::string() : text.substr(at);
+// The fields of a start: service, who connects, and the expected id, which may be absent.
+std::optional<std::vector<std::string>> read_start(const std::string& line) {
+    auto fields = test::split_fields(line, 3);
+    return fields ? fields : test::split_fields(line, 2);
 }
 
 } // namespace
 
 const std::vector<platform_database_connection::command> platform_database_connection::commands{
     {"BEGIN", &platform_database_connection::begin},
+    {"BEGIN READ", &platform_database_connection::begin},
     {"COMMIT", &platform_database_connection::commit},
     {"ROLLBACK", &platform_database_connection::rollback},
     {"READ", &platform_database_connection::run_statement},
@@ -63,9 +50,9 @@
 }
 
 bool platform_database_connection::start(const std::string& line) {
-    const auto words = split(line);
-    const bool is_ours = words.size() >= 2 && words[0] == "STARTUP" && words[1] == m_service.m_name.value() &&
-                         (words.size() < 4 || words[3] == m_database.id());
+    const auto fields = read_start(line);
+    const bool is_ours = fields && fields->at(0) == "STARTUP" && fields->at(1) == m_service.m_name.value() &&
+                         (fields->size() < 4 || fields->at(3) == m_database.id());
     if (!is_ours) {
         (void)m_peer.send("ERROR MISROUTED " + m_database.id() + "\r\n");
         return false;
@@ -86,26 +73,29 @@
 }
 
 bool platform_database_connection::answer(const std::string& line) {
-    const auto words = split(line);
-    if (words.size() < 3 || words[0] != "QUERY") {
-        return false;
-    }
-    std::string text = skip_words(line, 2);
-    m_after.reset();
-    if (words[2] == "AFTER" && words.size() > 4) {
-        m_after = parse_log_place(words[3]);
-        text = skip_words(text, 2);
-    }
-    m_words = split(text);
-    observed_run run{m_database.id(),    m_service.m_name, m_number, statement_id(words[1]), text,
-                     skip_words(text, 2)};
-    run.m_is_execution = m_words[0] == "EXECUTE";
+    observed_run run{m_database.id(), m_service.m_name, m_number};
+    auto request = test::read_request_line(line);
+    const bool has_readable_position =
+        request && (request->m_after.empty() || parse_log_place(request->m_after).has_value());
+    if (!has_readable_position) {
+        // Callers of the soak send only what the protocol allows.
+        const auto fields = test::split_fields(line, 2);
+        run.m_id = statement_id(fields ? fields->at(1) : "-");
+        run.m_text = line;
+        m_service.m_judge.add_malformed(run);
+        return send_answer(fail("MALFORMED " + m_database.id()));
+    }
+    m_request = std::move(*request);
+    m_after = parse_log_place(m_request.m_after);
+    run.m_id = statement_id(m_request.m_id);
+    run.m_text = m_request.m_text;
+    run.m_is_execution = m_request.m_word == "EXECUTE";
     run.m_transaction = m_state == 'I' ? nullptr : &m_transaction;
     run.m_values = &m_values;
-    const auto prepared =
-        run.m_is_execution && m_words.size() > 1 ? m_prepared.find(m_words[1]) : m_prepared.end();
-    if (prepared != m_prepared.end()) {
-        run.m_prepared = prepared->second;
+    if (run.m_is_execution) {
+        run.m_arguments = m_request.m_fields.at(1);
+        const auto prepared = m_prepared.find(m_request.m_fields.at(0));
+        run.m_prepared = prepared != m_prepared.end() ? std::optional(prepared->second) : std::nullopt;
     }
     const outcome ended = handle(run);
     if (ended.m_close) {
@@ -137,11 +127,11 @@
     lock held(m_service.m_mutex);
     m_service.receive(m_member);
     for (const command& one : commands) {
-        if (m_words[0] == one.m_word) {
+        if (m_request.m_word == one.m_word) {
             return (this->*one.m_handler)(run, held);
         }
     }
-    return {"MALFORMED " + m_words[0]};
+    return {"MALFORMED " + m_request.m_word};
 }
 
 platform_database_connection::outcome platform_database_connection::fail(std::string error) {
@@ -179,7 +169,7 @@
 
 platform_database_connection::outcome platform_database_connection::run_statement(const observed_run& run,
                                                                                   lock& held) {
-    const bool writes = m_words[0] == "WRITE" || (run.m_prepared && run.m_prepared->m_writes);
+    const bool writes = m_request.m_word == "WRITE" || (run.m_prepared && run.m_prepared->m_writes);
     if (auto refused = refuse_before_run(run, writes)) {
         return *refused;
     }
@@ -205,7 +195,11 @@
     }
     if (run.m_is_execution && !run.m_prepared) {
         m_service.m_judge.check_run(run);
-        return fail("NOSTMT " + m_words.at(1));
+        return fail("NOSTMT " + m_request.m_fields.at(0));
+    }
+    if (run.m_is_execution && writes && !test::split_fields(run.m_arguments, 1)) {
+        m_service.m_judge.add_malformed(run);
+        return fail("MALFORMED a write needs an item and data");
     }
     if (needs_lead(writes) && !m_member.m_is_primary) {
         return fail("READONLY " + m_database.id());
@@ -216,13 +210,14 @@
 platform_database_connection::outcome platform_database_connection::complete(const observed_run& run,
                                                                              bool writes) {
     m_service.m_judge.check_run(run);
-    const auto arguments = split(run.m_is_execution ? run.m_arguments : skip_words(run.m_text, 1));
     outcome done;
     done.m_signature = "sig." + run.m_id.value() + "." + std::to_string(m_number.value());
     if (writes) {
-        m_writes.emplace_back(arguments.at(0), arguments.size() > 1 ? arguments[1] : "");
+        const auto written = run.m_is_execution ? test::split_fields(run.m_arguments, 1) : m_request.m_fields;
+        m_writes.emplace_back(written->at(0), written->at(1));
     } else {
-        done.m_rows = "ROW " + m_service.read(m_member, arguments.at(0)) + "\r\n";
+        const std::string& item = run.m_is_execution ? run.m_arguments : m_request.m_fields.at(0);
+        done.m_rows = "ROW " + m_service.read(m_member, item) + "\r\n";
     }
     if (writes && m_state == 'I') {
         m_service.commit(m_member, {run.m_id, {}, std::exchange(m_writes, {})});
@@ -233,7 +228,7 @@
 
 platform_database_connection::outcome platform_database_connection::begin(const observed_run& run,
                                                                           lock& /*held*/) {
-    const bool reads = m_words.size() > 1 && m_words[1] == "READ";
+    const bool reads = m_request.m_word == "BEGIN READ";
     if (m_state != 'I') {
         return {"MALFORMED a transaction is open"};
     }
@@ -303,35 +298,39 @@
     return {};
 }
 
-platform_database_connection::outcome platform_database_connection::set_value(const observed_run& run,
+platform_database_connection::outcome platform_database_connection::set_value(const observed_run& /*run*/,
                                                                               lock& /*held*/) {
-    m_values[m_words.at(1)] = skip_words(run.m_text, 2);
+    m_values[m_request.m_fields.at(0)] = m_request.m_fields.at(1);
     return {};
 }
 
-platform_database_connection::outcome platform_database_connection::prepare(const observed_run& run,
+platform_database_connection::outcome platform_database_connection::prepare(const observed_run& /*run*/,
                                                                             lock& /*held*/) {
-    m_prepared[m_words.at(1)] = {m_words.at(2) == "WRITE", skip_words(run.m_text, 3)};
+    m_prepared[m_request.m_fields.at(0)] = {m_request.m_fields.at(1) == "WRITE", m_request.m_fields.at(2)};
     return {};
 }
 
 platform_database_connection::outcome platform_database_connection::deallocate(const observed_run& /*run*/,
                                                                                lock& /*held*/) {
-    if (m_prepared.erase(m_words.at(1)) == 0) {
-        return {"NOSTMT " + m_words.at(1)};
+    const std::string& name = m_request.m_fields.at(0);
+    if (m_prepared.erase(name) == 0) {
+        return {"NOSTMT " + name};
     }
+    m_service.m_judge.add_deallocation();
     return {};
 }
 
 platform_database_connection::outcome platform_database_connection::status(const observed_run& /*run*/,
                                                                            lock& /*held*/) {
-    const auto term = m_words.size() > 1 ? std::strtoul(m_words[1].c_str(), nullptr, 10) : 0;
-    if (m_words[0] == "PAUSE" && !m_member.m_is_primary) {
+    const auto& fields = m_request.m_fields;
+    const std::string& word = m_request.m_word;
+    const auto term = fields.empty() ? 0 : std::strtoul(fields.front().c_str(), nullptr, 10);
+    if (word == "PAUSE" && !m_member.m_is_primary) {
         m_member.m_is_paused = term > m_service.m_term;
-    } else if (m_words[0] == "RESUME") {
+    } else if (word == "RESUME") {
         m_member.m_is_paused = false;
         m_service.receive(m_member);
-    } else if (m_words[0] == "STEPDOWN" && m_member.m_is_primary && m_member.m_term < term) {
+    } else if (word == "STEPDOWN" && m_member.m_is_primary && m_member.m_term < term) {
         m_member.m_is_primary = false;
         m_member.m_report_now = true;
         m_service.m_record.write("database " + m_database.id() + " is stepped down");
--- a/test/soak/platform_database_connection.h
+++ b/test/soak/platform_database_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "soak/platform_database.h"
+#include "support/protocol_reader.h"
 
 namespace mangoquay::soak {
 
@@ -29,7 +30,6 @@
     bool start(const std::string& line);
     bool answer(const std::string& line);
     bool send_answer(const outcome& ended);
-    void parse(const std::string& line);
     outcome handle(const observed_run& run);
     outcome begin(const observed_run& run, lock& held);
     outcome commit(const observed_run& run, lock& held);
@@ -62,7 +62,7 @@
     session_values m_values;
     std::map<std::string, prepared_shape> m_prepared;
     // Of the statement at work.
-    std::vector<std::string> m_words; // Of its text.
+    test::read_request m_request;
     std::optional<log_place> m_after;
 };
 
--- a/test/soak/platform_statement_judge.cpp
+++ b/test/soak/platform_statement_judge.cpp
@@ -1,9 +1,17 @@
 // Checks of statements.
 #include "soak/statement_judge.h"
 
+#include <algorithm>
+
 namespace mangoquay::soak {
 namespace {
 
+// The beginning of a text of any length.
+std::string quote(const std::string& text) {
+    constexpr std::size_t longest_quote = 100;
+    return '"' + text.substr(0, longest_quote) + (text.size() > longest_quote ? "...\"" : "\"");
+}
+
 std::string to_text(const session_values& values) {
     std::string text;
     for (const auto& [name, value] : values) {
@@ -22,8 +30,9 @@
 
 void statement_judge::report(rule broken, const observed_run& run, const std::string& what) {
     m_violations.add({broken, run.m_id.value(),
-                      what + ": \"" + run.m_text + "\" at " + run.m_endpoint + " (" + run.m_service.value() +
-                          ") connection " + std::to_string(run.m_connection.value())});
+                      what + ": " + quote(run.m_text) + " at " + run.m_endpoint + " (" +
+                          run.m_service.value() + ") connection " +
+                          std::to_string(run.m_connection.value())});
 }
 
 statement_judge::known_statement* statement_judge::find(const observed_run& run) {
@@ -38,6 +47,7 @@
 void statement_judge::check_run(const observed_run& run) {
     const std::lock_guard lock(m_mutex);
     ++m_runs;
+    m_longest_run = std::max(m_longest_run, run.m_text.size());
     const known_statement* known = find(run);
     if (known == nullptr) {
         return;
@@ -46,18 +56,28 @@
     const bool same_text = sent.m_prepared ? run.m_is_execution && run.m_arguments == sent.m_arguments
                                            : !run.m_is_execution && run.m_text == sent.m_text;
     if (!same_text) {
-        report(rule::unasked, run, "the caller sent \"" + sent.m_text + "\"");
+        report(rule::unasked, run, "the caller sent " + quote(sent.m_text));
     }
     check_session(run, sent);
     check_place(run, sent);
     check_route(run, sent);
 }
 
+void statement_judge::add_malformed(const observed_run& run) {
+    const std::lock_guard lock(m_mutex);
+    report(rule::unasked, run, "the database cannot read the line");
+}
+
+void statement_judge::add_deallocation() {
+    const std::lock_guard lock(m_mutex);
+    ++m_deallocations;
+}
+
 void statement_judge::check_session(const observed_run& run, const sent_statement& sent) {
-    if (sent.m_prepared && run.m_is_execution && run.m_prepared != sent.m_prepared) {
+    if (sent.m_prepared && run.m_is_execution && run.m_prepared != *sent.m_prepared) {
         report(rule::pinned, run,
-               run.m_prepared ? "the prepared name stands for " + run.m_prepared->m_shape + " instead of " +
-                                    sent.m_prepared->m_shape
+               run.m_prepared ? "the prepared name stands for " + quote(run.m_prepared->m_shape) +
+                                    " instead of " + quote(sent.m_prepared->m_shape)
                               : std::string("the prepared name is unknown"));
     }
     if (run.m_values != nullptr && sent.m_values != nullptr && *run.m_values != *sent.m_values) {
@@ -155,7 +175,7 @@
     int& commits = transaction.value() == 0 ? found->second.m_commits : m_transactions[transaction].m_commits;
     if (++commits > 1) {
         m_violations.add(
-            {rule::twice, id.value(), "\"" + found->second.m_sent.m_text + "\" took effect again"});
+            {rule::twice, id.value(), quote(found->second.m_sent.m_text) + " took effect again"});
     }
 }
 
@@ -187,7 +207,7 @@
     if (!known.m_answers.contains(answer)) {
         m_violations.add(
             {rule::mixed, id.value(),
-             "success \"" + answer + "\" for \"" + known.m_sent.m_text + "\" is of no database"});
+             "success " + quote(answer) + " for " + quote(known.m_sent.m_text) + " is of no database"});
     }
 }
 
@@ -226,7 +246,9 @@
     const std::lock_guard lock(m_mutex);
     return "sent=" + std::to_string(m_statements.size()) + " run=" + std::to_string(m_runs) +
            " succeeded=" + std::to_string(m_successes) + " committed=" + std::to_string(m_committed) +
-           " transactions=" + std::to_string(m_transactions.size());
+           " transactions=" + std::to_string(m_transactions.size()) +
+           " deallocated=" + std::to_string(m_deallocations) +
+           " longest-run=" + std::to_string(m_longest_run);
 }
 
 } // namespace mangoquay::soak
--- a/test/soak/run_record.cpp
+++ b/test/soak/run_record.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <ctime>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 
 namespace mangoquay::soak {
@@ -30,6 +31,21 @@
     std::this_thread::sleep_for(duration);
 }
 
+std::string to_printable(const std::string& text) {
+    constexpr std::size_t longest_line = 2000;
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string printable;
+    for (const char character : text.substr(0, longest_line)) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (byte >= ' ' && byte <= '~') {
+            printable += character;
+        } else {
+            printable.append("\\x").append(1, digits.at(byte >> 4U)).append(1, digits.at(byte & 15U));
+        }
+    }
+    return printable;
+}
+
 run_record::run_record(std::uint64_t seed) : m_seed(seed) {
     std::string pattern = (std::filesystem::temp_directory_path() / "mangoquay-soak-XXXXXX").string();
     if (mkdtemp(pattern.data()) == nullptr) {
@@ -42,7 +58,7 @@
 
 void run_record::write(const std::string& text) {
     const std::lock_guard lock(m_mutex);
-    m_file << time_of_day() << " " << text << std::endl;
+    m_file << time_of_day() << " " << to_printable(text) << std::endl;
 }
 
 std::vector<std::string> run_record::lines_that_name(const std::string& text, std::size_t count) const {
@@ -54,7 +70,7 @@
         std::ifstream log(entry.path());
         for (std::string line; std::getline(log, line);) {
             if (line.find(text) != std::string::npos) {
-                line += "  [" + entry.path().stem().string() + "]";
+                line = to_printable(line) + "  [" + entry.path().stem().string() + "]";
                 found.push_back(std::move(line));
             }
         }
--- a/test/soak/run_record.h
+++ b/test/soak/run_record.h
@@ -20,6 +20,8 @@
 std::string time_of_day();
 std::int64_t unix_milliseconds();
 void sleep_for(milliseconds duration);
+// The text on one line: bytes outside printable ASCII as \xNN, and cut if it is very long.
+std::string to_printable(const std::string& text);
 
 class run_record {
 public:
--- a/test/soak/sent_statement.h
+++ b/test/soak/sent_statement.h
@@ -32,9 +32,9 @@
     statement_kind m_kind = statement_kind::read;
     std::string m_text;
     transaction_number m_transaction{};
-    std::optional<prepared_shape> m_prepared{}; // Set for the execution of a prepared statement.
-    std::string m_arguments{};                  // Item and data of such an execution.
-    std::string m_database{};                   // The name that the session asked for.
+    std::shared_ptr<const prepared_shape> m_prepared{}; // Set for the execution of a prepared statement.
+    std::string m_arguments{};                          // Item and data of such an execution.
+    std::string m_database{};                           // The name that the session asked for.
     core::entry_host_id m_entry{};
     std::shared_ptr<const session_values> m_values{}; // Acknowledged to the session.
     steady_time m_began{};                            // Of the statement, or of its transaction.
--- a/test/soak/statement_judge.h
+++ b/test/soak/statement_judge.h
@@ -22,9 +22,9 @@
     std::string m_endpoint;
     core::service_name m_service;
     connection_number m_connection;
-    statement_id m_id;
-    std::string m_text;      // Without the position that the proxy prefixes.
-    std::string m_arguments; // Item and data of an execution.
+    statement_id m_id{};
+    std::string m_text{};      // Without the position that the proxy prefixes.
+    std::string m_arguments{}; // Item and data of an execution.
     bool m_is_execution = false;
     std::optional<prepared_shape> m_prepared{}; // What the prepared name stands for on the connection.
     open_transaction* m_transaction = nullptr;  // Nothing outside a transaction.
@@ -40,6 +40,9 @@
     // Called before the statement is sent.
     void add_sent(sent_statement statement);
     void check_run(const observed_run& run);
+    // The database cannot read the line. Called for each, because callers send only what the protocol allows.
+    void add_malformed(const observed_run& run);
+    void add_deallocation();
     // The database begins a transaction by the caller's own statement.
     void check_begin(const observed_run& run);
     // Called before a commit takes effect.
@@ -86,6 +89,8 @@
     std::size_t m_runs = 0;
     std::size_t m_successes = 0;
     std::size_t m_committed = 0;
+    std::size_t m_deallocations = 0;
+    std::size_t m_longest_run = 0; // In bytes.
 };
 
 } // namespace mangoquay::soak
--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -34,6 +34,8 @@
 
 void violation_list::add(violation found) {
     found.m_time = time_of_day();
+    found.m_id = to_printable(found.m_id);
+    found.m_text = to_printable(found.m_text);
     if (found.m_text.size() > longest_text) {
         found.m_text.resize(longest_text);
     }
