The soak reports valid statements that are answered MALFORMED or NOSTMT

Callers of the soak send only what the protocol allows and execute only names whose preparation was acknowledged. A proxy that rejects such a statement by itself broke no check, because the callers only recorded the answer.

--- a/test/soak/platform_callers.cpp
+++ b/test/soak/platform_callers.cpp
@@ -119,6 +119,10 @@
     if (answer.is_success() && reaches_database) {
         m_world.m_judge.check_success(id, answer.m_rows + answer.m_signature);
     }
+    // Callers send only what the protocol allows, in the right state and with acknowledged names.
+    if (answer.m_error == "MALFORMED" || answer.m_error == "NOSTMT") {
+        m_world.m_violations.add({rule::rejected, id.value(), answer.m_error + " for " + planned.m_text});
+    }
     if (answer.is_promise()) {
         m_world.m_judge.add_promise(id, answer.m_error);
     }
--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -28,6 +28,8 @@
         return "CONFIG";
     case rule::stop:
         return "STOP";
+    case rule::rejected:
+        return "REJECTED";
     }
     return "?";
 }
--- a/test/soak/violations.h
+++ b/test/soak/violations.h
@@ -11,7 +11,8 @@
 
 namespace mangoquay::soak {
 
-enum class rule { unasked, pinned, twice, refused, mixed, configuration, stop };
+// The last one is no rule of the bench: a valid statement is rejected.
+enum class rule { unasked, pinned, twice, refused, mixed, configuration, stop, rejected };
 std::string to_text(rule broken);
 
 struct violation {
