--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -28,12 +28,16 @@
         return "CONFIG";
     case rule::stop:
         return "STOP";
+    case rule::rejected:
+        return "REJECTED";
     }
     return "?";
 }
 
 void violation_list::add(violation found) {
     found.m_time = time_of_day();
+    found.m_id = to_printable(found.m_id);
+    found.m_text = to_printable(found.m_text);
     if (found.m_text.size() > longest_text) {
         found.m_text.resize(longest_text);
     }
