Count the id of a statement towards the size of its message

A message of 1 MiB that consists mostly of its id skipped the check and was sent on with a longer name, beyond the limit of databases. Found in review: statement_with_a_long_id_is_not_sent_beyond_the_limit failed before.

--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -272,7 +272,7 @@
         }
         op.m_writes = prepared->second->m_statement.m_access == access_kind::write;
     }
-    if (statement.m_text.size() >= large_statement_bytes && !fit_in_message(caller)) {
+    if (statement.m_id.size() + statement.m_text.size() >= large_statement_bytes && !fit_in_message(caller)) {
         refuse_statement(id, caller, refusal::malformed, too_long, now);
         return;
     }
