Close a connection whose record and database disagree

Callers could get another caller's transaction (PINNED): a read that the relay wraps in a transaction was answered with state I, and the connection went back to the pool without a rollback; the same when a caller had left. A caller that left during a COMMIT which was refused left values and prepared statements in the record that the rollback had discarded. After NOSTMT the connection kept the name in its record and failed each further EXECUTE. A connection on which a transaction was begun is now released only after a successful commit or a confirmed rollback, and one whose prepared statement is unknown to the database is closed; the statement has not run and is repeated elsewhere.

--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -55,6 +55,7 @@
     std::deque<expected_answer> m_expected_answers;
     std::map<std::string, std::string> m_values;
     held_statements m_prepared;
+    bool m_in_transaction = false; // A transaction was begun since the connection was last released.
     // The open transaction set values or prepared statements, which a rollback may discard.
     bool m_changed_in_transaction = false;
     // Deadline of the first entry of m_expected_answers, or of opening the connection.
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -155,10 +155,15 @@
                                        const database_answer& answer, core::time_point now) {
     connection& conn = m_connections.at(id);
     if (!conn.m_session) { // The session was closed or the statement was sent to another endpoint.
-        if (answer.m_state == transaction_state::idle) {
-            release_connection(id, now);
-        } else {
+        if (answer.m_state != transaction_state::idle) {
             roll_back(id, now);
+        } else if (conn.m_in_transaction) {
+            // It may have ended without a commit, which discards values and statements that the record lists,
+            // or may still be open in spite of the reported state.
+            remove_connection(id);
+            dispatch_waiting(now);
+        } else {
+            release_connection(id, now);
         }
         return;
     }
@@ -232,8 +237,11 @@
     finish_statement(owner, caller, std::move(reply), now);
     if (in_transaction) {
         conn.m_answer_deadline.m_at = core::time_point::max();
-    } else if (answer.m_state == transaction_state::idle) {
+    } else if (answer.m_state == transaction_state::idle && (commits || !conn.m_in_transaction)) {
         release_connection(id, now);
+    } else if (answer.m_state == transaction_state::idle) { // The database denies the relay's transaction.
+        remove_connection(id);
+        dispatch_waiting(now);
     } else { // A read inside a transaction of the relay.
         roll_back(id, now);
     }
@@ -264,6 +272,10 @@
         op.m_not_before.m_at = now + retry_pause;
         return;
     }
+    if (reason == refusal::unknown_statement) {
+        on_record_refuted(owner, id, answer.m_text, now);
+        return;
+    }
     const bool not_run = guarantees_not_run(reason);
     // A transaction stays on the connection of the first statement that ran.
     if (caller.m_state == transaction_state::open &&
@@ -283,6 +295,21 @@
     retry_or_refuse(owner, caller, reason, answer.m_text, now);
 }
 
+void relay_core::on_record_refuted(session_id owner, connection_id id, const std::string& text,
+                                   core::time_point now) {
+    session& caller = m_sessions.at(owner);
+    m_connections.at(id).m_session.reset();
+    caller.m_connection.reset();
+    remove_connection(id);
+    caller.m_transaction.m_begun = false;
+    if (caller.m_transaction.m_has_results) {
+        refuse_statement(owner, caller, refusal::aborted, text, now);
+        return;
+    }
+    caller.m_operation->m_phase = operation_phase::waiting;
+    retry_or_refuse(owner, caller, refusal::busy, text, now);
+}
+
 // Repeats the statement, possibly at another endpoint, if that is safe, or refuses it. The statement is no
 // longer on a connection.
 bool relay_core::retry_or_refuse(session_id owner, session& caller, refusal reason, const std::string& text,
--- a/src/relay/relay_connections.cpp
+++ b/src/relay/relay_connections.cpp
@@ -185,6 +185,7 @@
     conn.m_phase = connection_phase::idle;
     conn.m_session.reset();
     conn.m_changed_in_transaction = false;
+    conn.m_in_transaction = false;
     conn.m_answer_deadline.m_at = core::time_point::max();
     if (conn.m_borrowed) {
         return_connection(id, false);
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -315,6 +315,9 @@
                                 const database_answer& answer, core::time_point now);
     void on_statement_refused(session_id owner, connection_id id, const database_answer& answer,
                               core::time_point now);
+    // The database did not run the statement, because it does not hold a prepared statement that the record
+    // of the connection lists. The record is not reliable any more, so the connection is closed.
+    void on_record_refuted(session_id owner, connection_id id, const std::string& text, core::time_point now);
     // Returns false if the statement was refused instead of repeated.
     bool retry_or_refuse(session_id owner, session& caller, refusal reason, const std::string& text,
                          core::time_point now);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -239,6 +239,7 @@
     conn.m_changed_in_transaction =
         conn.m_changed_in_transaction || (caller.m_transaction.m_begun && !needed.m_requests.empty());
     if (auto start = transaction_start(caller, now)) {
+        conn.m_in_transaction = true;
         caller.m_operation->m_primary_only =
             caller.m_operation->m_primary_only || (caller.m_state == transaction_state::idle);
         needed.m_steps.push_back(start->first);
