--- a/test/correctness/relay_safety.cpp
+++ b/test/correctness/relay_safety.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(loan_lost_before_its_first_answer_is_requested_again);
     CPPUNIT_TEST(endpoints_that_return_stay_lent);
     CPPUNIT_TEST(other_shape_under_a_prepared_name_is_detected);
+    CPPUNIT_TEST(text_in_the_name_of_a_prepared_statement_is_detected);
     CPPUNIT_TEST(changed_statement_is_detected);
     CPPUNIT_TEST(open_transaction_after_a_rollback_is_detected);
     CPPUNIT_TEST(leases_that_do_not_end_are_detected);
@@ -236,6 +237,9 @@
         check_holds_with({.m_endpoint_changes = true}, options);
     }
     static void other_shape_under_a_prepared_name_is_detected() { check_detects({.m_mix_up_shapes = true}); }
+    static void text_in_the_name_of_a_prepared_statement_is_detected() {
+        check_detects({.m_name_by_text = true});
+    }
     static void changed_statement_is_detected() { check_detects({.m_change_texts = true}); }
     static void open_transaction_after_a_rollback_is_detected() {
         check_detects({.m_leave_transaction_open = true});
--- a/test/support/relay_simulation.cpp
+++ b/test/support/relay_simulation.cpp
@@ -399,7 +399,8 @@
     }
     const std::shared_ptr<server_session> session = found->second;
     const bool database_faults = m_options.m_events.m_database_faults;
-    for (const relay::database_request& request : requests) {
+    for (const relay::database_request& sent : requests) {
+        const relay::database_request request = as_received(sent);
         const core::time_point arrives = m_now + core::milliseconds(1 + random_below(3));
         const core::time_point starts = std::max(arrives, session->m_free_at);
         core::duration run_time = core::milliseconds(
--- a/test/support/relay_simulation.h
+++ b/test/support/relay_simulation.h
@@ -2,6 +2,9 @@
 // that lose and delay messages, and callers that read and write. Time is simulated; all choices come from one
 // seed.
 //
+// Callers draw their texts from the grammar of the line protocol. A database acts on what it reads from the
+// encoded requests.
+//
 // Checks, from what callers and databases observe, that no read misses an acknowledged commit that it must
 // see, that no write takes effect twice or despite a refusal that guarantees that it did not run, and that
 // statements run in their own transactions and with their own session values.
@@ -10,6 +13,7 @@
 #include "entry/planned_stop.h"
 #include "relay/relay_core.h"
 #include "support/lending_simulation.h"
+#include "support/statement_texts.h"
 
 #include <functional>
 #include <map>
@@ -41,6 +45,7 @@
     bool m_change_texts = false;           // Some statements arrive with another text.
     bool m_leave_transaction_open = false; // Databases confirm a rollback and ignore it.
     bool m_keep_session_state = false;     // Databases confirm a reset and ignore it.
+    bool m_name_by_text = false;           // Names at databases contain the text of the prepared statement.
 };
 
 // Events of real processes and databases, beside lost connections, lag and promotions.
@@ -143,6 +148,8 @@
         std::size_t m_route = 0;
         std::map<std::string, std::string> m_values;
         std::map<std::string, relay::prepared_statement> m_prepared;
+        // Those that the session holds once the statements of the script have succeeded.
+        std::map<std::string, relay::prepared_statement> m_planned;
         std::vector<relay::session_statement> m_script; // Statements of the operation in progress.
         std::size_t m_next = 0;                         // The statement that is answered next.
         std::size_t m_sent = 0;                         // Number of statements sent.
@@ -169,12 +176,15 @@
                            const std::vector<relay::database_request>& initial_requests) override;
     void return_connection(relay::connection_id id, const lending::returned_state& state) override;
     void record_event(const relay::statement_event&) override {}
+    // No text is near the limit of a message, so all requests can be sent. Databases check that.
     [[nodiscard]] bool can_encode(const relay::database_request& /*request*/) const override { return true; }
     void count_statement(const relay::answered_statement&) override {}
 
     // Connections to the databases, of the relay core and of the lenders.
     void open_database_connection(relay::connection_id id, const registry::endpoint_report& target);
     void send_to_database(relay::connection_id id, const std::vector<relay::database_request>& requests);
+    // The request that a database reads from the encoded one.
+    relay::database_request as_received(relay::database_request request);
     void run_request(relay::connection_id id, const std::shared_ptr<server_session>& session,
                      const relay::database_request& request);
     void close_database_connection(relay::connection_id id);
@@ -206,6 +216,8 @@
     void start_operation(std::uint64_t session);
     void send_next_statement(std::uint64_t session);
     void add_statement(caller& current, bool writes);
+    void add_prepared_statement(caller& current, bool writes);
+    void add_to_script(caller& current, relay::session_statement added) const;
     void add_value(caller& current);
     void record_success(std::uint64_t session, caller& current, const relay::session_statement& sent,
                         const relay::session_answer& answer);
@@ -238,6 +250,8 @@
     relay_simulation_options m_options;
     std::optional<std::size_t> m_assigned_primary = 0; // Empty while its leases end.
     std::mt19937_64 m_random;
+    draw_below m_draw = [this](std::uint64_t below) { return random_below(below); };
+    std::map<std::string, std::string> m_names_by_text; // Used by the injected fault of that name.
     core::time_point m_now{std::chrono::hours(1)};
     using event = std::pair<core::time_point, std::uint64_t>;
     std::map<event, std::function<void()>> m_events;
--- a/test/support/relay_simulation_callers.cpp
+++ b/test/support/relay_simulation_callers.cpp
@@ -1,6 +1,8 @@
 // Callers of the simulation: their operations, and checks of the answers that they get.
+#include "platform/line_protocol.h"
 #include "support/relay_simulation.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mangoquay::test {
@@ -68,6 +70,7 @@
     current.m_attempt = ++m_last_attempt;
     m_session_of[current.m_attempt] = session;
     current.m_script.clear();
+    current.m_planned = current.m_prepared;
     current.m_next = 0;
     current.m_sent = 0;
     current.m_writes = false;
@@ -100,38 +103,55 @@
     current.m_started = m_now;
 }
 
+void relay_simulation::add_to_script(caller& current, session_statement added) const {
+    added.m_id = std::to_string(current.m_attempt) + "-" + std::to_string(current.m_script.size());
+    current.m_script.push_back(std::move(added));
+}
+
 void relay_simulation::add_value(caller& current) {
-    session_statement sets = statement(
-        statement_kind::set_value,
-        std::to_string(current.m_attempt) + "-" + std::to_string(current.m_script.size()), "SET name");
-    sets.m_name = "name" + std::to_string(random_below(2));
-    sets.m_argument = std::to_string(random_below(3));
-    current.m_script.push_back(sets);
+    session_statement sets{.m_kind = statement_kind::set_value, .m_name = draw_name(m_draw)};
+    sets.m_argument = occurs(5) ? "" : draw_last_field(m_draw);
+    sets.m_text = "SET " + sets.m_name + " " + sets.m_argument;
+    add_to_script(current, std::move(sets));
 }
 
 void relay_simulation::add_statement(caller& current, bool writes) {
-    const auto id = [&] {
-        return std::to_string(current.m_attempt) + "-" + std::to_string(current.m_script.size());
-    };
     current.m_writes = current.m_writes || writes;
-    if (!occurs(30)) {
-        const auto kind = writes ? statement_kind::write : statement_kind::read;
-        current.m_script.push_back(statement(kind, id(), writes ? "WRITE item data" : "READ item"));
+    if (occurs(50)) {
+        add_prepared_statement(current, writes);
         return;
     }
-    session_statement prepares = statement(statement_kind::prepare, id(), "PREPARE p");
-    prepares.m_name = "p" + std::to_string(random_below(2));
-    prepares.m_argument = "shape" + std::to_string(random_below(2));
-    prepares.m_access = writes ? relay::access_kind::write : relay::access_kind::read;
-    current.m_script.push_back(prepares);
-    session_statement executes = statement(statement_kind::execute, id(), "EXECUTE p item");
-    executes.m_name = prepares.m_name;
-    executes.m_argument = "item" + std::to_string(random_below(9));
-    current.m_script.push_back(executes);
-    if (occurs(30)) {
-        session_statement drops = statement(statement_kind::deallocate, id(), "DEALLOCATE p");
-        drops.m_name = prepares.m_name;
-        current.m_script.push_back(drops);
+    const auto kind = writes ? statement_kind::write : statement_kind::read;
+    add_to_script(current,
+                  {.m_kind = kind, .m_text = (writes ? "WRITE " : "READ ") + draw_arguments(m_draw, writes)});
+}
+
+// Executes a statement that the session holds, or prepares one, at times under a name that is in use.
+void relay_simulation::add_prepared_statement(caller& current, bool writes) {
+    const auto access = writes ? relay::access_kind::write : relay::access_kind::read;
+    const auto held = std::ranges::find_if(
+        current.m_planned, [access](const auto& planned) { return planned.second.m_access == access; });
+    std::string name = draw_name(m_draw);
+    if (held != current.m_planned.end() && occurs(50)) {
+        name = held->first;
+    } else {
+        const std::string shape = draw_shape(m_draw);
+        add_to_script(current, {.m_kind = statement_kind::prepare,
+                                .m_text = "PREPARE " + name + (writes ? " WRITE " : " READ ") + shape,
+                                .m_name = name,
+                                .m_argument = shape,
+                                .m_access = access});
+        current.m_planned[name] = {access, shape};
+    }
+    const std::string arguments = draw_arguments(m_draw, writes);
+    add_to_script(current, {.m_kind = statement_kind::execute,
+                            .m_text = "EXECUTE " + name + " " + arguments,
+                            .m_name = name,
+                            .m_argument = arguments});
+    if (occurs(20)) {
+        add_to_script(current,
+                      {.m_kind = statement_kind::deallocate, .m_text = "DEALLOCATE " + name, .m_name = name});
+        current.m_planned.erase(name);
     }
 }
 
@@ -165,7 +185,8 @@
     expect_state(current);
     for (const session_statement& next : sent) {
         on_host([this, session, next] {
-            m_core->on_statement_received(relay::session_id(session), next, m_now);
+            m_core->on_statement_received(relay::session_id(session),
+                                          platform::decode_statement(next.m_id, next.m_text), m_now);
         })();
         const auto left = m_callers.find(session);
         if (left == m_callers.end() || left->second.m_attempt != attempt) {
--- a/test/support/relay_simulation_databases.cpp
+++ b/test/support/relay_simulation_databases.cpp
@@ -1,4 +1,6 @@
 // Databases of the simulation: how they run requests, and checks of what they run.
+#include "platform/line_protocol.h"
+#include "support/protocol_reader.h"
 #include "support/relay_simulation.h"
 
 #include <algorithm>
@@ -22,6 +24,27 @@
     return held == prepared.end() ? relay::access_kind::read : held->second.m_access;
 }
 
+const std::set<std::string> named_words{"SET", "PREPARE", "EXECUTE", "DEALLOCATE"};
+
+core::history_position position_from(const std::string& text) {
+    const std::size_t dot = text.find('.');
+    return {core::term(static_cast<std::uint32_t>(std::stoul(text.substr(0, dot)))),
+            core::log_position(std::stoull(text.substr(dot + 1)))};
+}
+
+request_kind kind_of(const read_request& request) {
+    static const std::map<std::string, request_kind> own_kinds{
+        {"RESET", request_kind::reset},      {"SET", request_kind::set_value},
+        {"PREPARE", request_kind::prepare},  {"DEALLOCATE", request_kind::deallocate},
+        {"BEGIN", request_kind::begin},      {"BEGIN READ", request_kind::begin_read_only},
+        {"ROLLBACK", request_kind::rollback}};
+    const auto own = own_kinds.find(request.m_word);
+    if (request.m_id == "-" && own != own_kinds.end()) {
+        return own->second;
+    }
+    return request.m_word == "EXECUTE" ? request_kind::execute : request_kind::forward;
+}
+
 relay::database_request changed(relay::database_request request) {
     request.m_argument += " changed";
     return request;
@@ -29,6 +52,35 @@
 
 } // namespace
 
+relay::database_request relay_simulation::as_received(relay::database_request request) {
+    if (m_options.m_injected_faults.m_name_by_text && !request.m_name.empty()) {
+        if (request.m_kind == request_kind::prepare) {
+            m_names_by_text[request.m_name] = "q_" + request.m_argument;
+        }
+        const auto named = m_names_by_text.find(request.m_name);
+        request.m_name = named == m_names_by_text.end() ? request.m_name : named->second;
+    }
+    std::string bytes;
+    platform::line_protocol().encode_request(request, bytes);
+    const std::vector<std::string> lines = split_lines(bytes);
+    const auto read = lines.size() == 1 ? read_request_line(lines.front()) : std::nullopt;
+    if (!read) {
+        record_violation("a database rejects the request " + bytes);
+        return request;
+    }
+    const std::string& after = read->m_after;
+    return {.m_kind = kind_of(*read),
+            .m_id = read->m_id == "-" ? "" : read->m_id,
+            .m_min_position = after.empty() ? std::nullopt : std::optional(position_from(after)),
+            .m_name = named_words.contains(read->m_word) ? read->m_fields.front() : "",
+            .m_argument = kind_of(*read) == request_kind::forward ? read->m_text
+                          : read->m_fields.empty()                ? ""
+                                                                  : read->m_fields.back(),
+            .m_access = read->m_word == "PREPARE" && read->m_fields.at(1) == "WRITE"
+                            ? relay::access_kind::write
+                            : relay::access_kind::read};
+}
+
 relay::database_answer relay_simulation::execute(const std::shared_ptr<server_session>& connection,
                                                  const relay::database_request& request) {
     server_session& session = *connection;
@@ -42,7 +94,8 @@
         answer.m_position = position_of(server);
         return answer;
     };
-    const bool ends = request.m_kind == request_kind::rollback || request.m_argument == "COMMIT";
+    const bool ends = request.m_kind == request_kind::rollback ||
+                      (request.m_kind == request_kind::forward && request.m_argument == "COMMIT");
     if (session.m_was_ended && request.m_kind != request_kind::rollback) {
         session.m_was_ended = false;
         answer.m_refusal = refusal::aborted;
@@ -177,9 +230,10 @@
         return;
     }
     const auto held = session.m_prepared.find(request.m_name);
+    const auto meant = expected.m_prepared.find(m_sent_statements.at(request.m_id).m_name);
     if (held == session.m_prepared.end()) {
         record_violation("a prepared statement does not exist on its connection");
-    } else if (held->second != expected.m_prepared.at(m_sent_statements.at(request.m_id).m_name)) {
+    } else if (meant == expected.m_prepared.end() || held->second != meant->second) {
         record_violation("a prepared name runs another shape");
     }
 }
