--- a/test/correctness/session_path_callers.cpp
+++ b/test/correctness/session_path_callers.cpp
@@ -1,9 +1,12 @@
 // Guards against statements that run for a caller that never sent them, or with something of another session,
 // when callers send in pieces, do not read, or leave at any moment.
 #include "support/entry_fleet.h"
+#include "support/statement_texts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <random>
+
 using namespace mangoquay;
 using namespace std::chrono_literals;
 
@@ -43,10 +46,26 @@
         }
     }
 
-    static void prepare_session(test::entry_fleet& fleet, test::session_client& caller) {
-        caller.ask("SET tenant " + std::to_string(fleet.record().next_number()));
-        caller.ask("PREPARE s1 WRITE shape");
-        caller.ask("PREPARE s2 READ shape");
+    static test::draw_below draws() {
+        return [random = std::make_shared<std::mt19937_64>(1)](std::uint64_t limit) {
+            return (*random)() % limit;
+        };
+    }
+
+    static void prepare_session(test::entry_fleet& fleet, test::session_client& caller,
+                                const test::draw_below& draw) {
+        const std::string number = std::to_string(fleet.record().next_number());
+        caller.ask("SET tenant " + number + " " + test::draw_last_field(draw));
+        caller.ask("PREPARE s1 WRITE " + test::draw_shape(draw));
+        caller.ask("PREPARE s2 READ " + test::draw_shape(draw));
+    }
+
+    // `text`, with drawn arguments in place of "$" (of a read) and "$$" (of a write) at its end.
+    static std::string with_arguments(const test::draw_below& draw, const std::string& text) {
+        const std::size_t end = text.find('$');
+        return end == std::string::npos
+                   ? text
+                   : text.substr(0, end) + test::draw_arguments(draw, text.ends_with("$$"));
     }
 
 public:
@@ -55,13 +74,13 @@
         fleet.set_script([](const database_query& query) {
             return database_reaction{.m_piece = query.m_text.size() % 4};
         });
+        const auto draw = draws();
         for (const std::size_t piece : {1U, 2U, 3U, 7U, 20U}) {
             const auto caller = fleet.connect("own");
             CPPUNIT_ASSERT(caller->send_bytes(caller->startup(), piece) && caller->receive_ready());
-            for (const char* text :
-                 {"SET tenant a b", "PREPARE s1 WRITE shape", "BEGIN", "EXECUTE s1 item x y", "READ item",
-                  "COMMIT", "READ item", "WRITE item z"}) {
-                CPPUNIT_ASSERT(caller->send_bytes(caller->encode(text), piece));
+            for (const char* text : {"SET tenant a b", "PREPARE s1 WRITE $", "BEGIN", "EXECUTE s1 $$",
+                                     "READ $", "COMMIT", "READ $", "WRITE $$"}) {
+                CPPUNIT_ASSERT(caller->send_bytes(caller->encode(with_arguments(draw, text)), piece));
                 const auto reply = caller->receive();
                 CPPUNIT_ASSERT_MESSAGE(reply.m_text, reply.succeeded());
                 CPPUNIT_ASSERT(reply.m_text == "-" || reply.m_text == "signature-" + caller->last_id());
@@ -106,21 +125,22 @@
     // One session for each number of statements that are answered before the caller leaves, for each number
     // that it sends before it does, and for each way to leave.
     void caller_that_leaves_at_any_moment_leaves_nothing_on_the_connection() {
-        const std::vector<std::string> texts{"BEGIN",     "EXECUTE s1 a 1", "EXECUTE s2 a",
-                                             "WRITE a 2", "COMMIT",         "WRITE a 3"};
+        const std::vector<std::string> texts{"BEGIN",    "EXECUTE s1 $$", "EXECUTE s2 $",
+                                             "WRITE $$", "COMMIT",        "WRITE $$"};
+        const auto draw = draws();
         test::entry_fleet fleet;
         fleet.set_script([](const database_query&) { return database_reaction{.m_delay = 2ms}; });
         for (std::size_t answered = 0; answered < texts.size(); ++answered) {
             for (std::size_t sent = answered; sent <= texts.size(); ++sent) {
                 for (int way = 0; way < 3; ++way) {
                     const auto caller = fleet.open_session("own");
-                    prepare_session(fleet, *caller);
+                    prepare_session(fleet, *caller, draw);
                     for (std::size_t index = 0; index < answered; ++index) {
-                        CPPUNIT_ASSERT(caller->ask(texts.at(index)).succeeded());
+                        CPPUNIT_ASSERT(caller->ask(with_arguments(draw, texts.at(index))).succeeded());
                     }
                     std::string rest;
                     for (std::size_t index = answered; index < sent; ++index) {
-                        rest += caller->encode(texts.at(index));
+                        rest += caller->encode(with_arguments(draw, texts.at(index)));
                     }
                     caller->send_bytes(rest);
                     way == 0 ? caller->reset() : way == 1 ? caller->terminate() : void();
@@ -135,13 +155,14 @@
     }
 
     void caller_that_leaves_during_a_pause_of_the_host_is_not_mixed_with_others() {
+        const auto draw = draws();
         test::entry_fleet fleet;
         std::vector<std::unique_ptr<test::session_client>> leaving;
         for (int index = 0; index < 12; ++index) {
             leaving.push_back(fleet.open_session(index % 2 == 0 ? "latest" : "own"));
-            prepare_session(fleet, *leaving.back());
+            prepare_session(fleet, *leaving.back(), draw);
             leaving.back()->ask("BEGIN");
-            leaving.back()->ask("EXECUTE s1 a 1");
+            leaving.back()->ask("EXECUTE s1 " + test::draw_arguments(draw, true));
         }
         fleet.entry().pause(4s);
         std::this_thread::sleep_for(100ms);
--- a/test/correctness/session_path_faults.cpp
+++ b/test/correctness/session_path_faults.cpp
@@ -1,6 +1,7 @@
 // Guards against answers that are taken for those of other statements, and against transactions that go on or
 // are committed by themselves, when databases reset connections, lose or delay answers, or start again.
 #include "support/entry_fleet.h"
+#include "support/statement_texts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -76,15 +77,18 @@
         if (!caller->open()) {
             return;
         }
-        if (m_random.occurs(500)) {
-            caller->ask("SET tenant " + std::to_string(m_fleet.record().next_number()));
-            caller->ask("PREPARE s1 WRITE shape");
-            caller->ask("PREPARE s2 READ shape");
-            m_prepared = true;
-        } else {
-            m_prepared = false;
+        m_prepared.clear();
+        const bool has_state = m_random.occurs(500);
+        if (has_state && !add_state(*caller)) {
+            return;
         }
-        while (run_operation(*caller) && !m_random.occurs(200)) {
+        while (run_operation(*caller)) {
+            if (m_random.occurs(200)) {
+                break;
+            }
+            if (has_state && m_random.occurs(200) && !add_state(*caller)) {
+                return;
+            }
         }
         if (m_random.occurs(300)) {
             caller->send_bytes(caller->encode(statement()));
@@ -94,13 +98,43 @@
         }
     }
 
+    // Sets a value of its own and prepares or deallocates statements. Returns whether all of it succeeded.
+    bool add_state(test::session_client& caller) {
+        const std::string number = std::to_string(m_fleet.record().next_number());
+        const std::string value = m_random.occurs(500) ? "tenant" : test::draw_name(m_draw);
+        if (!caller.ask("SET " + value + " " + number + " " + test::draw_last_field(m_draw)).succeeded()) {
+            return false;
+        }
+        for (std::uint64_t left = 1 + m_random.below(3); left > 0; --left) {
+            const std::string name = test::draw_name(m_draw);
+            const bool writes = m_random.occurs(500);
+            const std::string prepares = "PREPARE " + name + (writes ? " WRITE " : " READ ");
+            if (!caller.ask(limited(prepares + test::draw_shape(m_draw))).succeeded()) {
+                return false;
+            }
+            m_prepared[name] = writes;
+        }
+        const std::string dropped = m_prepared.begin()->first;
+        if (m_prepared.size() > 1 && m_random.occurs(200)) {
+            m_prepared.erase(dropped);
+            return caller.ask("DEALLOCATE " + dropped).succeeded();
+        }
+        return true;
+    }
+
+    // A few messages have nearly the largest size.
+    std::string limited(std::string text) {
+        return m_random.occurs(4) ? test::extended_to_limit(m_draw, std::move(text)) : text;
+    }
+
     std::string statement() {
-        const std::string item = std::to_string(m_random.below(100));
-        const bool writes = m_random.occurs(500);
-        if (m_prepared && m_random.occurs(500)) {
-            return writes ? "EXECUTE s1 " + item + " x" : "EXECUTE s2 " + item;
+        if (!m_prepared.empty() && m_random.occurs(500)) {
+            auto chosen = m_prepared.begin();
+            std::advance(chosen, static_cast<std::ptrdiff_t>(m_random.below(m_prepared.size())));
+            const auto& [name, writes] = *chosen;
+            return limited("EXECUTE " + name + " " + test::draw_arguments(m_draw, writes));
         }
-        return writes ? "WRITE " + item + " x" : "READ " + item;
+        return limited(test::draw_statement(m_draw, m_random.occurs(500)));
     }
 
     // Returns whether the session can go on.
@@ -138,7 +172,8 @@
 
     test::entry_fleet& m_fleet;
     draws m_random;
-    bool m_prepared = false;
+    test::draw_below m_draw = [this](std::uint64_t limit) { return m_random.below(limit); };
+    std::map<std::string, bool> m_prepared; // Whether the statement of each name writes.
     std::size_t m_succeeded = 0;
     std::string m_mixed_up;
 };
--- a/test/support/relay_simulation_callers.cpp
+++ b/test/support/relay_simulation_callers.cpp
@@ -122,8 +122,7 @@
         return;
     }
     const auto kind = writes ? statement_kind::write : statement_kind::read;
-    add_to_script(current,
-                  {.m_kind = kind, .m_text = (writes ? "WRITE " : "READ ") + draw_arguments(m_draw, writes)});
+    add_to_script(current, {.m_kind = kind, .m_text = draw_statement(m_draw, writes)});
 }
 
 // Executes a statement that the session holds, or prepares one, at times under a name that is in use.
--- a/test/support/scripted_database.cpp
+++ b/test/support/scripted_database.cpp
@@ -124,7 +124,7 @@
             served.m_received.erase(0, end + 2);
             return line;
         }
-        std::array<char, 4096> buffer{};
+        std::array<char, 65536> buffer{};
         const ssize_t count = ::recv(served.m_socket, buffer.data(), buffer.size(), 0);
         if (count <= 0) {
             return std::nullopt;
@@ -136,9 +136,8 @@
 void scripted_database::serve(connection& served) {
     bool open = false;
     while (auto line = read_line(served)) {
-        const std::string kind = take_word(*line);
         if (!open) {
-            open = kind == "STARTUP" && line->ends_with(" " + m_id);
+            open = line->starts_with("STARTUP ") && line->ends_with(" " + m_id);
             const std::string answer = open ? "READY I 1.1\r\n" : "ERROR MISROUTED " + m_id + line_end;
             if (!send_all(served.m_socket, answer.data(), answer.size()) || !open) {
                 break;
@@ -153,6 +152,7 @@
 
 bool scripted_database::handle_query(connection& served, const std::string& line) {
     std::string text = line;
+    take_word(text); // The message's kind.
     const std::string id = take_word(text);
     database_reaction reaction;
     {
@@ -164,7 +164,7 @@
         }
     }
     std::this_thread::sleep_for(reaction.m_delay);
-    std::string answer = reaction.m_refusal.empty() ? run(served, id, text)
+    std::string answer = reaction.m_refusal.empty() ? run(served, line)
                                                     : "ERROR " + reaction.m_refusal + " scripted" + line_end;
     if (reaction.m_loses_transaction) {
         served.m_transaction = 0;
@@ -190,22 +190,23 @@
     return !reaction.m_reset_after;
 }
 
-std::string scripted_database::run(connection& served, const std::string& id, const std::string& text) {
-    std::string rest = text;
-    if (rest.starts_with("AFTER ")) {
-        take_word(rest);
-        take_word(rest);
+std::string scripted_database::run(connection& served, const std::string& line) {
+    const auto request = read_request_line(line);
+    if (!request) {
+        m_record.add_rejected(line);
+        return "ERROR MALFORMED " + m_id + line_end;
     }
-    return id == "-" ? run_own(served, rest) : run_forwarded(served, id, rest);
+    return request->m_id == "-" ? run_own(served, *request) : run_forwarded(served, *request);
 }
 
-std::string scripted_database::run_own(connection& served, const std::string& text) {
-    std::string rest = text;
-    const std::string word = take_word(rest);
-    if (word == "BEGIN" && served.m_transaction != 0) { // It goes on with the open one.
+std::string scripted_database::run_own(connection& served, const read_request& request) {
+    const std::string& word = request.m_word;
+    const std::vector<std::string>& fields = request.m_fields;
+    const bool begins = word == "BEGIN" || word == "BEGIN READ";
+    if (begins && served.m_transaction != 0) { // It goes on with the open one.
         return "COMPLETE -\r\n";
     }
-    if (word == "BEGIN") {
+    if (begins) {
         served.m_transaction = m_record.next_number();
     } else if (word == "ROLLBACK") {
         if (std::exchange(served.m_transaction, 0) == 0) {
@@ -213,35 +214,32 @@
         }
         served.m_writes.clear();
     } else if (word == "SET") {
-        const std::string name = take_word(rest);
-        served.m_values[name] = rest;
+        served.m_values[fields.at(0)] = fields.at(1);
     } else if (word == "RESET") {
         served.m_values.clear();
         served.m_prepared.clear();
     } else if (word == "PREPARE") {
-        const std::string name = take_word(rest);
-        served.m_prepared[name] = rest;
+        served.m_prepared[fields.at(0)] = fields.at(1) + " " + fields.at(2);
         m_max_prepared = std::max(m_max_prepared.load(), served.m_prepared.size());
     } else if (word == "DEALLOCATE") {
-        if (served.m_prepared.erase(rest) == 0) {
+        if (served.m_prepared.erase(fields.at(0)) == 0) {
             return "ERROR NOSTMT no such name\r\n";
         }
     } else {
-        m_record.add_run({"-", text, {}, 0}); // Found by the check: no caller sends this id.
+        m_record.add_run({"-", request.m_text, {}, 0}); // Found by the check: no caller sends this id.
     }
     return "COMPLETE -\r\n";
 }
 
-std::string scripted_database::run_forwarded(connection& served, const std::string& id,
-                                             const std::string& text) {
-    std::string meant = text;
-    std::string rest = text;
-    if (take_word(rest) == "EXECUTE") {
-        const auto prepared = served.m_prepared.find(take_word(rest));
+std::string scripted_database::run_forwarded(connection& served, const read_request& request) {
+    const std::string& id = request.m_id;
+    std::string meant = request.m_text;
+    if (request.m_word == "EXECUTE") {
+        const auto prepared = served.m_prepared.find(request.m_fields.at(0));
         if (prepared == served.m_prepared.end()) {
             return "ERROR NOSTMT no such name\r\n";
         }
-        meant = prepared->second + " " + rest;
+        meant = prepared->second + arguments_separator + request.m_fields.at(1);
     }
     m_record.add_run({id, meant, served.m_values, served.m_transaction});
     if (meant == "COMMIT") {
--- a/test/support/scripted_database.h
+++ b/test/support/scripted_database.h
@@ -1,9 +1,11 @@
 // A database that speaks the line protocol on a loopback address and misbehaves on request. Each connection
 // has a thread of its own.
 //
-// Runs every statement that arrives on an open connection, in the order of arrival, and records it.
+// Runs every statement that arrives on an open connection, in the order of arrival, and records it. Rejects
+// and records lines that the protocol does not allow.
 #pragma once
 
+#include "support/protocol_reader.h"
 #include "support/session_record.h"
 
 #include <atomic>
@@ -76,9 +78,9 @@
     std::optional<std::string> read_line(connection& served);
     // Returns false if the connection is to end.
     bool handle_query(connection& served, const std::string& line);
-    std::string run(connection& served, const std::string& id, const std::string& text);
-    std::string run_forwarded(connection& served, const std::string& id, const std::string& text);
-    std::string run_own(connection& served, const std::string& text);
+    std::string run(connection& served, const std::string& line);
+    std::string run_forwarded(connection& served, const read_request& request);
+    std::string run_own(connection& served, const read_request& request);
     bool send_answer(const connection& served, const std::string& bytes, const database_reaction& reaction);
     void stop();
 
--- a/test/support/session_client.cpp
+++ b/test/support/session_client.cpp
@@ -90,7 +90,8 @@
     if (text.starts_with("EXECUTE ")) {
         const std::size_t end = text.find(' ', 8);
         const auto prepared = m_prepared.find(text.substr(8, end - 8));
-        meant = (prepared == m_prepared.end() ? "unknown name" : prepared->second) + text.substr(end);
+        meant = (prepared == m_prepared.end() ? "unknown name" : prepared->second) + arguments_separator +
+                text.substr(end + 1);
     }
     m_record.add_sent(m_last_id, {m_transaction, meant, m_values});
     follow(text);
--- a/test/support/session_record.cpp
+++ b/test/support/session_record.cpp
@@ -34,6 +34,15 @@
     m_commits.push_back(std::move(commit));
 }
 
+void session_record::add_rejected(const std::string& line) {
+    constexpr std::size_t max_described_bytes = 200;
+    const std::lock_guard lock(m_mutex);
+    if (m_rejected.empty()) {
+        m_rejected = "a database rejected " + std::to_string(line.size()) +
+                     " bytes: " + line.substr(0, max_described_bytes);
+    }
+}
+
 bool session_record::has_run(const std::string& id) const {
     const std::lock_guard lock(m_mutex);
     return std::ranges::any_of(m_runs, [&](const run_statement& ran) { return ran.m_id == id; });
@@ -97,6 +106,9 @@
 
 std::string session_record::find_violation() const {
     const std::lock_guard lock(m_mutex);
+    if (!m_rejected.empty()) {
+        return m_rejected;
+    }
     for (const run_statement& ran : m_runs) {
         if (const std::string found = check_run(ran); !found.empty()) {
             return ran.m_id + " " + found;
--- a/test/support/session_record.h
+++ b/test/support/session_record.h
@@ -14,6 +14,9 @@
 
 using value_map = std::map<std::string, std::string>;
 
+// Between a prepared statement and the arguments with which it is executed. No text contains it.
+inline constexpr char arguments_separator = '\n';
+
 // A statement as its caller means it. Prepared names are replaced by what they stand for.
 struct sent_statement {
     std::uint64_t m_transaction = 0; // Of the caller; 0: none.
@@ -45,6 +48,8 @@
     void add_outcome(const std::string& id, bool succeeded, bool promised_not_kept);
     void add_run(run_statement statement);
     void add_commit(made_commit commit);
+    // A line that a database cannot read. Callers send none to a database.
+    void add_rejected(const std::string& line);
 
     [[nodiscard]] bool has_run(const std::string& id) const;
     [[nodiscard]] std::size_t run_count() const;
@@ -61,6 +66,7 @@
     std::map<std::string, sent_statement> m_sent;
     std::vector<run_statement> m_runs;
     std::vector<made_commit> m_commits;
+    std::string m_rejected; // The first rejected line, cut; empty if there is none.
     std::map<std::uint64_t, std::set<std::string>> m_members; // Statements of each database transaction.
 };
 
--- a/test/support/statement_texts.cpp
+++ b/test/support/statement_texts.cpp
@@ -18,4 +18,15 @@
     return writes ? draw_field(draw) + " " + draw_last_field(draw) : draw_last_field(draw);
 }
 
+std::string draw_statement(const draw_below& draw, bool writes) {
+    return (writes ? "WRITE " : "READ ") + draw_arguments(draw, writes);
+}
+
+std::string extended_to_limit(const draw_below& draw, std::string statement) {
+    constexpr std::size_t max_message_bytes = 1U << 20U;
+    constexpr std::size_t prefix_bytes = 24; // Of "QUERY", the id and the blanks.
+    statement.append(max_message_bytes - prefix_bytes - draw(60) - statement.size(), 'x');
+    return statement;
+}
+
 } // namespace mangoquay::test
--- a/test/support/statement_texts.h
+++ b/test/support/statement_texts.h
@@ -11,5 +11,9 @@
 std::string draw_shape(const draw_below& draw);
 // An item, and data if the statement writes.
 std::string draw_arguments(const draw_below& draw, bool writes);
+// A read or a write that no session has prepared.
+std::string draw_statement(const draw_below& draw, bool writes);
+// The statement, extended to the size at which its message has nearly the largest size that is allowed.
+std::string extended_to_limit(const draw_below& draw, std::string statement);
 
 } // namespace mangoquay::test
