Refuse endpoint reports whose fields a startup cannot carry

Cause: invalid_reason() let an empty id, service or zone pass, in a report over HTTP, in the file of the last start and from another host. An empty id leaves the last field of STARTUP out, so that any database at the address accepts the connection; an empty service makes the id the second field. The codec wrote id and service as fields without looking at them. The text of the address was not checked for reports from files and hosts. Change: An id, service, zone or address that is empty or holds blanks or control characters makes a report invalid, wherever it comes from (it names no database to use, PROTOCOL.md). As a last check session_protocol has can_encode() for the startup, and database_connection reports a failure instead of connecting where it does not hold. Route and service names of configurations stay as they are: PROTOCOL.md does not call odd ones invalid, and no valid report can carry such a service, so none reaches a startup. Evidence: an_invalid_report_of_another_host_is_ignored, extended, fails on the code before at the first report with an empty field and holds now. database_that_cannot_be_named_is_not_connected_to uses the new function and does not compile on the code before.

--- a/src/entry/database_connection.cpp
+++ b/src/entry/database_connection.cpp
@@ -9,6 +9,15 @@
                                          const registry::endpoint_report& target,
                                          database_connection_handlers handlers)
     : m_protocol(protocol), m_handlers(std::move(handlers)) {
+    if (!m_protocol.can_encode(target)) {
+        const std::weak_ptr<int> alive = m_alive;
+        loop.post([this, alive] {
+            if (!alive.expired()) {
+                m_handlers.m_failed(std::nullopt, "the id or the service of the database cannot be sent");
+            }
+        });
+        return;
+    }
     transport::stream_handlers stream;
     stream.m_on_connected = [] {};
     stream.m_on_bytes_received = [this](std::string& bytes) { on_data_received(bytes); };
@@ -20,6 +29,9 @@
 }
 
 void database_connection::send(const std::vector<relay::database_request>& requests) {
+    if (!m_stream) {
+        return; // Not connected; the failure is about to be reported.
+    }
     std::string bytes;
     for (const relay::database_request& request : requests) {
         m_protocol.encode_request(request, bytes);
--- a/src/entry/database_connection.h
+++ b/src/entry/database_connection.h
@@ -24,7 +24,8 @@
 
 class database_connection {
 public:
-    // Starts to connect to `target`. Destruction closes the connection without calling a handler.
+    // Starts to connect to `target`, or reports a failure later if a startup cannot name it. Destruction
+    // closes the connection without calling a handler.
     database_connection(transport::event_loop& loop, const session_protocol& protocol,
                         const registry::endpoint_report& target, database_connection_handlers handlers);
 
@@ -40,7 +41,7 @@
     std::size_t m_unanswered_count = 1; // Requests without an answer, including the startup.
     partial_answer m_partial_answer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
-    std::unique_ptr<transport::byte_stream> m_stream;
+    std::unique_ptr<transport::byte_stream> m_stream; // Empty if the startup cannot be encoded.
 };
 
 } // namespace mangoquay::entry
--- a/src/entry/session_protocol.h
+++ b/src/entry/session_protocol.h
@@ -49,6 +49,9 @@
     virtual void encode_refusal(relay::refusal reason, const std::string& text, std::string& out) const = 0;
     virtual void encode_answer(const relay::session_answer& answer, std::string& out) const = 0;
 
+    // Whether a database would read the startup's fields as they are.
+    [[nodiscard]] virtual bool can_encode(const registry::endpoint_report& target) const = 0;
+    // Opens a session at the database; to be called only if can_encode() holds for it.
     virtual void encode_startup(const registry::endpoint_report& target, std::string& out) const = 0;
     virtual void encode_request(const relay::database_request& request, std::string& out) const = 0;
     // Whether a database would read the request's fields as they are. False if one of them contains an end of
--- a/test/correctness/endpoint_registry_merge.cpp
+++ b/test/correctness/endpoint_registry_merge.cpp
@@ -24,6 +24,7 @@
     result.m_id = core::endpoint_id(id);
     result.m_service = core::service_name("ledger");
     result.m_address = {"10.0.0.1", port};
+    result.m_zone = core::availability_zone("north");
     result.m_started_ms = started_ms;
     result.m_sequence = sequence;
     result.m_is_primary = primary;
@@ -49,7 +50,18 @@
         endpoint_report late = report("i-1", registry::max_start_time_ms + 1, 2);
         endpoint_report wide = report("i-1", 6, 2);
         wide.m_slots = registry::max_slots + 1;
-        for (const endpoint_report& odd : {late, wide, report("i 1\r\n", 6, 2), report("i-1", -1, 2)}) {
+        std::vector<endpoint_report> odd_reports{late, wide, report("i-1", -1, 2)};
+        // Each of them would leave a field out of a startup, or move the end of one.
+        for (const std::string& text : {std::string(), std::string("i 1\r\n"), std::string("i\0", 2)}) {
+            odd_reports.push_back(report(text, 6, 2));
+            odd_reports.push_back(report("i-1", 6, 2));
+            odd_reports.back().m_service = core::service_name(text);
+            odd_reports.push_back(report("i-1", 6, 2));
+            odd_reports.back().m_zone = core::availability_zone(text);
+            odd_reports.push_back(report("i-1", 6, 2));
+            odd_reports.back().m_address.m_host = text;
+        }
+        for (const endpoint_report& odd : odd_reports) {
             CPPUNIT_ASSERT(held.merge(odd, start) == merge_outcome::stale);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), held.entries().size());
--- a/test/correctness/platform_line_boundaries.cpp
+++ b/test/correctness/platform_line_boundaries.cpp
@@ -1,5 +1,6 @@
 // Guards against texts of callers, databases or hosts that move the end of a field or of a message, so that
 // the other side reads something else than was meant.
+#include "entry/database_connection.h"
 #include "platform/line_protocol.h"
 #include "support/protocol_reader.h"
 #include "support/protocol_texts.h"
@@ -83,6 +84,7 @@
     CPPUNIT_TEST(database_reads_the_fields_that_were_meant);
     CPPUNIT_TEST(statement_of_a_caller_is_sent_on_with_its_fields);
     CPPUNIT_TEST(request_with_a_boundary_in_a_field_cannot_be_encoded);
+    CPPUNIT_TEST(database_that_cannot_be_named_is_not_connected_to);
     CPPUNIT_TEST(request_beyond_the_size_limit_cannot_be_encoded);
     CPPUNIT_TEST(caller_reads_the_answer_that_was_meant);
     CPPUNIT_TEST(line_size_is_judged_alike_in_any_pieces);
@@ -175,6 +177,44 @@
         }
     }
 
+    // Without its id a startup would be accepted by any database at the address.
+    static void database_that_cannot_be_named_is_not_connected_to() {
+        const platform::line_protocol protocol;
+        registry::endpoint_report target;
+        target.m_id = core::endpoint_id("i-1");
+        target.m_service = core::service_name("ledger");
+        target.m_address = {"127.0.0.1", 1};
+        CPPUNIT_ASSERT(protocol.can_encode(target));
+        for (const std::string& text : {std::string(), std::string("a b"), std::string("a\r\nQUERY - RESET"),
+                                        std::string("a\0", 2), std::string(max_line_bytes, 'x')}) {
+            registry::endpoint_report other_service = target;
+            other_service.m_service = core::service_name(text);
+            registry::endpoint_report other_id = target;
+            other_id.m_id = core::endpoint_id(text);
+            for (const registry::endpoint_report& odd : {other_service, other_id}) {
+                CPPUNIT_ASSERT(!protocol.can_encode(odd));
+                CPPUNIT_ASSERT_EQUAL(std::string("the id or the service of the database cannot be sent"),
+                                     failure_of_connecting(odd));
+            }
+        }
+    }
+
+    // Returns the reason with which a connection to `target` ends.
+    static std::string failure_of_connecting(const registry::endpoint_report& target) {
+        const platform::line_protocol protocol;
+        transport::event_loop loop;
+        std::string failure;
+        entry::database_connection_handlers handlers;
+        handlers.m_failed = [&](std::optional<relay::refusal>, const std::string& reason) {
+            failure = reason;
+            loop.stop();
+        };
+        entry::database_connection connection(loop, protocol, target, std::move(handlers));
+        connection.send({}); // Ignored, as after any other failure.
+        loop.run();
+        return failure;
+    }
+
     static void request_beyond_the_size_limit_cannot_be_encoded() {
         const platform::line_protocol protocol;
         const core::history_position position{core::term(1), core::log_position(1)};
