Quote texts from outside in log fields, and log no control character

Cause: log_line() replaced only LF, so CR, escape sequences and bytes that are no UTF-8 reached the log. Texts of databases and hosts were put between quotes as they came, and request ids, database names and ids of hosts that have not proved the cluster key without quotes, so a text could end its quotes or add a field. Change: core/quoting writes such texts: quoted(), and word_or_quoted() for values that are one word as a rule. Escaped are quotes, backslashes, control characters and bytes that are no UTF-8; a text is cut at 200 bytes. log_line() writes through to_single_line().

--- a/src/control_host/step_runner.cpp
+++ b/src/control_host/step_runner.cpp
@@ -2,6 +2,7 @@
 #include "control_host/step_runner.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 #include "dialect/postgres_sql.h"
 
 #include <utility>
@@ -173,7 +174,7 @@
 void step_runner::on_statement_answer(std::uint64_t number, const database::database_answer& answer) {
     if (answer.m_outcome != database::statement_outcome::completed) {
         core::log_line(core::log_level::warning, "failover",
-                       "step statement failed reason=" + answer.m_message);
+                       "step statement failed reason=" + core::quoted(answer.m_message));
         finish(number, false);
         return;
     }
@@ -249,7 +250,7 @@
     const auto status = m_strategy.parse_status(answer.m_rows.front());
     if (!status) {
         core::log_line(core::log_level::error, "failover",
-                       "cannot parse endpoint status reason=" + status.reason());
+                       "cannot parse endpoint status reason=" + core::quoted(status.reason()));
         finish(number, false);
         return;
     }
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,9 +1,9 @@
 // Log output by easylogging++.
 #include "core/log.h"
 
-#include <easylogging++.h>
+#include "core/quoting.h"
 
-#include <algorithm>
+#include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -22,13 +22,6 @@
     }
 }
 
-// Messages of the database driver have several lines, but a log entry is a single line.
-std::string to_single_line(std::string_view text) {
-    std::string line(text);
-    std::replace(line.begin(), line.end(), '\n', ' ');
-    return line;
-}
-
 } // namespace
 
 void configure_log(log_level min_level, const std::string& file) {
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -13,8 +13,9 @@
 void configure_log(log_level min_level, const std::string& file);
 
 // `prefix` names the part of the program, for example "routing". `text` is one short sentence followed by its
-// fields as key=value, for example "read sent to replica endpoint=b2 reason=position_reached". Line breaks in
-// it are replaced by spaces.
+// fields as key=value, for example "read sent to replica endpoint=b2 reason=position_reached". A value
+// that is a text from outside is written by core/quoting.h. Line breaks become spaces, and other control
+// characters become '?'.
 void log_line(log_level level, std::string_view prefix, std::string_view text);
 
 } // namespace mangoquay::core
--- a/src/entry/caller_sessions.cpp
+++ b/src/entry/caller_sessions.cpp
@@ -2,6 +2,7 @@
 #include "entry/caller_sessions.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 
 #include <unistd.h>
 
@@ -150,7 +151,7 @@
     found->second.m_stream->write(bytes);
     core::log_line(core::log_level::debug, "entry",
                    "session refused reason=" + std::string(relay::to_string(reason)) +
-                       " database=" + found->second.m_database);
+                       " database=" + core::word_or_quoted(found->second.m_database));
     end_session(id);
 }
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 #include "entry/entry_node.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 #include "metrics/page_writer.h"
 #include "metrics/peer_traffic.h"
 
@@ -83,12 +84,12 @@
         m_core.on_loan_refused(connection, reason, core::now());
     };
     handlers.m_lost = [this](relay::connection_id connection, const std::string& reason) {
-        write_limited("entry", "borrowed link lost reason=\"" + reason + "\"");
+        write_limited("entry", "borrowed link lost reason=" + core::quoted(reason));
         m_core.on_loan_lost(connection, reason, core::now());
     };
     handlers.m_database_lost = [this](const core::endpoint_id& endpoint, const std::string& reason) {
-        write_limited("entry",
-                      "lent database link ended endpoint=" + endpoint.value() + " reason=\"" + reason + "\"");
+        write_limited("entry", "lent database link ended endpoint=" + core::word_or_quoted(endpoint.value()) +
+                                   " reason=" + core::quoted(reason));
     };
     return handlers;
 }
@@ -142,7 +143,8 @@
     auto decoded = m_decoder(received.m_bytes);
     if (!decoded) {
         core::log_line(core::log_level::error, "entry",
-                       "configuration from a control host cannot be decoded reason=" + decoded.reason());
+                       "configuration from a control host cannot be decoded reason=" +
+                           core::quoted(decoded.reason()));
         return;
     }
     m_core.configure(std::move(*decoded), core::now());
@@ -210,7 +212,8 @@
     };
     handlers.m_failed = [this, connection, id = target.m_id](std::optional<relay::refusal> reason,
                                                              const std::string& text) {
-        write_limited("entry", "database link ended endpoint=" + id.value() + " reason=\"" + text + "\"");
+        write_limited("entry", "database link ended endpoint=" + core::word_or_quoted(id.value()) +
+                                   " reason=" + core::quoted(text));
         const auto failed = std::move(m_connections[connection]); // Must outlive the handler that runs on it.
         m_connections.erase(connection);
         m_core.on_connection_failed(connection, reason, core::now());
@@ -243,9 +246,9 @@
     if (is_routine) {
         return;
     }
-    write_limited("relay", std::string(event.m_action) + " request=" + event.m_request +
-                               " endpoint=" + event.m_endpoint + " reason=\"" + event.m_reason +
-                               "\" age_ms=" + std::to_string(event.m_age_ms) +
+    write_limited("relay", std::string(event.m_action) + " request=" + core::word_or_quoted(event.m_request) +
+                               " endpoint=" + core::word_or_quoted(event.m_endpoint) + " reason=" +
+                               core::quoted(event.m_reason) + " age_ms=" + std::to_string(event.m_age_ms) +
                                " attempts=" + std::to_string(event.m_attempts) +
                                " configuration=" + std::to_string(m_core.version().value()));
 }
--- a/src/fleet/control_documents.cpp
+++ b/src/fleet/control_documents.cpp
@@ -3,6 +3,7 @@
 #include "fleet/control_node.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 
 #include <utility>
 
@@ -20,7 +21,8 @@
             m_configuration = std::move(*decoded);
         } else { // It was committed by a host with another software version.
             core::log_line(core::log_level::error, "fleet",
-                           "committed configuration cannot be decoded reason=" + decoded.reason());
+                           "committed configuration cannot be decoded reason=" +
+                               core::quoted(decoded.reason()));
         }
         m_publisher.announce_document();
         confirm_document(core::now());
@@ -60,7 +62,8 @@
 void control_node::replace_document(const std::string& bytes, const call_done& done) {
     const auto decoded = m_decoder(bytes);
     if (!decoded) {
-        core::log_line(core::log_level::info, "fleet", "configuration refused reason=" + decoded.reason());
+        core::log_line(core::log_level::info, "fleet",
+                       "configuration refused reason=" + core::quoted(decoded.reason()));
         done({call_verdict::invalid, decoded.reason(), {}});
         return;
     }
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -2,6 +2,7 @@
 #include "fleet/control_node.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 #include "fleet/admission_choice.h"
 #include "metrics/page_writer.h"
 #include "metrics/peer_traffic.h"
@@ -252,8 +253,9 @@
     m_raft->propose(replicated_state::encode_assignment(service, endpoint),
                     [this, service, endpoint](std::optional<core::revision> at) {
                         core::log_line(core::log_level::info, "fleet",
-                                       "primary proposed service=" + service.value() + " endpoint=" +
-                                           endpoint.value() + " committed=" + (at ? "yes" : "unknown"));
+                                       "primary proposed service=" + core::word_or_quoted(service.value()) +
+                                           " endpoint=" + core::word_or_quoted(endpoint.value()) +
+                                           " committed=" + (at ? "yes" : "unknown"));
                         // An order may be waiting for this commit.
                         m_loop.post([this] { run_promotions(core::now()); });
                     });
@@ -345,8 +347,8 @@
     const bool changed = outcome == registry::merge_outcome::changed;
     if (changed) {
         core::log_line(core::log_level::info, "fleet",
-                       "endpoint changed endpoint=" + report.m_id.value() +
-                           " service=" + report.m_service.value() +
+                       "endpoint changed endpoint=" + core::word_or_quoted(report.m_id.value()) +
+                           " service=" + core::word_or_quoted(report.m_service.value()) +
                            " state=" + std::to_string(static_cast<int>(report.m_state)) +
                            " primary=" + std::to_string(static_cast<int>(report.m_is_primary)) +
                            " sequence=" + std::to_string(report.m_sequence));
@@ -370,7 +372,8 @@
     if (!m_subscriber.endpoints().remove(endpoint, core::now())) {
         return;
     }
-    core::log_line(core::log_level::info, "fleet", "endpoint deregistered endpoint=" + endpoint.value());
+    core::log_line(core::log_level::info, "fleet",
+                   "endpoint deregistered endpoint=" + core::word_or_quoted(endpoint.value()));
     m_publisher.publish_report(m_subscriber.endpoints().find(endpoint)->m_report, true);
     on_endpoints_changed();
 }
--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -2,6 +2,7 @@
 #include "fleet/promotion_runner.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 
 #include <utility>
 
@@ -226,8 +227,9 @@
 
 void promotion_runner::record_event(const promotion::promotion_event& event) {
     core::log_line(core::log_level::info, "promotion",
-                   event.m_message + " service=" + event.m_service.value() +
-                       " endpoint=" + event.m_endpoint.value() + " reason=\"" + event.m_reason + "\"");
+                   event.m_message + " service=" + core::word_or_quoted(event.m_service.value()) +
+                       " endpoint=" + core::word_or_quoted(event.m_endpoint.value()) +
+                       " reason=" + core::quoted(event.m_reason));
 }
 
 } // namespace mangoquay::fleet
--- a/src/ownership/owner_engine.cpp
+++ b/src/ownership/owner_engine.cpp
@@ -2,6 +2,7 @@
 #include "ownership/owner_engine.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 
 #include <algorithm>
 #include <array>
@@ -215,7 +216,7 @@
 void owner_engine::on_monitor_session_lost(const std::string& reason) {
     core::log_line(core::log_level::warning, "ownership",
                    "endpoint not served until taken over again endpoint=" + m_endpoint.value() +
-                       " reason=" + reason);
+                       " reason=" + core::quoted(reason));
     refuse_queued(core::reason::endpoint_unreachable);
     m_connections.set_enabled(false);
     for (const auto& query : std::exchange(m_position_queries, {})) {
--- a/src/ownership/takeover.cpp
+++ b/src/ownership/takeover.cpp
@@ -2,6 +2,7 @@
 #include "ownership/monitor.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 #include "dialect/postgres_sql.h"
 
 #include <algorithm>
@@ -76,7 +77,7 @@
     const core::duration delay = first_retry_delay * (1U << std::min(m_failure_count, max_retry_doublings));
     ++m_failure_count;
     core::log_line(core::log_level::warning, "ownership",
-                   "monitoring connection lost endpoint=" + m_name + " reason=" + reason);
+                   "monitoring connection lost endpoint=" + m_name + " reason=" + core::quoted(reason));
     set_timer(transport::event_loop::now() + jittered(delay), &monitor::connect);
     if (held) {
         m_listener.on_monitor_session_lost(reason);
--- a/src/pooling/warm_connections.cpp
+++ b/src/pooling/warm_connections.cpp
@@ -2,6 +2,7 @@
 #include "pooling/warm_connections.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 
 #include <algorithm>
 #include <utility>
@@ -142,23 +143,25 @@
     const auto session = std::make_shared<database::connection>(m_loop, m_parameters);
     m_sessions.emplace(number, session);
     const core::time_point start = transport::event_loop::now();
-    session->open(core::deadline_after(start, connect_timeout), [this, number, start](
-                                                                    bool opened, const std::string& reason) {
-        const core::time_point now = transport::event_loop::now();
-        if (!opened) {
-            core::log_line(core::log_level::warning, "pooling", "connection not opened: " + reason);
-            m_sessions.erase(number);
-            m_pool.on_open_failed(number, now);
-            apply_plan();
-            return;
-        }
-        m_policy.m_connect_time += (now - start - m_policy.m_connect_time) / connect_time_divisor;
-        m_pool.set_policy(m_policy);
-        m_pool.on_opened(number, now);
-        // Returning the connection closes it if the pool was disabled in the meantime.
-        m_pool.lend();
-        return_connection({number, m_sessions.at(number)});
-    });
+    session->open(core::deadline_after(start, connect_timeout),
+                  [this, number, start](bool opened, const std::string& reason) {
+                      const core::time_point now = transport::event_loop::now();
+                      if (!opened) {
+                          core::log_line(core::log_level::warning, "pooling",
+                                         "connection not opened reason=" + core::quoted(reason));
+                          m_sessions.erase(number);
+                          m_pool.on_open_failed(number, now);
+                          apply_plan();
+                          return;
+                      }
+                      m_policy.m_connect_time +=
+                          (now - start - m_policy.m_connect_time) / connect_time_divisor;
+                      m_pool.set_policy(m_policy);
+                      m_pool.on_opened(number, now);
+                      // Returning the connection closes it if the pool was disabled in the meantime.
+                      m_pool.lend();
+                      return_connection({number, m_sessions.at(number)});
+                  });
 }
 
 void warm_connections::serve_waiters() {
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -4,6 +4,7 @@
 #include "transport/socket_options.h"
 
 #include "core/log.h"
+#include "core/quoting.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -298,7 +299,7 @@
     }
     if (!m_handshake.verify_proof(byte_view(m_received).first(proof_bytes))) {
         core::log_line(core::log_level::warning, "transport",
-                       "peer refused reason=cluster_key peer=" + m_handshake.peer());
+                       "peer refused reason=cluster_key peer=" + core::word_or_quoted(m_handshake.peer()));
         return false;
     }
     m_received.erase(m_received.begin(), m_received.begin() + proof_bytes);
