Refuse endpoint reports with ids that cannot be read as text

Cause: a report's id comes from the path, which may hold any bytes. An id that is no UTF-8 passed. By reading: failover_call puts it into JSON on a worker thread, where nlohmann's dump() throws for such bytes and nothing catches; the metrics page and the log would hold bytes that readers reject. Change: id, service, zone and address are valid only if every character is printable UTF-8 without blanks. Evidence: an_invalid_report_of_another_host_is_ignored with an id that is no UTF-8 and one with a control character above ASCII fails on the code before and holds now.

--- a/src/registry/endpoint_registry.cpp
+++ b/src/registry/endpoint_registry.cpp
@@ -1,6 +1,8 @@
 // Merge order, expiry and digest of endpoint reports.
 #include "registry/endpoint_registry.h"
 
+#include "core/quoting.h"
+
 #include <algorithm>
 #include <string_view>
 #include <tuple>
@@ -38,12 +40,13 @@
 
 std::string invalid_reason(const endpoint_report& report) {
     const auto is_name = [](const std::string& text) {
-        return !text.empty() && text.size() <= max_name_bytes &&
-               std::ranges::all_of(text, [](unsigned char byte) { return byte > ' ' && byte != 0x7f; });
+        return !text.empty() && text.size() <= max_name_bytes && text.find(' ') == std::string::npos &&
+               core::to_single_line(text) == text;
     };
     if (!is_name(report.m_id.value()) || !is_name(report.m_service.value()) ||
         !is_name(report.m_zone.value()) || !is_name(report.m_address.m_host)) {
-        return "id, service, zone or address is empty or too long or contains blanks or control characters";
+        return "id, service, zone or address is empty, too long or not readable, or contains blanks or "
+               "control characters";
     }
     if (report.m_slots > max_slots || report.m_started_ms < 0 || report.m_started_ms > max_start_time_ms) {
         return "the number of slots or the start time is out of range";
--- a/test/correctness/endpoint_registry_merge.cpp
+++ b/test/correctness/endpoint_registry_merge.cpp
@@ -52,7 +52,8 @@
         wide.m_slots = registry::max_slots + 1;
         std::vector<endpoint_report> odd_reports{late, wide, report("i-1", -1, 2)};
         // Each of them would leave a field out of a startup, or move the end of one.
-        for (const std::string& text : {std::string(), std::string("i 1\r\n"), std::string("i\0", 2)}) {
+        for (const std::string& text : {std::string(), std::string("i 1\r\n"), std::string("i\0", 2),
+                                        std::string("i\xff"), std::string("i\xc2\x85")}) {
             odd_reports.push_back(report(text, 6, 2));
             odd_reports.push_back(report("i-1", 6, 2));
             odd_reports.back().m_service = core::service_name(text);
