Promise nothing after a write that the database may have committed by itself

A write answered with FAILED or TIMEOUT outside of its transaction was answered ABORTED at once. The session now remembers that a write may be kept: COMMIT gets INDOUBT, others MALFORMED, until the transaction is ended.

Evidence: write_that_may_be_kept_is_followed_by_no_promise failed before (ABORTED in place of MALFORMED); with the change it, the rest of database_transaction_state and relay_safety pass (7 and 31 tests).

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -171,6 +171,7 @@
     } else if (ended_by_database) {
         // The database may have run and committed a write by itself.
         const refusal reason = caller.m_operation->m_writes ? refusal::in_doubt : refusal::aborted;
+        caller.m_transaction.m_may_be_kept = caller.m_operation->m_writes;
         caller.m_connection.reset();
         remove_connection(id);
         lose_transaction(caller, "the database ended it", now);
@@ -269,11 +270,14 @@
     if (caller.m_state == transaction_state::open &&
         (!not_run || caller.m_transaction.m_has_results || is_commit(caller))) {
         const bool commits = is_commit(caller);
+        const bool may_be_kept = op.m_writes && !not_run && answer.m_state == transaction_state::idle;
         detach_connection(caller, now);
         if (commits) {
             clear_transaction(caller);
         }
-        refuse_statement(owner, caller, not_run || !commits ? refusal::aborted : reason, answer.m_text, now);
+        caller.m_transaction.m_may_be_kept = may_be_kept;
+        const refusal ended = may_be_kept ? refusal::in_doubt : refusal::aborted;
+        refuse_statement(owner, caller, not_run || !commits ? ended : reason, answer.m_text, now);
         return;
     }
     op.m_avoided.insert(conn.m_endpoint);
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -111,7 +111,7 @@
         return;
     }
     if (caller.m_state == transaction_state::failed && !ends) {
-        if (caller.m_transaction.m_lost) {
+        if (caller.m_transaction.m_lost && !caller.m_transaction.m_may_be_kept) {
             refuse_statement(id, caller, refusal::aborted, "the transaction was ended; nothing of it is kept",
                              now);
             return;
@@ -180,8 +180,13 @@
         run_statement(id, caller, statement, now);
         return;
     }
+    const bool may_be_kept = caller.m_transaction.m_may_be_kept;
     detach_connection(caller, now);
     clear_transaction(caller);
+    if (commits && may_be_kept) {
+        refuse_statement(id, caller, refusal::in_doubt, "the database ended the transaction", now);
+        return;
+    }
     if (commits) {
         refuse_statement(id, caller, refusal::aborted, "the transaction had failed and is rolled back", now);
         return;
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -55,11 +55,13 @@
 };
 
 struct session_transaction {
-    bool m_read_only = false;       // The caller began it as read-only.
-    bool m_begun = false;           // It has begun at the database of the session's connection.
-    bool m_wrote = false;           // A write of it was sent to a database.
-    bool m_has_results = false;     // A statement of it succeeded.
-    bool m_lost = false;            // It ended without a request of the caller; none of its changes are kept.
+    bool m_read_only = false;   // The caller began it as read-only.
+    bool m_begun = false;       // It has begun at the database of the session's connection.
+    bool m_wrote = false;       // A write of it was sent to a database.
+    bool m_has_results = false; // A statement of it succeeded.
+    bool m_lost = false;        // It ended without a request of the caller.
+    // The database may have run and committed a write outside of it, so no answer may promise otherwise.
+    bool m_may_be_kept = false;
     core::time_point m_arrived{};   // Arrival time of its first statement.
     core::deadline m_idle_deadline; // The transaction is aborted if no statement is in progress by then.
 };
--- a/test/correctness/database_transaction_state.cpp
+++ b/test/correctness/database_transaction_state.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(write_after_transaction_was_lost_is_not_sent);
     CPPUNIT_TEST(first_write_after_begin_without_transaction_is_not_sent);
     CPPUNIT_TEST(read_of_lost_transaction_aborts_it);
+    CPPUNIT_TEST(write_that_may_be_kept_is_followed_by_no_promise);
     CPPUNIT_TEST(connection_that_refuses_rollback_is_not_reused);
     CPPUNIT_TEST(connection_that_stays_in_transaction_after_rollback_is_not_reused);
     CPPUNIT_TEST(refused_rollback_of_connection_check_does_not_leave_transaction_open);
@@ -89,6 +90,21 @@
         assert_no_violation(fleet);
     }
 
+    void write_that_may_be_kept_is_followed_by_no_promise() {
+        for (const database_reaction& reaction :
+             {database_reaction{.m_loses_transaction = true}, {.m_refusal = "TIMEOUT", .m_state = 'I'}}) {
+            test::entry_fleet fleet;
+            const auto caller = fleet.open_session("latest");
+            fleet.set_script(react_to([](const database_query& query) { return query.m_text == "WRITE a 1"; },
+                                      reaction, 1));
+            caller->ask("BEGIN");
+            CPPUNIT_ASSERT_EQUAL(std::string("INDOUBT"), caller->ask("WRITE a 1").m_code);
+            CPPUNIT_ASSERT_EQUAL(std::string("MALFORMED"), caller->ask("WRITE a 2").m_code);
+            CPPUNIT_ASSERT_EQUAL(std::string("INDOUBT"), caller->ask("COMMIT").m_code);
+            CPPUNIT_ASSERT(caller->ask("WRITE a 3").succeeded());
+        }
+    }
+
     void connection_that_refuses_rollback_is_not_reused() {
         test::entry_fleet fleet;
         fleet.set_script(react_to(
