Close a connection that left the transaction of a wrapped read by itself

A read that has to run at the primary is wrapped in a transaction of the relay. If the database answered it with the state I, the connection was reused, and the next caller's statement could run in that transaction (PINNED). The connection is now closed.

Evidence: connection_that_left_its_transaction_by_itself_is_not_reused failed before ("q3 ran in one transaction with q11"); with the change it, the other 7 tests of database_transaction_state and the 31 of relay_safety pass. A caller that leaves during a statement of its transaction is not covered.

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -230,9 +230,13 @@
         caller.m_transaction = {};
     }
     const bool in_transaction = caller.m_state == transaction_state::open;
+    const bool wrapped = !in_transaction && !commits && caller.m_operation->m_primary_only;
     finish_statement(owner, caller, std::move(reply), now);
     if (in_transaction) {
         conn.m_answer_deadline.m_at = core::time_point::max();
+    } else if (wrapped && answer.m_state == transaction_state::idle) {
+        remove_connection(id); // The transaction that the relay began may still be open.
+        dispatch_waiting(now);
     } else if (answer.m_state == transaction_state::idle) {
         release_connection(id, now);
     } else { // A read inside a transaction of the relay.
--- a/test/correctness/database_transaction_state.cpp
+++ b/test/correctness/database_transaction_state.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(first_write_after_begin_without_transaction_is_not_sent);
     CPPUNIT_TEST(read_of_lost_transaction_aborts_it);
     CPPUNIT_TEST(write_that_may_be_kept_is_followed_by_no_promise);
+    CPPUNIT_TEST(connection_that_left_its_transaction_by_itself_is_not_reused);
     CPPUNIT_TEST(connection_that_refuses_rollback_is_not_reused);
     CPPUNIT_TEST(connection_that_stays_in_transaction_after_rollback_is_not_reused);
     CPPUNIT_TEST(refused_rollback_of_connection_check_does_not_leave_transaction_open);
@@ -105,6 +106,18 @@
         }
     }
 
+    void connection_that_left_its_transaction_by_itself_is_not_reused() {
+        test::entry_fleet fleet;
+        fleet.set_script(react_to(
+            [](const database_query& query) { return query.m_text == "READ a" && query.m_in_transaction; },
+            {.m_state = 'I'}, 3));
+        for (int round = 0; round < 3; ++round) { // Read in a transaction of the entry host.
+            CPPUNIT_ASSERT(fleet.open_session("latest")->ask("READ a").succeeded());
+        }
+        run_other_sessions(fleet);
+        assert_no_violation(fleet);
+    }
+
     void connection_that_refuses_rollback_is_not_reused() {
         test::entry_fleet fleet;
         fleet.set_script(react_to(
