--- a/src/relay/prepared_statements.h
+++ b/src/relay/prepared_statements.h
@@ -47,6 +47,13 @@
 // Numbers the statements that sessions and connections refer to. Must outlive its handles.
 class statement_catalog {
 public:
+    statement_catalog() = default;
+    ~statement_catalog() = default;
+    statement_catalog(const statement_catalog&) = delete;
+    statement_catalog& operator=(const statement_catalog&) = delete;
+    statement_catalog(statement_catalog&&) = delete;
+    statement_catalog& operator=(statement_catalog&&) = delete;
+
     // Returns the handle of an equal statement if there is one.
     statement_handle find_or_add(prepared_statement statement);
     [[nodiscard]] std::size_t size() const { return m_statements.size(); }
@@ -72,7 +79,6 @@
     std::vector<statement_handle> add(statement_handle statement);
     void clear();
     [[nodiscard]] bool empty() const { return m_statements.empty(); }
-    [[nodiscard]] std::size_t size() const { return m_statements.size(); }
 
 private:
     std::vector<statement_handle> m_statements; // The one used last is at the end.
