--- a/test/correctness/transaction_after_lost_connection.cpp
+++ b/test/correctness/transaction_after_lost_connection.cpp
@@ -33,9 +33,7 @@
     }
     void close_connection(relay::connection_id) override {}
     void record_event(const relay::statement_event&) override {}
-    [[nodiscard]] bool can_encode(const relay::database_request& /*request*/) const override {
-        return true;
-    }
+    [[nodiscard]] bool can_encode(const relay::database_request& /*request*/) const override { return true; }
     void count_statement(const relay::answered_statement&) override {}
 
     std::vector<relay::session_answer> m_answers;
