Name and split the accounting of session state and the checks of message size

Readability only: an entry that does not exist is an empty size instead of 0, the check of the size and the choice of the primary are two functions.

--- a/src/entry/session_protocol.h
+++ b/src/entry/session_protocol.h
@@ -55,7 +55,8 @@
     virtual void encode_startup(const registry::endpoint_report& target, std::string& out) const = 0;
     virtual void encode_request(const relay::database_request& request, std::string& out) const = 0;
     // Whether a database would read the request's fields as they are. False if one of them contains an end of
-    // a field or of a message, or if the message would be too long. No other request may be encoded.
+    // a field or of a message, or if the message would be too long. A statement that is forwarded unchanged
+    // has the size of the caller's message. No other request may be encoded.
     [[nodiscard]] virtual bool can_encode(const relay::database_request& request) const = 0;
     // Decodes the row that answers a status request or a promotion step. Returns nothing if it is malformed.
     [[nodiscard]] virtual std::optional<promotion::endpoint_status>
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -274,7 +274,7 @@
         return;
     }
     if (reason == refusal::unknown_statement) {
-        on_record_refuted(owner, id, answer.m_text, now);
+        on_unknown_statement(owner, id, answer.m_text, now);
         return;
     }
     const bool not_run = guarantees_not_run(reason);
@@ -299,8 +299,8 @@
     retry_or_refuse(owner, caller, reason, answer.m_text, now);
 }
 
-void relay_core::on_record_refuted(session_id owner, connection_id id, const std::string& text,
-                                   core::time_point now) {
+void relay_core::on_unknown_statement(session_id owner, connection_id id, const std::string& text,
+                                      core::time_point now) {
     session& caller = m_sessions.at(owner);
     m_connections.at(id).m_session.reset();
     caller.m_connection.reset();
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -227,12 +227,16 @@
                               core::time_point now);
     void run_statement(session_id id, session& caller, const session_statement& statement,
                        core::time_point now);
-    // Replaces an entry of the session's values or prepared statements by one of another size; 0: no entry.
-    // Returns false if that would exceed a limit.
-    bool change_state_size(session& caller, std::size_t before, std::size_t after);
+    // Accounts for an entry of the session's values or prepared statements that replaces another one or is
+    // removed; empty sizes stand for no entry. Returns false, and changes nothing, if that would exceed a
+    // limit.
+    bool replace_entry_size(session& caller, std::optional<std::size_t> before,
+                            std::optional<std::size_t> after);
     void remove_session(session_id id);
-    // Returns false if no database could read the statement in progress in one message.
-    bool fit_in_message(session& caller);
+    // Whether a database could read the statement in progress, without a position, in one message.
+    [[nodiscard]] bool fits_in_message(const session& caller) const;
+    // Runs a read at the primary, which needs no position, if a position would make its message too long.
+    void avoid_position_beyond_limit(session& caller);
     void reject_malformed(session_id id, session& caller, const session_statement& statement,
                           core::time_point now);
     void answer_locally(session_id id, session& caller, const session_statement& statement);
@@ -317,7 +321,8 @@
                               core::time_point now);
     // The database did not run the statement, because it does not hold a prepared statement that the record
     // of the connection lists. The record is not reliable any more, so the connection is closed.
-    void on_record_refuted(session_id owner, connection_id id, const std::string& text, core::time_point now);
+    void on_unknown_statement(session_id owner, connection_id id, const std::string& text,
+                              core::time_point now);
     // Returns false if the statement was refused instead of repeated.
     bool retry_or_refuse(session_id owner, session& caller, refusal reason, const std::string& text,
                          core::time_point now);
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -39,12 +39,6 @@
     return name.size() + text.size();
 }
 
-// Size of the prepared statement with the caller's name; 0 if there is none.
-std::size_t state_size(const session& caller, const std::string& name) {
-    const auto held = caller.m_prepared.find(name);
-    return held == caller.m_prepared.end() ? 0 : entry_size(name, held->second->m_statement.m_template);
-}
-
 core::duration fraction_of(core::milliseconds total, double fraction) {
     return std::chrono::duration_cast<core::duration>(total * fraction);
 }
@@ -53,6 +47,18 @@
     return left < right ? left : right;
 }
 
+std::optional<std::size_t> value_size(const session& caller, const std::string& name) {
+    const auto held = caller.m_values.find(name);
+    return held == caller.m_values.end() ? std::nullopt : std::optional(entry_size(name, held->second));
+}
+
+std::optional<std::size_t> prepared_size(const session& caller, const std::string& name) {
+    const auto held = caller.m_prepared.find(name);
+    return held == caller.m_prepared.end()
+               ? std::nullopt
+               : std::optional(entry_size(name, held->second->m_statement.m_template));
+}
+
 } // namespace
 
 bool relay_core::on_session_opened(session_id id, const std::string& database) {
@@ -196,9 +202,8 @@
 
 void relay_core::set_session_value(session_id id, session& caller, const session_statement& statement,
                                    core::time_point now) {
-    const auto held = caller.m_values.find(statement.m_name);
-    const std::size_t before = held == caller.m_values.end() ? 0 : entry_size(held->first, held->second);
-    if (!change_state_size(caller, before, entry_size(statement.m_name, statement.m_argument))) {
+    if (!replace_entry_size(caller, value_size(caller, statement.m_name),
+                            entry_size(statement.m_name, statement.m_argument))) {
         refuse_statement(id, caller, refusal::failed, too_much_state, now);
         return;
     }
@@ -213,8 +218,8 @@
         refuse_statement(id, caller, refusal::malformed, too_long, now);
         return;
     }
-    if (!change_state_size(caller, state_size(caller, statement.m_name),
-                           entry_size(statement.m_name, statement.m_argument))) {
+    if (!replace_entry_size(caller, prepared_size(caller, statement.m_name),
+                            entry_size(statement.m_name, statement.m_argument))) {
         refuse_statement(id, caller, refusal::failed, too_much_state, now);
         return;
     }
@@ -222,13 +227,15 @@
     answer_locally(id, caller, statement);
 }
 
-bool relay_core::change_state_size(session& caller, std::size_t before, std::size_t after) {
+bool relay_core::replace_entry_size(session& caller, std::optional<std::size_t> before,
+                                    std::optional<std::size_t> after) {
     const session_state_limits& limits = m_limits.m_session_state;
-    const std::size_t entries = caller.m_values.size() + caller.m_prepared.size() + (before == 0 ? 1 : 0);
-    const std::size_t bytes = caller.m_state_bytes - before + after;
-    const std::size_t total_bytes = m_session_state_bytes - before + after;
-    if (after > before && (entries > limits.m_max_entries || bytes > limits.m_max_bytes ||
-                           total_bytes > limits.m_max_total_bytes)) {
+    const std::size_t entries = caller.m_values.size() + caller.m_prepared.size() + (before ? 0 : 1);
+    const std::size_t bytes = caller.m_state_bytes - before.value_or(0) + after.value_or(0);
+    const std::size_t total_bytes = m_session_state_bytes - before.value_or(0) + after.value_or(0);
+    const bool exceeds_limit = entries > limits.m_max_entries || bytes > limits.m_max_bytes ||
+                               total_bytes > limits.m_max_total_bytes;
+    if (after.value_or(0) > before.value_or(0) && exceeds_limit) {
         return false;
     }
     caller.m_state_bytes = bytes;
@@ -249,7 +256,7 @@
         refuse_statement(id, caller, refusal::unknown_statement, "no prepared statement of that name", now);
         return;
     }
-    change_state_size(caller, state_size(caller, statement.m_name), 0);
+    replace_entry_size(caller, prepared_size(caller, statement.m_name), std::nullopt);
     caller.m_prepared.erase(held);
     answer_locally(id, caller, statement);
 }
@@ -277,9 +284,12 @@
         }
         op.m_writes = prepared->second->m_statement.m_access == access_kind::write;
     }
-    if (statement.m_id.size() + statement.m_text.size() >= large_statement_bytes && !fit_in_message(caller)) {
-        refuse_statement(id, caller, refusal::malformed, too_long, now);
-        return;
+    if (statement.m_id.size() + statement.m_text.size() >= large_statement_bytes) {
+        if (!fits_in_message(caller)) {
+            refuse_statement(id, caller, refusal::malformed, too_long, now);
+            return;
+        }
+        avoid_position_beyond_limit(caller);
     }
     op.m_deadline.m_at = now + route->m_statement_timeout - answer_margin;
     op.m_refusal_deadline.m_at =
@@ -290,18 +300,21 @@
     dispatch(id, now);
 }
 
-// A caller's message may be as long as the protocol allows. A name or a position that the relay adds can make
-// it too long for a database. The primary reads without a position.
-bool relay_core::fit_in_message(session& caller) {
-    database_request request = statement_request(caller);
-    if (request.m_kind == request_kind::execute && !m_ports.can_encode(request)) {
-        return false;
+// A caller's message may be as long as the protocol allows. The name that replaces the caller's can make it
+// too long for a database.
+bool relay_core::fits_in_message(const session& caller) const {
+    const database_request request = statement_request(caller);
+    return request.m_kind != request_kind::execute || m_ports.can_encode(request);
+}
+
+void relay_core::avoid_position_beyond_limit(session& caller) {
+    operation& op = *caller.m_operation;
+    if (op.m_writes || caller.m_state != transaction_state::idle) {
+        return;
     }
+    database_request request = statement_request(caller);
     request.m_min_position = longest_position;
-    operation& op = *caller.m_operation;
-    const bool may_carry_position = !op.m_writes && caller.m_state == transaction_state::idle;
-    op.m_primary_only = op.m_primary_only || (may_carry_position && !m_ports.can_encode(request));
-    return true;
+    op.m_primary_only = op.m_primary_only || !m_ports.can_encode(request);
 }
 
 void relay_core::answer_locally(session_id id, session& caller, const session_statement& statement) {
