--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -15,6 +15,8 @@
 using endpoint_id = strong_value<struct endpoint_id_tag, std::string>;
 // A primary and its replicas.
 using group_id = strong_value<struct group_id_tag, std::string>;
+// A customer of the operator, whose callers present its keys.
+using customer_name = strong_value<struct customer_name_tag, std::string>;
 using service_name = strong_value<struct service_name_tag, std::string>;
 using preset_name = strong_value<struct preset_name_tag, std::string>;
 using caller_id = strong_value<struct caller_id_tag, std::string>;
--- /dev/null
+++ b/src/quotas/quota_granter.h
@@ -0,0 +1,69 @@
+// Divides the customers' limits among the entry hosts. Runs on the control leader.
+//
+// Owns what each host may hold at most, and the unassigned tokens of each customer. The hosts that may hold
+// shares are replicated, so that a new leader knows whom to wait for. Deterministic: the time is passed in;
+// acts through granter_ports, whose functions must not call back.
+//
+// Invariants, for each customer:
+// - the rates that hosts may hold sum up to at most its rate, the capacities to at most total_capacity();
+// - nothing is granted to a host before its entry in the replicated list of holders is committed;
+// - until every listed holder has reported to this leader or counted_lifetime has passed since it began to
+//   lead, nothing is granted beyond what a host holds already.
+#pragma once
+
+#include "quotas/share.h"
+
+#include <optional>
+#include <set>
+
+namespace mangoquay::quotas {
+
+// The capacities of all shares of a limit together. Half of the tolerance is left for clocks of unequal speed
+// and for statements in transit.
+double total_capacity(const operation_limit& limit, const window_tolerance& tolerance);
+
+class granter_ports {
+public:
+    granter_ports() = default;
+    virtual ~granter_ports() = default;
+    granter_ports(const granter_ports&) = delete;
+    granter_ports& operator=(const granter_ports&) = delete;
+    granter_ports(granter_ports&&) = delete;
+    granter_ports& operator=(granter_ports&&) = delete;
+
+    // Proposes to add a host to the replicated list of holders or to remove it. The result arrives by
+    // quota_granter::set_holders().
+    virtual void propose_holder(const core::entry_host_id& host, bool holds) = 0;
+};
+
+class quota_granter {
+public:
+    quota_granter(granter_ports& ports, window_tolerance tolerance)
+        : m_ports(ports), m_tolerance(tolerance) {}
+
+    // This host leads from now on, and grants only between these calls.
+    void begin_term(core::time_point now);
+    void end_term();
+    // The replicated list of holders, after each change.
+    void set_holders(std::set<core::entry_host_id> holders);
+    void set_limits(limits_by_customer limits, core::time_point now);
+
+    // The answer, or nothing if this host does not lead or the requesting host is not listed yet.
+    std::optional<quota_grant> on_request(const core::entry_host_id& host, const quota_request& request,
+                                          core::time_point now);
+    // Forgets shares that have ended and proposes to remove hosts that have held nothing for a minute.
+    void tick(core::time_point now);
+
+    // Whether shares may grow: every listed holder is known, or the shares of earlier leaders have ended.
+    [[nodiscard]] bool may_assign(core::time_point now) const;
+    // What all hosts together may hold at most, for metrics and tests.
+    [[nodiscard]] share assigned(const core::customer_name& customer, core::time_point now) const;
+
+private:
+    granter_ports& m_ports;
+    window_tolerance m_tolerance;
+    limits_by_customer m_limits;
+    std::set<core::entry_host_id> m_holders;
+};
+
+} // namespace mangoquay::quotas
--- /dev/null
+++ b/src/quotas/share.h
@@ -0,0 +1,88 @@
+// The part of a customer's limit that one entry host may use, and the messages that assign it.
+//
+// A limit holds over all entry hosts, in contact or not. The control leader divides it into shares; each host
+// enforces its shares with token buckets. docs/design/quotas.md explains why this bounds every window.
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/strong_value.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace mangoquay::quotas {
+
+// A host counts a share until this long after it sent the request that the share answers, on a clock that
+// counts suspension. Zones are cut off for 5 to 6 s and keep their shares meanwhile.
+inline constexpr core::milliseconds share_lifetime{10'000};
+// The leader counts a share for this long after it received the request: clocks run at 0.9 to 1.1 of true
+// time.
+inline constexpr core::milliseconds counted_lifetime{11'000};
+inline constexpr core::milliseconds request_period{1'000};
+// Pause between two requests while operations wait for tokens.
+inline constexpr core::milliseconds min_request_pause{50};
+// An operation waits this long for an answer of the leader.
+inline constexpr core::milliseconds max_token_wait{100};
+
+// Number of a request, unique and increasing among those of one process.
+using request_number = core::strong_value<struct request_number_tag, std::uint64_t>;
+
+// The limit of one customer over all hosts.
+struct operation_limit {
+    double m_rate_per_s = 0.0;
+    double m_burst = 0.0;
+
+    friend bool operator==(const operation_limit&, const operation_limit&) = default;
+};
+
+using limits_by_customer = std::map<core::customer_name, operation_limit>;
+
+// How far the operations of a window may exceed a limit: (rate x window + burst) x (1 + overage) + slack.
+struct window_tolerance {
+    core::milliseconds m_window{5000};
+    double m_overage = 0.1;
+    double m_slack = 20.0;
+};
+
+// A token bucket of one host: refilled at m_rate_per_s up to m_capacity.
+struct share {
+    double m_rate_per_s = 0.0;
+    double m_capacity = 0.0;
+
+    friend bool operator==(const share&, const share&) = default;
+};
+
+// What an entry host reports about one customer.
+struct customer_demand {
+    core::customer_name m_customer;
+    share m_held;                  // Empty if the host holds none, or an expired one.
+    double m_arrivals_per_s = 0.0; // Moving average of the operations that arrived, refused ones included.
+    std::uint32_t m_sessions = 0;
+    bool m_waiting = false; // Operations wait for tokens.
+};
+
+struct quota_request {
+    core::incarnation m_incarnation; // Of the requesting process. A higher one holds no shares.
+    request_number m_number;
+    // The last answer that was applied; 0 if none was.
+    request_number m_applied;
+    std::vector<customer_demand> m_customers;
+};
+
+struct granted_share {
+    core::customer_name m_customer;
+    share m_share;
+    double m_tokens = 0.0;   // Added to the bucket once, up to its capacity.
+    operation_limit m_limit; // The limit that the share is a part of.
+};
+
+// Answers the request of m_number. Customers that it does not name keep no share.
+struct quota_grant {
+    core::incarnation m_incarnation;
+    request_number m_number;
+    std::vector<granted_share> m_shares;
+};
+
+} // namespace mangoquay::quotas
