Customers of the configuration document, and the customer of each session

Change: documents::customer_directory (digests of keys only), public routes, NOAUTH for unknown keys at startup. A new configuration is applied to open sessions: without a valid key nothing more is sent, and work begun for one customer does not go on for another.

--- a/src/documents/configuration.h
+++ b/src/documents/configuration.h
@@ -1,4 +1,4 @@
-// The configuration document that an operator replaces as a whole: routes, services, limits.
+// The configuration document that an operator replaces as a whole: routes, services, customers, limits.
 //
 // Every entry host applies the document with the highest version that it has received. Validation is a pure
 // function, so all control hosts reject the same documents.
@@ -7,8 +7,10 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/result.h"
+#include "documents/customers.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +35,7 @@
     std::uint32_t m_max_attempts = 1;         // Limit of the attempts to run one statement at a database.
     core::milliseconds m_max_age{};           // Maximum age of the data. Not used if m_consistency is latest.
     core::service_name m_service;
+    bool m_public = false; // Callers need no key of a customer.
 
     friend bool operator==(const route_rule&, const route_rule&) = default;
 };
@@ -54,6 +57,8 @@
     document_version m_version;
     std::vector<route_rule> m_routes;
     std::vector<service_rule> m_services;
+    // Empty: callers are not told apart by customer, and every caller is accepted.
+    std::optional<customer_directory> m_customers;
     core::milliseconds m_transaction_idle_timeout{}; // 0 means no limit.
 
     friend bool operator==(const configuration&, const configuration&) = default;
--- a/src/entry/caller_sessions.cpp
+++ b/src/entry/caller_sessions.cpp
@@ -78,6 +78,7 @@
             return false;
         }
         caller.m_database = std::move(message.m_database);
+        caller.m_key = std::move(message.m_key);
         return start_session(id, caller);
     case message_kind::statement:
         if (!caller.m_started || ++caller.m_unanswered_count > m_limits.m_max_waiting_statements) {
@@ -109,10 +110,15 @@
         refuse_and_close(id, relay::refusal::busy, "this host has no configuration yet");
         return false;
     }
-    if (!m_core->on_session_opened(id, caller.m_database)) {
+    const relay::session_admission admission = m_core->on_session_opened(id, caller.m_database, caller.m_key);
+    if (admission == relay::session_admission::unknown_database) {
         refuse_and_close(id, relay::refusal::unknown_database, "no route of that name");
         return false;
     }
+    if (admission == relay::session_admission::unknown_key) {
+        refuse_and_close(id, relay::refusal::unauthorized, "the key is not known");
+        return false;
+    }
     caller.m_started = true;
     std::string ready;
     m_protocol.encode_ready(ready);
--- a/src/entry/caller_sessions.h
+++ b/src/entry/caller_sessions.h
@@ -48,6 +48,7 @@
         bool m_started = false;
         core::deadline m_start_deadline; // Time limit of the wait for a configuration.
         std::string m_database;
+        std::optional<documents::key_digest> m_key;
         std::size_t m_unanswered_count = 0; // Statements without an answer.
     };
 
--- a/src/entry/session_protocol.h
+++ b/src/entry/session_protocol.h
@@ -4,6 +4,7 @@
 // An implementation keeps no state between calls except in the objects that are passed in.
 #pragma once
 
+#include "documents/customers.h"
 #include "promotion/promotion_core.h"
 #include "registry/endpoint_registry.h"
 #include "relay/statement.h"
@@ -18,7 +19,8 @@
 
 struct caller_message {
     message_kind m_kind = message_kind::malformed;
-    std::string m_database; // Set for startup.
+    std::string m_database;                     // Set for startup.
+    std::optional<documents::key_digest> m_key; // Of the startup; empty if the caller sent no key.
     relay::session_statement m_statement;
 };
 
--- a/src/lending/lending_wire.cpp
+++ b/src/lending/lending_wire.cpp
@@ -9,7 +9,7 @@
 namespace mangoquay::lending {
 namespace {
 
-constexpr auto last_refusal = relay::refusal::malformed;
+constexpr auto last_refusal = relay::refusal::unauthorized;
 constexpr auto last_state = relay::transaction_state::failed;
 
 // Whether a borrower may send the request; promotion steps are reserved for control hosts.
--- a/src/metrics/session_metrics.h
+++ b/src/metrics/session_metrics.h
@@ -37,7 +37,7 @@
     // Upper bounds of the histogram buckets. Latency targets and limits lie between 150 and 5,000 ms.
     static constexpr std::array<double, 10> bucket_bounds_ms{5, 10, 25, 50, 100, 200, 400, 800, 1600, 5000};
     static constexpr std::size_t consistency_count = 3; // Number of values of documents::consistency.
-    static constexpr std::size_t refusal_count = static_cast<std::size_t>(relay::refusal::malformed) + 1;
+    static constexpr std::size_t refusal_count = static_cast<std::size_t>(relay::refusal::unauthorized) + 1;
 
     struct consistency_metrics {
         consistency_metrics();
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -128,6 +128,8 @@
     std::uint64_t m_connections_borrowed = 0;
     std::uint64_t m_served_by_replicas = 0;
     std::uint64_t m_served_by_primaries = 0;
+    std::uint64_t m_unknown_keys = 0;   // Sessions refused because of their key.
+    std::uint64_t m_withdrawn_keys = 0; // Statements refused because their key was withdrawn.
 };
 
 // What this host observed of a service's primary, reported to the control hosts.
@@ -137,6 +139,12 @@
     bool m_failing = false;  // Connections to it failed, and it has not answered since.
 };
 
+enum class session_admission : std::uint8_t {
+    accepted,
+    unknown_database, // No route has that name.
+    unknown_key,      // The key of no customer, on a route that is not public.
+};
+
 class relay_core {
 public:
     relay_core(relay_ports& ports, relay_limits limits);
@@ -163,8 +171,8 @@
     void set_primary_leases(const primary_leases::primary_list& primaries, core::deadline lease_end,
                             core::time_point now);
 
-    // Returns false if no route has the name `database`.
-    bool on_session_opened(session_id id, const std::string& database);
+    session_admission on_session_opened(session_id id, const std::string& database,
+                                        const std::optional<documents::key_digest>& key = std::nullopt);
     // The answer is sent by relay_ports::send_answer(), possibly before this function returns. Statements of
     // a session are answered in the order of arrival.
     void on_statement_received(session_id id, const session_statement& statement, core::time_point now);
@@ -247,6 +255,19 @@
     // The time by which the caller has to send the next statement of its transaction.
     [[nodiscard]] core::deadline idle_deadline(core::time_point now) const;
 
+    // relay_customers.cpp: customers of sessions.
+    struct caller_identity {
+        std::optional<core::customer_name> m_customer;
+    };
+    // Whom a caller with this key works for; empty if the route does not accept the key.
+    [[nodiscard]] std::optional<caller_identity>
+    identify(const documents::route_rule& route, const std::optional<documents::key_digest>& key) const;
+    // Applies the keys of a new configuration to the open sessions.
+    void check_identities(core::time_point now);
+    void end_unauthorized_work(session_id id, session& caller, core::time_point now);
+    void end_work_of_former_customer(session_id id, session& caller, core::time_point now);
+    void refuse_unauthorized(session_id id, session& caller, core::time_point now);
+
     // relay_dispatch.cpp: choice of endpoints and connections for statements.
     void dispatch(session_id id, core::time_point now);
     void dispatch_waiting(core::time_point now);
--- /dev/null
+++ b/src/relay/relay_customers.cpp
@@ -0,0 +1,138 @@
+// Which customer a session works for, and what happens to open sessions when the configuration changes that.
+#include "relay/relay_core.h"
+
+#include <utility>
+#include <vector>
+
+namespace mangoquay::relay {
+namespace {
+
+constexpr const char* key_not_valid = "the key is not valid";
+constexpr const char* key_moved = "the key belongs to another customer now";
+
+} // namespace
+
+std::optional<relay_core::caller_identity>
+relay_core::identify(const documents::route_rule& route,
+                     const std::optional<documents::key_digest>& key) const {
+    if (!m_configuration.m_customers) {
+        return caller_identity{};
+    }
+    const documents::customer_rule* customer = key ? m_configuration.m_customers->find(*key) : nullptr;
+    if (customer != nullptr) {
+        return caller_identity{customer->m_name};
+    }
+    return route.m_public ? std::optional(caller_identity{}) : std::nullopt;
+}
+
+session_admission relay_core::on_session_opened(session_id id, const std::string& database,
+                                                const std::optional<documents::key_digest>& key) {
+    const documents::route_rule* route = m_configuration.find_route(database);
+    if (route == nullptr) {
+        return session_admission::unknown_database;
+    }
+    auto identity = identify(*route, key);
+    if (!identity) {
+        ++m_counters.m_unknown_keys;
+        return session_admission::unknown_key;
+    }
+    session opened;
+    opened.m_database = database;
+    opened.m_key = key;
+    opened.m_customer = std::move(identity->m_customer);
+    m_sessions[id] = std::move(opened);
+    return session_admission::accepted;
+}
+
+void relay_core::check_identities(core::time_point now) {
+    // All sessions are marked before any connection becomes free, which dispatches other sessions.
+    std::vector<session_id> changed;
+    for (auto& [id, caller] : m_sessions) {
+        const documents::route_rule* route = route_of(caller);
+        if (route == nullptr || caller.m_key_withdrawn) {
+            continue; // A statement on a removed route is refused by itself.
+        }
+        auto identity = identify(*route, caller.m_key);
+        if (identity && identity->m_customer == caller.m_customer) {
+            continue;
+        }
+        caller.m_key_withdrawn = !identity;
+        if (identity) {
+            caller.m_customer = std::move(identity->m_customer);
+        }
+        changed.push_back(id);
+    }
+    for (const session_id id : changed) {
+        const auto found = m_sessions.find(id);
+        if (found == m_sessions.end()) {
+            continue;
+        }
+        if (found->second.m_key_withdrawn) {
+            end_unauthorized_work(id, found->second, now);
+        } else {
+            end_work_of_former_customer(id, found->second, now);
+        }
+    }
+}
+
+// What was sent to a database may end, and its answer is delivered.
+void relay_core::end_unauthorized_work(session_id id, session& caller, core::time_point now) {
+    record_event("key withdrawn", caller, "", key_not_valid, now);
+    if (caller.m_operation) {
+        if (caller.m_operation->m_phase != operation_phase::running) {
+            refuse_unauthorized(id, caller, now);
+        }
+        return;
+    }
+    if (caller.m_state == transaction_state::open) {
+        lose_transaction(caller, key_not_valid, now);
+        return;
+    }
+    if (caller.m_state == transaction_state::idle) {
+        m_active_sessions.erase(id);
+        remove_session(id);
+        m_ports.close_session(id);
+    }
+}
+
+// Work that has begun under the name of one customer does not go on under the name of another.
+void relay_core::end_work_of_former_customer(session_id id, session& caller, core::time_point now) {
+    record_event("customer changed", caller, "", key_moved, now);
+    const bool in_transaction = caller.m_state == transaction_state::open;
+    if (!caller.m_operation) {
+        if (in_transaction && caller.m_transaction.m_begun) {
+            lose_transaction(caller, key_moved, now);
+        }
+        return;
+    }
+    operation& op = *caller.m_operation;
+    if (op.m_phase == operation_phase::running) {
+        return; // The next statement of its transaction is refused by dispatch().
+    }
+    cancel_loan(caller);
+    if (in_transaction && caller.m_transaction.m_begun) {
+        lose_transaction(caller, key_moved, now);
+        if (is_commit(caller)) {
+            clear_transaction(caller);
+        }
+        refuse_statement(id, caller, refusal::aborted, key_moved, now);
+        start_queued_statements(id, now);
+        return;
+    }
+    detach_connection(caller, now);
+    op.m_phase = operation_phase::waiting; // Dispatched again, on a connection of its customer.
+}
+
+// Refuses the statement in progress, which was not sent, and closes the session.
+void relay_core::refuse_unauthorized(session_id id, session& caller, core::time_point now) {
+    ++m_counters.m_withdrawn_keys;
+    cancel_loan(caller);
+    caller.m_queued_statements.clear();
+    caller.m_closing = true;
+    caller.m_operation->m_phase = operation_phase::preparing; // Not dispatched when its connection is free.
+    detach_connection(caller, now);
+    clear_transaction(caller);
+    refuse_statement(id, caller, refusal::unauthorized, key_not_valid, now);
+}
+
+} // namespace mangoquay::relay
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -29,6 +29,10 @@
 
 void relay_core::dispatch(session_id id, core::time_point now) {
     session& caller = m_sessions.at(id);
+    if (caller.m_key_withdrawn) {
+        refuse_unauthorized(id, caller, now);
+        return;
+    }
     operation& op = *caller.m_operation;
     if (caller.m_connection && is_commit(caller) && caller.m_transaction.m_wrote &&
         !may_use_primary(m_connections.at(*caller.m_connection), now)) {
--- a/src/relay/relay_endpoints.cpp
+++ b/src/relay/relay_endpoints.cpp
@@ -204,6 +204,7 @@
         m_lowest_priority = std::max(m_lowest_priority, route.m_priority);
     }
     apply_primary_leases();
+    check_identities(now);
     preopen_connections(now);
     dispatch_waiting(now);
 }
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -61,16 +61,6 @@
 
 } // namespace
 
-bool relay_core::on_session_opened(session_id id, const std::string& database) {
-    if (m_configuration.find_route(database) == nullptr) {
-        return false;
-    }
-    session opened;
-    opened.m_database = database;
-    m_sessions[id] = std::move(opened);
-    return true;
-}
-
 void relay_core::on_statement_received(session_id id, const session_statement& statement,
                                        core::time_point now) {
     const auto found = m_sessions.find(id);
@@ -113,6 +103,10 @@
     started.m_statement = statement;
     started.m_arrived = now;
     caller.m_operation = std::move(started);
+    if (caller.m_key_withdrawn) {
+        refuse_unauthorized(id, caller, now);
+        return;
+    }
     if (refuse_while_stopping(id, caller, now)) {
         return;
     }
@@ -338,8 +332,8 @@
         const bool down = caller.m_operation->m_unservable;
         answer.m_retry_after = down ? retry_when_down : retry_when_busy;
     }
-    const bool without_effect =
-        guarantees_not_run(reason) || reason == refusal::malformed || reason == refusal::unknown_database;
+    const bool without_effect = guarantees_not_run(reason) || reason == refusal::malformed ||
+                                reason == refusal::unknown_database || reason == refusal::unauthorized;
     ++(without_effect ? m_counters.m_refused : m_counters.m_uncertain);
     record_event("refused", caller, "", to_string(reason) + std::string(" ") + text, now);
     finish_statement(id, caller, std::move(answer), now);
@@ -362,6 +356,7 @@
         m_active_sessions.erase(id);
     }
     caller.m_transaction.m_idle_deadline = idle_deadline(now);
+    caller.m_closing = caller.m_closing || caller.m_key_withdrawn;
     m_ports.send_answer(id, answer);
     if (caller.m_closing && caller.m_state == transaction_state::idle && caller.m_queued_statements.empty()) {
         remove_session(id);
--- a/src/relay/relay_ticks.cpp
+++ b/src/relay/relay_ticks.cpp
@@ -33,7 +33,10 @@
     }
     session& caller = found->second;
     if (!caller.m_operation) {
-        if (caller.m_state == transaction_state::open && caller.m_transaction.m_idle_deadline.passed(now)) {
+        if (caller.m_state == transaction_state::open && caller.m_key_withdrawn) {
+            lose_transaction(caller, "the key is not valid", now);
+        } else if (caller.m_state == transaction_state::open &&
+                   caller.m_transaction.m_idle_deadline.passed(now)) {
             lose_transaction(caller, "idle time limit exceeded", now);
         }
         return;
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/strong_value.h"
+#include "documents/customers.h"
 #include "relay/prepared_statements.h"
 #include "relay/statement.h"
 
@@ -73,7 +74,10 @@
 };
 
 struct session {
-    std::string m_database; // Database name that the caller connected to.
+    std::string m_database;                        // Database name that the caller connected to.
+    std::optional<documents::key_digest> m_key;    // Empty if the caller presented none.
+    std::optional<core::customer_name> m_customer; // Whose key it is; empty without customers.
+    bool m_key_withdrawn = false; // No statement is sent any more; the session ends after its next answer.
     std::map<std::string, std::string> m_values;
     std::map<std::string, statement_handle> m_prepared; // By the caller's name.
     transaction_state m_state = transaction_state::idle;
--- a/src/relay/statement.cpp
+++ b/src/relay/statement.cpp
@@ -44,6 +44,8 @@
         return "unknown_database";
     case refusal::malformed:
         return "malformed";
+    case refusal::unauthorized:
+        return "unauthorized";
     }
     return "unknown";
 }
--- a/src/relay/statement.h
+++ b/src/relay/statement.h
@@ -57,6 +57,7 @@
     unknown_statement, // No prepared statement has that name; the statement did not run.
     unknown_database,  // No route has that name.
     malformed,
+    unauthorized, // The caller's key is not valid; the statement did not run.
 };
 
 // Whether the refusal guarantees that the statement has not run at a database.
--- a/test/correctness/connection_records.cpp
+++ b/test/correctness/connection_records.cpp
@@ -76,7 +76,8 @@
     }
 
     void open(std::uint64_t session) {
-        CPPUNIT_ASSERT(m_core.on_session_opened(relay::session_id(session), "tray"));
+        CPPUNIT_ASSERT(m_core.on_session_opened(relay::session_id(session), "tray") ==
+                       relay::session_admission::accepted);
     }
     void close(std::uint64_t session) { m_core.on_session_closed(relay::session_id(session), m_now); }
     void send(std::uint64_t session, const std::string& id, const std::string& text) {
--- a/test/correctness/transaction_after_lost_connection.cpp
+++ b/test/correctness/transaction_after_lost_connection.cpp
@@ -83,7 +83,7 @@
         m_core.configure(configuration(), m_now);
         m_core.on_endpoints_changed({primary_report()}, m_now);
         open_connections();
-        CPPUNIT_ASSERT(m_core.on_session_opened(caller, "tray"));
+        CPPUNIT_ASSERT(m_core.on_session_opened(caller, "tray") == relay::session_admission::accepted);
         m_core.on_statement_received(caller, statement(relay::statement_kind::begin, "b1", "BEGIN"), m_now);
         m_core.on_statement_received(caller, statement(kind, "s1", "text"), m_now);
         open_connections();
--- a/test/support/relay_simulation_callers.cpp
+++ b/test/support/relay_simulation_callers.cpp
@@ -53,7 +53,8 @@
         m_callers[session].m_route = random_below(3);
         const std::string name = "database" + std::to_string(m_callers[session].m_route);
         on_host([this, session, name] {
-            if (!m_core->on_session_opened(relay::session_id(session), name)) {
+            if (m_core->on_session_opened(relay::session_id(session), name) !=
+                relay::session_admission::accepted) {
                 m_callers.erase(session); // Its route is removed.
                 schedule(core::milliseconds(20), [this] { start_operation(0); });
             }
