--- a/src/entry/database_connection.cpp
+++ b/src/entry/database_connection.cpp
@@ -7,6 +7,7 @@
 
 database_connection::database_connection(transport::event_loop& loop, const session_protocol& protocol,
                                          const registry::endpoint_report& target,
+                                         const std::optional<core::customer_name>& customer,
                                          database_connection_handlers handlers)
     : m_protocol(protocol), m_handlers(std::move(handlers)) {
     if (!m_protocol.can_encode(target)) {
@@ -24,7 +25,7 @@
     stream.m_on_closed = [this](const std::string& reason) { m_handlers.m_failed(std::nullopt, reason); };
     m_stream = std::make_unique<transport::byte_stream>(loop, target.m_address, std::move(stream));
     std::string startup;
-    m_protocol.encode_startup(target, startup);
+    m_protocol.encode_startup(target, customer, startup);
     m_stream->write(startup);
 }
 
--- a/src/entry/database_connection.h
+++ b/src/entry/database_connection.h
@@ -27,7 +27,9 @@
     // Starts to connect to `target`, or reports a failure later if a startup cannot name it. Destruction
     // closes the connection without calling a handler.
     database_connection(transport::event_loop& loop, const session_protocol& protocol,
-                        const registry::endpoint_report& target, database_connection_handlers handlers);
+                        const registry::endpoint_report& target,
+                        const std::optional<core::customer_name>& customer,
+                        database_connection_handlers handlers);
 
     // Answers arrive in the order of the requests.
     void send(const std::vector<relay::database_request>& requests);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 #include "entry/entry_node.h"
 
 #include "core/log.h"
+#include "core/process_number.h"
 #include "core/quoting.h"
 #include "metrics/page_writer.h"
 #include "metrics/peer_traffic.h"
@@ -38,7 +39,8 @@
                        const session_protocol& protocol, documents::document_decoder decoder)
     : m_loop(loop), m_bus(bus), m_settings(host_settings), m_protocol(protocol), m_decoder(decoder),
       m_core(*this, relay::relay_limits{.m_zone = host_settings.m_zone,
-                                        .m_executor_fences = host_settings.m_executor_fences}),
+                                        .m_executor_fences = host_settings.m_executor_fences,
+                                        .m_incarnation = core::incarnation(core::random_first_number())}),
       m_callers(loop, protocol, limits_from(host_settings), [this] { return m_subscriber.may_start_work(); }),
       m_subscriber(loop, bus, network,
                    {fleet::host_id(host_settings.m_peer_address), host_settings.m_peer_address, true,
@@ -46,6 +48,11 @@
                    make_subscriber_handlers()),
       m_lease(loop, bus, m_subscriber, fleet::host_id(host_settings.m_peer_address),
               [this] { apply_lease(); }),
+      m_quotas(
+          bus, m_subscriber, [this](core::time_point now) { return m_core.next_quota_request(now); },
+          [this](const quotas::quota_grant& grant, core::time_point now) {
+              return m_core.on_quota_granted(grant, now);
+          }),
       m_exchange(loop, bus, protocol, make_loan_handlers()) {
     network.on_peer_lost([this](const core::entry_host_id& host) { m_exchange.on_host_lost(host); });
 }
@@ -111,11 +118,15 @@
             continue;
         }
         const std::uint32_t usable = m_core.usable_connections(report.m_service);
-        own_connections[report.m_id] = lending::connections_kept_by(self, report, m_ready_hosts, usable);
+        const bool by_customer = m_core.connections_by_customer();
+        own_connections[report.m_id] =
+            by_customer ? 0 : lending::connections_kept_by(self, report, m_ready_hosts, usable);
         if (std::ranges::find(hosts, self) != hosts.end()) {
             const auto connections =
-                lending::connections_per_lender(report, m_ready_hosts, usable, hosts.size());
+                by_customer ? std::max(1U, usable / static_cast<std::uint32_t>(hosts.size()))
+                            : lending::connections_per_lender(report, m_ready_hosts, usable, hosts.size());
             lent.push_back(lending::endpoint_share(report, connections, hosts.size()));
+            lent.back().m_by_customer = by_customer;
         }
     }
     m_exchange.set_lenders(std::move(lenders));
@@ -171,6 +182,7 @@
     const core::time_point now = core::now();
     m_subscriber.may_start_work(); // Notices pauses while no caller sends anything.
     m_core.tick(now);
+    m_quotas.poll(now);
     report_failing_primaries(now);
     if (now >= m_next_summary) {
         write_summary();
@@ -219,7 +231,7 @@
         m_core.on_connection_failed(connection, reason, core::now());
     };
     m_connections[connection] =
-        std::make_unique<database_connection>(m_loop, m_protocol, target, std::move(handlers));
+        std::make_unique<database_connection>(m_loop, m_protocol, target, std::nullopt, std::move(handlers));
 }
 
 void entry_node::send_requests(relay::connection_id connection,
@@ -268,6 +280,15 @@
     page.add_line("links_lent", {}, static_cast<double>(lender.loan_count()));
     page.add_line("links_to_lend", {}, static_cast<double>(lender.connection_count()));
     page.add_line("loans_granted_total", {}, static_cast<double>(lender.counters().m_granted));
+    page.add_line("loans_granted_idle_total", {}, static_cast<double>(lender.counters().m_granted_idle));
+    page.add_line("links_replaced_total", {}, static_cast<double>(lender.counters().m_connections_replaced));
+    page.add_line("sessions_unknown_key_total", {}, static_cast<double>(m_core.counters().m_unknown_keys));
+    page.add_line("statements_withdrawn_key_total", {},
+                  static_cast<double>(m_core.counters().m_withdrawn_keys));
+    const quotas::holder_counters& quota_counters = m_core.quota_shares().counters();
+    page.add_line("quota_admitted_total", {}, static_cast<double>(quota_counters.m_admitted));
+    page.add_line("quota_refused_total", {}, static_cast<double>(quota_counters.m_refused));
+    page.add_line("quota_shares_expired_total", {}, static_cast<double>(quota_counters.m_shares_expired));
     page.add_line("loans_refused_total", {}, static_cast<double>(lender.counters().m_refused));
     metrics::add_peer_traffic(page, m_bus);
     return m_metrics.render_page(m_core, m_callers.rejected_count()) + page.take_text();
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -11,6 +11,7 @@
 #include "entry/loan_exchange.h"
 #include "entry/planned_stop.h"
 #include "fleet/lease_renewal.h"
+#include "fleet/quota_renewal.h"
 #include "fleet/update_subscriber.h"
 #include "metrics/session_metrics.h"
 #include "settings/fleet_settings.h"
@@ -90,6 +91,7 @@
     caller_sessions m_callers;
     fleet::update_subscriber m_subscriber;
     fleet::lease_renewal m_lease;
+    fleet::quota_renewal m_quotas;
     loan_exchange m_exchange;
     lending::hosts_by_zone m_ready_hosts;
     std::map<relay::connection_id, std::unique_ptr<database_connection>> m_connections;
--- a/src/entry/loan_exchange.cpp
+++ b/src/entry/loan_exchange.cpp
@@ -133,7 +133,8 @@
 // Output of the lender.
 
 void loan_exchange::open_connection(lending::lender_connection_id connection,
-                                    const registry::endpoint_report& target) {
+                                    const registry::endpoint_report& target,
+                                    const std::optional<core::customer_name>& customer) {
     database_connection_handlers handlers;
     handlers.m_opened = [this, connection](std::optional<core::history_position> position) {
         m_lender.on_connection_opened(connection, position, core::now());
@@ -149,7 +150,7 @@
         m_lender.on_connection_failed(connection, reason, text, core::now());
     };
     m_connections[connection] =
-        std::make_unique<database_connection>(m_loop, m_protocol, target, std::move(handlers));
+        std::make_unique<database_connection>(m_loop, m_protocol, target, customer, std::move(handlers));
 }
 
 void loan_exchange::send(lending::lender_connection_id connection,
--- a/src/entry/loan_exchange.h
+++ b/src/entry/loan_exchange.h
@@ -63,8 +63,8 @@
     [[nodiscard]] const lending::lender& lender() const { return m_lender; }
 
 private:
-    void open_connection(lending::lender_connection_id connection,
-                         const registry::endpoint_report& target) override;
+    void open_connection(lending::lender_connection_id connection, const registry::endpoint_report& target,
+                         const std::optional<core::customer_name>& customer) override;
     void send(lending::lender_connection_id connection,
               const std::vector<relay::database_request>& requests) override;
     void close_connection(lending::lender_connection_id connection) override;
--- a/src/entry/session_protocol.h
+++ b/src/entry/session_protocol.h
@@ -53,8 +53,11 @@
 
     // Whether a database would read the startup's fields as they are.
     [[nodiscard]] virtual bool can_encode(const registry::endpoint_report& target) const = 0;
-    // Opens a session at the database; to be called only if can_encode() holds for it.
-    virtual void encode_startup(const registry::endpoint_report& target, std::string& out) const = 0;
+    // Opens a session at the database; to be called only if can_encode() holds for it. Names the customer
+    // whose statements the session will run, or this program if there is none.
+    virtual void encode_startup(const registry::endpoint_report& target,
+                                const std::optional<core::customer_name>& customer,
+                                std::string& out) const = 0;
     virtual void encode_request(const relay::database_request& request, std::string& out) const = 0;
     // Whether a database would read the request's fields as they are. False if one of them contains an end of
     // a field or of a message, or if the message would be too long. A statement that is forwarded unchanged
--- a/src/fleet/control_documents.cpp
+++ b/src/fleet/control_documents.cpp
@@ -4,6 +4,7 @@
 
 #include "core/log.h"
 #include "core/quoting.h"
+#include "quotas/customer_limits.h"
 
 #include <utility>
 
@@ -19,6 +20,7 @@
         m_announcement_pending = false;
         if (auto decoded = m_decoder(m_documents.bytes())) {
             m_configuration = std::move(*decoded);
+            m_quotas.set_limits(quotas::limits_of(m_configuration), core::now());
         } else { // It was committed by a host with another software version.
             core::log_line(core::log_level::error, "fleet",
                            "committed configuration cannot be decoded reason=" +
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -84,15 +84,11 @@
           [this](const core::service_name& service, const core::endpoint_id& endpoint) {
               propose_assignment(service, endpoint);
           },
-          [this] {
-              return m_raft->holds_lease(core::now())
-                         ? std::optional(primary_leases::leader_term(m_raft->term().value()))
-                         : std::nullopt;
-          },
-          [this] {
-              const auto leader = m_raft->leader();
-              return leader && *leader != m_self ? leader : std::nullopt;
-          }),
+          [this] { return led_term(); }, [this] { return other_leader(); }),
+      m_quotas(
+          bus, host_settings.m_quota_tolerance,
+          [this](const core::entry_host_id& host, bool holds) { propose_quota_holder(host, holds); },
+          [this] { return led_term(); }, [this] { return other_leader(); }),
       m_promotions(
           loop, protocol, executor, m_leases.authority(), host_settings.m_executor_fences, m_self,
           [this] { return next_fencing_token(); }, [this] { return m_raft->lease_end(core::now()); }),
@@ -171,6 +167,7 @@
     join_if_leaderless(now);
     confirm_document(now);
     run_promotions(now);
+    m_quotas.tick(now);
     m_loop.run_after(tick_period, [this] { tick(); });
 }
 
@@ -249,6 +246,21 @@
     return services;
 }
 
+std::optional<primary_leases::leader_term> control_node::led_term() const {
+    return m_raft->holds_lease(core::now())
+               ? std::optional(primary_leases::leader_term(m_raft->term().value()))
+               : std::nullopt;
+}
+
+std::optional<core::entry_host_id> control_node::other_leader() const {
+    const auto leader = m_raft->leader();
+    return leader && *leader != m_self ? leader : std::nullopt;
+}
+
+void control_node::propose_quota_holder(const core::entry_host_id& host, bool holds) {
+    m_raft->propose(replicated_state::encode_quota_holder(host, holds), [](std::optional<core::revision>) {});
+}
+
 void control_node::propose_assignment(const core::service_name& service, const core::endpoint_id& endpoint) {
     m_raft->propose(replicated_state::encode_assignment(service, endpoint),
                     [this, service, endpoint](std::optional<core::revision> at) {
@@ -331,6 +343,7 @@
     for (const core::service_name& service : m_state.apply(payload)) {
         m_leases.authority().on_assigned(service, m_state.primaries().at(service));
     }
+    m_quotas.set_holders(m_state.quota_holders());
     if (m_documents.version() != before) {
         core::log_line(core::log_level::info, "fleet",
                        "configuration committed version=" + std::to_string(m_documents.version().value()) +
@@ -392,6 +405,8 @@
     metrics::add_peer_traffic(page, m_bus);
     page.add_line("primary_lease_holders", {},
                   static_cast<double>(m_leases.authority().granter().current_holders(core::now()).size()));
+    page.add_line("quota_holders", {}, static_cast<double>(m_state.quota_holders().size()));
+    page.add_line("quota_grants_total", {}, static_cast<double>(m_quotas.granted_count()));
     page.add_line("primary_leases_granted_total", {}, static_cast<double>(m_leases.granted_count()));
     page.add_line("primary_lease_wait_ms_total", {},
                   static_cast<double>(m_leases.authority().total_wait().count()));
--- a/src/fleet/control_node.h
+++ b/src/fleet/control_node.h
@@ -7,6 +7,7 @@
 #include "consensus/raft_driver.h"
 #include "fleet/lease_service.h"
 #include "fleet/promotion_runner.h"
+#include "fleet/quota_service.h"
 #include "fleet/read_barrier.h"
 #include "fleet/registry_store.h"
 #include "fleet/replicated_state.h"
@@ -81,6 +82,11 @@
     void on_endpoints_changed();
     void run_promotions(core::time_point now);
     [[nodiscard]] std::optional<promotion::fencing_token> next_fencing_token();
+    void propose_quota_holder(const core::entry_host_id& host, bool holds);
+    // The Raft term that this host leads, or nothing unless it holds the Raft lease now.
+    [[nodiscard]] std::optional<primary_leases::leader_term> led_term() const;
+    // The leader, unless it is unknown or this host itself.
+    [[nodiscard]] std::optional<core::entry_host_id> other_leader() const;
     void propose_assignment(const core::service_name& service, const core::endpoint_id& endpoint);
     // Services whose primary entry hosts do not use until a new leader has invalidated earlier orders.
     [[nodiscard]] std::set<core::service_name> withheld_services() const;
@@ -100,6 +106,7 @@
     update_publisher m_publisher;
     read_barrier m_read_barrier;
     lease_service m_leases;
+    quota_service m_quotas;
     promotion_runner m_promotions;
     registry_store m_registry_store;
     documents::configuration m_configuration; // The committed document, decoded.
--- a/src/fleet/promotion_runner.cpp
+++ b/src/fleet/promotion_runner.cpp
@@ -128,8 +128,8 @@
                        "database link ended endpoint=" + id.value() + " reason=" + reason);
         on_connection_failed(id, refused == relay::refusal::too_many_connections);
     };
-    connection.m_connection =
-        std::make_unique<entry::database_connection>(m_loop, m_protocol, target, std::move(handlers));
+    connection.m_connection = std::make_unique<entry::database_connection>(m_loop, m_protocol, target,
+                                                                           std::nullopt, std::move(handlers));
     return connection;
 }
 
--- a/src/fleet/replicated_state.h
+++ b/src/fleet/replicated_state.h
@@ -1,14 +1,16 @@
-// State machine over the Raft log of the control hosts: the configuration document and the assigned primary
-// of each service.
+// State machine over the Raft log of the control hosts: the configuration document, the assigned primary of
+// each service, and the entry hosts that may hold shares of customers' limits.
 //
-// An entry holds either a document, in the encoding of documents::document_register, or an assignment. The
-// encoding of an assignment begins like a document of version 0, which hosts of earlier program versions
-// ignore. As long as nothing was assigned, a snapshot is the same as in earlier versions.
+// An entry holds either a document, in the encoding of documents::document_register, or an assignment or a
+// change of the holders. The encoding of the latter two begins like a document of version 0, which hosts of
+// earlier program versions ignore. As long as nothing was assigned and nobody holds shares, a snapshot is the
+// same as in earlier versions.
 #pragma once
 
 #include "documents/document_register.h"
 #include "primary_leases/primary_list.h"
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,13 +26,17 @@
     [[nodiscard]] const documents::document_register& documents() const { return m_documents; }
     [[nodiscard]] const primary_leases::primary_list& primaries() const { return m_primaries; }
 
+    [[nodiscard]] const std::set<core::entry_host_id>& quota_holders() const { return m_quota_holders; }
+
     [[nodiscard]] std::string encode_snapshot() const;
     static std::string encode_assignment(const core::service_name& service,
                                          const core::endpoint_id& endpoint);
+    static std::string encode_quota_holder(const core::entry_host_id& host, bool holds);
 
 private:
     documents::document_register m_documents;
     primary_leases::primary_list m_primaries;
+    std::set<core::entry_host_id> m_quota_holders;
 };
 
 } // namespace mangoquay::fleet
--- a/src/lending/borrower.cpp
+++ b/src/lending/borrower.cpp
@@ -13,6 +13,10 @@
 constexpr core::milliseconds reply_margin{60};
 // A lender that did not answer may be suspended or restarting, which takes seconds.
 constexpr core::milliseconds lender_back_off{700};
+// A lender that is not the customer's first choice rarely has an idle connection of the customer, and a new
+// one occupies a slot for about as long as a statement runs. So the first choice may be this much more
+// loaded.
+constexpr std::uint32_t max_extra_load_of_first_choice = 6;
 // No lender is asked with less than this left of the wait: the message delay would use it up.
 constexpr core::milliseconds min_wait{5};
 
@@ -23,6 +27,9 @@
     if (lenders == m_lenders.end()) {
         return std::nullopt;
     }
+    if (loan.m_terms.m_customer) {
+        return choose_lender_of_customer(loan, lenders->second, now);
+    }
     std::optional<core::entry_host_id> best;
     std::tuple<std::uint32_t, std::uint64_t> lowest_cost{};
     ++m_rotation;
@@ -42,6 +49,28 @@
     return best;
 }
 
+std::optional<core::entry_host_id>
+borrower::choose_lender_of_customer(const loan_record& loan, const std::vector<core::entry_host_id>& lenders,
+                                    core::time_point now) {
+    std::optional<core::entry_host_id> best;
+    std::uint32_t lowest_cost = 0;
+    std::uint32_t rank = 0;
+    for (const core::entry_host_id& host :
+         rank_for_customer(lenders, loan.m_endpoint, *loan.m_terms.m_customer)) {
+        const lender_record& record = m_lender_records[host];
+        if (loan.m_tried.contains(host) || !record.m_avoided_until.passed(now)) {
+            continue;
+        }
+        const std::uint32_t cost =
+            record.m_queue_length + record.m_pending_requests + rank++ * max_extra_load_of_first_choice;
+        if (!best || cost < lowest_cost) {
+            best = host;
+            lowest_cost = cost;
+        }
+    }
+    return best;
+}
+
 void borrower::borrow(relay::connection_id connection, const core::endpoint_id& endpoint,
                       const loan_terms& terms, const std::vector<relay::database_request>& initial_requests,
                       core::time_point now) {
--- a/src/lending/borrower.h
+++ b/src/lending/borrower.h
@@ -115,6 +115,9 @@
 
     [[nodiscard]] std::optional<core::entry_host_id> choose_lender(const loan_record& loan,
                                                                    core::time_point now);
+    [[nodiscard]] std::optional<core::entry_host_id>
+    choose_lender_of_customer(const loan_record& loan, const std::vector<core::entry_host_id>& lenders,
+                              core::time_point now);
     // Requests the loan from the next lender, or reports a refusal if there is none left.
     void request_from_next_lender(loan_id id, core::time_point now);
     // Null if there is no such loan or `lender` is not its lender.
--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -75,15 +75,17 @@
 }
 
 // Opens as many connections as there are slots, so that the first borrowers do not wait for a connection.
+// Where connections belong to customers, it is not known yet for whom, and one serves position probes.
 void lender::preopen_connections(const core::endpoint_id& endpoint, endpoint_record& record,
                                  core::time_point now) {
-    for (std::uint32_t open = record.m_open_count; open < record.m_lent.m_max_running; ++open) {
-        open_connection(endpoint, record, now);
+    const std::uint32_t wanted = record.m_lent.m_by_customer ? 1 : record.m_lent.m_max_running;
+    for (std::uint32_t open = record.m_open_count; open < wanted; ++open) {
+        open_connection(endpoint, record, std::nullopt, now);
     }
 }
 
 void lender::open_connection(const core::endpoint_id& endpoint, endpoint_record& record,
-                             core::time_point now) {
+                             const std::optional<core::customer_name>& customer, core::time_point now) {
     if (m_stopping || record.m_open_count >= record.m_lent.m_connections ||
         !record.m_full_until.passed(now) || !record.m_failed_until.passed(now)) {
         return;
@@ -91,12 +93,13 @@
     const lender_connection_id id(++m_last_connection);
     connection_record opened;
     opened.m_endpoint = endpoint;
+    opened.m_customer = customer;
     opened.m_deadline = core::deadline_after(now, connect_timeout);
     m_connections.emplace(id, std::move(opened));
     ++record.m_open_count;
     ++record.m_opening_count;
     ++m_counters.m_connections_opened;
-    m_ports.open_connection(id, record.m_lent.m_report);
+    m_ports.open_connection(id, record.m_lent.m_report, customer);
 }
 
 void lender::set_occupies_slot(connection_record& connection, bool occupies) {
@@ -150,6 +153,7 @@
     const core::endpoint_id endpoint = m_connections.at(id).m_endpoint;
     end_loan(id);
     connection_record& connection = m_connections.at(id);
+    connection.m_last_used = now;
     if (!state.m_reusable || !connection.m_pending_answers.empty() || !m_endpoints.at(endpoint).m_listed) {
         drop_connection(id);
     } else {
@@ -206,6 +210,7 @@
     record.m_back_off = {};
     connection.m_state = connection_state::idle;
     connection.m_last_contact = now;
+    connection.m_last_used = now;
     if (position) {
         record.m_position = position;
     }
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -9,6 +9,7 @@
 //
 // Invariants:
 // - A connection is lent to one borrower at a time, and only while nothing is in progress on it.
+// - A connection is lent only to loans of the customer that it was opened for, and to loans for any customer.
 // - A connection that is not returned as reusable is closed, which ends its transaction at the database.
 // - Requests of a loan whose message does not carry the next number are not sent, because an earlier message
 //   was lost.
@@ -42,9 +43,10 @@
 
     // Actions on connections to databases.
 
-    // Answered by lender::on_connection_opened() or on_connection_failed().
-    virtual void open_connection(lender_connection_id connection,
-                                 const registry::endpoint_report& target) = 0;
+    // Answered by lender::on_connection_opened() or on_connection_failed(). The database is told the
+    // customer's name.
+    virtual void open_connection(lender_connection_id connection, const registry::endpoint_report& target,
+                                 const std::optional<core::customer_name>& customer) = 0;
     virtual void send(lender_connection_id connection,
                       const std::vector<relay::database_request>& requests) = 0;
     // No event of the connection may follow.
@@ -64,6 +66,7 @@
     registry::endpoint_report m_report;
     std::uint32_t m_connections = 0; // Number of connections that this host may keep open.
     std::uint32_t m_max_running = 1; // Number of slots: statements of this host's loans that may run at once.
+    bool m_by_customer = false;      // Connections are opened for customers when they are needed.
 
     friend bool operator==(const lent_endpoint&, const lent_endpoint&) = default;
 };
@@ -76,6 +79,8 @@
     std::uint64_t m_granted = 0;
     std::uint64_t m_refused = 0;
     std::uint64_t m_connections_opened = 0;
+    std::uint64_t m_connections_replaced = 0; // Closed for a connection of another customer.
+    std::uint64_t m_granted_idle = 0; // Loans of customers for which an idle connection was found at once.
 };
 
 class lender {
@@ -133,6 +138,7 @@
     enum class connection_state : std::uint8_t { opening, idle, lent, cleaning };
     struct connection_record {
         core::endpoint_id m_endpoint;
+        std::optional<core::customer_name> m_customer; // Whose work may run on it.
         connection_state m_state = connection_state::opening;
         loan_key m_key;                          // Set while the connection is lent.
         std::uint32_t m_next_request_number = 0; // Number that the borrower's next message must carry.
@@ -142,6 +148,7 @@
         bool m_occupies_slot = false;       // A statement is in transit to the database or runs there.
         std::deque<bool> m_pending_answers; // For each request without an answer, whether it is a statement.
         core::time_point m_last_contact{};  // Time of the last answer of the database.
+        core::time_point m_last_used{};     // Time when the last loan ended, or of the opening.
         // For the opening, the borrower's next message or the clean-up, depending on m_state.
         core::deadline m_deadline;
     };
@@ -160,9 +167,18 @@
 
     // Grants waiting loan requests in order while slots and connections are free.
     void serve_queue(const core::endpoint_id& endpoint, core::time_point now);
-    [[nodiscard]] std::optional<lender_connection_id>
-    find_idle_connection(const core::endpoint_id& endpoint) const;
-    void open_connection(const core::endpoint_id& endpoint, endpoint_record& record, core::time_point now);
+    // Grants the first waiting loan request that can be granted now. Returns whether there was one.
+    bool grant_next(const core::endpoint_id& endpoint, endpoint_record& record, core::time_point now);
+    [[nodiscard]] std::optional<lender_connection_id> find_idle_connection(const core::endpoint_id& endpoint,
+                                                                           const loan_terms& terms) const;
+    void open_connection(const core::endpoint_id& endpoint, endpoint_record& record,
+                         const std::optional<core::customer_name>& customer, core::time_point now);
+    // Opens connections for the loan requests that found none idle, in the order of the queue.
+    void open_missing_connections(const core::endpoint_id& endpoint, endpoint_record& record,
+                                  const std::vector<const pending_loan*>& missing, core::time_point now);
+    // Closes an idle connection that another customer has not used for a while. Returns whether there was
+    // one.
+    bool close_unused_connection(const core::endpoint_id& endpoint, core::time_point now);
     void preopen_connections(const core::endpoint_id& endpoint, endpoint_record& record,
                              core::time_point now);
     void grant(const pending_loan& pending, lender_connection_id id, core::time_point now);
--- a/src/lending/lender_choice.cpp
+++ b/src/lending/lender_choice.cpp
@@ -54,6 +54,14 @@
     return std::max(1U, (usable - kept) / static_cast<std::uint32_t>(std::max<std::size_t>(1, lenders)));
 }
 
+std::vector<core::entry_host_id> rank_for_customer(const std::vector<core::entry_host_id>& lenders,
+                                                   const core::endpoint_id& endpoint,
+                                                   const core::customer_name& customer) {
+    // Neither part of the pair can contain a blank.
+    const core::endpoint_id pair(endpoint.value() + " " + customer.value());
+    return rank_by_score({lenders.begin(), lenders.end()}, pair);
+}
+
 lenders_by_endpoint choose_lenders(const hosts_by_zone& hosts,
                                    const std::vector<registry::endpoint_report>& endpoints) {
     std::map<core::availability_zone, std::vector<core::endpoint_id>> by_zone;
--- a/src/lending/lender_choice.h
+++ b/src/lending/lender_choice.h
@@ -38,6 +38,12 @@
 std::uint32_t connections_per_lender(const registry::endpoint_report& endpoint, const hosts_by_zone& hosts,
                                      std::uint32_t usable, std::size_t lenders);
 
+// The lenders in the order in which a customer's loans are requested from them. Each customer has its own
+// order, so that its idle connections are kept at one lender.
+std::vector<core::entry_host_id> rank_for_customer(const std::vector<core::entry_host_id>& lenders,
+                                                   const core::endpoint_id& endpoint,
+                                                   const core::customer_name& customer);
+
 // Rendezvous hashing with a limit on the number of databases per host, so that a host that joins or leaves
 // changes few other assignments.
 lenders_by_endpoint choose_lenders(const hosts_by_zone& hosts,
--- a/src/lending/lender_queue.cpp
+++ b/src/lending/lender_queue.cpp
@@ -8,6 +8,12 @@
 namespace mangoquay::lending {
 namespace {
 
+// An opening connection occupies a slot of the database for about 12 ms, as long as a short statement.
+constexpr std::uint32_t max_opening_connections = 2;
+// Two customers that take connections from each other would pay an opening for each statement. A connection
+// in steady use is used again within a few service times.
+constexpr core::milliseconds min_unused_time{100};
+
 auto order_of(bool needs_slot, bool urgent, double expected_ms, core::time_point arrived) {
     return std::tuple(needs_slot, !urgent, expected_ms, arrived);
 }
@@ -56,34 +62,97 @@
 
 void lender::serve_queue(const core::endpoint_id& endpoint, core::time_point now) {
     endpoint_record& record = m_endpoints.at(endpoint);
-    while (!record.m_queue.empty()) {
-        const auto first = std::ranges::min_element(record.m_queue, {}, [](const pending_loan& loan) {
-            return order_of(loan.m_terms.m_needs_slot, loan.m_terms.m_urgent, loan.m_terms.m_expected_run_ms,
-                            loan.m_arrival);
-        });
+    while (!record.m_queue.empty() && grant_next(endpoint, record, now)) {
+    }
+}
+
+bool lender::grant_next(const core::endpoint_id& endpoint, endpoint_record& record, core::time_point now) {
+    std::vector<const pending_loan*> waiting;
+    for (const pending_loan& loan : record.m_queue) {
+        waiting.push_back(&loan);
+    }
+    std::ranges::sort(waiting, {}, [](const pending_loan* loan) {
+        return order_of(loan->m_terms.m_needs_slot, loan->m_terms.m_urgent, loan->m_terms.m_expected_run_ms,
+                        loan->m_arrival);
+    });
+    std::vector<const pending_loan*> missing;
+    for (const pending_loan* next : waiting) {
         // One slot more for an urgent request, so that it does not wait for statements sent earlier.
-        const std::uint32_t slots = record.m_lent.m_max_running + (first->m_terms.m_urgent ? 1 : 0);
-        if (first->m_terms.m_needs_slot && record.m_occupied_slots >= slots) {
-            return;
+        const std::uint32_t slots = record.m_lent.m_max_running + (next->m_terms.m_urgent ? 1 : 0);
+        if (next->m_terms.m_needs_slot && record.m_occupied_slots >= slots) {
+            break;
+        }
+        if (const auto id = find_idle_connection(endpoint, next->m_terms)) {
+            const pending_loan granted = *next;
+            record.m_queue.erase(record.m_queue.begin() + (next - record.m_queue.data()));
+            m_counters.m_granted_idle += granted.m_terms.m_customer && granted.m_arrival == now ? 1 : 0;
+            grant(granted, *id, now);
+            return true;
+        }
+        missing.push_back(next);
+        if (!record.m_lent.m_by_customer) {
+            break; // No other request would find one either.
+        }
+    }
+    open_missing_connections(endpoint, record, missing, now);
+    return false;
+}
+
+void lender::open_missing_connections(const core::endpoint_id& endpoint, endpoint_record& record,
+                                      const std::vector<const pending_loan*>& missing, core::time_point now) {
+    if (!record.m_lent.m_by_customer) {
+        if (!missing.empty() && record.m_opening_count < record.m_queue.size()) {
+            open_connection(endpoint, record, std::nullopt, now);
+        }
+        return;
+    }
+    std::map<std::optional<core::customer_name>, std::uint32_t> opening;
+    for (const auto& [id, connection] : m_connections) {
+        if (connection.m_endpoint == endpoint && connection.m_state == connection_state::opening) {
+            ++opening[connection.m_customer];
         }
-        const auto id = find_idle_connection(endpoint);
-        if (!id) {
-            if (record.m_opening_count < record.m_queue.size()) {
-                open_connection(endpoint, record, now);
-            }
+    }
+    for (const pending_loan* loan : missing) {
+        std::uint32_t& expected = opening[loan->m_terms.m_customer];
+        if (expected > 0) {
+            --expected; // A connection that is being opened is for this one.
+            continue;
+        }
+        if (record.m_opening_count >= max_opening_connections) {
             return;
         }
-        const pending_loan pending = *first;
-        record.m_queue.erase(first);
-        grant(pending, *id, now);
+        const bool full = record.m_open_count >= record.m_lent.m_connections;
+        if (full && (loan->m_terms.m_any_customer || !close_unused_connection(endpoint, now))) {
+            continue;
+        }
+        open_connection(endpoint, record, loan->m_terms.m_customer, now);
+    }
+}
+
+bool lender::close_unused_connection(const core::endpoint_id& endpoint, core::time_point now) {
+    std::optional<lender_connection_id> oldest;
+    for (const auto& [id, connection] : m_connections) {
+        if (connection.m_endpoint == endpoint && connection.m_state == connection_state::idle &&
+            connection.m_last_used + min_unused_time <= now &&
+            (!oldest || connection.m_last_used < m_connections.at(*oldest).m_last_used)) {
+            oldest = id;
+        }
+    }
+    if (!oldest) {
+        return false;
     }
+    ++m_counters.m_connections_replaced;
+    drop_connection(*oldest);
+    return true;
 }
 
 // Prefers the connection with the latest answer, because it is the most likely to be alive.
-std::optional<lender_connection_id> lender::find_idle_connection(const core::endpoint_id& endpoint) const {
+std::optional<lender_connection_id> lender::find_idle_connection(const core::endpoint_id& endpoint,
+                                                                 const loan_terms& terms) const {
     std::optional<lender_connection_id> best;
     for (const auto& [id, connection] : m_connections) {
         if (connection.m_endpoint == endpoint && connection.m_state == connection_state::idle &&
+            (terms.m_any_customer || connection.m_customer == terms.m_customer) &&
             (!best || m_connections.at(*best).m_last_contact < connection.m_last_contact)) {
             best = id;
         }
--- a/src/lending/lending_wire.cpp
+++ b/src/lending/lending_wire.cpp
@@ -54,12 +54,18 @@
     message.wait_us =
         static_cast<std::uint32_t>(std::chrono::duration_cast<core::microseconds>(terms.m_max_wait).count());
     message.first_work = to_wire(initial_requests);
+    message.customer = terms.m_customer ? terms.m_customer->value() : std::string();
+    message.any_customer = terms.m_any_customer;
     return message;
 }
 
 loan_terms from_wire(const wire::loan_requestT& message) {
-    return {message.urgent, message.needs_slot, static_cast<double>(message.expected_us) / 1000.0,
-            core::microseconds(message.wait_us)};
+    return {message.urgent,
+            message.needs_slot,
+            static_cast<double>(message.expected_us) / 1000.0,
+            core::microseconds(message.wait_us),
+            message.customer.empty() ? std::nullopt : std::optional(core::customer_name(message.customer)),
+            message.any_customer};
 }
 
 wire::loan_grantT to_wire(loan_id loan, const loan_offer& offer) {
--- a/src/lending/loan.h
+++ b/src/lending/loan.h
@@ -20,6 +20,9 @@
     bool m_needs_slot = true;       // Whether the requests occupy a slot of the database.
     double m_expected_run_ms = 0.0; // Expected run time of the statement that needs the loan, in ms.
     core::duration m_max_wait{};    // Maximum wait for the grant; a later one is of no use to the borrower.
+    // The connection must have been opened for this customer, or for none if empty.
+    std::optional<core::customer_name> m_customer;
+    bool m_any_customer = false; // The requests run no caller's work, so m_customer does not matter.
 };
 
 // State in which a connection is returned.
--- a/src/quotas/quota_granter.h
+++ b/src/quotas/quota_granter.h
@@ -60,10 +60,56 @@
     [[nodiscard]] share assigned(const core::customer_name& customer, core::time_point now) const;
 
 private:
+    // A share that a host may hold until its time has passed or it has applied the answer to a later request.
+    struct outstanding_share {
+        request_number m_number;
+        share m_share;
+        core::deadline m_counted_until;
+    };
+    struct holding {
+        std::vector<outstanding_share> m_outstanding;
+        double m_weight = 0.0; // Demand of the host; the customer's limit is divided in this proportion.
+    };
+    struct customer_record {
+        std::map<core::entry_host_id, holding> m_holdings;
+        double m_pool_tokens = 0.0; // Unassigned tokens.
+        core::time_point m_refilled_at{};
+    };
+    struct host_record {
+        core::incarnation m_incarnation;
+        std::vector<core::incarnation> m_former; // Processes that were replaced.
+        request_number m_last_number;
+        request_number m_first_answered; // The first request that this leader answered; 0 if none was.
+        // The host has applied an answer of this leader, so it ignores all of earlier leaders.
+        bool m_confirmed = false;
+        core::time_point m_last_report{};
+    };
+
+    // What the host may hold at most.
+    [[nodiscard]] static share counted(const holding& held, core::time_point now);
+    void refill_pool(const core::customer_name& customer, customer_record& record, core::time_point now);
+    // Null if the request is a late or repeated one.
+    host_record* accept(const core::entry_host_id& host, const quota_request& request, core::time_point now);
+    void record_confirmation(const core::entry_host_id& host, request_number applied);
+    granted_share grant_share(const core::entry_host_id& host, const host_record& record,
+                              const quota_request& request, const customer_demand& demand,
+                              core::time_point now);
+    [[nodiscard]] share target_share(const customer_record& customer, const holding& held,
+                                     const operation_limit& limit, const share& present,
+                                     const customer_demand& demand) const;
+    customer_record& find_customer(const core::customer_name& customer, core::time_point now);
+    void forget_unreported(const core::entry_host_id& host, const quota_request& request);
+    void propose(const core::entry_host_id& host, bool holds, core::time_point now);
+
     granter_ports& m_ports;
     window_tolerance m_tolerance;
     limits_by_customer m_limits;
-    std::set<core::entry_host_id> m_holders;
+    std::set<core::entry_host_id> m_holders; // Hosts that may hold shares, from the replicated list.
+    std::optional<core::time_point> m_leading_since;
+    bool m_pools_start_full = false;
+    std::map<core::entry_host_id, host_record> m_hosts;
+    std::map<core::customer_name, customer_record> m_customers;
+    std::map<core::entry_host_id, core::deadline> m_next_proposals;
 };
 
 } // namespace mangoquay::quotas
--- a/src/quotas/quota_holder.h
+++ b/src/quotas/quota_holder.h
@@ -57,8 +57,35 @@
     [[nodiscard]] const holder_counters& counters() const { return m_counters; }
 
 private:
+    struct customer_state {
+        share m_share;                 // In force until m_share_end.
+        operation_limit m_limit;       // The limit that the share is a part of.
+        double m_capacity_basis = 0.0; // Burst and one second of the rate of that limit.
+        core::deadline m_share_end;
+        double m_tokens = 0.0;
+        core::time_point m_refilled_at{};
+        double m_arrivals_per_s = 0.0;
+        core::time_point m_demand_at{};
+        std::uint32_t m_sessions = 0;
+        core::deadline m_waiting_until;   // Operations waited for tokens; set at each wait.
+        core::time_point m_answered_at{}; // When the latest request that was answered was sent.
+        core::deadline m_denied_until;    // The leader had no tokens for operations that waited.
+    };
+    static constexpr std::size_t max_remembered_requests = 16;
+
+    static void apply_limit(customer_state& state, const operation_limit& limit);
+    void refill(customer_state& state, core::time_point now);
+    static void decay_demand(customer_state& state, core::time_point now);
+
     core::incarnation m_incarnation;
     limits_by_customer m_limits;
+    std::map<core::customer_name, customer_state> m_customers;
+    std::map<request_number, core::time_point> m_sent_at; // Of the latest requests without an answer.
+    std::uint64_t m_last_number = 0;
+    std::uint64_t m_applied_number = 0; // The latest request whose answer was applied.
+    core::time_point m_last_sent = core::time_point::min();
+    bool m_unanswered = false; // The last request has no answer yet.
+    bool m_confirm = false;    // The leader waits for the next request.
     holder_counters m_counters;
 };
 
--- a/src/quotas/share.h
+++ b/src/quotas/share.h
@@ -82,6 +82,8 @@
 struct quota_grant {
     core::incarnation m_incarnation;
     request_number m_number;
+    // The leader waits for a request that confirms this answer, so the host sends one at once.
+    bool m_confirm = false;
     std::vector<granted_share> m_shares;
 };
 
--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -48,6 +48,8 @@
     core::endpoint_id m_endpoint;
     connection_phase m_phase = connection_phase::opening;
     std::optional<session_id> m_session;
+    // The customer whose work may run on it; empty for work without a customer.
+    std::optional<core::customer_name> m_customer;
     bool m_borrowed = false;                  // Lent by another host for one statement, transaction or probe.
     std::optional<session_id> m_requested_by; // Session that a requested loan is for; empty for a probe.
     core::time_point m_requested_at{};        // Time when the loan was requested.
--- a/src/relay/relay_connections.cpp
+++ b/src/relay/relay_connections.cpp
@@ -217,6 +217,6 @@
 }
 
 relay_core::relay_core(relay_ports& ports, relay_limits limits)
-    : m_ports(ports), m_limits(std::move(limits)) {}
+    : m_ports(ports), m_limits(std::move(limits)), m_quotas(m_limits.m_incarnation) {}
 
 } // namespace mangoquay::relay
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -20,6 +20,7 @@
 #include "documents/configuration.h"
 #include "lending/loan.h"
 #include "primary_leases/primary_list.h"
+#include "quotas/quota_holder.h"
 #include "relay/connection.h"
 #include "relay/placement.h"
 #include "relay/position_samples.h"
@@ -113,6 +114,7 @@
     // See documents::needs_primary_lease().
     bool m_executor_fences = true;
     session_state_limits m_session_state;
+    core::incarnation m_incarnation; // Of this process; different after each restart.
 };
 
 struct relay_counters {
@@ -157,6 +159,9 @@
     void set_entry_host_count(std::uint32_t count) { m_limits.m_entry_hosts = std::max(1U, count); }
     // Whether the service has too few connections for each host to keep one of its own.
     [[nodiscard]] bool shares_connections(const core::service_name& service) const;
+    // Whether connections belong to customers. All of them are lent then, because a host finds a connection
+    // of the right customer among its own ones in only one to three cases of ten.
+    [[nodiscard]] bool connections_by_customer() const { return m_configuration.m_customers.has_value(); }
     // Number of connections that all entry hosts together may use at one database of the service.
     [[nodiscard]] std::uint32_t usable_connections(const core::service_name& service) const;
     // Sets the endpoints whose connections are lent from now on, each with the number of connections that
@@ -201,6 +206,14 @@
     // Handles deadlines that have passed. To be called periodically.
     void tick(core::time_point now);
 
+    // The request for shares of customers' limits to send now, or nothing.
+    std::optional<quotas::quota_request> next_quota_request(core::time_point now) {
+        return m_quotas.next_request(now);
+    }
+    // Returns false if the grant is out of date.
+    bool on_quota_granted(const quotas::quota_grant& grant, core::time_point now);
+    [[nodiscard]] const quotas::quota_holder& quota_shares() const { return m_quotas; }
+
     [[nodiscard]] bool configured() const { return m_configuration.m_version.value() > 0; }
     [[nodiscard]] documents::document_version version() const { return m_configuration.m_version; }
     [[nodiscard]] std::size_t session_count() const { return m_sessions.size(); }
@@ -266,6 +279,11 @@
     void check_identities(core::time_point now);
     void end_unauthorized_work(session_id id, session& caller, core::time_point now);
     void end_work_of_former_customer(session_id id, session& caller, core::time_point now);
+    // Takes the token of the operation that the statement in progress belongs to. Returns false if there is
+    // none yet, or if the statement was refused because the customer is over its limit.
+    bool admit_operation(session_id id, session& caller, core::time_point now);
+    // The operation of the session reached no database.
+    void refund_operation(session& caller, core::time_point now);
     void refuse_unauthorized(session_id id, session& caller, core::time_point now);
 
     // relay_dispatch.cpp: choice of endpoints and connections for statements.
@@ -402,6 +420,7 @@
     primary_leases::primary_list m_leased_primaries;
     core::deadline m_primary_lease_end;
     double m_hedge_tokens = 0.0; // Number of hedged reads that may be started now.
+    quotas::quota_holder m_quotas;
     relay_counters m_counters;
 };
 
--- a/src/relay/relay_customers.cpp
+++ b/src/relay/relay_customers.cpp
@@ -1,6 +1,8 @@
 // Which customer a session works for, and what happens to open sessions when the configuration changes that.
 #include "relay/relay_core.h"
 
+#include "quotas/customer_limits.h"
+
 #include <utility>
 #include <vector>
 
@@ -40,11 +42,15 @@
     opened.m_database = database;
     opened.m_key = key;
     opened.m_customer = std::move(identity->m_customer);
+    if (opened.m_customer) {
+        m_quotas.on_session_opened(*opened.m_customer);
+    }
     m_sessions[id] = std::move(opened);
     return session_admission::accepted;
 }
 
 void relay_core::check_identities(core::time_point now) {
+    m_quotas.set_limits(quotas::limits_of(m_configuration), now);
     // All sessions are marked before any connection becomes free, which dispatches other sessions.
     std::vector<session_id> changed;
     for (auto& [id, caller] : m_sessions) {
@@ -58,7 +64,14 @@
         }
         caller.m_key_withdrawn = !identity;
         if (identity) {
+            refund_operation(caller, now);
+            if (caller.m_customer) {
+                m_quotas.on_session_closed(*caller.m_customer);
+            }
             caller.m_customer = std::move(identity->m_customer);
+            if (caller.m_customer) {
+                m_quotas.on_session_opened(*caller.m_customer);
+            }
         }
         changed.push_back(id);
     }
@@ -123,6 +136,53 @@
     op.m_phase = operation_phase::waiting; // Dispatched again, on a connection of its customer.
 }
 
+bool relay_core::admit_operation(session_id id, session& caller, core::time_point now) {
+    if (!caller.m_customer) {
+        return true;
+    }
+    operation& op = *caller.m_operation;
+    const bool in_transaction = caller.m_state == transaction_state::open;
+    bool& counted = in_transaction ? caller.m_transaction.m_counted : op.m_counted;
+    bool& admitted = in_transaction ? caller.m_transaction.m_admitted : op.m_admitted;
+    if (!std::exchange(counted, true)) {
+        m_quotas.on_operation_arrived(*caller.m_customer, now);
+    }
+    if (admitted) {
+        return true;
+    }
+    const quotas::admission decision = m_quotas.admit(*caller.m_customer, op.m_arrived, now);
+    if (decision == quotas::admission::admitted) {
+        admitted = true;
+        caller.m_token_unused = true;
+        return true;
+    }
+    if (decision == quotas::admission::waiting) {
+        op.m_last_refusal = refusal::busy;
+        op.m_last_reason = "waits for a share of the limit of customer " + caller.m_customer->value();
+        return false;
+    }
+    if (is_commit(caller)) {
+        clear_transaction(caller);
+    }
+    refuse_statement(id, caller, in_transaction ? refusal::aborted : refusal::busy,
+                     "customer " + caller.m_customer->value() + " is over its limit", now);
+    return false;
+}
+
+void relay_core::refund_operation(session& caller, core::time_point now) {
+    if (std::exchange(caller.m_token_unused, false) && caller.m_customer) {
+        m_quotas.refund(*caller.m_customer, now);
+    }
+}
+
+bool relay_core::on_quota_granted(const quotas::quota_grant& grant, core::time_point now) {
+    if (!m_quotas.on_grant(grant, now)) {
+        return false;
+    }
+    dispatch_waiting(now);
+    return true;
+}
+
 // Refuses the statement in progress, which was not sent, and closes the session.
 void relay_core::refuse_unauthorized(session_id id, session& caller, core::time_point now) {
     ++m_counters.m_withdrawn_keys;
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -42,6 +42,14 @@
                          now);
         return;
     }
+    if (caller.m_connection && m_connections.at(*caller.m_connection).m_customer != caller.m_customer) {
+        lose_transaction(caller, "the key belongs to another customer now", now);
+        if (is_commit(caller)) {
+            clear_transaction(caller);
+        }
+        refuse_statement(id, caller, refusal::aborted, "the key belongs to another customer now", now);
+        return;
+    }
     if (caller.m_connection) { // Inside a transaction.
         prepare_connection(caller, *caller.m_connection, now);
         return;
@@ -51,7 +59,7 @@
         refuse_statement(id, caller, refusal::unknown_database, "the route was removed", now);
         return;
     }
-    if (op.m_loan || !op.m_not_before.passed(now)) {
+    if (op.m_loan || !op.m_not_before.passed(now) || !admit_operation(id, caller, now)) {
         return;
     }
     const auto request = request_of(caller, *route, now);
@@ -169,7 +177,7 @@
     std::optional<connection_id> best;
     for (const auto& [conn_id, conn] : m_connections) {
         if (conn.m_endpoint == endpoint && conn.m_phase == connection_phase::idle && !conn.m_borrowed &&
-            (!best || conn.m_values == caller.m_values)) {
+            conn.m_customer == caller.m_customer && (!best || conn.m_values == caller.m_values)) {
             best = conn_id;
         }
     }
@@ -302,6 +310,7 @@
         request.m_min_position = needed.m_position;
     }
     op.m_phase = operation_phase::running;
+    caller.m_token_unused = false;
     ++op.m_attempts;
     m_counters.m_repeated += op.m_attempts > 1 ? 1 : 0;
     op.m_hedge_after.m_at = now + (route == nullptr ? core::milliseconds(1000) : route->m_target_latency / 2);
--- a/src/relay/relay_endpoints.cpp
+++ b/src/relay/relay_endpoints.cpp
@@ -35,7 +35,7 @@
 
 bool relay_core::shares_connections(const core::service_name& service) const {
     return m_configuration.find_service(service) != nullptr &&
-           connection_share(service) < min_own_connections;
+           (connections_by_customer() || connection_share(service) < min_own_connections);
 }
 
 std::uint32_t relay_core::connection_share(const endpoint_view& view) const {
@@ -88,9 +88,9 @@
 void relay_core::open_connections(const core::endpoint_id& endpoint, std::uint32_t requested,
                                   core::time_point now) {
     const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end() || !found->second.m_suspect_until.passed(now) ||
-        !found->second.m_full_until.passed(now)) {
-        return; // Tried again when the back-off has ended.
+    if (connections_by_customer() || found == m_endpoints.end() ||
+        !found->second.m_suspect_until.passed(now) || !found->second.m_full_until.passed(now)) {
+        return; // All connections are lent, or it is tried again when the back-off has ended.
     }
     endpoint_view& view = found->second;
     const std::uint32_t allowed =
--- a/src/relay/relay_loans.cpp
+++ b/src/relay/relay_loans.cpp
@@ -42,10 +42,12 @@
     const lending::loan_terms terms{.m_urgent = route.m_priority < m_lowest_priority,
                                     .m_expected_run_ms = expected == m_expected_ms.end() ? default_expected_ms
                                                                                          : expected->second,
-                                    .m_max_wait = op.m_refusal_deadline.remaining(now)};
+                                    .m_max_wait = op.m_refusal_deadline.remaining(now),
+                                    .m_customer = caller.m_customer};
     const connection_id conn_id = add_loan(endpoint, now);
     connection& requested = m_connections.at(conn_id);
     requested.m_requested_by = id;
+    requested.m_customer = caller.m_customer;
     op.m_loan = conn_id;
     op.m_last_reason = "waits for a connection to " + endpoint.value();
     const preparation needed = prepare_requests(caller, requested, now);
@@ -60,9 +62,10 @@
     m_probes[primary.m_report.m_service] = id;
     ++m_counters.m_probes;
     m_connections.at(id).m_expected_answers = {{request_step::probe, now}, {request_step::rollback, now}};
-    m_ports.borrow_connection(id, primary.m_report.m_id,
-                              {.m_urgent = true, .m_needs_slot = false, .m_max_wait = probe_loan_timeout},
-                              {{.m_kind = request_kind::begin}, {.m_kind = request_kind::rollback}});
+    m_ports.borrow_connection(
+        id, primary.m_report.m_id,
+        {.m_urgent = true, .m_needs_slot = false, .m_max_wait = probe_loan_timeout, .m_any_customer = true},
+        {{.m_kind = request_kind::begin}, {.m_kind = request_kind::rollback}});
 }
 
 void relay_core::cancel_loan(session& caller) {
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -239,6 +239,9 @@
 
 void relay_core::remove_session(session_id id) {
     const auto found = m_sessions.find(id);
+    if (found->second.m_customer) {
+        m_quotas.on_session_closed(*found->second.m_customer);
+    }
     m_session_state_bytes -= found->second.m_state_bytes;
     m_sessions.erase(found);
 }
@@ -325,6 +328,7 @@
 
 void relay_core::refuse_statement(session_id id, session& caller, refusal reason, const std::string& text,
                                   core::time_point now) {
+    refund_operation(caller, now);
     session_answer answer;
     answer.m_refusal = reason;
     answer.m_text = text;
@@ -379,6 +383,7 @@
     if (found == m_sessions.end()) {
         return;
     }
+    refund_operation(found->second, now);
     cancel_loan(found->second);
     detach_connection(found->second, now);
     m_active_sessions.erase(id);
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -50,6 +50,8 @@
     // transaction of the relay, which no other endpoint accepts.
     bool m_primary_only = false;
     bool m_writes = false;
+    bool m_counted = false;                // The operation was counted among the arrivals of its customer.
+    bool m_admitted = false;               // A token of the customer's limit was taken for it.
     std::set<core::endpoint_id> m_avoided; // Endpoints that refused or failed the statement.
     refusal m_last_refusal = refusal::busy;
     std::string m_last_reason = "no endpoint";
@@ -60,6 +62,8 @@
     bool m_begun = false;       // It has begun at the database of the session's connection.
     bool m_wrote = false;       // A write of it was sent to a database.
     bool m_has_results = false; // A statement of it succeeded.
+    bool m_counted = false;     // As in operation, for the whole transaction.
+    bool m_admitted = false;    // As in operation, for the whole transaction.
     bool m_lost = false;        // It ended without a request of the caller.
     // The database may have run and committed a write outside of it, so no answer may promise otherwise.
     bool m_may_be_kept = false;
@@ -87,6 +91,7 @@
     std::map<core::service_name, own_commit> m_own_commits;
     std::optional<operation> m_operation;
     std::deque<session_statement> m_queued_statements;
+    bool m_token_unused = false;   // A token was taken for an operation of which no statement was sent yet.
     std::size_t m_state_bytes = 0; // Size of the names and texts in m_values and m_prepared.
     bool m_closing = false;        // The session is closed once nothing is in progress.
 };
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint64_t max_descriptors = 10'000'000;
 constexpr std::uint64_t max_memory_mb = 16'000'000;
 constexpr std::uint64_t max_tolerated_host_failures = 3;
+constexpr double max_quota_window_s = 3600.0;
+constexpr double max_quota_overage = 10.0;
+constexpr double max_quota_slack = 1e6;
 
 void read_known_control(json_reader& reader, std::vector<json_error>& errors, fleet_settings& into) {
     reader.array("known_control", [&](const nlohmann::json& element, const std::string& pointer) {
@@ -39,6 +42,12 @@
     into.m_tolerated_host_failures =
         static_cast<std::uint32_t>(reader.integer("lost_hosts", 0, max_tolerated_host_failures)
                                        .value_or(into.m_tolerated_host_failures));
+    const double window_s = reader.number("quota_window_s", 0.1, max_quota_window_s).value_or(5.0);
+    into.m_quota_tolerance.m_window = core::milliseconds(static_cast<std::int64_t>(window_s * 1000));
+    into.m_quota_tolerance.m_overage =
+        reader.number("quota_overage", 0.0, max_quota_overage).value_or(into.m_quota_tolerance.m_overage);
+    into.m_quota_tolerance.m_slack =
+        reader.number("quota_slack", 0.0, max_quota_slack).value_or(into.m_quota_tolerance.m_slack);
     reader.require("stop_limit_s", "a number of seconds");
     const double stop_timeout_s = reader.number("stop_limit_s", 0.1, max_stop_timeout_s).value_or(1.0);
     into.m_stop_timeout = core::milliseconds(static_cast<std::int64_t>(stop_timeout_s * 1000));
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -9,6 +9,7 @@
 #include "core/ids.h"
 #include "core/log.h"
 #include "core/result.h"
+#include "quotas/share.h"
 
 #include <filesystem>
 #include <optional>
@@ -41,6 +42,8 @@
     std::uint32_t m_max_memory_mb = 256;
     // Number of hosts that may fail and lose their disks at the same time without loss of the cell.
     std::uint32_t m_tolerated_host_failures = 1;
+    // How far the operations of a customer may exceed its limit in any window, over all hosts.
+    quotas::window_tolerance m_quota_tolerance;
     core::milliseconds m_stop_timeout{}; // Maximum time from SIGTERM to the end of the process.
     core::log_level m_log_level = core::log_level::info;
 };
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -167,6 +167,22 @@
 struct assigned_stateBuilder;
 struct assigned_stateT;
 
+struct quota_demand;
+struct quota_demandBuilder;
+struct quota_demandT;
+
+struct quota_request;
+struct quota_requestBuilder;
+struct quota_requestT;
+
+struct quota_share;
+struct quota_shareBuilder;
+struct quota_shareT;
+
+struct quota_grant;
+struct quota_grantBuilder;
+struct quota_grantT;
+
 struct primary_lease_request;
 struct primary_lease_requestBuilder;
 struct primary_lease_requestT;
@@ -243,11 +259,13 @@
   primary_lease_grant = 28,
   read_index_request = 29,
   read_index = 30,
+  quota_request = 31,
+  quota_grant = 32,
   MIN = NONE,
-  MAX = read_index
+  MAX = quota_grant
 };
 
-inline const message (&EnumValuesmessage())[31] {
+inline const message (&EnumValuesmessage())[33] {
   static const message values[] = {
     message::NONE,
     message::raft_message,
@@ -279,13 +297,15 @@
     message::primary_lease_request,
     message::primary_lease_grant,
     message::read_index_request,
-    message::read_index
+    message::read_index,
+    message::quota_request,
+    message::quota_grant
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[32] = {
+  static const char * const names[34] = {
     "NONE",
     "raft_message",
     "heartbeat",
@@ -317,13 +337,15 @@
     "primary_lease_grant",
     "read_index_request",
     "read_index",
+    "quota_request",
+    "quota_grant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::read_index)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::quota_grant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -452,6 +474,14 @@
   static const message enum_value = message::read_index;
 };
 
+template<> struct messageTraits<mangoquay::wire::quota_request> {
+  static const message enum_value = message::quota_request;
+};
+
+template<> struct messageTraits<mangoquay::wire::quota_grant> {
+  static const message enum_value = message::quota_grant;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -576,6 +606,14 @@
   static const message enum_value = message::read_index;
 };
 
+template<> struct messageUnionTraits<mangoquay::wire::quota_requestT> {
+  static const message enum_value = message::quota_request;
+};
+
+template<> struct messageUnionTraits<mangoquay::wire::quota_grantT> {
+  static const message enum_value = message::quota_grant;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -846,6 +884,22 @@
     return type == message::read_index ?
       reinterpret_cast<const mangoquay::wire::read_indexT *>(value) : nullptr;
   }
+  mangoquay::wire::quota_requestT *Asquota_request() {
+    return type == message::quota_request ?
+      reinterpret_cast<mangoquay::wire::quota_requestT *>(value) : nullptr;
+  }
+  const mangoquay::wire::quota_requestT *Asquota_request() const {
+    return type == message::quota_request ?
+      reinterpret_cast<const mangoquay::wire::quota_requestT *>(value) : nullptr;
+  }
+  mangoquay::wire::quota_grantT *Asquota_grant() {
+    return type == message::quota_grant ?
+      reinterpret_cast<mangoquay::wire::quota_grantT *>(value) : nullptr;
+  }
+  const mangoquay::wire::quota_grantT *Asquota_grant() const {
+    return type == message::quota_grant ?
+      reinterpret_cast<const mangoquay::wire::quota_grantT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -5166,6 +5220,8 @@
   typedef assigned_state TableType;
   std::vector<std::unique_ptr<mangoquay::wire::primary_assignmentT>> assignments{};
   std::vector<uint8_t> document{};
+  std::vector<std::string> quota_holders{};
+  std::vector<std::string> former_quota_holders{};
   assigned_stateT() = default;
   assigned_stateT(const assigned_stateT &o);
   assigned_stateT(assigned_stateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5178,7 +5234,9 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ASSIGNMENTS = 4,
-    VT_DOCUMENT = 6
+    VT_DOCUMENT = 6,
+    VT_QUOTA_HOLDERS = 8,
+    VT_FORMER_QUOTA_HOLDERS = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *assignments() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *>(VT_ASSIGNMENTS);
@@ -5186,6 +5244,12 @@
   const flatbuffers::Vector<uint8_t> *document() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *quota_holders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_QUOTA_HOLDERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *former_quota_holders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_FORMER_QUOTA_HOLDERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ASSIGNMENTS) &&
@@ -5193,6 +5257,12 @@
            verifier.VerifyVectorOfTables(assignments()) &&
            VerifyOffset(verifier, VT_DOCUMENT) &&
            verifier.VerifyVector(document()) &&
+           VerifyOffset(verifier, VT_QUOTA_HOLDERS) &&
+           verifier.VerifyVector(quota_holders()) &&
+           verifier.VerifyVectorOfStrings(quota_holders()) &&
+           VerifyOffset(verifier, VT_FORMER_QUOTA_HOLDERS) &&
+           verifier.VerifyVector(former_quota_holders()) &&
+           verifier.VerifyVectorOfStrings(former_quota_holders()) &&
            verifier.EndTable();
   }
   assigned_stateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5210,6 +5280,12 @@
   void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
     fbb_.AddOffset(assigned_state::VT_DOCUMENT, document);
   }
+  void add_quota_holders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> quota_holders) {
+    fbb_.AddOffset(assigned_state::VT_QUOTA_HOLDERS, quota_holders);
+  }
+  void add_former_quota_holders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> former_quota_holders) {
+    fbb_.AddOffset(assigned_state::VT_FORMER_QUOTA_HOLDERS, former_quota_holders);
+  }
   explicit assigned_stateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5224,8 +5300,12 @@
 inline flatbuffers::Offset<assigned_state> Createassigned_state(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>>> assignments = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> quota_holders = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> former_quota_holders = 0) {
   assigned_stateBuilder builder_(_fbb);
+  builder_.add_former_quota_holders(former_quota_holders);
+  builder_.add_quota_holders(quota_holders);
   builder_.add_document(document);
   builder_.add_assignments(assignments);
   return builder_.Finish();
@@ -5239,17 +5319,545 @@
 inline flatbuffers::Offset<assigned_state> Createassigned_stateDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> *assignments = nullptr,
-    const std::vector<uint8_t> *document = nullptr) {
+    const std::vector<uint8_t> *document = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *quota_holders = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *former_quota_holders = nullptr) {
   auto assignments__ = assignments ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_assignment>>(*assignments) : 0;
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+  auto quota_holders__ = quota_holders ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*quota_holders) : 0;
+  auto former_quota_holders__ = former_quota_holders ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*former_quota_holders) : 0;
   return mangoquay::wire::Createassigned_state(
       _fbb,
       assignments__,
-      document__);
+      document__,
+      quota_holders__,
+      former_quota_holders__);
 }
 
 flatbuffers::Offset<assigned_state> Createassigned_state(flatbuffers::FlatBufferBuilder &_fbb, const assigned_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct quota_demandT : public flatbuffers::NativeTable {
+  typedef quota_demand TableType;
+  std::string customer{};
+  double rate = 0.0;
+  double capacity = 0.0;
+  float arrivals = 0.0f;
+  uint32_t sessions = 0;
+  bool waiting = false;
+};
+
+struct quota_demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_demandT NativeTableType;
+  typedef quota_demandBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CUSTOMER = 4,
+    VT_RATE = 6,
+    VT_CAPACITY = 8,
+    VT_ARRIVALS = 10,
+    VT_SESSIONS = 12,
+    VT_WAITING = 14
+  };
+  const flatbuffers::String *customer() const {
+    return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
+  }
+  double rate() const {
+    return GetField<double>(VT_RATE, 0.0);
+  }
+  double capacity() const {
+    return GetField<double>(VT_CAPACITY, 0.0);
+  }
+  float arrivals() const {
+    return GetField<float>(VT_ARRIVALS, 0.0f);
+  }
+  uint32_t sessions() const {
+    return GetField<uint32_t>(VT_SESSIONS, 0);
+  }
+  bool waiting() const {
+    return GetField<uint8_t>(VT_WAITING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CUSTOMER) &&
+           verifier.VerifyString(customer()) &&
+           VerifyField<double>(verifier, VT_RATE, 8) &&
+           VerifyField<double>(verifier, VT_CAPACITY, 8) &&
+           VerifyField<float>(verifier, VT_ARRIVALS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SESSIONS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_WAITING, 1) &&
+           verifier.EndTable();
+  }
+  quota_demandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(quota_demandT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<quota_demand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_demandT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct quota_demandBuilder {
+  typedef quota_demand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
+    fbb_.AddOffset(quota_demand::VT_CUSTOMER, customer);
+  }
+  void add_rate(double rate) {
+    fbb_.AddElement<double>(quota_demand::VT_RATE, rate, 0.0);
+  }
+  void add_capacity(double capacity) {
+    fbb_.AddElement<double>(quota_demand::VT_CAPACITY, capacity, 0.0);
+  }
+  void add_arrivals(float arrivals) {
+    fbb_.AddElement<float>(quota_demand::VT_ARRIVALS, arrivals, 0.0f);
+  }
+  void add_sessions(uint32_t sessions) {
+    fbb_.AddElement<uint32_t>(quota_demand::VT_SESSIONS, sessions, 0);
+  }
+  void add_waiting(bool waiting) {
+    fbb_.AddElement<uint8_t>(quota_demand::VT_WAITING, static_cast<uint8_t>(waiting), 0);
+  }
+  explicit quota_demandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_demand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_demand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_demand> Createquota_demand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> customer = 0,
+    double rate = 0.0,
+    double capacity = 0.0,
+    float arrivals = 0.0f,
+    uint32_t sessions = 0,
+    bool waiting = false) {
+  quota_demandBuilder builder_(_fbb);
+  builder_.add_capacity(capacity);
+  builder_.add_rate(rate);
+  builder_.add_sessions(sessions);
+  builder_.add_arrivals(arrivals);
+  builder_.add_customer(customer);
+  builder_.add_waiting(waiting);
+  return builder_.Finish();
+}
+
+struct quota_demand::Traits {
+  using type = quota_demand;
+  static auto constexpr Create = Createquota_demand;
+};
+
+inline flatbuffers::Offset<quota_demand> Createquota_demandDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *customer = nullptr,
+    double rate = 0.0,
+    double capacity = 0.0,
+    float arrivals = 0.0f,
+    uint32_t sessions = 0,
+    bool waiting = false) {
+  auto customer__ = customer ? _fbb.CreateString(customer) : 0;
+  return mangoquay::wire::Createquota_demand(
+      _fbb,
+      customer__,
+      rate,
+      capacity,
+      arrivals,
+      sessions,
+      waiting);
+}
+
+flatbuffers::Offset<quota_demand> Createquota_demand(flatbuffers::FlatBufferBuilder &_fbb, const quota_demandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct quota_requestT : public flatbuffers::NativeTable {
+  typedef quota_request TableType;
+  uint64_t incarnation = 0;
+  uint64_t number = 0;
+  uint64_t applied = 0;
+  std::vector<std::unique_ptr<mangoquay::wire::quota_demandT>> customers{};
+  std::vector<std::string> path{};
+  quota_requestT() = default;
+  quota_requestT(const quota_requestT &o);
+  quota_requestT(quota_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  quota_requestT &operator=(quota_requestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct quota_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_requestT NativeTableType;
+  typedef quota_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INCARNATION = 4,
+    VT_NUMBER = 6,
+    VT_APPLIED = 8,
+    VT_CUSTOMERS = 10,
+    VT_PATH = 12
+  };
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t applied() const {
+    return GetField<uint64_t>(VT_APPLIED, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>> *customers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>> *>(VT_CUSTOMERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *path() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PATH);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_APPLIED, 8) &&
+           VerifyOffset(verifier, VT_CUSTOMERS) &&
+           verifier.VerifyVector(customers()) &&
+           verifier.VerifyVectorOfTables(customers()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyVector(path()) &&
+           verifier.VerifyVectorOfStrings(path()) &&
+           verifier.EndTable();
+  }
+  quota_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(quota_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<quota_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct quota_requestBuilder {
+  typedef quota_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(quota_request::VT_INCARNATION, incarnation, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(quota_request::VT_NUMBER, number, 0);
+  }
+  void add_applied(uint64_t applied) {
+    fbb_.AddElement<uint64_t>(quota_request::VT_APPLIED, applied, 0);
+  }
+  void add_customers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>>> customers) {
+    fbb_.AddOffset(quota_request::VT_CUSTOMERS, customers);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path) {
+    fbb_.AddOffset(quota_request::VT_PATH, path);
+  }
+  explicit quota_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_request> Createquota_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
+    uint64_t number = 0,
+    uint64_t applied = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>>> customers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
+  quota_requestBuilder builder_(_fbb);
+  builder_.add_applied(applied);
+  builder_.add_number(number);
+  builder_.add_incarnation(incarnation);
+  builder_.add_path(path);
+  builder_.add_customers(customers);
+  return builder_.Finish();
+}
+
+struct quota_request::Traits {
+  using type = quota_request;
+  static auto constexpr Create = Createquota_request;
+};
+
+inline flatbuffers::Offset<quota_request> Createquota_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
+    uint64_t number = 0,
+    uint64_t applied = 0,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::quota_demand>> *customers = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
+  auto customers__ = customers ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_demand>>(*customers) : 0;
+  auto path__ = path ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*path) : 0;
+  return mangoquay::wire::Createquota_request(
+      _fbb,
+      incarnation,
+      number,
+      applied,
+      customers__,
+      path__);
+}
+
+flatbuffers::Offset<quota_request> Createquota_request(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct quota_shareT : public flatbuffers::NativeTable {
+  typedef quota_share TableType;
+  std::string customer{};
+  double rate = 0.0;
+  double capacity = 0.0;
+  double tokens = 0.0;
+  double limit_rate = 0.0;
+  double limit_burst = 0.0;
+};
+
+struct quota_share FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_shareT NativeTableType;
+  typedef quota_shareBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CUSTOMER = 4,
+    VT_RATE = 6,
+    VT_CAPACITY = 8,
+    VT_TOKENS = 10,
+    VT_LIMIT_RATE = 12,
+    VT_LIMIT_BURST = 14
+  };
+  const flatbuffers::String *customer() const {
+    return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
+  }
+  double rate() const {
+    return GetField<double>(VT_RATE, 0.0);
+  }
+  double capacity() const {
+    return GetField<double>(VT_CAPACITY, 0.0);
+  }
+  double tokens() const {
+    return GetField<double>(VT_TOKENS, 0.0);
+  }
+  double limit_rate() const {
+    return GetField<double>(VT_LIMIT_RATE, 0.0);
+  }
+  double limit_burst() const {
+    return GetField<double>(VT_LIMIT_BURST, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CUSTOMER) &&
+           verifier.VerifyString(customer()) &&
+           VerifyField<double>(verifier, VT_RATE, 8) &&
+           VerifyField<double>(verifier, VT_CAPACITY, 8) &&
+           VerifyField<double>(verifier, VT_TOKENS, 8) &&
+           VerifyField<double>(verifier, VT_LIMIT_RATE, 8) &&
+           VerifyField<double>(verifier, VT_LIMIT_BURST, 8) &&
+           verifier.EndTable();
+  }
+  quota_shareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(quota_shareT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<quota_share> Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_shareT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct quota_shareBuilder {
+  typedef quota_share Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
+    fbb_.AddOffset(quota_share::VT_CUSTOMER, customer);
+  }
+  void add_rate(double rate) {
+    fbb_.AddElement<double>(quota_share::VT_RATE, rate, 0.0);
+  }
+  void add_capacity(double capacity) {
+    fbb_.AddElement<double>(quota_share::VT_CAPACITY, capacity, 0.0);
+  }
+  void add_tokens(double tokens) {
+    fbb_.AddElement<double>(quota_share::VT_TOKENS, tokens, 0.0);
+  }
+  void add_limit_rate(double limit_rate) {
+    fbb_.AddElement<double>(quota_share::VT_LIMIT_RATE, limit_rate, 0.0);
+  }
+  void add_limit_burst(double limit_burst) {
+    fbb_.AddElement<double>(quota_share::VT_LIMIT_BURST, limit_burst, 0.0);
+  }
+  explicit quota_shareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_share> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_share>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_share> Createquota_share(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> customer = 0,
+    double rate = 0.0,
+    double capacity = 0.0,
+    double tokens = 0.0,
+    double limit_rate = 0.0,
+    double limit_burst = 0.0) {
+  quota_shareBuilder builder_(_fbb);
+  builder_.add_limit_burst(limit_burst);
+  builder_.add_limit_rate(limit_rate);
+  builder_.add_tokens(tokens);
+  builder_.add_capacity(capacity);
+  builder_.add_rate(rate);
+  builder_.add_customer(customer);
+  return builder_.Finish();
+}
+
+struct quota_share::Traits {
+  using type = quota_share;
+  static auto constexpr Create = Createquota_share;
+};
+
+inline flatbuffers::Offset<quota_share> Createquota_shareDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *customer = nullptr,
+    double rate = 0.0,
+    double capacity = 0.0,
+    double tokens = 0.0,
+    double limit_rate = 0.0,
+    double limit_burst = 0.0) {
+  auto customer__ = customer ? _fbb.CreateString(customer) : 0;
+  return mangoquay::wire::Createquota_share(
+      _fbb,
+      customer__,
+      rate,
+      capacity,
+      tokens,
+      limit_rate,
+      limit_burst);
+}
+
+flatbuffers::Offset<quota_share> Createquota_share(flatbuffers::FlatBufferBuilder &_fbb, const quota_shareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct quota_grantT : public flatbuffers::NativeTable {
+  typedef quota_grant TableType;
+  uint64_t incarnation = 0;
+  uint64_t number = 0;
+  bool confirm = false;
+  std::vector<std::unique_ptr<mangoquay::wire::quota_shareT>> shares{};
+  std::vector<std::string> path{};
+  quota_grantT() = default;
+  quota_grantT(const quota_grantT &o);
+  quota_grantT(quota_grantT&&) FLATBUFFERS_NOEXCEPT = default;
+  quota_grantT &operator=(quota_grantT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct quota_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_grantT NativeTableType;
+  typedef quota_grantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INCARNATION = 4,
+    VT_NUMBER = 6,
+    VT_CONFIRM = 8,
+    VT_SHARES = 10,
+    VT_PATH = 12
+  };
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool confirm() const {
+    return GetField<uint8_t>(VT_CONFIRM, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_share>> *shares() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_share>> *>(VT_SHARES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *path() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PATH);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRM, 1) &&
+           VerifyOffset(verifier, VT_SHARES) &&
+           verifier.VerifyVector(shares()) &&
+           verifier.VerifyVectorOfTables(shares()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyVector(path()) &&
+           verifier.VerifyVectorOfStrings(path()) &&
+           verifier.EndTable();
+  }
+  quota_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(quota_grantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<quota_grant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct quota_grantBuilder {
+  typedef quota_grant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(quota_grant::VT_INCARNATION, incarnation, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(quota_grant::VT_NUMBER, number, 0);
+  }
+  void add_confirm(bool confirm) {
+    fbb_.AddElement<uint8_t>(quota_grant::VT_CONFIRM, static_cast<uint8_t>(confirm), 0);
+  }
+  void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_share>>> shares) {
+    fbb_.AddOffset(quota_grant::VT_SHARES, shares);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path) {
+    fbb_.AddOffset(quota_grant::VT_PATH, path);
+  }
+  explicit quota_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_grant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_grant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_grant> Createquota_grant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
+    uint64_t number = 0,
+    bool confirm = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_share>>> shares = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
+  quota_grantBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_incarnation(incarnation);
+  builder_.add_path(path);
+  builder_.add_shares(shares);
+  builder_.add_confirm(confirm);
+  return builder_.Finish();
+}
+
+struct quota_grant::Traits {
+  using type = quota_grant;
+  static auto constexpr Create = Createquota_grant;
+};
+
+inline flatbuffers::Offset<quota_grant> Createquota_grantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
+    uint64_t number = 0,
+    bool confirm = false,
+    const std::vector<flatbuffers::Offset<mangoquay::wire::quota_share>> *shares = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
+  auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_share>>(*shares) : 0;
+  auto path__ = path ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*path) : 0;
+  return mangoquay::wire::Createquota_grant(
+      _fbb,
+      incarnation,
+      number,
+      confirm,
+      shares__,
+      path__);
+}
+
+flatbuffers::Offset<quota_grant> Createquota_grant(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct primary_lease_requestT : public flatbuffers::NativeTable {
   typedef primary_lease_request TableType;
   uint64_t number = 0;
@@ -5663,6 +6271,8 @@
   bool needs_slot = false;
   uint32_t wait_us = 0;
   std::vector<std::unique_ptr<mangoquay::wire::link_requestT>> first_work{};
+  std::string customer{};
+  bool any_customer = false;
   loan_requestT() = default;
   loan_requestT(const loan_requestT &o);
   loan_requestT(loan_requestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5680,7 +6290,9 @@
     VT_EXPECTED_US = 10,
     VT_NEEDS_SLOT = 12,
     VT_WAIT_US = 14,
-    VT_FIRST_WORK = 16
+    VT_FIRST_WORK = 16,
+    VT_CUSTOMER = 18,
+    VT_ANY_CUSTOMER = 20
   };
   uint64_t loan() const {
     return GetField<uint64_t>(VT_LOAN, 0);
@@ -5703,6 +6315,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>> *first_work() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>> *>(VT_FIRST_WORK);
   }
+  const flatbuffers::String *customer() const {
+    return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
+  }
+  bool any_customer() const {
+    return GetField<uint8_t>(VT_ANY_CUSTOMER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
@@ -5715,6 +6333,9 @@
            VerifyOffset(verifier, VT_FIRST_WORK) &&
            verifier.VerifyVector(first_work()) &&
            verifier.VerifyVectorOfTables(first_work()) &&
+           VerifyOffset(verifier, VT_CUSTOMER) &&
+           verifier.VerifyString(customer()) &&
+           VerifyField<uint8_t>(verifier, VT_ANY_CUSTOMER, 1) &&
            verifier.EndTable();
   }
   loan_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5747,6 +6368,12 @@
   void add_first_work(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>>> first_work) {
     fbb_.AddOffset(loan_request::VT_FIRST_WORK, first_work);
   }
+  void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
+    fbb_.AddOffset(loan_request::VT_CUSTOMER, customer);
+  }
+  void add_any_customer(bool any_customer) {
+    fbb_.AddElement<uint8_t>(loan_request::VT_ANY_CUSTOMER, static_cast<uint8_t>(any_customer), 0);
+  }
   explicit loan_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5766,13 +6393,17 @@
     uint32_t expected_us = 0,
     bool needs_slot = false,
     uint32_t wait_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>>> first_work = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::link_request>>> first_work = 0,
+    flatbuffers::Offset<flatbuffers::String> customer = 0,
+    bool any_customer = false) {
   loan_requestBuilder builder_(_fbb);
   builder_.add_loan(loan);
+  builder_.add_customer(customer);
   builder_.add_first_work(first_work);
   builder_.add_wait_us(wait_us);
   builder_.add_expected_us(expected_us);
   builder_.add_endpoint(endpoint);
+  builder_.add_any_customer(any_customer);
   builder_.add_needs_slot(needs_slot);
   builder_.add_urgent(urgent);
   return builder_.Finish();
@@ -5791,9 +6422,12 @@
     uint32_t expected_us = 0,
     bool needs_slot = false,
     uint32_t wait_us = 0,
-    const std::vector<flatbuffers::Offset<mangoquay::wire::link_request>> *first_work = nullptr) {
+    const std::vector<flatbuffers::Offset<mangoquay::wire::link_request>> *first_work = nullptr,
+    const char *customer = nullptr,
+    bool any_customer = false) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto first_work__ = first_work ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::link_request>>(*first_work) : 0;
+  auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return mangoquay::wire::Createloan_request(
       _fbb,
       loan,
@@ -5802,7 +6436,9 @@
       expected_us,
       needs_slot,
       wait_us,
-      first_work__);
+      first_work__,
+      customer__,
+      any_customer);
 }
 
 flatbuffers::Offset<loan_request> Createloan_request(flatbuffers::FlatBufferBuilder &_fbb, const loan_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6520,6 +7156,12 @@
   const mangoquay::wire::read_index *body_as_read_index() const {
     return body_type() == mangoquay::wire::message::read_index ? static_cast<const mangoquay::wire::read_index *>(body()) : nullptr;
   }
+  const mangoquay::wire::quota_request *body_as_quota_request() const {
+    return body_type() == mangoquay::wire::message::quota_request ? static_cast<const mangoquay::wire::quota_request *>(body()) : nullptr;
+  }
+  const mangoquay::wire::quota_grant *body_as_quota_grant() const {
+    return body_type() == mangoquay::wire::message::quota_grant ? static_cast<const mangoquay::wire::quota_grant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -6652,6 +7294,14 @@
   return body_as_read_index();
 }
 
+template<> inline const mangoquay::wire::quota_request *envelope::body_as<mangoquay::wire::quota_request>() const {
+  return body_as_quota_request();
+}
+
+template<> inline const mangoquay::wire::quota_grant *envelope::body_as<mangoquay::wire::quota_grant>() const {
+  return body_as_quota_grant();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -8331,7 +8981,9 @@
 }
 
 inline assigned_stateT::assigned_stateT(const assigned_stateT &o)
-      : document(o.document) {
+      : document(o.document),
+        quota_holders(o.quota_holders),
+        former_quota_holders(o.former_quota_holders) {
   assignments.reserve(o.assignments.size());
   for (const auto &assignments_ : o.assignments) { assignments.emplace_back((assignments_) ? new mangoquay::wire::primary_assignmentT(*assignments_) : nullptr); }
 }
@@ -8339,6 +8991,8 @@
 inline assigned_stateT &assigned_stateT::operator=(assigned_stateT o) FLATBUFFERS_NOEXCEPT {
   std::swap(assignments, o.assignments);
   std::swap(document, o.document);
+  std::swap(quota_holders, o.quota_holders);
+  std::swap(former_quota_holders, o.former_quota_holders);
   return *this;
 }
 
@@ -8353,6 +9007,8 @@
   (void)_resolver;
   { auto _e = assignments(); if (_e) { _o->assignments.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->assignments[_i] = std::unique_ptr<mangoquay::wire::primary_assignmentT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+  { auto _e = quota_holders(); if (_e) { _o->quota_holders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quota_holders[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = former_quota_holders(); if (_e) { _o->former_quota_holders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->former_quota_holders[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<assigned_state> assigned_state::Pack(flatbuffers::FlatBufferBuilder &_fbb, const assigned_stateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8365,10 +9021,208 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const assigned_stateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _assignments = _o->assignments.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::primary_assignment>> (_o->assignments.size(), [](size_t i, _VectorArgs *__va) { return Createprimary_assignment(*__va->__fbb, __va->__o->assignments[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
+  auto _quota_holders = _o->quota_holders.size() ? _fbb.CreateVectorOfStrings(_o->quota_holders) : 0;
+  auto _former_quota_holders = _o->former_quota_holders.size() ? _fbb.CreateVectorOfStrings(_o->former_quota_holders) : 0;
   return mangoquay::wire::Createassigned_state(
       _fbb,
       _assignments,
-      _document);
+      _document,
+      _quota_holders,
+      _former_quota_holders);
+}
+
+inline quota_demandT *quota_demand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<quota_demandT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void quota_demand::UnPackTo(quota_demandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = customer(); if (_e) _o->customer = _e->str(); }
+  { auto _e = rate(); _o->rate = _e; }
+  { auto _e = capacity(); _o->capacity = _e; }
+  { auto _e = arrivals(); _o->arrivals = _e; }
+  { auto _e = sessions(); _o->sessions = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+}
+
+inline flatbuffers::Offset<quota_demand> quota_demand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_demandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createquota_demand(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<quota_demand> Createquota_demand(flatbuffers::FlatBufferBuilder &_fbb, const quota_demandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_demandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
+  auto _rate = _o->rate;
+  auto _capacity = _o->capacity;
+  auto _arrivals = _o->arrivals;
+  auto _sessions = _o->sessions;
+  auto _waiting = _o->waiting;
+  return mangoquay::wire::Createquota_demand(
+      _fbb,
+      _customer,
+      _rate,
+      _capacity,
+      _arrivals,
+      _sessions,
+      _waiting);
+}
+
+inline quota_requestT::quota_requestT(const quota_requestT &o)
+      : incarnation(o.incarnation),
+        number(o.number),
+        applied(o.applied),
+        path(o.path) {
+  customers.reserve(o.customers.size());
+  for (const auto &customers_ : o.customers) { customers.emplace_back((customers_) ? new mangoquay::wire::quota_demandT(*customers_) : nullptr); }
+}
+
+inline quota_requestT &quota_requestT::operator=(quota_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(incarnation, o.incarnation);
+  std::swap(number, o.number);
+  std::swap(applied, o.applied);
+  std::swap(customers, o.customers);
+  std::swap(path, o.path);
+  return *this;
+}
+
+inline quota_requestT *quota_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<quota_requestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void quota_request::UnPackTo(quota_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = applied(); _o->applied = _e; }
+  { auto _e = customers(); if (_e) { _o->customers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->customers[_i] = std::unique_ptr<mangoquay::wire::quota_demandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = path(); if (_e) { _o->path.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<quota_request> quota_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createquota_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<quota_request> Createquota_request(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _incarnation = _o->incarnation;
+  auto _number = _o->number;
+  auto _applied = _o->applied;
+  auto _customers = _o->customers.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_demand>> (_o->customers.size(), [](size_t i, _VectorArgs *__va) { return Createquota_demand(*__va->__fbb, __va->__o->customers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _path = _o->path.size() ? _fbb.CreateVectorOfStrings(_o->path) : 0;
+  return mangoquay::wire::Createquota_request(
+      _fbb,
+      _incarnation,
+      _number,
+      _applied,
+      _customers,
+      _path);
+}
+
+inline quota_shareT *quota_share::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<quota_shareT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void quota_share::UnPackTo(quota_shareT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = customer(); if (_e) _o->customer = _e->str(); }
+  { auto _e = rate(); _o->rate = _e; }
+  { auto _e = capacity(); _o->capacity = _e; }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = limit_rate(); _o->limit_rate = _e; }
+  { auto _e = limit_burst(); _o->limit_burst = _e; }
+}
+
+inline flatbuffers::Offset<quota_share> quota_share::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_shareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createquota_share(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<quota_share> Createquota_share(flatbuffers::FlatBufferBuilder &_fbb, const quota_shareT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_shareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
+  auto _rate = _o->rate;
+  auto _capacity = _o->capacity;
+  auto _tokens = _o->tokens;
+  auto _limit_rate = _o->limit_rate;
+  auto _limit_burst = _o->limit_burst;
+  return mangoquay::wire::Createquota_share(
+      _fbb,
+      _customer,
+      _rate,
+      _capacity,
+      _tokens,
+      _limit_rate,
+      _limit_burst);
+}
+
+inline quota_grantT::quota_grantT(const quota_grantT &o)
+      : incarnation(o.incarnation),
+        number(o.number),
+        confirm(o.confirm),
+        path(o.path) {
+  shares.reserve(o.shares.size());
+  for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new mangoquay::wire::quota_shareT(*shares_) : nullptr); }
+}
+
+inline quota_grantT &quota_grantT::operator=(quota_grantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(incarnation, o.incarnation);
+  std::swap(number, o.number);
+  std::swap(confirm, o.confirm);
+  std::swap(shares, o.shares);
+  std::swap(path, o.path);
+  return *this;
+}
+
+inline quota_grantT *quota_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<quota_grantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void quota_grant::UnPackTo(quota_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = confirm(); _o->confirm = _e; }
+  { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<mangoquay::wire::quota_shareT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = path(); if (_e) { _o->path.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<quota_grant> quota_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createquota_grant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<quota_grant> Createquota_grant(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _incarnation = _o->incarnation;
+  auto _number = _o->number;
+  auto _confirm = _o->confirm;
+  auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_share>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return Createquota_share(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _path = _o->path.size() ? _fbb.CreateVectorOfStrings(_o->path) : 0;
+  return mangoquay::wire::Createquota_grant(
+      _fbb,
+      _incarnation,
+      _number,
+      _confirm,
+      _shares,
+      _path);
 }
 
 inline primary_lease_requestT *primary_lease_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8538,7 +9392,9 @@
         urgent(o.urgent),
         expected_us(o.expected_us),
         needs_slot(o.needs_slot),
-        wait_us(o.wait_us) {
+        wait_us(o.wait_us),
+        customer(o.customer),
+        any_customer(o.any_customer) {
   first_work.reserve(o.first_work.size());
   for (const auto &first_work_ : o.first_work) { first_work.emplace_back((first_work_) ? new mangoquay::wire::link_requestT(*first_work_) : nullptr); }
 }
@@ -8551,6 +9407,8 @@
   std::swap(needs_slot, o.needs_slot);
   std::swap(wait_us, o.wait_us);
   std::swap(first_work, o.first_work);
+  std::swap(customer, o.customer);
+  std::swap(any_customer, o.any_customer);
   return *this;
 }
 
@@ -8570,6 +9428,8 @@
   { auto _e = needs_slot(); _o->needs_slot = _e; }
   { auto _e = wait_us(); _o->wait_us = _e; }
   { auto _e = first_work(); if (_e) { _o->first_work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->first_work[_i] = std::unique_ptr<mangoquay::wire::link_requestT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = customer(); if (_e) _o->customer = _e->str(); }
+  { auto _e = any_customer(); _o->any_customer = _e; }
 }
 
 inline flatbuffers::Offset<loan_request> loan_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const loan_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8587,6 +9447,8 @@
   auto _needs_slot = _o->needs_slot;
   auto _wait_us = _o->wait_us;
   auto _first_work = _o->first_work.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::link_request>> (_o->first_work.size(), [](size_t i, _VectorArgs *__va) { return Createlink_request(*__va->__fbb, __va->__o->first_work[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
+  auto _any_customer = _o->any_customer;
   return mangoquay::wire::Createloan_request(
       _fbb,
       _loan,
@@ -8595,7 +9457,9 @@
       _expected_us,
       _needs_slot,
       _wait_us,
-      _first_work);
+      _first_work,
+      _customer,
+      _any_customer);
 }
 
 inline loan_grantT::loan_grantT(const loan_grantT &o)
@@ -9011,6 +9875,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::read_index *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::quota_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::quota_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::quota_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::quota_grant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9150,6 +10022,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::read_index *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::quota_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::quota_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::quota_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::quota_grant *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9277,6 +10157,14 @@
       auto ptr = reinterpret_cast<const mangoquay::wire::read_indexT *>(value);
       return Createread_index(_fbb, ptr, _rehasher).Union();
     }
+    case message::quota_request: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::quota_requestT *>(value);
+      return Createquota_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::quota_grant: {
+      auto ptr = reinterpret_cast<const mangoquay::wire::quota_grantT *>(value);
+      return Createquota_grant(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9403,6 +10291,14 @@
       value = new mangoquay::wire::read_indexT(*reinterpret_cast<mangoquay::wire::read_indexT *>(u.value));
       break;
     }
+    case message::quota_request: {
+      value = new mangoquay::wire::quota_requestT(*reinterpret_cast<mangoquay::wire::quota_requestT *>(u.value));
+      break;
+    }
+    case message::quota_grant: {
+      value = new mangoquay::wire::quota_grantT(*reinterpret_cast<mangoquay::wire::quota_grantT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9560,6 +10456,16 @@
       delete ptr;
       break;
     }
+    case message::quota_request: {
+      auto ptr = reinterpret_cast<mangoquay::wire::quota_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::quota_grant: {
+      auto ptr = reinterpret_cast<mangoquay::wire::quota_grantT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/test/correctness/connection_lending_rules.cpp
+++ b/test/correctness/connection_lending_rules.cpp
@@ -38,8 +38,8 @@
 // Records the actions of the lender.
 class recording_ports final : public lending::lender_ports {
 public:
-    void open_connection(lending::lender_connection_id connection,
-                         const registry::endpoint_report&) override {
+    void open_connection(lending::lender_connection_id connection, const registry::endpoint_report&,
+                         const std::optional<core::customer_name>&) override {
         m_opened.push_back(connection);
     }
     void send(lending::lender_connection_id, const std::vector<relay::database_request>& requests) override {
--- a/test/correctness/platform_line_protocol.cpp
+++ b/test/correctness/platform_line_protocol.cpp
@@ -49,7 +49,7 @@
         target.m_service = core::service_name("huvo11a");
         target.m_id = core::endpoint_id("i-7f3a");
         std::string out;
-        platform::line_protocol().encode_startup(target, out);
+        platform::line_protocol().encode_startup(target, std::nullopt, out);
         CPPUNIT_ASSERT_EQUAL(std::string("STARTUP huvo11a mangoquay i-7f3a\r\n"), out);
     }
     static void an_answer_has_rows_signature_state_and_position() {
--- a/test/support/lending_simulation.cpp
+++ b/test/support/lending_simulation.cpp
@@ -45,8 +45,8 @@
                                     m_generation * connection_ids_per_process + connection.value());
     }
 
-    void open_connection(lending::lender_connection_id connection,
-                         const registry::endpoint_report& target) override {
+    void open_connection(lending::lender_connection_id connection, const registry::endpoint_report& target,
+                         const std::optional<core::customer_name>& /*customer*/) override {
         m_open.insert(external_id(connection));
         m_simulation.m_environment.m_open_connection(external_id(connection), target);
     }
