--- a/src/fleet/quota_messages.cpp
+++ b/src/fleet/quota_messages.cpp
@@ -29,6 +29,7 @@
         item->arrivals = static_cast<float>(demand.m_arrivals_per_s);
         item->sessions = demand.m_sessions;
         item->waiting = demand.m_waiting;
+        item->returned_tokens = demand.m_returned_tokens;
         message.customers.push_back(std::move(item));
     }
     return message;
@@ -44,8 +45,9 @@
                                        {item->rate, item->capacity},
                                        item->arrivals,
                                        item->sessions,
-                                       item->waiting};
-        if (!is_valid(demand.m_held) || !is_amount(demand.m_arrivals_per_s)) {
+                                       item->waiting,
+                                       item->returned_tokens};
+        if (!is_valid(demand.m_held) || !is_amount(demand.m_returned_tokens) || !is_amount(demand.m_arrivals_per_s)) {
             return std::nullopt;
         }
         request.m_customers.push_back(std::move(demand));
--- a/src/quotas/quota_granter.cpp
+++ b/src/quotas/quota_granter.cpp
@@ -15,10 +15,16 @@
 constexpr double weight_of_session = 0.05;
 // A share changes only by more than this fraction, so that it does not follow every fluctuation of demand.
 constexpr double min_change = 0.1;
-// A host with at least this demand has room for one operation in its bucket.
-constexpr double noticeable_demand = 0.1;
-// Tokens of the pool for a host whose operations wait, as a fraction of its capacity.
-constexpr double waiting_batch = 0.5;
+// A host with less demand gets tokens one by one: a refill that it rarely uses would be missing at the
+// others.
+constexpr double steady_demand = 0.8;
+// Limits what the first hosts with demand hold before the others report theirs.
+constexpr double max_rate_to_demand = 2.0;
+// A host whose operations wait gets tokens of the pool for this time of its demand.
+constexpr double waiting_batch_s = 0.5;
+// While more than this fraction of the capacity is free, hosts with little demand keep a token for the time
+// that they cannot reach the leader.
+constexpr double min_free_capacity = 0.5;
 constexpr core::milliseconds proposal_pause{500};
 constexpr core::milliseconds holder_idle_limit{60'000};
 
@@ -26,10 +32,18 @@
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
 
+share smaller(const share& left, const share& right) {
+    return {std::min(left.m_rate_per_s, right.m_rate_per_s), std::min(left.m_capacity, right.m_capacity)};
+}
+
 share larger(const share& left, const share& right) {
     return {std::max(left.m_rate_per_s, right.m_rate_per_s), std::max(left.m_capacity, right.m_capacity)};
 }
 
+double tokens_needed(const customer_demand& demand) {
+    return 1.0 + waiting_batch_s * demand.m_arrivals_per_s;
+}
+
 double with_hysteresis(double held, double target) {
     return std::abs(target - held) <= min_change * held ? held : target;
 }
@@ -37,10 +51,7 @@
 } // namespace
 
 double total_capacity(const operation_limit& limit, const window_tolerance& tolerance) {
-    const double window_s = std::chrono::duration<double>(tolerance.m_window).count();
-    const double excess =
-        tolerance.m_overage * (limit.m_rate_per_s * window_s + limit.m_burst) + tolerance.m_slack;
-    return limit.m_burst + excess / 2.0;
+    return limit.m_burst * (1.0 + tolerance.m_overage) + tolerance.m_slack / 2.0;
 }
 
 void quota_granter::begin_term(core::time_point now) {
@@ -218,7 +229,8 @@
         held.m_outstanding.push_back(
             {request.m_applied, demand.m_held, core::deadline_after(now, counted_lifetime)});
     }
-    const share present = larger({}, counted(held, now).m_capacity > 0.0 ? demand.m_held : share{});
+    const share present = smaller(demand.m_held, counted(held, now));
+    customer.m_pool_tokens += demand.m_returned_tokens;
     refill_pool(demand.m_customer, customer, now);
     share next = present;
     if (may_assign(now)) {
@@ -227,7 +239,7 @@
         const share available{
             std::max(0.0, limit.m_rate_per_s - all.m_rate_per_s + mine.m_rate_per_s),
             std::max(0.0, total_capacity(limit, m_tolerance) - all.m_capacity + mine.m_capacity)};
-        next = target_share(customer, held, limit, present, demand);
+        next = target_share(customer, held, limit, present, available.m_capacity - mine.m_capacity, demand);
         next.m_rate_per_s = std::min(next.m_rate_per_s, available.m_rate_per_s);
         next.m_capacity = std::min(next.m_capacity, available.m_capacity);
         if (next.m_capacity < 1.0) {
@@ -236,8 +248,11 @@
     }
     granted_share granted{demand.m_customer, next, 0.0, limit};
     if (next.m_capacity > 0.0) {
-        const double wanted = std::max(0.0, next.m_capacity - present.m_capacity) +
-                              (demand.m_waiting ? std::max(1.0, waiting_batch * next.m_capacity) : 0.0);
+        // New capacity starts empty. Tokens beyond the need of a host would be missing at the others.
+        const bool plenty = customer.m_pool_tokens > min_free_capacity * total_capacity(limit, m_tolerance);
+        const double wanted = demand.m_waiting                      ? tokens_needed(demand)
+                              : plenty && present.m_capacity <= 0.0 ? 1.0
+                                                                    : 0.0;
         granted.m_tokens = std::min({wanted, next.m_capacity, customer.m_pool_tokens});
         customer.m_pool_tokens -= granted.m_tokens;
         held.m_outstanding.push_back({request.m_number, next, core::deadline_after(now, counted_lifetime)});
@@ -247,20 +262,22 @@
 }
 
 share quota_granter::target_share(const customer_record& customer, const holding& held,
-                                  const operation_limit& limit, const share& present,
+                                  const operation_limit& limit, const share& present, double free_capacity,
                                   const customer_demand& demand) const {
     double all_weights = 0.0;
     for (const auto& [host, one] : customer.m_holdings) {
         all_weights += one.m_weight;
     }
-    const double part = all_weights > 0.0 ? assigned_fraction * held.m_weight / all_weights : 0.0;
-    share target{part * limit.m_rate_per_s, part * total_capacity(limit, m_tolerance)};
-    target.m_rate_per_s = with_hysteresis(present.m_rate_per_s, target.m_rate_per_s);
-    target.m_capacity = with_hysteresis(present.m_capacity, target.m_capacity);
-    if (demand.m_waiting || demand.m_arrivals_per_s >= noticeable_demand) {
-        target.m_capacity = std::max(1.0, target.m_capacity);
+    const double capacity = total_capacity(limit, m_tolerance);
+    if (demand.m_arrivals_per_s < steady_demand) {
+        const bool plenty = free_capacity > min_free_capacity * capacity;
+        const double needed = demand.m_waiting ? tokens_needed(demand) : 0.0;
+        return {0.0, std::max({needed, plenty ? 1.0 : 0.0, plenty ? present.m_capacity : 0.0})};
     }
-    return target;
+    const double part = all_weights > 0.0 ? assigned_fraction * held.m_weight / all_weights : 0.0;
+    const double largest = max_rate_to_demand * demand.m_arrivals_per_s;
+    return {with_hysteresis(present.m_rate_per_s, std::min(part * limit.m_rate_per_s, largest)),
+            std::max(1.0, with_hysteresis(present.m_capacity, std::min(part * capacity, largest + 1.0)))};
 }
 
 quota_granter::customer_record& quota_granter::find_customer(const core::customer_name& customer,
--- a/src/quotas/quota_granter.h
+++ b/src/quotas/quota_granter.h
@@ -18,8 +18,8 @@
 
 namespace mangoquay::quotas {
 
-// The capacities of all shares of a limit together. Half of the tolerance is left for clocks of unequal speed
-// and for statements in transit.
+// The capacities of all shares of a limit together. What the tolerance allows beyond the rate is left for
+// clocks that run fast, and half of the slack for statements in transit.
 double total_capacity(const operation_limit& limit, const window_tolerance& tolerance);
 
 class granter_ports {
@@ -95,7 +95,7 @@
                               const quota_request& request, const customer_demand& demand,
                               core::time_point now);
     [[nodiscard]] share target_share(const customer_record& customer, const holding& held,
-                                     const operation_limit& limit, const share& present,
+                                     const operation_limit& limit, const share& present, double free_capacity,
                                      const customer_demand& demand) const;
     customer_record& find_customer(const core::customer_name& customer, core::time_point now);
     void forget_unreported(const core::entry_host_id& host, const quota_request& request);
--- a/src/quotas/quota_holder.cpp
+++ b/src/quotas/quota_holder.cpp
@@ -53,6 +53,12 @@
     state.m_tokens = std::min(state.m_tokens, state.m_share.m_capacity);
 }
 
+void quota_holder::set_share(customer_state& state, const share& next) {
+    state.m_share = next;
+    state.m_returned_tokens += std::max(0.0, state.m_tokens - next.m_capacity);
+    state.m_tokens = std::min(state.m_tokens, next.m_capacity);
+}
+
 void quota_holder::refill(customer_state& state, core::time_point now) {
     if (state.m_share_end.passed(now)) {
         if (state.m_share.m_capacity > 0.0) {
@@ -143,13 +149,14 @@
         const bool limited = m_limits.contains(entry->first);
         const bool waiting = !state.m_waiting_until.passed(now);
         if (state.m_sessions == 0 && !waiting && state.m_arrivals_per_s < negligible_demand &&
-            state.m_share.m_capacity <= 0.0) {
+            state.m_share.m_capacity <= 0.0 && state.m_returned_tokens <= 0.0) {
             entry = m_customers.erase(entry);
             continue;
         }
         if (limited) {
-            request.m_customers.push_back(
-                {entry->first, state.m_share, state.m_arrivals_per_s, state.m_sessions, waiting});
+            request.m_customers.push_back({entry->first, state.m_share, state.m_arrivals_per_s,
+                                           state.m_sessions, waiting,
+                                           std::exchange(state.m_returned_tokens, 0.0)});
         }
         ++entry;
     }
@@ -188,8 +195,7 @@
         state.m_waiting_until = {};
         state.m_answered_at = sent_at;
         if (found == granted.end()) {
-            state.m_share = {};
-            state.m_tokens = 0.0;
+            set_share(state, {});
         }
     }
     for (const auto& [customer, one] : granted) {
@@ -198,11 +204,10 @@
             continue; // Removed since the request.
         }
         customer_state& state = m_customers[customer];
-        state.m_share = one->m_share;
+        set_share(state, one->m_share);
         state.m_limit = one->m_limit;
         state.m_capacity_basis = one->m_limit.m_burst + one->m_limit.m_rate_per_s;
         state.m_share_end = core::deadline{sent_at + share_lifetime};
-        state.m_refilled_at = now;
         state.m_answered_at = sent_at;
         state.m_tokens = std::min(state.m_share.m_capacity, state.m_tokens + std::max(0.0, one->m_tokens));
         apply_limit(state, limit->second);
--- a/src/quotas/quota_holder.h
+++ b/src/quotas/quota_holder.h
@@ -63,6 +63,7 @@
         double m_capacity_basis = 0.0; // Burst and one second of the rate of that limit.
         core::deadline m_share_end;
         double m_tokens = 0.0;
+        double m_returned_tokens = 0.0; // Given up since the last request.
         core::time_point m_refilled_at{};
         double m_arrivals_per_s = 0.0;
         core::time_point m_demand_at{};
@@ -73,6 +74,8 @@
     };
     static constexpr std::size_t max_remembered_requests = 16;
 
+    // Replaces the share; tokens beyond its capacity are returned to the leader.
+    static void set_share(customer_state& state, const share& next);
     static void apply_limit(customer_state& state, const operation_limit& limit);
     void refill(customer_state& state, core::time_point now);
     static void decay_demand(customer_state& state, core::time_point now);
--- a/src/quotas/share.h
+++ b/src/quotas/share.h
@@ -61,6 +61,8 @@
     double m_arrivals_per_s = 0.0; // Moving average of the operations that arrived, refused ones included.
     std::uint32_t m_sessions = 0;
     bool m_waiting = false; // Operations wait for tokens.
+    // Tokens that the host gave up when its share shrank, since the last request.
+    double m_returned_tokens = 0.0;
 };
 
 struct quota_request {
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -5344,6 +5344,7 @@
   float arrivals = 0.0f;
   uint32_t sessions = 0;
   bool waiting = false;
+  double returned_tokens = 0.0;
 };
 
 struct quota_demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5356,7 +5357,8 @@
     VT_CAPACITY = 8,
     VT_ARRIVALS = 10,
     VT_SESSIONS = 12,
-    VT_WAITING = 14
+    VT_WAITING = 14,
+    VT_RETURNED_TOKENS = 16
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -5376,6 +5378,9 @@
   bool waiting() const {
     return GetField<uint8_t>(VT_WAITING, 0) != 0;
   }
+  double returned_tokens() const {
+    return GetField<double>(VT_RETURNED_TOKENS, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
@@ -5385,6 +5390,7 @@
            VerifyField<float>(verifier, VT_ARRIVALS, 4) &&
            VerifyField<uint32_t>(verifier, VT_SESSIONS, 4) &&
            VerifyField<uint8_t>(verifier, VT_WAITING, 1) &&
+           VerifyField<double>(verifier, VT_RETURNED_TOKENS, 8) &&
            verifier.EndTable();
   }
   quota_demandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5414,6 +5420,9 @@
   void add_waiting(bool waiting) {
     fbb_.AddElement<uint8_t>(quota_demand::VT_WAITING, static_cast<uint8_t>(waiting), 0);
   }
+  void add_returned_tokens(double returned_tokens) {
+    fbb_.AddElement<double>(quota_demand::VT_RETURNED_TOKENS, returned_tokens, 0.0);
+  }
   explicit quota_demandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5432,8 +5441,10 @@
     double capacity = 0.0,
     float arrivals = 0.0f,
     uint32_t sessions = 0,
-    bool waiting = false) {
+    bool waiting = false,
+    double returned_tokens = 0.0) {
   quota_demandBuilder builder_(_fbb);
+  builder_.add_returned_tokens(returned_tokens);
   builder_.add_capacity(capacity);
   builder_.add_rate(rate);
   builder_.add_sessions(sessions);
@@ -5455,7 +5466,8 @@
     double capacity = 0.0,
     float arrivals = 0.0f,
     uint32_t sessions = 0,
-    bool waiting = false) {
+    bool waiting = false,
+    double returned_tokens = 0.0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return mangoquay::wire::Createquota_demand(
       _fbb,
@@ -5464,7 +5476,8 @@
       capacity,
       arrivals,
       sessions,
-      waiting);
+      waiting,
+      returned_tokens);
 }
 
 flatbuffers::Offset<quota_demand> Createquota_demand(flatbuffers::FlatBufferBuilder &_fbb, const quota_demandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9046,6 +9059,7 @@
   { auto _e = arrivals(); _o->arrivals = _e; }
   { auto _e = sessions(); _o->sessions = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = returned_tokens(); _o->returned_tokens = _e; }
 }
 
 inline flatbuffers::Offset<quota_demand> quota_demand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_demandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9062,6 +9076,7 @@
   auto _arrivals = _o->arrivals;
   auto _sessions = _o->sessions;
   auto _waiting = _o->waiting;
+  auto _returned_tokens = _o->returned_tokens;
   return mangoquay::wire::Createquota_demand(
       _fbb,
       _customer,
@@ -9069,7 +9084,8 @@
       _capacity,
       _arrivals,
       _sessions,
-      _waiting);
+      _waiting,
+      _returned_tokens);
 }
 
 inline quota_requestT::quota_requestT(const quota_requestT &o)
