--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -165,6 +165,8 @@
         std::vector<pending_loan> m_queue;
     };
 
+    // Whether the connection may be lent again.
+    [[nodiscard]] static bool may_be_used(const connection_record& connection, const endpoint_record& record);
     // Grants waiting loan requests in order while slots and connections are free.
     void serve_queue(const core::endpoint_id& endpoint, core::time_point now);
     // Grants the first waiting loan request that can be granted now. Returns whether there was one.
