--- a/src/quotas/share.h
+++ b/src/quotas/share.h
@@ -27,7 +27,7 @@
 inline constexpr core::milliseconds max_token_wait{100};
 
 // Number of a request, unique and increasing among those of one process.
-using request_number = core::strong_value<struct request_number_tag, std::uint64_t>;
+using request_number = core::strong_value<struct quota_request_number_tag, std::uint64_t>;
 
 // The limit of one customer over all hosts.
 struct operation_limit {
