--- a/src/core/json_reader.h
+++ b/src/core/json_reader.h
@@ -80,8 +80,8 @@
     std::set<std::string, std::less<>> m_accessed_members;
 };
 
-// Parses a JSON text. On failure, appends an error and returns nothing. Rejects deep nesting, which could
-// exhaust the stack.
+// Parses a JSON text. On failure, appends an error, which contains no part of the text, and returns nothing.
+// Rejects deep nesting, which could exhaust the stack.
 std::optional<nlohmann::json> parse_json(std::string_view text, std::vector<json_error>& errors);
 
 } // namespace mangoquay::core
--- a/src/documents/customers.cpp
+++ b/src/documents/customers.cpp
@@ -23,7 +23,7 @@
         for (std::size_t key = 0; key < customer.m_keys.size(); ++key) {
             const auto [entry, added] = directory.m_by_key.emplace(customer.m_keys[key], index);
             if (!added && entry->second != index) {
-                return outcome::failure(place + ".keys[" + std::to_string(key) +
+                return outcome::failure(place + ".api-keys[" + std::to_string(key) +
                                         "] is a key of another customer");
             }
         }
