--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -131,7 +131,7 @@
     std::uint64_t m_served_by_replicas = 0;
     std::uint64_t m_served_by_primaries = 0;
     std::uint64_t m_unknown_keys = 0;   // Sessions refused because of their key.
-    std::uint64_t m_withdrawn_keys = 0; // Statements refused because their key was withdrawn.
+    std::uint64_t m_withdrawn_keys = 0; // Statements refused because their key was withdrawn or moved.
 };
 
 // What this host observed of a service's primary, reported to the control hosts.
@@ -272,19 +272,22 @@
     struct caller_identity {
         std::optional<core::customer_name> m_customer;
     };
-    // Whom a caller with this key works for; empty if the route does not accept the key.
+    // Whom a caller with this key works for; empty if its route does not accept the key.
     [[nodiscard]] std::optional<caller_identity>
-    identify(const documents::route_rule& route, const std::optional<documents::key_digest>& key) const;
+    identify(bool route_is_public, const std::optional<documents::key_digest>& key) const;
     // Applies the keys of a new configuration to the open sessions.
     void check_identities(core::time_point now);
-    void end_unauthorized_work(session_id id, session& caller, core::time_point now);
+    // Returns whether the session's customer changed, or the session has to end.
+    bool update_identity(session& caller, core::time_point now);
+    void end_work_without_key(session_id id, session& caller, core::time_point now);
     void end_work_of_former_customer(session_id id, session& caller, core::time_point now);
     // Takes the token of the operation that the statement in progress belongs to. Returns false if there is
     // none yet, or if the statement was refused because the customer is over its limit.
     bool admit_operation(session_id id, session& caller, core::time_point now);
     // The operation of the session reached no database.
     void refund_operation(session& caller, core::time_point now);
-    void refuse_unauthorized(session_id id, session& caller, core::time_point now);
+    // Refuses the statement in progress of a session that has ended, and closes the session.
+    void refuse_and_close(session_id id, session& caller, core::time_point now);
 
     // relay_dispatch.cpp: choice of endpoints and connections for statements.
     void dispatch(session_id id, core::time_point now);
--- a/src/relay/relay_customers.cpp
+++ b/src/relay/relay_customers.cpp
@@ -11,12 +11,16 @@
 
 constexpr const char* key_not_valid = "the key is not valid";
 constexpr const char* key_moved = "the key belongs to another customer now";
+constexpr const char* customer_changed = "the customer of the session changed";
+
+const char* text_of_end(const session& caller) {
+    return caller.m_ended_by == refusal::unauthorized ? key_not_valid : key_moved;
+}
 
 } // namespace
 
 std::optional<relay_core::caller_identity>
-relay_core::identify(const documents::route_rule& route,
-                     const std::optional<documents::key_digest>& key) const {
+relay_core::identify(bool route_is_public, const std::optional<documents::key_digest>& key) const {
     if (!m_configuration.m_customers) {
         return caller_identity{};
     }
@@ -24,7 +28,7 @@
     if (customer != nullptr) {
         return caller_identity{customer->m_name};
     }
-    return route.m_public ? std::optional(caller_identity{}) : std::nullopt;
+    return route_is_public ? std::optional(caller_identity{}) : std::nullopt;
 }
 
 session_admission relay_core::on_session_opened(session_id id, const std::string& database,
@@ -33,7 +37,7 @@
     if (route == nullptr) {
         return session_admission::unknown_database;
     }
-    auto identity = identify(*route, key);
+    auto identity = identify(route->m_public, key);
     if (!identity) {
         ++m_counters.m_unknown_keys;
         return session_admission::unknown_key;
@@ -41,6 +45,7 @@
     session opened;
     opened.m_database = database;
     opened.m_key = key;
+    opened.m_route_is_public = route->m_public;
     opened.m_customer = std::move(identity->m_customer);
     if (opened.m_customer) {
         m_quotas.on_session_opened(*opened.m_customer);
@@ -54,51 +59,67 @@
     // All sessions are marked before any connection becomes free, which dispatches other sessions.
     std::vector<session_id> changed;
     for (auto& [id, caller] : m_sessions) {
-        const documents::route_rule* route = route_of(caller);
-        if (route == nullptr || caller.m_key_withdrawn) {
-            continue; // A statement on a removed route is refused by itself.
-        }
-        auto identity = identify(*route, caller.m_key);
-        if (identity && identity->m_customer == caller.m_customer) {
-            continue;
-        }
-        caller.m_key_withdrawn = !identity;
-        if (identity) {
-            refund_operation(caller, now);
-            if (caller.m_customer) {
-                m_quotas.on_session_closed(*caller.m_customer);
-            }
-            caller.m_customer = std::move(identity->m_customer);
-            if (caller.m_customer) {
-                m_quotas.on_session_opened(*caller.m_customer);
-            }
+        if (!caller.m_ended_by && update_identity(caller, now)) {
+            changed.push_back(id);
         }
-        changed.push_back(id);
     }
     for (const session_id id : changed) {
         const auto found = m_sessions.find(id);
         if (found == m_sessions.end()) {
             continue;
         }
-        if (found->second.m_key_withdrawn) {
-            end_unauthorized_work(id, found->second, now);
+        if (found->second.m_ended_by) {
+            end_work_without_key(id, found->second, now);
         } else {
             end_work_of_former_customer(id, found->second, now);
         }
     }
 }
 
+bool relay_core::update_identity(session& caller, core::time_point now) {
+    const documents::route_rule* route = route_of(caller);
+    if (route != nullptr) {
+        caller.m_route_is_public = route->m_public;
+    }
+    // Checked on a removed route as well: what was prepared for a session there would still be sent.
+    auto identity = identify(caller.m_route_is_public, caller.m_key);
+    if (!identity) {
+        caller.m_ended_by = refusal::unauthorized;
+        return true;
+    }
+    if (identity->m_customer == caller.m_customer) {
+        return false;
+    }
+    if (identity->m_customer && caller.m_customer) {
+        caller.m_ended_by = refusal::aborted;
+        return true;
+    }
+    refund_operation(caller, now);
+    caller.m_transaction.m_admitted = false;
+    if (caller.m_operation) {
+        caller.m_operation->m_admitted = false;
+    }
+    if (caller.m_customer) {
+        m_quotas.on_session_closed(*caller.m_customer);
+    }
+    caller.m_customer = std::move(identity->m_customer);
+    if (caller.m_customer) {
+        m_quotas.on_session_opened(*caller.m_customer);
+    }
+    return true;
+}
+
 // What was sent to a database may end, and its answer is delivered.
-void relay_core::end_unauthorized_work(session_id id, session& caller, core::time_point now) {
-    record_event("key withdrawn", caller, "", key_not_valid, now);
+void relay_core::end_work_without_key(session_id id, session& caller, core::time_point now) {
+    record_event("key withdrawn", caller, "", text_of_end(caller), now);
     if (caller.m_operation) {
         if (caller.m_operation->m_phase != operation_phase::running) {
-            refuse_unauthorized(id, caller, now);
+            refuse_and_close(id, caller, now);
         }
         return;
     }
     if (caller.m_state == transaction_state::open) {
-        lose_transaction(caller, key_not_valid, now);
+        lose_transaction(caller, text_of_end(caller), now);
         return;
     }
     if (caller.m_state == transaction_state::idle) {
@@ -110,11 +131,11 @@
 
 // Work that has begun under the name of one customer does not go on under the name of another.
 void relay_core::end_work_of_former_customer(session_id id, session& caller, core::time_point now) {
-    record_event("customer changed", caller, "", key_moved, now);
+    record_event("customer changed", caller, "", customer_changed, now);
     const bool in_transaction = caller.m_state == transaction_state::open;
     if (!caller.m_operation) {
         if (in_transaction && caller.m_transaction.m_begun) {
-            lose_transaction(caller, key_moved, now);
+            lose_transaction(caller, customer_changed, now);
         }
         return;
     }
@@ -124,11 +145,11 @@
     }
     cancel_loan(caller);
     if (in_transaction && caller.m_transaction.m_begun) {
-        lose_transaction(caller, key_moved, now);
+        lose_transaction(caller, customer_changed, now);
         if (is_commit(caller)) {
             clear_transaction(caller);
         }
-        refuse_statement(id, caller, refusal::aborted, key_moved, now);
+        refuse_statement(id, caller, refusal::aborted, customer_changed, now);
         start_queued_statements(id, now);
         return;
     }
@@ -183,8 +204,8 @@
     return true;
 }
 
-// Refuses the statement in progress, which was not sent, and closes the session.
-void relay_core::refuse_unauthorized(session_id id, session& caller, core::time_point now) {
+// The statement in progress was not sent, or has ended without an effect.
+void relay_core::refuse_and_close(session_id id, session& caller, core::time_point now) {
     ++m_counters.m_withdrawn_keys;
     cancel_loan(caller);
     caller.m_queued_statements.clear();
@@ -192,7 +213,7 @@
     caller.m_operation->m_phase = operation_phase::preparing; // Not dispatched when its connection is free.
     detach_connection(caller, now);
     clear_transaction(caller);
-    refuse_statement(id, caller, refusal::unauthorized, key_not_valid, now);
+    refuse_statement(id, caller, *caller.m_ended_by, text_of_end(caller), now);
 }
 
 } // namespace mangoquay::relay
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -29,8 +29,8 @@
 
 void relay_core::dispatch(session_id id, core::time_point now) {
     session& caller = m_sessions.at(id);
-    if (caller.m_key_withdrawn) {
-        refuse_unauthorized(id, caller, now);
+    if (caller.m_ended_by) {
+        refuse_and_close(id, caller, now);
         return;
     }
     operation& op = *caller.m_operation;
@@ -43,11 +43,11 @@
         return;
     }
     if (caller.m_connection && m_connections.at(*caller.m_connection).m_customer != caller.m_customer) {
-        lose_transaction(caller, "the key belongs to another customer now", now);
+        lose_transaction(caller, "the customer of the session changed", now);
         if (is_commit(caller)) {
             clear_transaction(caller);
         }
-        refuse_statement(id, caller, refusal::aborted, "the key belongs to another customer now", now);
+        refuse_statement(id, caller, refusal::aborted, "the customer of the session changed", now);
         return;
     }
     if (caller.m_connection) { // Inside a transaction.
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -103,8 +103,8 @@
     started.m_statement = statement;
     started.m_arrived = now;
     caller.m_operation = std::move(started);
-    if (caller.m_key_withdrawn) {
-        refuse_unauthorized(id, caller, now);
+    if (caller.m_ended_by) {
+        refuse_and_close(id, caller, now);
         return;
     }
     if (refuse_while_stopping(id, caller, now)) {
@@ -360,7 +360,7 @@
         m_active_sessions.erase(id);
     }
     caller.m_transaction.m_idle_deadline = idle_deadline(now);
-    caller.m_closing = caller.m_closing || caller.m_key_withdrawn;
+    caller.m_closing = caller.m_closing || caller.m_ended_by;
     m_ports.send_answer(id, answer);
     if (caller.m_closing && caller.m_state == transaction_state::idle && caller.m_queued_statements.empty()) {
         remove_session(id);
--- a/src/relay/relay_ticks.cpp
+++ b/src/relay/relay_ticks.cpp
@@ -33,7 +33,7 @@
     }
     session& caller = found->second;
     if (!caller.m_operation) {
-        if (caller.m_state == transaction_state::open && caller.m_key_withdrawn) {
+        if (caller.m_state == transaction_state::open && caller.m_ended_by) {
             lose_transaction(caller, "the key is not valid", now);
         } else if (caller.m_state == transaction_state::open &&
                    caller.m_transaction.m_idle_deadline.passed(now)) {
@@ -60,7 +60,8 @@
         start_queued_statements(id, now);
         return;
     }
-    const bool may_hedge = op.m_phase == operation_phase::running && !op.m_writes &&
+    // A session whose key was withdrawn cannot be sent elsewhere, and waits for its answer.
+    const bool may_hedge = !caller.m_ended_by && op.m_phase == operation_phase::running && !op.m_writes &&
                            caller.m_state == transaction_state::idle && op.m_attempts == 1;
     if (may_hedge && op.m_hedge_after.passed(now)) {
         hedge_read(id, caller, now);
--- a/src/relay/session.h
+++ b/src/relay/session.h
@@ -81,7 +81,10 @@
     std::string m_database;                        // Database name that the caller connected to.
     std::optional<documents::key_digest> m_key;    // Empty if the caller presented none.
     std::optional<core::customer_name> m_customer; // Whose key it is; empty without customers.
-    bool m_key_withdrawn = false; // No statement is sent any more; the session ends after its next answer.
+    bool m_route_is_public = false;                // Of its route, as long as the configuration had one.
+    // Set once a configuration withdrew the key (unauthorized) or gave it to another customer (aborted): the
+    // refusal of further statements. None is sent any more, and the session ends after its next answer.
+    std::optional<refusal> m_ended_by;
     std::map<std::string, std::string> m_values;
     std::map<std::string, statement_handle> m_prepared; // By the caller's name.
     transaction_state m_state = transaction_state::idle;
