--- a/src/lending/borrower.cpp
+++ b/src/lending/borrower.cpp
@@ -17,6 +17,9 @@
 // one occupies a slot for about as long as a statement runs. So the first choice may be this much more
 // loaded.
 constexpr std::uint32_t max_extra_load_of_first_choice = 6;
+// A lender reports its queue only with a grant. A customer whose first choice was loaded and is not asked any
+// more hears of no improvement, so the report is ignored after a few times the wait of a statement.
+constexpr core::milliseconds queue_length_lifetime{500};
 // No lender is asked with less than this left of the wait: the message delay would use it up.
 constexpr core::milliseconds min_wait{5};
 
@@ -61,8 +64,9 @@
         if (loan.m_tried.contains(host) || !record.m_avoided_until.passed(now)) {
             continue;
         }
+        const std::uint32_t queued = record.m_queue_length_until.passed(now) ? 0 : record.m_queue_length;
         const std::uint32_t cost =
-            record.m_queue_length + record.m_pending_requests + rank++ * max_extra_load_of_first_choice;
+            queued + record.m_pending_requests + rank++ * max_extra_load_of_first_choice;
         if (!best || cost < lowest_cost) {
             best = host;
             lowest_cost = cost;
@@ -74,6 +78,7 @@
 void borrower::borrow(relay::connection_id connection, const core::endpoint_id& endpoint,
                       const loan_terms& terms, const std::vector<relay::database_request>& initial_requests,
                       core::time_point now) {
+    m_latest = now;
     const loan_id id(++m_last_loan);
     loan_record& loan = m_loans[id];
     loan.m_connection = connection;
@@ -146,6 +151,7 @@
 
 void borrower::on_loan_granted(const core::entry_host_id& lender, loan_id id, const loan_offer& offer) {
     m_lender_records[lender].m_queue_length = offer.m_queue_length;
+    m_lender_records[lender].m_queue_length_until = core::deadline_after(m_latest, queue_length_lifetime);
     loan_record* loan = find_loan(lender, id);
     if (loan == nullptr || loan->m_granted) {
         // The loan was cancelled, or requested from another lender in the meantime.
@@ -227,6 +233,7 @@
 }
 
 void borrower::tick(core::time_point now) {
+    m_latest = now;
     std::vector<loan_id> overdue;
     for (const auto& [id, loan] : m_loans) {
         if (!loan.m_granted && loan.m_reply_deadline.passed(now)) {
--- a/src/lending/borrower.h
+++ b/src/lending/borrower.h
@@ -110,6 +110,7 @@
     struct lender_record {
         core::deadline m_avoided_until;       // Not asked until then: it did not answer or does not lend.
         std::uint32_t m_queue_length = 0;     // Number of loan requests waiting at it, as it last reported.
+        core::deadline m_queue_length_until;  // The report is out of date after it.
         std::uint32_t m_pending_requests = 0; // Number of loans that it has neither granted nor refused.
     };
 
@@ -128,6 +129,7 @@
 
     borrower_ports& m_ports;
     std::uint64_t m_last_loan;
+    core::time_point m_latest{};  // The latest time that was passed in.
     std::uint64_t m_rotation = 0; // Rotates among lenders with equal cost.
     lenders_by_endpoint m_lenders;
     std::map<loan_id, loan_record> m_loans;
--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -60,6 +60,7 @@
         if (!record.m_listed) {
             refuse_all(record, loan_refusal::not_lending);
         } else {
+            close_surplus_connections(id, record, now);
             preopen_connections(id, record, now);
         }
     }
@@ -98,6 +99,7 @@
     m_connections.emplace(id, std::move(opened));
     ++record.m_open_count;
     ++record.m_opening_count;
+    record.m_has_customers = record.m_has_customers || customer;
     ++m_counters.m_connections_opened;
     m_ports.open_connection(id, record.m_lent.m_report, customer);
 }
@@ -214,7 +216,8 @@
     if (position) {
         record.m_position = position;
     }
-    serve_queue(connection.m_endpoint, now);
+    const core::endpoint_id endpoint = connection.m_endpoint; // The connection may be closed again.
+    serve_queue(endpoint, now);
 }
 
 void lender::on_connection_answered(lender_connection_id id, const relay::database_answer& answer,
@@ -320,6 +323,7 @@
             }
         }
         record.m_queue = std::move(left);
+        forget_customers(record, now);
         serve_queue(endpoint, now);
     }
 }
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -163,6 +163,9 @@
         core::duration m_back_off{};
         std::optional<core::history_position> m_position;
         std::vector<pending_loan> m_queue;
+        bool m_has_customers = false; // A connection was opened for a customer and may still be open.
+        // When a customer last got a loan, or a connection of another one for it.
+        std::map<std::optional<core::customer_name>, core::time_point> m_served_at;
     };
 
     // Grants waiting loan requests in order while slots and connections are free.
@@ -176,9 +179,18 @@
     // Opens connections for the loan requests that found none idle, in the order of the queue.
     void open_missing_connections(const core::endpoint_id& endpoint, endpoint_record& record,
                                   const std::vector<const pending_loan*>& missing, core::time_point now);
-    // Closes an idle connection that another customer has not used for a while. Returns whether there was
-    // one.
-    bool close_unused_connection(const core::endpoint_id& endpoint, core::time_point now);
+    // Closes the idle connection that was used the longest ago, if nothing used it for `unused_time`. Returns
+    // whether there was one.
+    bool close_unused_connection(const core::endpoint_id& endpoint, core::duration unused_time,
+                                 core::time_point now);
+    // Closes a connection in favour of the customer's loan request. Returns whether there was one to close.
+    bool replace_connection(const core::endpoint_id& endpoint, endpoint_record& record,
+                            const std::optional<core::customer_name>& customer, core::time_point now);
+    // Closes idle connections that exceed the share of this host, or that no loan may use any more.
+    void close_surplus_connections(const core::endpoint_id& endpoint, endpoint_record& record,
+                                   core::time_point now);
+    // Forgets the customers that were served too long ago to matter.
+    static void forget_customers(endpoint_record& record, core::time_point now);
     void preopen_connections(const core::endpoint_id& endpoint, endpoint_record& record,
                              core::time_point now);
     void grant(const pending_loan& pending, lender_connection_id id, core::time_point now);
--- a/src/lending/lender_queue.cpp
+++ b/src/lending/lender_queue.cpp
@@ -13,6 +13,9 @@
 // Two customers that take connections from each other would pay an opening for each statement. A connection
 // in steady use is used again within a few service times.
 constexpr core::milliseconds min_unused_time{100};
+// At a lender whose connections are all in steady use, none is unused for that long. A customer that was not
+// served for this time replaces one all the same, so that it is not kept out by busier customers.
+constexpr core::milliseconds max_time_without_service{500};
 
 auto order_of(bool needs_slot, bool urgent, double expected_ms, core::time_point arrived) {
     return std::tuple(needs_slot, !urgent, expected_ms, arrived);
@@ -62,6 +65,7 @@
 
 void lender::serve_queue(const core::endpoint_id& endpoint, core::time_point now) {
     endpoint_record& record = m_endpoints.at(endpoint);
+    close_surplus_connections(endpoint, record, now);
     while (!record.m_queue.empty() && grant_next(endpoint, record, now)) {
     }
 }
@@ -106,6 +110,9 @@
         }
         return;
     }
+    if (m_stopping || !record.m_full_until.passed(now) || !record.m_failed_until.passed(now)) {
+        return; // None is closed while none can be opened in its place.
+    }
     std::map<std::optional<core::customer_name>, std::uint32_t> opening;
     for (const auto& [id, connection] : m_connections) {
         if (connection.m_endpoint == endpoint && connection.m_state == connection_state::opening) {
@@ -122,18 +129,33 @@
             return;
         }
         const bool full = record.m_open_count >= record.m_lent.m_connections;
-        if (full && (loan->m_terms.m_any_customer || !close_unused_connection(endpoint, now))) {
+        if (full && (loan->m_terms.m_any_customer ||
+                     !replace_connection(endpoint, record, loan->m_terms.m_customer, now))) {
             continue;
         }
         open_connection(endpoint, record, loan->m_terms.m_customer, now);
     }
 }
 
-bool lender::close_unused_connection(const core::endpoint_id& endpoint, core::time_point now) {
+bool lender::replace_connection(const core::endpoint_id& endpoint, endpoint_record& record,
+                                const std::optional<core::customer_name>& customer, core::time_point now) {
+    const auto served = record.m_served_at.find(customer);
+    const bool served_recently =
+        served != record.m_served_at.end() && served->second + max_time_without_service > now;
+    if (!close_unused_connection(endpoint, served_recently ? min_unused_time : core::milliseconds(0), now)) {
+        return false;
+    }
+    ++m_counters.m_connections_replaced;
+    record.m_served_at[customer] = now;
+    return true;
+}
+
+bool lender::close_unused_connection(const core::endpoint_id& endpoint, core::duration unused_time,
+                                     core::time_point now) {
     std::optional<lender_connection_id> oldest;
     for (const auto& [id, connection] : m_connections) {
         if (connection.m_endpoint == endpoint && connection.m_state == connection_state::idle &&
-            connection.m_last_used + min_unused_time <= now &&
+            connection.m_last_used + unused_time <= now &&
             (!oldest || connection.m_last_used < m_connections.at(*oldest).m_last_used)) {
             oldest = id;
         }
@@ -141,11 +163,36 @@
     if (!oldest) {
         return false;
     }
-    ++m_counters.m_connections_replaced;
     drop_connection(*oldest);
     return true;
 }
 
+void lender::close_surplus_connections(const core::endpoint_id& endpoint, endpoint_record& record,
+                                       core::time_point now) {
+    while (record.m_lent.m_by_customer && record.m_open_count > record.m_lent.m_connections &&
+           close_unused_connection(endpoint, core::duration{}, now)) {
+    }
+    if (record.m_lent.m_by_customer || !record.m_has_customers) {
+        return;
+    }
+    std::vector<lender_connection_id> unusable;
+    record.m_has_customers = false;
+    for (const auto& [id, connection] : m_connections) {
+        if (connection.m_endpoint == endpoint && connection.m_customer) {
+            record.m_has_customers = true;
+            if (connection.m_state == connection_state::idle) {
+                unusable.push_back(id);
+            }
+        }
+    }
+    std::ranges::for_each(unusable, [this](lender_connection_id id) { drop_connection(id); });
+}
+
+void lender::forget_customers(endpoint_record& record, core::time_point now) {
+    std::erase_if(record.m_served_at,
+                  [now](const auto& entry) { return entry.second + max_time_without_service <= now; });
+}
+
 // Prefers the connection with the latest answer, because it is the most likely to be alive.
 std::optional<lender_connection_id> lender::find_idle_connection(const core::endpoint_id& endpoint,
                                                                  const loan_terms& terms) const {
@@ -162,6 +209,9 @@
 
 void lender::grant(const pending_loan& pending, lender_connection_id id, core::time_point now) {
     connection_record& connection = m_connections.at(id);
+    if (endpoint_record& record = m_endpoints.at(connection.m_endpoint); record.m_lent.m_by_customer) {
+        record.m_served_at[connection.m_customer] = now;
+    }
     connection.m_state = connection_state::lent;
     connection.m_key = pending.m_key;
     connection.m_next_request_number = 0;
