Do not promise that nothing is kept of a transaction whose write may have been committed outside of it

Cause: a session whose key moved was refused as aborted also where an earlier refusal could not exclude a committed write (by reading). Change: in doubt there. The lender's second check of unusable connections, written twice, is removed.

--- a/src/fleet/quota_messages.cpp
+++ b/src/fleet/quota_messages.cpp
@@ -47,7 +47,8 @@
                                        item->sessions,
                                        item->waiting,
                                        item->returned_tokens};
-        if (!is_valid(demand.m_held) || !is_amount(demand.m_returned_tokens) || !is_amount(demand.m_arrivals_per_s)) {
+        if (!is_valid(demand.m_held) || !is_amount(demand.m_returned_tokens) ||
+            !is_amount(demand.m_arrivals_per_s)) {
             return std::nullopt;
         }
         request.m_customers.push_back(std::move(demand));
--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -51,8 +51,7 @@
     }
     std::vector<lender_connection_id> unused;
     for (const auto& [id, connection] : m_connections) {
-        const endpoint_record& record = m_endpoints.at(connection.m_endpoint);
-        if (connection.m_state == connection_state::idle && !may_be_used(connection, record)) {
+        if (connection.m_state == connection_state::idle && !m_endpoints.at(connection.m_endpoint).m_listed) {
             unused.push_back(id);
         }
     }
@@ -69,11 +68,6 @@
                   [](const auto& one) { return !one.second.m_listed && one.second.m_open_count == 0; });
 }
 
-// A connection of a customer is of no use once connections do not belong to customers any more.
-bool lender::may_be_used(const connection_record& connection, const endpoint_record& record) {
-    return record.m_listed && (record.m_lent.m_by_customer || !connection.m_customer);
-}
-
 void lender::stop_lending() {
     m_stopping = true;
     for (auto& [id, record] : m_endpoints) {
@@ -162,8 +156,7 @@
     end_loan(id);
     connection_record& connection = m_connections.at(id);
     connection.m_last_used = now;
-    if (!state.m_reusable || !connection.m_pending_answers.empty() ||
-        !may_be_used(connection, m_endpoints.at(endpoint))) {
+    if (!state.m_reusable || !connection.m_pending_answers.empty() || !m_endpoints.at(endpoint).m_listed) {
         drop_connection(id);
     } else {
         clean_up(id, state, now);
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -168,8 +168,6 @@
         std::map<std::optional<core::customer_name>, core::time_point> m_served_at;
     };
 
-    // Whether the connection may be lent again.
-    [[nodiscard]] static bool may_be_used(const connection_record& connection, const endpoint_record& record);
     // Grants waiting loan requests in order while slots and connections are free.
     void serve_queue(const core::endpoint_id& endpoint, core::time_point now);
     // Grants the first waiting loan request that can be granted now. Returns whether there was one.
--- a/src/relay/relay_customers.cpp
+++ b/src/relay/relay_customers.cpp
@@ -211,9 +211,13 @@
     caller.m_queued_statements.clear();
     caller.m_closing = true;
     caller.m_operation->m_phase = operation_phase::preparing; // Not dispatched when its connection is free.
+    // A database may have committed a write of the transaction outside of it; `aborted` would deny that.
+    const bool may_be_kept = caller.m_transaction.m_may_be_kept;
+    const refusal reason =
+        may_be_kept && guarantees_not_run(*caller.m_ended_by) ? refusal::in_doubt : *caller.m_ended_by;
     detach_connection(caller, now);
     clear_transaction(caller);
-    refuse_statement(id, caller, *caller.m_ended_by, text_of_end(caller), now);
+    refuse_statement(id, caller, reason, text_of_end(caller), now);
 }
 
 } // namespace mangoquay::relay
--- a/test/support/quota_simulation.cpp
+++ b/test/support/quota_simulation.cpp
@@ -214,8 +214,7 @@
             handle();
         }
         const double factor = m_now >= 20.0 && m_now < 40.0 ? m_scenario.m_demand_factor : 1.0;
-        if (m_now >= first_operation_s &&
-            happens(m_scenario.m_demand_per_s * factor / m_scenario.m_hosts)) {
+        if (m_now >= first_operation_s && happens(m_scenario.m_demand_per_s * factor / m_scenario.m_hosts)) {
             ++m_outcome.m_arrived;
             one.m_holder->on_operation_arrived(customer, host_time(one));
             one.m_waiting.push_back({m_now});
