Quotas: terms in grants, no false refusals, accounting of lowered and removed limits

A late answer of an earlier leader counted as a confirmation, so its share was not counted: grants and requests name the leader's term. A limit that fell and rose, and a customer that was removed and returned, had shares that were not counted. A lower burst alone reduced capacities too little.

--- a/src/fleet/quota_messages.cpp
+++ b/src/fleet/quota_messages.cpp
@@ -21,6 +21,7 @@
     message.incarnation = request.m_incarnation.value();
     message.number = request.m_number.value();
     message.applied = request.m_applied.value();
+    message.applied_term = request.m_applied_term.value();
     for (const quotas::customer_demand& demand : request.m_customers) {
         auto item = std::make_unique<wire::quota_demandT>();
         item->customer = demand.m_customer.value();
@@ -40,6 +41,7 @@
     request.m_incarnation = core::incarnation(message.incarnation);
     request.m_number = quotas::request_number(message.number);
     request.m_applied = quotas::request_number(message.applied);
+    request.m_applied_term = quotas::granter_term(message.applied_term);
     for (const auto& item : message.customers) {
         quotas::customer_demand demand{core::customer_name(item->customer),
                                        {item->rate, item->capacity},
@@ -47,7 +49,8 @@
                                        item->sessions,
                                        item->waiting,
                                        item->returned_tokens};
-        if (!is_valid(demand.m_held) || !is_amount(demand.m_returned_tokens) || !is_amount(demand.m_arrivals_per_s)) {
+        if (!is_valid(demand.m_held) || !is_amount(demand.m_returned_tokens) ||
+            !is_amount(demand.m_arrivals_per_s)) {
             return std::nullopt;
         }
         request.m_customers.push_back(std::move(demand));
@@ -59,6 +62,7 @@
     wire::quota_grantT message;
     message.incarnation = grant.m_incarnation.value();
     message.number = grant.m_number.value();
+    message.term = grant.m_term.value();
     message.confirm = grant.m_confirm;
     for (const quotas::granted_share& share : grant.m_shares) {
         auto item = std::make_unique<wire::quota_shareT>();
@@ -77,6 +81,7 @@
     quotas::quota_grant grant;
     grant.m_incarnation = core::incarnation(message.incarnation);
     grant.m_number = quotas::request_number(message.number);
+    grant.m_term = quotas::granter_term(message.term);
     grant.m_confirm = message.confirm;
     for (const auto& item : message.shares) {
         quotas::granted_share share{core::customer_name(item->customer),
--- a/src/fleet/quota_service.cpp
+++ b/src/fleet/quota_service.cpp
@@ -40,7 +40,7 @@
     if (term != m_term) {
         m_term = term;
         m_assigning = false;
-        m_granter.begin_term(now);
+        m_granter.begin_term(quotas::granter_term(term->value()), now);
         core::log_line(core::log_level::info, "quotas",
                        "granting begins term=" + std::to_string(term->value()));
     }
--- a/src/quotas/quota_holder.cpp
+++ b/src/quotas/quota_holder.cpp
@@ -11,9 +11,13 @@
 
 // Weight of the past in the demand: an average over about two seconds follows a demand that moves between
 // zones within 11 s and is steady enough for shares that change once a second.
-constexpr double demand_memory_s = 2.0;
+constexpr double demand_memory_s = 3.0;
 // Without an answer by then the request counts as lost. Control hosts answer within a round trip.
 constexpr core::milliseconds answer_timeout{200};
+// Without operations for this many times their mean distance, the demand has moved away: the chance of such a
+// gap in random arrivals is 0.25 %. The share is of use to the hosts where the demand went, and the average
+// alone would release it too late.
+constexpr double gap_of_ended_demand = 6.0;
 // The leader refills its pool continuously; an operation that is refused meanwhile is told so at once.
 constexpr core::milliseconds denial_length{100};
 // A customer without sessions, operations and a share is forgotten below this demand.
@@ -31,6 +35,7 @@
         if (limit == limits.end()) {
             state.m_share = {};
             state.m_tokens = 0.0;
+            state.m_returned_tokens = 0.0;
             continue;
         }
         refill(state, now);
@@ -42,21 +47,32 @@
 // A share that was granted under a higher limit shrinks in the same proportion, so the shares of all hosts
 // together stay within the new limit without an answer of the leader.
 void quota_holder::apply_limit(customer_state& state, const operation_limit& limit) {
-    if (state.m_limit.m_rate_per_s > limit.m_rate_per_s) {
-        state.m_share.m_rate_per_s *= limit.m_rate_per_s / state.m_limit.m_rate_per_s;
-        state.m_limit.m_rate_per_s = limit.m_rate_per_s;
-    }
-    if (state.m_capacity_basis > limit.m_burst + limit.m_rate_per_s) {
-        state.m_share.m_capacity *= (limit.m_burst + limit.m_rate_per_s) / state.m_capacity_basis;
-        state.m_capacity_basis = limit.m_burst + limit.m_rate_per_s;
-    }
+    state.m_share = scaled(state.m_share, state.m_limit, limit);
+    state.m_limit = {std::min(state.m_limit.m_rate_per_s, limit.m_rate_per_s),
+                     std::min(state.m_limit.m_burst, limit.m_burst)};
     state.m_tokens = std::min(state.m_tokens, state.m_share.m_capacity);
 }
 
 void quota_holder::set_share(customer_state& state, const share& next) {
     state.m_share = next;
-    state.m_returned_tokens += std::max(0.0, state.m_tokens - next.m_capacity);
-    state.m_tokens = std::min(state.m_tokens, next.m_capacity);
+    add_tokens(state, 0.0);
+}
+
+void quota_holder::add_tokens(customer_state& state, double tokens) {
+    state.m_tokens += tokens;
+    state.m_returned_tokens += std::max(0.0, state.m_tokens - state.m_share.m_capacity);
+    state.m_tokens = std::min(state.m_tokens, state.m_share.m_capacity);
+}
+
+// Without refill the capacity beyond the tokens admits nothing here, and is missing at other hosts.
+void quota_holder::release_unused_capacity(customer_state& state) {
+    if (state.m_share.m_rate_per_s <= 0.0) {
+        set_share(state, {0.0, state.m_tokens >= 1.0 ? state.m_tokens : 0.0});
+    }
+}
+
+void quota_holder::forget_old_waits(customer_state& state, core::time_point now) {
+    state.m_waits.erase(state.m_waits.begin(), state.m_waits.upper_bound(now - max_token_wait));
 }
 
 void quota_holder::refill(customer_state& state, core::time_point now) {
@@ -86,6 +102,13 @@
     customer_state& state = m_customers[customer];
     decay_demand(state, now);
     state.m_arrivals_per_s += 1.0 / demand_memory_s;
+    state.m_last_arrival_at = now;
+}
+
+double quota_holder::present_demand(const customer_state& state, core::time_point now) {
+    const double gap_s = seconds_between(state.m_last_arrival_at, now);
+    const double before_gap = state.m_arrivals_per_s * std::exp(gap_s / demand_memory_s);
+    return gap_s * before_gap > gap_of_ended_demand ? 0.0 : state.m_arrivals_per_s;
 }
 
 void quota_holder::decay_demand(customer_state& state, core::time_point now) {
@@ -102,18 +125,16 @@
     refill(state, now);
     if (state.m_tokens >= 1.0) {
         state.m_tokens -= 1.0;
+        state.m_waits.erase(waited_since);
         ++m_counters.m_admitted;
         return admission::admitted;
     }
-    const bool denied = !state.m_denied_until.passed(now);
-    if (!denied) {
-        state.m_waiting_until = core::deadline_after(now, max_token_wait);
-    }
-    // An answer to a request that was sent while this operation waited has brought no token for it.
-    const bool answered = state.m_answered_at > waited_since;
-    if (!denied && !answered && waited_since + max_token_wait > now) {
+    const bool denied = !state.m_denied_until.passed(now) || state.m_denied_request_at > waited_since;
+    if (!denied && waited_since + max_token_wait > now) {
+        state.m_waits.insert(waited_since);
         return admission::waiting;
     }
+    state.m_waits.erase(waited_since);
     ++m_counters.m_refused;
     return admission::over_limit;
 }
@@ -124,38 +145,47 @@
         return;
     }
     refill(found->second, now);
-    found->second.m_tokens = std::min(found->second.m_share.m_capacity, found->second.m_tokens + 1.0);
+    if (!found->second.m_share_end.passed(now)) {
+        add_tokens(found->second, 1.0);
+    }
 }
 
-std::optional<quota_request> quota_holder::next_request(core::time_point now) {
-    if (m_limits.empty()) {
-        return std::nullopt;
+bool quota_holder::request_is_due(core::time_point now) {
+    bool urgent = m_confirm;
+    for (auto& [customer, state] : m_customers) {
+        forget_old_waits(state, now);
+        const bool unneeded = state.m_share.m_rate_per_s > 0.0 && present_demand(state, now) <= 0.0 &&
+                              state.m_reported_demand > 0.0;
+        urgent = urgent || ((!state.m_waits.empty() || unneeded) && m_limits.contains(customer));
     }
-    const bool any_waiting = std::ranges::any_of(
-        m_customers, [now](const auto& one) { return !one.second.m_waiting_until.passed(now); });
     const bool answer_due = m_unanswered && m_last_sent + answer_timeout > now;
-    const bool due = m_last_sent + request_period <= now;
-    if (!due && ((!any_waiting && !m_confirm) || answer_due || m_last_sent + min_request_pause > now)) {
+    return m_last_sent + request_period <= now ||
+           (urgent && !answer_due && m_last_sent + min_request_pause <= now);
+}
+
+std::optional<quota_request> quota_holder::next_request(core::time_point now) {
+    if (m_limits.empty() || !request_is_due(now)) {
         return std::nullopt;
     }
     quota_request request;
     request.m_incarnation = m_incarnation;
     request.m_number = request_number(++m_last_number);
     request.m_applied = request_number(m_applied_number);
+    request.m_applied_term = m_applied_term;
     for (auto entry = m_customers.begin(); entry != m_customers.end();) {
         customer_state& state = entry->second;
         refill(state, now);
         decay_demand(state, now);
-        const bool limited = m_limits.contains(entry->first);
-        const bool waiting = !state.m_waiting_until.passed(now);
-        if (state.m_sessions == 0 && !waiting && state.m_arrivals_per_s < negligible_demand &&
+        release_unused_capacity(state);
+        if (state.m_sessions == 0 && state.m_waits.empty() && state.m_arrivals_per_s < negligible_demand &&
             state.m_share.m_capacity <= 0.0 && state.m_returned_tokens <= 0.0) {
             entry = m_customers.erase(entry);
             continue;
         }
-        if (limited) {
-            request.m_customers.push_back({entry->first, state.m_share, state.m_arrivals_per_s,
-                                           state.m_sessions, waiting,
+        state.m_reported_demand = present_demand(state, now);
+        if (m_limits.contains(entry->first)) {
+            request.m_customers.push_back({entry->first, state.m_share, state.m_reported_demand,
+                                           state.m_sessions, static_cast<std::uint32_t>(state.m_waits.size()),
                                            std::exchange(state.m_returned_tokens, 0.0)});
         }
         ++entry;
@@ -172,47 +202,49 @@
 
 bool quota_holder::on_grant(const quota_grant& grant, core::time_point now) {
     const auto sent = m_sent_at.find(grant.m_number);
-    if (grant.m_incarnation != m_incarnation || sent == m_sent_at.end() ||
+    if (grant.m_incarnation != m_incarnation || sent == m_sent_at.end() || grant.m_term < m_applied_term ||
         grant.m_number.value() <= m_applied_number) {
         return false;
     }
     const core::time_point sent_at = sent->second;
     m_applied_number = grant.m_number.value();
+    m_applied_term = grant.m_term;
     m_confirm = grant.m_confirm;
     m_sent_at.erase(m_sent_at.begin(), std::next(sent));
     m_unanswered = m_unanswered && grant.m_number.value() != m_last_number;
+    apply_grant(grant, sent_at, now);
+    return true;
+}
+
+void quota_holder::apply_grant(const quota_grant& grant, core::time_point sent_at, core::time_point now) {
     std::map<core::customer_name, const granted_share*> granted;
     for (const granted_share& one : grant.m_shares) {
-        granted[one.m_customer] = &one;
+        if (m_limits.contains(one.m_customer)) { // Not removed since the request.
+            granted[one.m_customer] = &one;
+            m_customers.try_emplace(one.m_customer);
+        }
     }
     for (auto& [customer, state] : m_customers) {
         refill(state, now);
-        const bool waited = !state.m_waiting_until.passed(sent_at);
         const auto found = granted.find(customer);
-        if (waited && (found == granted.end() || found->second->m_tokens < 1.0)) {
+        const double tokens = found == granted.end() ? 0.0 : std::max(0.0, found->second->m_tokens);
+        forget_old_waits(state, now);
+        const auto reported = std::distance(state.m_waits.begin(), state.m_waits.lower_bound(sent_at));
+        if (tokens < static_cast<double>(reported)) {
+            state.m_denied_request_at = sent_at;
             state.m_denied_until = core::deadline_after(now, denial_length);
         }
-        state.m_waiting_until = {};
-        state.m_answered_at = sent_at;
         if (found == granted.end()) {
             set_share(state, {});
+            continue;
         }
-    }
-    for (const auto& [customer, one] : granted) {
-        const auto limit = m_limits.find(customer);
-        if (limit == m_limits.end()) {
-            continue; // Removed since the request.
-        }
-        customer_state& state = m_customers[customer];
-        set_share(state, one->m_share);
-        state.m_limit = one->m_limit;
-        state.m_capacity_basis = one->m_limit.m_burst + one->m_limit.m_rate_per_s;
+        const granted_share& one = *found->second;
+        set_share(state, one.m_share);
+        state.m_limit = one.m_limit;
         state.m_share_end = core::deadline{sent_at + share_lifetime};
-        state.m_answered_at = sent_at;
-        state.m_tokens = std::min(state.m_share.m_capacity, state.m_tokens + std::max(0.0, one->m_tokens));
-        apply_limit(state, limit->second);
+        add_tokens(state, tokens);
+        apply_limit(state, m_limits.at(customer));
     }
-    return true;
 }
 
 std::optional<share> quota_holder::held(const core::customer_name& customer, core::time_point now) const {
--- a/src/quotas/quota_holder.h
+++ b/src/quotas/quota_holder.h
@@ -14,6 +14,7 @@
 #include "quotas/share.h"
 
 #include <optional>
+#include <set>
 
 namespace mangoquay::quotas {
 
@@ -50,7 +51,8 @@
     // The request to send now, or nothing if it is too early or there is nothing to report. A request whose
     // answer did not arrive within 200 ms counts as lost.
     std::optional<quota_request> next_request(core::time_point now);
-    // Returns false if the grant answers no request of this process, or an older one than was applied.
+    // Returns false if the grant answers no request of this process or an older one than was applied, or
+    // comes from an earlier leader than the last one that was applied.
     bool on_grant(const quota_grant& grant, core::time_point now);
 
     [[nodiscard]] std::optional<share> held(const core::customer_name& customer, core::time_point now) const;
@@ -58,26 +60,38 @@
 
 private:
     struct customer_state {
-        share m_share;                 // In force until m_share_end.
-        operation_limit m_limit;       // The limit that the share is a part of.
-        double m_capacity_basis = 0.0; // Burst and one second of the rate of that limit.
+        share m_share;           // In force until m_share_end.
+        operation_limit m_limit; // The limit that the share is a part of.
         core::deadline m_share_end;
         double m_tokens = 0.0;
         double m_returned_tokens = 0.0; // Given up since the last request.
         core::time_point m_refilled_at{};
         double m_arrivals_per_s = 0.0;
         core::time_point m_demand_at{};
+        core::time_point m_last_arrival_at{};
+        double m_reported_demand = 0.0; // In the latest request.
         std::uint32_t m_sessions = 0;
-        core::deadline m_waiting_until;   // Operations waited for tokens; set at each wait.
-        core::time_point m_answered_at{}; // When the latest request that was answered was sent.
-        core::deadline m_denied_until;    // The leader had no tokens for operations that waited.
+        // When the operations that wait for tokens were first asked about. Operations of the same time count
+        // as one, and ask again. Entries end after max_token_wait.
+        std::set<core::time_point> m_waits;
+        // The leader lacked tokens for operations that waited: when the request that told it of them was
+        // sent, and until when new ones are refused without asking again.
+        core::time_point m_denied_request_at{};
+        core::deadline m_denied_until;
     };
     static constexpr std::size_t max_remembered_requests = 16;
 
     // Replaces the share; tokens beyond its capacity are returned to the leader.
     static void set_share(customer_state& state, const share& next);
+    static void add_tokens(customer_state& state, double tokens);
+    static void forget_old_waits(customer_state& state, core::time_point now);
+    static void release_unused_capacity(customer_state& state);
+    void apply_grant(const quota_grant& grant, core::time_point sent_at, core::time_point now);
+    [[nodiscard]] bool request_is_due(core::time_point now);
     static void apply_limit(customer_state& state, const operation_limit& limit);
     void refill(customer_state& state, core::time_point now);
+    // The average, or 0 if the demand has moved away.
+    static double present_demand(const customer_state& state, core::time_point now);
     static void decay_demand(customer_state& state, core::time_point now);
 
     core::incarnation m_incarnation;
@@ -86,6 +100,7 @@
     std::map<request_number, core::time_point> m_sent_at; // Of the latest requests without an answer.
     std::uint64_t m_last_number = 0;
     std::uint64_t m_applied_number = 0; // The latest request whose answer was applied.
+    granter_term m_applied_term;        // Of the leader that gave that answer.
     core::time_point m_last_sent = core::time_point::min();
     bool m_unanswered = false; // The last request has no answer yet.
     bool m_confirm = false;    // The leader waits for the next request.
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -114,7 +114,7 @@
     // See documents::needs_primary_lease().
     bool m_executor_fences = true;
     session_state_limits m_session_state;
-    core::incarnation m_incarnation; // Of this process; different after each restart.
+    core::incarnation m_incarnation; // Of this process; higher after each restart.
 };
 
 struct relay_counters {
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -5343,7 +5343,7 @@
   double capacity = 0.0;
   float arrivals = 0.0f;
   uint32_t sessions = 0;
-  bool waiting = false;
+  uint32_t waiting = 0;
   double returned_tokens = 0.0;
 };
 
@@ -5375,8 +5375,8 @@
   uint32_t sessions() const {
     return GetField<uint32_t>(VT_SESSIONS, 0);
   }
-  bool waiting() const {
-    return GetField<uint8_t>(VT_WAITING, 0) != 0;
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
   }
   double returned_tokens() const {
     return GetField<double>(VT_RETURNED_TOKENS, 0.0);
@@ -5389,7 +5389,7 @@
            VerifyField<double>(verifier, VT_CAPACITY, 8) &&
            VerifyField<float>(verifier, VT_ARRIVALS, 4) &&
            VerifyField<uint32_t>(verifier, VT_SESSIONS, 4) &&
-           VerifyField<uint8_t>(verifier, VT_WAITING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<double>(verifier, VT_RETURNED_TOKENS, 8) &&
            verifier.EndTable();
   }
@@ -5417,8 +5417,8 @@
   void add_sessions(uint32_t sessions) {
     fbb_.AddElement<uint32_t>(quota_demand::VT_SESSIONS, sessions, 0);
   }
-  void add_waiting(bool waiting) {
-    fbb_.AddElement<uint8_t>(quota_demand::VT_WAITING, static_cast<uint8_t>(waiting), 0);
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(quota_demand::VT_WAITING, waiting, 0);
   }
   void add_returned_tokens(double returned_tokens) {
     fbb_.AddElement<double>(quota_demand::VT_RETURNED_TOKENS, returned_tokens, 0.0);
@@ -5441,16 +5441,16 @@
     double capacity = 0.0,
     float arrivals = 0.0f,
     uint32_t sessions = 0,
-    bool waiting = false,
+    uint32_t waiting = 0,
     double returned_tokens = 0.0) {
   quota_demandBuilder builder_(_fbb);
   builder_.add_returned_tokens(returned_tokens);
   builder_.add_capacity(capacity);
   builder_.add_rate(rate);
+  builder_.add_waiting(waiting);
   builder_.add_sessions(sessions);
   builder_.add_arrivals(arrivals);
   builder_.add_customer(customer);
-  builder_.add_waiting(waiting);
   return builder_.Finish();
 }
 
@@ -5466,7 +5466,7 @@
     double capacity = 0.0,
     float arrivals = 0.0f,
     uint32_t sessions = 0,
-    bool waiting = false,
+    uint32_t waiting = 0,
     double returned_tokens = 0.0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return mangoquay::wire::Createquota_demand(
@@ -5487,6 +5487,7 @@
   uint64_t incarnation = 0;
   uint64_t number = 0;
   uint64_t applied = 0;
+  uint64_t applied_term = 0;
   std::vector<std::unique_ptr<mangoquay::wire::quota_demandT>> customers{};
   std::vector<std::string> path{};
   quota_requestT() = default;
@@ -5503,8 +5504,9 @@
     VT_INCARNATION = 4,
     VT_NUMBER = 6,
     VT_APPLIED = 8,
-    VT_CUSTOMERS = 10,
-    VT_PATH = 12
+    VT_APPLIED_TERM = 10,
+    VT_CUSTOMERS = 12,
+    VT_PATH = 14
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -5515,6 +5517,9 @@
   uint64_t applied() const {
     return GetField<uint64_t>(VT_APPLIED, 0);
   }
+  uint64_t applied_term() const {
+    return GetField<uint64_t>(VT_APPLIED_TERM, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>> *customers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>> *>(VT_CUSTOMERS);
   }
@@ -5526,6 +5531,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint64_t>(verifier, VT_APPLIED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_APPLIED_TERM, 8) &&
            VerifyOffset(verifier, VT_CUSTOMERS) &&
            verifier.VerifyVector(customers()) &&
            verifier.VerifyVectorOfTables(customers()) &&
@@ -5552,6 +5558,9 @@
   void add_applied(uint64_t applied) {
     fbb_.AddElement<uint64_t>(quota_request::VT_APPLIED, applied, 0);
   }
+  void add_applied_term(uint64_t applied_term) {
+    fbb_.AddElement<uint64_t>(quota_request::VT_APPLIED_TERM, applied_term, 0);
+  }
   void add_customers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>>> customers) {
     fbb_.AddOffset(quota_request::VT_CUSTOMERS, customers);
   }
@@ -5574,9 +5583,11 @@
     uint64_t incarnation = 0,
     uint64_t number = 0,
     uint64_t applied = 0,
+    uint64_t applied_term = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>>> customers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
   quota_requestBuilder builder_(_fbb);
+  builder_.add_applied_term(applied_term);
   builder_.add_applied(applied);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
@@ -5595,6 +5606,7 @@
     uint64_t incarnation = 0,
     uint64_t number = 0,
     uint64_t applied = 0,
+    uint64_t applied_term = 0,
     const std::vector<flatbuffers::Offset<mangoquay::wire::quota_demand>> *customers = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
   auto customers__ = customers ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_demand>>(*customers) : 0;
@@ -5604,6 +5616,7 @@
       incarnation,
       number,
       applied,
+      applied_term,
       customers__,
       path__);
 }
@@ -5747,6 +5760,7 @@
   typedef quota_grant TableType;
   uint64_t incarnation = 0;
   uint64_t number = 0;
+  uint64_t term = 0;
   bool confirm = false;
   std::vector<std::unique_ptr<mangoquay::wire::quota_shareT>> shares{};
   std::vector<std::string> path{};
@@ -5763,9 +5777,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INCARNATION = 4,
     VT_NUMBER = 6,
-    VT_CONFIRM = 8,
-    VT_SHARES = 10,
-    VT_PATH = 12
+    VT_TERM = 8,
+    VT_CONFIRM = 10,
+    VT_SHARES = 12,
+    VT_PATH = 14
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -5773,6 +5788,9 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
   bool confirm() const {
     return GetField<uint8_t>(VT_CONFIRM, 0) != 0;
   }
@@ -5786,6 +5804,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint8_t>(verifier, VT_CONFIRM, 1) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
@@ -5810,6 +5829,9 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(quota_grant::VT_NUMBER, number, 0);
   }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(quota_grant::VT_TERM, term, 0);
+  }
   void add_confirm(bool confirm) {
     fbb_.AddElement<uint8_t>(quota_grant::VT_CONFIRM, static_cast<uint8_t>(confirm), 0);
   }
@@ -5834,10 +5856,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t incarnation = 0,
     uint64_t number = 0,
+    uint64_t term = 0,
     bool confirm = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_share>>> shares = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
   quota_grantBuilder builder_(_fbb);
+  builder_.add_term(term);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
   builder_.add_path(path);
@@ -5855,6 +5879,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t incarnation = 0,
     uint64_t number = 0,
+    uint64_t term = 0,
     bool confirm = false,
     const std::vector<flatbuffers::Offset<mangoquay::wire::quota_share>> *shares = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
@@ -5864,6 +5889,7 @@
       _fbb,
       incarnation,
       number,
+      term,
       confirm,
       shares__,
       path__);
@@ -9092,6 +9118,7 @@
       : incarnation(o.incarnation),
         number(o.number),
         applied(o.applied),
+        applied_term(o.applied_term),
         path(o.path) {
   customers.reserve(o.customers.size());
   for (const auto &customers_ : o.customers) { customers.emplace_back((customers_) ? new mangoquay::wire::quota_demandT(*customers_) : nullptr); }
@@ -9101,6 +9128,7 @@
   std::swap(incarnation, o.incarnation);
   std::swap(number, o.number);
   std::swap(applied, o.applied);
+  std::swap(applied_term, o.applied_term);
   std::swap(customers, o.customers);
   std::swap(path, o.path);
   return *this;
@@ -9118,6 +9146,7 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = number(); _o->number = _e; }
   { auto _e = applied(); _o->applied = _e; }
+  { auto _e = applied_term(); _o->applied_term = _e; }
   { auto _e = customers(); if (_e) { _o->customers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->customers[_i] = std::unique_ptr<mangoquay::wire::quota_demandT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = path(); if (_e) { _o->path.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path[_i] = _e->Get(_i)->str(); } } }
 }
@@ -9133,6 +9162,7 @@
   auto _incarnation = _o->incarnation;
   auto _number = _o->number;
   auto _applied = _o->applied;
+  auto _applied_term = _o->applied_term;
   auto _customers = _o->customers.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_demand>> (_o->customers.size(), [](size_t i, _VectorArgs *__va) { return Createquota_demand(*__va->__fbb, __va->__o->customers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _path = _o->path.size() ? _fbb.CreateVectorOfStrings(_o->path) : 0;
   return mangoquay::wire::Createquota_request(
@@ -9140,6 +9170,7 @@
       _incarnation,
       _number,
       _applied,
+      _applied_term,
       _customers,
       _path);
 }
@@ -9188,6 +9219,7 @@
 inline quota_grantT::quota_grantT(const quota_grantT &o)
       : incarnation(o.incarnation),
         number(o.number),
+        term(o.term),
         confirm(o.confirm),
         path(o.path) {
   shares.reserve(o.shares.size());
@@ -9197,6 +9229,7 @@
 inline quota_grantT &quota_grantT::operator=(quota_grantT o) FLATBUFFERS_NOEXCEPT {
   std::swap(incarnation, o.incarnation);
   std::swap(number, o.number);
+  std::swap(term, o.term);
   std::swap(confirm, o.confirm);
   std::swap(shares, o.shares);
   std::swap(path, o.path);
@@ -9214,6 +9247,7 @@
   (void)_resolver;
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = number(); _o->number = _e; }
+  { auto _e = term(); _o->term = _e; }
   { auto _e = confirm(); _o->confirm = _e; }
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<mangoquay::wire::quota_shareT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = path(); if (_e) { _o->path.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path[_i] = _e->Get(_i)->str(); } } }
@@ -9229,6 +9263,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _incarnation = _o->incarnation;
   auto _number = _o->number;
+  auto _term = _o->term;
   auto _confirm = _o->confirm;
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_share>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return Createquota_share(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _path = _o->path.size() ? _fbb.CreateVectorOfStrings(_o->path) : 0;
@@ -9236,6 +9271,7 @@
       _fbb,
       _incarnation,
       _number,
+      _term,
       _confirm,
       _shares,
       _path);
