--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -178,6 +178,23 @@
     m_core.set_primary_leases(m_lease.holder().primaries(), m_lease.holder().lease_end(), core::now());
 }
 
+// The period of tick() is too long for an operation that waits while no other session is active.
+void entry_node::on_tokens_needed() {
+    m_quota_polls_end = core::deadline_after(core::now(), quotas::max_token_wait);
+    if (!std::exchange(m_quota_poll_set, true)) {
+        m_loop.post([this] { poll_quotas(); });
+    }
+}
+
+void entry_node::poll_quotas() {
+    const core::time_point now = core::now();
+    m_quotas.poll(now);
+    m_quota_poll_set = !m_quota_polls_end.passed(now);
+    if (m_quota_poll_set) {
+        m_loop.run_after(active_tick_interval, [this] { poll_quotas(); });
+    }
+}
+
 void entry_node::tick() {
     const core::time_point now = core::now();
     m_subscriber.may_start_work(); // Notices pauses while no caller sends anything.
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -73,6 +73,8 @@
     void on_document_received(const fleet::received_document& received);
     void on_endpoints_changed();
     void apply_lease();
+    void on_tokens_needed() override;
+    void poll_quotas();
     void tick();
     void report_failing_primaries(core::time_point now);
     void drain_step();
@@ -92,6 +94,8 @@
     fleet::update_subscriber m_subscriber;
     fleet::lease_renewal m_lease;
     fleet::quota_renewal m_quotas;
+    core::deadline m_quota_polls_end; // Requests for shares are checked more often than by tick() until then.
+    bool m_quota_poll_set = false;
     loan_exchange m_exchange;
     lending::hosts_by_zone m_ready_hosts;
     std::map<relay::connection_id, std::unique_ptr<database_connection>> m_connections;
--- a/src/fleet/replicated_state.cpp
+++ b/src/fleet/replicated_state.cpp
@@ -65,8 +65,7 @@
 }
 
 std::string replicated_state::encode_snapshot() const {
-    const std::string document =
-        documents::document_register::encode(m_documents.version(), m_documents.bytes());
+    std::string document = documents::document_register::encode(m_documents.version(), m_documents.bytes());
     if (m_primaries.empty() && m_quota_holders.empty()) {
         return document;
     }
--- a/src/quotas/share.h
+++ b/src/quotas/share.h
@@ -23,7 +23,7 @@
 inline constexpr core::milliseconds counted_lifetime{12'300};
 inline constexpr core::milliseconds request_period{1'000};
 // Pause between two requests while operations wait for tokens.
-inline constexpr core::milliseconds min_request_pause{50};
+inline constexpr core::milliseconds min_request_pause{20};
 // An operation waits this long for an answer of the leader.
 inline constexpr core::milliseconds max_token_wait{100};
 
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -84,6 +84,8 @@
     virtual void record_event(const statement_event& event) = 0;
     // Whether the protocol of databases can carry the request, in one message.
     [[nodiscard]] virtual bool can_encode(const database_request& request) const = 0;
+    // An operation waits for tokens of its customer's limit, so a request for shares may be due.
+    virtual void on_tokens_needed() {}
     // Adds the statement to the metrics.
     virtual void count_statement(const answered_statement& statement) = 0;
 };
--- a/src/relay/relay_customers.cpp
+++ b/src/relay/relay_customers.cpp
@@ -180,6 +180,7 @@
     if (decision == quotas::admission::waiting) {
         op.m_last_refusal = refusal::busy;
         op.m_last_reason = "waits for a share of the limit of customer " + caller.m_customer->value();
+        m_ports.on_tokens_needed();
         return false;
     }
     if (is_commit(caller)) {
