Quotas: the pool grows only by what was free since its last refill

A share that ended, or an earlier leader's share that was not known, was added to the pool for the time in which hosts could still use it, so a window could contain its tokens twice.

--- a/src/quotas/quota_granter.cpp
+++ b/src/quotas/quota_granter.cpp
@@ -91,6 +91,7 @@
         m_pools_start_full = false;
         for (auto& [customer, record] : m_customers) {
             record.m_pool_tokens = 0.0;
+            record.m_free = {};
         }
     }
     m_holders = std::move(holders);
@@ -149,15 +150,17 @@
     return found == m_customers.end() ? share{} : sum_of_counted(found->second, now);
 }
 
+// Until now the pool grew by what was free at its last refill: a share that has ended since then was in use
+// meanwhile.
 void quota_granter::refill_pool(customer_record& customer, core::time_point now) const {
-    const operation_limit& limit = customer.m_limit;
+    const double tokens = customer.m_pool_tokens +
+                          customer.m_free.m_rate_per_s * seconds_between(customer.m_refilled_at, now);
+    customer.m_pool_tokens = std::min(tokens, customer.m_free.m_capacity);
     const share given = sum_of_counted(customer, now);
-    const double capacity = std::max(0.0, total_capacity(limit, m_tolerance) - given.m_capacity);
-    const double rate = std::max(0.0, limit.m_rate_per_s - given.m_rate_per_s);
-    if (may_assign(now)) {
-        customer.m_pool_tokens += rate * seconds_between(customer.m_refilled_at, now);
-    }
-    customer.m_pool_tokens = std::min(customer.m_pool_tokens, capacity);
+    const double free_rate = may_assign(now) ? customer.m_limit.m_rate_per_s - given.m_rate_per_s : 0.0;
+    customer.m_free = {std::max(0.0, free_rate),
+                       std::max(0.0, total_capacity(customer.m_limit, m_tolerance) - given.m_capacity)};
+    customer.m_pool_tokens = std::min(customer.m_pool_tokens, customer.m_free.m_capacity);
     customer.m_refilled_at = now;
 }
 
@@ -263,8 +266,9 @@
     held.m_weight = demand.m_arrivals_per_s + weight_of_session * demand.m_sessions;
     const share mine = counted(customer, held, now);
     const share present = smaller(demand.m_held, mine);
-    customer.m_pool_tokens += demand.m_returned_tokens;
     refill_pool(customer, now);
+    customer.m_pool_tokens =
+        std::min(customer.m_pool_tokens + demand.m_returned_tokens, customer.m_free.m_capacity);
     share next = present;
     if (may_assign(now)) {
         const share all = sum_of_counted(customer, now);
@@ -342,8 +346,8 @@
         // No host named the customer in this term, so its last operations were admitted at most
         // counted_lifetime after the term began.
         const bool unused = *m_leading_since + counted_lifetime + m_tolerance.m_window <= now;
-        record.m_pool_tokens =
-            m_pools_start_full || unused ? total_capacity(record.m_limit, m_tolerance) : 0.0;
+        record.m_free.m_capacity = total_capacity(record.m_limit, m_tolerance);
+        record.m_pool_tokens = m_pools_start_full || unused ? record.m_free.m_capacity : 0.0;
     }
     return record;
 }
--- a/src/quotas/quota_granter.h
+++ b/src/quotas/quota_granter.h
@@ -83,6 +83,7 @@
         operation_limit m_limit; // The last one, if the customer was removed.
         std::map<core::entry_host_id, holding> m_holdings;
         double m_pool_tokens = 0.0; // Unassigned tokens.
+        share m_free;               // The refill of the pool and its capacity, by its last refill.
         core::time_point m_refilled_at{};
         // Kept for a time after the customer was removed, since it may return while hosts still hold shares.
         std::optional<core::time_point> m_removed_at;
