Pass the customer to the database connection of platform_line_boundaries

The test did not compile since database_connection has a customer, so the test program could not be built. The connection of the test has none.

--- a/test/correctness/platform_line_boundaries.cpp
+++ b/test/correctness/platform_line_boundaries.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <random>
 
 using namespace mangoquay;
@@ -209,7 +210,7 @@
             failure = reason;
             loop.stop();
         };
-        entry::database_connection connection(loop, protocol, target, std::move(handlers));
+        entry::database_connection connection(loop, protocol, target, std::nullopt, std::move(handlers));
         connection.send({}); // Ignored, as after any other failure.
         loop.run();
         return failure;
