Limits of callers' memory, deadlines and places at entry hosts

A memory account sized from memory_mb counts received and unsent bytes and statements of each caller, with the capacity that buffers keep. Under pressure large callers are not read from, the largest one is closed, and then new connections are refused. Messages, answers and startups have deadlines, and a connection without a startup gives up its place. Session values have a share with a reserve for small sessions, and connections to databases do not keep more of them than the sessions do. A long message in many pieces is not searched again from its start with each piece.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -22,13 +22,27 @@
 constexpr std::uint64_t max_lines_per_summary = 100;
 // Reserved for descriptors other than those of sessions and database connections.
 constexpr std::uint32_t reserved_descriptors = 500;
+// One in so many descriptors is left for HTTP clients and for peer connections without a handshake.
+constexpr std::uint32_t reserved_for_unknown_clients = 16;
 
 caller_limits limits_from(const settings::fleet_settings& host_settings) {
     caller_limits limits;
-    const std::uint32_t usable = host_settings.m_max_descriptors > 2 * reserved_descriptors
-                                     ? host_settings.m_max_descriptors - reserved_descriptors
-                                     : host_settings.m_max_descriptors / 2;
+    const std::uint32_t descriptors = host_settings.m_max_descriptors;
+    const std::uint32_t usable =
+        descriptors > 2 * reserved_descriptors
+            ? descriptors - reserved_descriptors - descriptors / reserved_for_unknown_clients
+            : descriptors / 2;
     limits.m_max_sessions = usable;
+    limits.m_memory = transport::entry_shares(host_settings.m_max_memory_mb);
+    return limits;
+}
+
+relay::session_state_limits state_limits_from(const settings::fleet_settings& host_settings) {
+    const std::size_t share = transport::entry_shares(host_settings.m_max_memory_mb).m_session_state;
+    relay::session_state_limits limits;
+    limits.m_reserved_bytes = std::min(limits.m_reserved_bytes, share / 4);
+    limits.m_max_total_bytes = std::min(limits.m_max_total_bytes, share - limits.m_reserved_bytes);
+    limits.m_max_bytes = std::min(limits.m_max_bytes, share / 2); // One session does not use up the share.
     return limits;
 }
 
@@ -40,6 +54,7 @@
     : m_loop(loop), m_bus(bus), m_settings(host_settings), m_protocol(protocol), m_decoder(decoder),
       m_core(*this, relay::relay_limits{.m_zone = host_settings.m_zone,
                                         .m_executor_fences = host_settings.m_executor_fences,
+                                        .m_session_state = state_limits_from(host_settings),
                                         .m_incarnation = core::incarnation(core::random_first_number())}),
       m_callers(loop, protocol, limits_from(host_settings), [this] { return m_subscriber.may_start_work(); }),
       m_subscriber(loop, bus, network,
@@ -141,6 +156,7 @@
     }
     m_subscriber.start(m_settings.m_known_control_addresses);
     m_exchange.start();
+    m_callers.start();
     m_next_summary = core::now() + summary_period;
     tick();
     return {};
@@ -290,6 +306,7 @@
     page.add_line("quota_refused_total", {}, static_cast<double>(quota_counters.m_refused));
     page.add_line("quota_shares_expired_total", {}, static_cast<double>(quota_counters.m_shares_expired));
     page.add_line("loans_refused_total", {}, static_cast<double>(lender.counters().m_refused));
+    m_callers.add_metrics(page);
     metrics::add_peer_traffic(page, m_bus);
     return m_metrics.render_page(m_core, m_callers.rejected_count()) + page.take_text();
 }
--- a/src/entry/session_protocol.h
+++ b/src/entry/session_protocol.h
@@ -45,6 +45,11 @@
     // Returns nothing if the message is not complete.
     virtual std::optional<caller_message> decode_caller_message(const std::string& received,
                                                                 std::size_t& offset) const = 0;
+    // Whether decode_caller_message() could return something from the start of `received`, after it returned
+    // nothing when only the first `known` bytes had arrived. Spares a long message that arrives in many
+    // pieces from being read again with each of them.
+    [[nodiscard]] virtual bool may_have_caller_message(const std::string& received,
+                                                       std::size_t known) const = 0;
     // The functions named encode_* append to `out`. This one accepts a startup.
     virtual void encode_ready(std::string& out) const = 0;
     // A refusal that does not answer a statement. The connection is closed after it.
--- a/src/relay/relay_connections.cpp
+++ b/src/relay/relay_connections.cpp
@@ -13,6 +13,17 @@
 constexpr core::milliseconds connection_limit_pause{150};
 // A connection that was detached from its session is closed if its statement takes longer than this.
 constexpr core::milliseconds detached_timeout{3000};
+// Session values of an ordinary session are smaller.
+constexpr std::size_t large_state_bytes = std::size_t{64} << 10U;
+
+// Prepared statements are limited by held_statements.
+std::size_t state_bytes(const connection& conn) {
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : conn.m_values) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
 
 } // namespace
 
@@ -191,12 +202,24 @@
         return_connection(id, false);
         return;
     }
-    if (view.m_report.m_state == registry::report_state::removed) {
+    if (view.m_report.m_state == registry::report_state::removed || keeps_too_much_state(conn)) {
         remove_connection(id);
     }
     dispatch_waiting(now);
 }
 
+// Connections that are kept for later sessions hold as much as all sessions together, and no more.
+bool relay_core::keeps_too_much_state(const connection& conn) const {
+    if (state_bytes(conn) < large_state_bytes) {
+        return false;
+    }
+    std::size_t total = 0;
+    for (const auto& [id, other] : m_connections) {
+        total += state_bytes(other);
+    }
+    return total > m_limits.m_session_state.m_max_total_bytes;
+}
+
 void relay_core::remove_connection(connection_id id) {
     const auto found = m_connections.find(id);
     if (found == m_connections.end()) {
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -102,6 +102,10 @@
     std::size_t m_max_entries = 1000;                       // Of one session.
     std::size_t m_max_bytes = std::size_t{4} << 20U;        // Of one session.
     std::size_t m_max_total_bytes = std::size_t{64} << 20U; // Of all sessions.
+    // Sessions that hold at most so much may use the reserve as well, so that a few large ones do not use up
+    // what all others need.
+    std::size_t m_small_session_bytes = std::size_t{16} << 10U;
+    std::size_t m_reserved_bytes = std::size_t{8} << 20U;
 };
 
 struct relay_limits {
@@ -377,6 +381,7 @@
                                 failure_source source = failure_source::endpoint);
     void handle_loss_for_session(session_id owner, const std::string& reason, core::time_point now);
     void release_connection(connection_id id, core::time_point now);
+    [[nodiscard]] bool keeps_too_much_state(const connection& conn) const;
     // Rolls back the open transaction of the connection.
     void roll_back(connection_id id, core::time_point now);
     void return_connection(connection_id id, bool in_transaction);
--- a/src/relay/relay_sessions.cpp
+++ b/src/relay/relay_sessions.cpp
@@ -227,8 +227,9 @@
     const std::size_t entries = caller.m_values.size() + caller.m_prepared.size() + (before ? 0 : 1);
     const std::size_t bytes = caller.m_state_bytes - before.value_or(0) + after.value_or(0);
     const std::size_t total_bytes = m_session_state_bytes - before.value_or(0) + after.value_or(0);
+    const std::size_t reserve = bytes <= limits.m_small_session_bytes ? limits.m_reserved_bytes : 0;
     const bool exceeds_limit = entries > limits.m_max_entries || bytes > limits.m_max_bytes ||
-                               total_bytes > limits.m_max_total_bytes;
+                               total_bytes > limits.m_max_total_bytes + reserve;
     if (after.value_or(0) > before.value_or(0) && exceeds_limit) {
         return false;
     }
--- a/src/transport/byte_stream.cpp
+++ b/src/transport/byte_stream.cpp
@@ -18,6 +18,23 @@
 constexpr std::size_t read_bytes = 16384;
 constexpr int listen_backlog = 1024;
 constexpr core::milliseconds close_timeout{1000};
+// A buffer that grew above this size gives its memory back once most of it is unused. Ordinary messages are
+// smaller, so their buffers are kept.
+constexpr std::size_t kept_buffer_bytes = 65536;
+
+// Moves the bytes to a buffer of this size. std::string::reserve() would at least double it.
+void reallocate(std::string& buffer, std::size_t capacity) {
+    std::string moved;
+    moved.reserve(capacity);
+    moved.append(buffer);
+    buffer.swap(moved);
+}
+
+void release_unused(std::string& buffer) {
+    if (buffer.capacity() > kept_buffer_bytes && buffer.size() < buffer.capacity() / 4) {
+        reallocate(buffer, buffer.size());
+    }
+}
 
 } // namespace
 
@@ -53,7 +70,8 @@
 
 void byte_stream::update_watched_events() {
     std::uint32_t events_to_watch = m_connecting || !m_unsent.empty() ? EPOLLOUT : 0U;
-    if (!m_connecting && m_unsent.size() < max_unsent_bytes) {
+    if (!m_connecting && m_reading && m_unsent.size() < max_unsent_bytes &&
+        m_received.size() < max_received_bytes) {
         events_to_watch |= EPOLLIN;
     }
     if (events_to_watch != m_events) {
@@ -87,11 +105,38 @@
     if ((events & EPOLLOUT) != 0) {
         flush();
     }
-    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !m_failed) {
+    if (m_failed) {
+        return;
+    }
+    if (!m_reading) { // The event may be older than the stop of reading.
+        if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
+            fail("connection closed by the peer");
+        }
+        return;
+    }
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
         read_available();
     }
 }
 
+void byte_stream::set_reading(bool enabled) {
+    if (m_reading != enabled) {
+        m_reading = enabled;
+        if (!m_failed) {
+            update_watched_events();
+        }
+    }
+}
+
+void byte_stream::append_received(std::string_view bytes) {
+    const std::size_t size = m_received.size() + bytes.size();
+    if (size > m_received.capacity() && size > kept_buffer_bytes) {
+        // Large messages grow in smaller steps, so that little memory is unused.
+        reallocate(m_received, size + size / 4);
+    }
+    m_received.append(bytes);
+}
+
 void byte_stream::read_available() {
     std::array<char, read_bytes> buffer{};
     const ssize_t count = ::recv(m_socket, buffer.data(), buffer.size(), 0);
@@ -105,13 +150,27 @@
         }
         return;
     }
-    m_received.append(buffer.data(), static_cast<std::size_t>(count));
+    m_received_count += static_cast<std::uint64_t>(count);
+    append_received({buffer.data(), static_cast<std::size_t>(count)});
+    const std::weak_ptr<int> alive = m_alive;
     m_handlers.m_on_bytes_received(m_received); // May destroy this object.
+    if (alive.expired() || m_failed) {
+        return;
+    }
+    release_unused(m_received);
+    if (m_received.size() >= max_received_bytes) {
+        update_watched_events();
+    }
 }
 
 void byte_stream::deliver_received() {
     if (!m_failed && !m_received.empty()) {
+        const std::weak_ptr<int> alive = m_alive;
         m_handlers.m_on_bytes_received(m_received); // May destroy this object.
+        if (!alive.expired() && !m_failed) {
+            release_unused(m_received);
+            update_watched_events();
+        }
     }
 }
 
@@ -142,8 +201,10 @@
         if (count < 0) {
             break;
         }
+        m_sent_count += static_cast<std::uint64_t>(count);
         m_unsent.erase(0, static_cast<std::size_t>(count));
     }
+    release_unused(m_unsent);
     update_watched_events();
 }
 
@@ -152,7 +213,7 @@
         return;
     }
     m_failed = true;
-    if (m_events != 0) {
+    if (m_socket >= 0) {
         m_loop.unwatch(m_socket);
         m_events = 0;
     }
@@ -169,6 +230,7 @@
     }
     event_loop& loop = stream->m_loop;
     const std::shared_ptr<byte_stream> closing = std::move(stream);
+    closing->m_received = std::string();
     closing->m_handlers.m_on_bytes_received = [](std::string& received) { received.clear(); };
     closing->m_handlers.m_on_closed = [](const std::string&) {};
     loop.run_after(close_timeout, [closing] {});
--- a/src/transport/byte_stream.h
+++ b/src/transport/byte_stream.h
@@ -19,6 +19,9 @@
 // No bytes are read from a peer while at least this many bytes to it are unsent. The connection fails above
 // four times this number.
 inline constexpr std::size_t max_unsent_bytes = 1U << 20U;
+// No bytes are read from a peer while at least this many received bytes are not consumed. Larger than any
+// message of a protocol above, so that a message is not held up.
+inline constexpr std::size_t max_received_bytes = 2U << 20U;
 
 struct stream_handlers {
     std::function<void()> m_on_connected; // Called for outgoing connections only.
@@ -46,6 +49,15 @@
     void write(std::string_view bytes);
     // Passes the received bytes that are not consumed yet to m_on_bytes_received again.
     void deliver_received();
+    // While it is off, the peer's bytes stay in the operating system, which stops the peer once its buffers
+    // are full. The end of the connection is still noticed.
+    void set_reading(bool enabled);
+    // Memory of the received and the unsent bytes, including what their buffers keep for later ones.
+    [[nodiscard]] std::size_t held_bytes() const { return m_received.capacity() + m_unsent.capacity(); }
+    [[nodiscard]] std::size_t unsent_bytes() const { return m_unsent.size(); }
+    // Numbers of bytes that the operating system has taken over, and handed over, since the connection began.
+    [[nodiscard]] std::uint64_t sent_count() const { return m_sent_count; }
+    [[nodiscard]] std::uint64_t received_count() const { return m_received_count; }
     // Closes the connection 1 s later if there are unsent bytes, so that they can still be sent; immediately
     // otherwise. Received bytes are discarded, and m_on_closed is not called any more.
     static void close_when_sent(std::unique_ptr<byte_stream> stream);
@@ -56,15 +68,19 @@
     void flush();
     void fail(const std::string& reason);
     void update_watched_events();
+    void append_received(std::string_view bytes);
 
     event_loop& m_loop;
     int m_socket = -1;
     stream_handlers m_handlers;
     bool m_connecting = false;
     bool m_failed = false;
+    bool m_reading = true;
     std::uint32_t m_events = 0; // Epoll events that are being watched. 0: not watched.
     std::string m_received;
     std::string m_unsent;
+    std::uint64_t m_sent_count = 0;
+    std::uint64_t m_received_count = 0;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0); // Expires with this object.
 };
 
--- a/test/correctness/connection_records.cpp
+++ b/test/correctness/connection_records.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST(statement_with_a_long_id_is_not_sent_beyond_the_limit);
     CPPUNIT_TEST(line_of_the_largest_size_may_arrive_without_its_line_feed);
     CPPUNIT_TEST(closed_sessions_and_removed_names_do_not_count_towards_the_limit);
+    CPPUNIT_TEST(large_sessions_leave_room_for_the_values_of_small_ones);
     CPPUNIT_TEST(connection_whose_database_denies_the_transaction_is_not_used_as_it_is);
     CPPUNIT_TEST_SUITE_END();
 
@@ -228,6 +229,25 @@
         }
     }
 
+    static void large_sessions_leave_room_for_the_values_of_small_ones() {
+        relay_with_primary relay;
+        const relay::session_state_limits limits;
+        const std::string part(limits.m_max_bytes / 8, 'x');
+        const std::uint64_t large_sessions = 2 * limits.m_max_total_bytes / limits.m_max_bytes;
+        for (std::uint64_t session = 1; session <= large_sessions; ++session) {
+            relay.open(session);
+            for (int value = 0; value < 8; ++value) {
+                relay.send(session, "1", "SET v" + std::to_string(value) + " " + part);
+            }
+        }
+        CPPUNIT_ASSERT(!relay.last_succeeded());
+        relay.open(large_sessions + 1);
+        relay.send(large_sessions + 1, "1", "SET v " + std::string(limits.m_small_session_bytes / 2, 'x'));
+        CPPUNIT_ASSERT(relay.last_succeeded());
+        relay.send(large_sessions + 1, "1", "SET w " + part);
+        CPPUNIT_ASSERT(!relay.last_succeeded());
+    }
+
     static void connection_whose_database_denies_the_transaction_is_not_used_as_it_is() {
         relay_with_primary relay;
         relay.open(1);
--- a/test/correctness/platform_line_boundaries.cpp
+++ b/test/correctness/platform_line_boundaries.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(request_beyond_the_size_limit_cannot_be_encoded);
     CPPUNIT_TEST(caller_reads_the_answer_that_was_meant);
     CPPUNIT_TEST(line_size_is_judged_alike_in_any_pieces);
+    CPPUNIT_TEST(message_in_pieces_is_noticed_when_it_is_complete);
     CPPUNIT_TEST(answer_with_two_outcomes_is_malformed);
     CPPUNIT_TEST(incomplete_statements_are_malformed);
     CPPUNIT_TEST_SUITE_END();
@@ -271,6 +272,22 @@
         }));
     }
 
+    static void message_in_pieces_is_noticed_when_it_is_complete() {
+        const platform::line_protocol protocol;
+        const std::string start = "QUERY 1 WRITE a ";
+        const std::string largest = start + std::string(max_line_bytes - start.size(), 'x');
+        for (const std::string& text : {std::string("QUERY 1 READ a\r"), largest + "\r", largest}) {
+            for (const std::string& rest : {std::string("\n"), std::string("\r\n"), std::string("xx")}) {
+                std::size_t offset = 0;
+                CPPUNIT_ASSERT(!protocol.decode_caller_message(text, offset));
+                const std::string received = text + rest;
+                const bool decoded = protocol.decode_caller_message(received, offset).has_value();
+                CPPUNIT_ASSERT(!decoded || protocol.may_have_caller_message(received, text.size()));
+            }
+        }
+        CPPUNIT_ASSERT(!protocol.may_have_caller_message("QUERY 1 READ ab", 14));
+    }
+
     static void line_size_is_judged_alike_in_any_pieces() {
         const platform::line_protocol protocol;
         for (const std::size_t extra : {0U, 1U, 5000U}) {
--- a/test/error/clients_outside_limits.cpp
+++ b/test/error/clients_outside_limits.cpp
@@ -99,7 +99,8 @@
         test::client_crowd crowd("127.0.0.1", fleet.caller_port(), crowd_size);
         std::string bytes = startup;
         for (int index = 0; index < 4; ++index) {
-            bytes += "QUERY q" + std::to_string(index) + " WRITE item " + std::string(large_bytes, 'x') + "\r\n";
+            bytes +=
+                "QUERY q" + std::to_string(index) + " WRITE item " + std::string(large_bytes, 'x') + "\r\n";
         }
         crowd.send(bytes);
         assert_entry_serves("large writes", fleet);
--- a/test/error/control_clients_outside_limits.cpp
+++ b/test/error/control_clients_outside_limits.cpp
@@ -61,7 +61,8 @@
     }
 
     void body_far_over_the_limit() {
-        run_crowd("far over", post("/api/Config.Replace", 16 * body_bytes, std::string(16 * body_bytes, 'x')));
+        run_crowd("far over",
+                  post("/api/Config.Replace", 16 * body_bytes, std::string(16 * body_bytes, 'x')));
     }
 
     void heads_without_end() {
--- a/test/support/client_crowd.cpp
+++ b/test/support/client_crowd.cpp
@@ -97,8 +97,7 @@
 std::size_t client_crowd::open_count() const {
     return static_cast<std::size_t>(std::ranges::count_if(m_sockets, [](int socket) {
         char byte = 0;
-        return socket >= 0 &&
-               (::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0 || errno == EAGAIN);
+        return socket >= 0 && (::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0 || errno == EAGAIN);
     }));
 }
 
--- a/test/support/host_process.h
+++ b/test/support/host_process.h
@@ -29,6 +29,7 @@
     // False once the process has ended.
     [[nodiscard]] bool alive();
     [[nodiscard]] process_figures figures() const;
+    [[nodiscard]] pid_t pid() const { return m_pid; }
 
 private:
     pid_t m_pid = -1;
--- a/test/support/process_checks.h
+++ b/test/support/process_checks.h
@@ -18,7 +18,8 @@
 inline constexpr bool checks_memory = true;
 #endif
 
-// Waits until the process has read what was sent to it: until its peak has not grown for a second, 10 s at most.
+// Waits until the process has read what was sent to it: until its peak has not grown for a second, 10 s at
+// most.
 inline void wait_until_settled(const host_process& host) {
     constexpr std::chrono::milliseconds poll_interval{50};
     constexpr std::chrono::seconds quiet_time{1};
--- a/test/support/process_fleet.cpp
+++ b/test/support/process_fleet.cpp
@@ -114,21 +114,21 @@
 
 int process_fleet::post(const std::string& path, const json& body) const {
     const std::string text = body.dump();
-    const std::string answer =
-        exchange_bytes(m_control_ip, m_control_port,
-                       "POST " + path + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n" +
-                           "Connection: close\r\nContent-Length: " + std::to_string(text.size()) +
-                           "\r\n\r\n" + text);
+    const std::string answer = exchange_bytes(
+        m_control_ip, m_control_port,
+        "POST " + path + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n" +
+            "Connection: close\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
     const auto blank = answer.find(' ');
     return blank == std::string::npos ? 0 : std::atoi(answer.c_str() + blank);
 }
 
 bool process_fleet::replace_configuration() {
-    const json route{{"name", "r-latest"}, {"host", "latest"},         {"path-prefix", "/"},
-                     {"kind", "primary"},  {"timeout-ms", 5000},       {"target-latency-ms", 3000},
-                     {"priority", 1},      {"service", "orders"},      {"max-attempts", 2}};
-    const json service{{"name", "orders"}, {"health-path", "/health"}, {"max-connections", 32},
-                       {"protocol", "h1"}, {"tls", false},             {"sync-replicas", 0}};
+    const json route{{"name", "r-latest"}, {"host", "latest"},    {"path-prefix", "/"},
+                     {"kind", "primary"},  {"timeout-ms", 5000},  {"target-latency-ms", 3000},
+                     {"priority", 1},      {"service", "orders"}, {"max-attempts", 2}};
+    const json service{{"name", "orders"},      {"health-path", "/health"},
+                       {"max-connections", 32}, {"protocol", "h1"},
+                       {"tls", false},          {"sync-replicas", 0}};
     return post("/api/Config.Replace", {{"version", 1},
                                         {"routes", json::array({route})},
                                         {"services", json::array({service})},
@@ -169,7 +169,8 @@
 }
 
 std::string process_fleet::entry_metrics() {
-    return exchange_bytes(loopback, m_metrics_port, "GET /metrics HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n");
+    return exchange_bytes(loopback, m_metrics_port,
+                          "GET /metrics HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n");
 }
 
 } // namespace mangoquay::test
