--- a/src/transport/page_server.cpp
+++ b/src/transport/page_server.cpp
@@ -16,11 +16,12 @@
 } // namespace
 
 page_server::page_server(event_loop& loop, const std::optional<control::socket_address>& address,
-                         page_source source)
+                         page_source source, const http_server_limits& limits)
     : m_loop(loop), m_source(std::move(source)) {
     if (address) {
-        m_server.emplace(*address, http_server::thread_model::shared,
-                         [this](const http_request&) { return answer(); });
+        m_server.emplace(
+            *address, http_server::thread_model::shared, [this](const http_request&) { return answer(); },
+            limits);
     }
 }
 
--- a/src/transport/page_server.h
+++ b/src/transport/page_server.h
@@ -17,7 +17,8 @@
     using page_source = std::function<std::string()>;
 
     // Without an address, nothing is served and start() succeeds.
-    page_server(event_loop& loop, const std::optional<control::socket_address>& address, page_source source);
+    page_server(event_loop& loop, const std::optional<control::socket_address>& address, page_source source,
+                const http_server_limits& limits = {});
 
     // Returns an empty text, or the reason why the server cannot listen.
     std::string start() { return m_server ? m_server->start() : std::string(); }
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -1,6 +1,7 @@
 // The peer connections of one process.
 #include "transport/peer_network.h"
 
+#include "core/log.h"
 #include "transport/byte_stream.h"
 #include "transport/peer_connection.h"
 
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr int listen_backlog = 1024;
+constexpr core::milliseconds handshake_report_interval{5000};
 
 core::result<std::uint16_t> bound_port(int socket) {
     sockaddr_in address{};
@@ -103,6 +105,7 @@
     bool exhausted = false;
     while (const auto socket = accept_connection(m_listener, exhausted)) {
         m_incoming.push_back(std::make_unique<incoming_connection>(*this, *socket));
+        close_extra_handshakes();
     }
     if (!exhausted) {
         return;
@@ -114,6 +117,22 @@
     });
 }
 
+void peer_network::close_extra_handshakes() {
+    const auto in_handshake = [](const auto& connection) { return connection->peer().value().empty(); };
+    if (std::ranges::count_if(m_incoming, in_handshake) <= static_cast<std::ptrdiff_t>(m_max_handshakes)) {
+        return;
+    }
+    m_incoming.erase(std::ranges::find_if(m_incoming, in_handshake));
+    ++m_displaced_handshakes;
+    const core::time_point now = event_loop::now();
+    if (now >= m_next_report) {
+        m_next_report = now + handshake_report_interval;
+        core::log_line(core::log_level::warning, "transport",
+                       "connections without a handshake closed total=" +
+                           std::to_string(m_displaced_handshakes));
+    }
+}
+
 void peer_network::deliver(const core::entry_host_id& from, frame body) {
     if (m_on_frame && !m_blocked.contains(from)) {
         m_on_frame(from, body);
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -60,6 +60,11 @@
     // be retried yet, or a size limit is exceeded. True does not guarantee delivery.
     bool send(const core::entry_host_id& to, std::vector<std::uint8_t> body);
 
+    // Connections whose peer has not proved that it knows the cluster key yet. A new one closes the oldest
+    // above this number, so that clients that are no peers take few descriptors.
+    void set_max_handshakes(std::size_t max_handshakes) { m_max_handshakes = max_handshakes; }
+    [[nodiscard]] std::uint64_t displaced_handshakes() const { return m_displaced_handshakes; }
+
     // Fault injection for tests: discards frames from and to these peers.
     void set_blocked_peers(std::set<core::entry_host_id> peers);
 
@@ -68,6 +73,7 @@
     friend class incoming_connection;
 
     void accept_pending();
+    void close_extra_handshakes();
     void deliver(const core::entry_host_id& from, frame body);
     void on_incoming_closed(const incoming_connection* connection);
     void report_peer_lost(const core::entry_host_id& peer);
@@ -81,7 +87,10 @@
     peer_lost_handler m_on_peer_lost;
     std::set<core::entry_host_id> m_blocked;
     std::map<core::entry_host_id, std::unique_ptr<outgoing_connection>> m_outgoing;
-    std::vector<std::unique_ptr<incoming_connection>> m_incoming;
+    std::vector<std::unique_ptr<incoming_connection>> m_incoming; // In the order of arrival.
+    std::size_t m_max_handshakes = 256;
+    std::uint64_t m_displaced_handshakes = 0;
+    core::time_point m_next_report{}; // Of displaced handshakes in the log.
 };
 
 } // namespace mangoquay::transport
