--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -17,8 +17,10 @@
 constexpr const char* usage =
     "usage: mangoquay_soak [--seed N] [--seconds S] [--control N] [--entry N] [--program PATH]\n"
     "       [--shape record|mixed] [--callers N] [--keep] [--unnoticed-freezes]\n"
+    "       [--customers]\n"
     "--keep keeps the folder with all logs also if every rule held.\n"
-    "--unnoticed-freezes stops entry hosts for 2 to 5 s, which excuses nothing.\n";
+    "--unnoticed-freezes stops entry hosts for 2 to 5 s, which excuses nothing.\n"
+    "--customers gives the callers keys of customers with limits, some of which are withdrawn.\n";
 constexpr int min_seconds = 30;
 
 struct command_line {
@@ -28,6 +30,7 @@
     std::string m_shape = "mixed";
     bool m_keep = false;
     bool m_unnoticed_freezes = false;
+    bool m_customers = false;
     bool m_invalid = false;
     fleet_options m_fleet{"build/mangoquay"};
 };
@@ -40,12 +43,17 @@
 }
 
 command_line parse_command_line(int argc, char** argv) {
-    const option names[] = {
-        {"seed", required_argument, nullptr, 's'},        {"seconds", required_argument, nullptr, 't'},
-        {"control", required_argument, nullptr, 'c'},     {"entry", required_argument, nullptr, 'e'},
-        {"program", required_argument, nullptr, 'p'},     {"shape", required_argument, nullptr, 'h'},
-        {"callers", required_argument, nullptr, 'n'},     {"keep", no_argument, nullptr, 'k'},
-        {"unnoticed-freezes", no_argument, nullptr, 'u'}, {nullptr, 0, nullptr, 0}};
+    const option names[] = {{"seed", required_argument, nullptr, 's'},
+                            {"seconds", required_argument, nullptr, 't'},
+                            {"control", required_argument, nullptr, 'c'},
+                            {"entry", required_argument, nullptr, 'e'},
+                            {"program", required_argument, nullptr, 'p'},
+                            {"shape", required_argument, nullptr, 'h'},
+                            {"callers", required_argument, nullptr, 'n'},
+                            {"keep", no_argument, nullptr, 'k'},
+                            {"unnoticed-freezes", no_argument, nullptr, 'u'},
+                            {"customers", no_argument, nullptr, 'm'},
+                            {nullptr, 0, nullptr, 0}};
     command_line parsed;
     for (int code = 0; (code = getopt_long(argc, argv, "", names, nullptr)) != -1;) {
         switch (code) {
@@ -76,6 +84,9 @@
         case 'u':
             parsed.m_unnoticed_freezes = true;
             break;
+        case 'm':
+            parsed.m_customers = true;
+            break;
         default:
             parsed.m_invalid = true;
         }
@@ -90,8 +101,8 @@
 void start_services(soak_world& world) {
     constexpr int databases = 3;
     for (const char* name : {"orders", "stock"}) {
-        world.m_services.push_back(std::make_unique<platform_service>(mangoquay::core::service_name(name),
-                                                                      world.m_record, world.m_judge));
+        world.m_services.push_back(std::make_unique<platform_service>(
+            mangoquay::core::service_name(name), world.m_record, world.m_judge, world.m_customer_judge));
         for (int index = 0; index < databases; ++index) {
             world.m_services.back()->add_database("db-" + std::string(name) + std::to_string(index),
                                                   world.m_fleet.next_database_address(), world.m_fleet,
@@ -187,7 +198,7 @@
         std::filesystem::path folder;
         int code = 2;
         {
-            soak_world world(options.m_seed, options.m_fleet);
+            soak_world world(options.m_seed, options.m_fleet, options.m_customers);
             folder = world.m_record.folder();
             code = play(world, options);
             world.m_violations.print();
@@ -195,7 +206,7 @@
                       << (code == 0   ? "held"
                           : code == 1 ? "broken"
                                       : "could not run")
-                      << " " << world.m_judge.summary() << "\n";
+                      << " " << world.m_judge.summary() << " " << world.m_customer_judge.summary() << "\n";
         }
         if (code == 0 && !options.m_keep) {
             std::filesystem::remove_all(folder);
--- a/test/soak/platform_callers.cpp
+++ b/test/soak/platform_callers.cpp
@@ -41,13 +41,25 @@
     m_values.clear();
     m_prepared.clear();
     const steady_time sent = steady_clock::now();
-    const auto answer = m_session.open(m_world.m_fleet.caller_address(host), m_database, open_limit);
-    if (answer.m_is_complete && answer.m_error == "NODB") {
-        m_world.m_configuration_judge.check({m_entry, m_boot, m_database, m_database, std::nullopt, sent});
+    m_key = m_world.m_customers.draw_key(m_random);
+    const auto answer = m_session.open(m_world.m_fleet.caller_address(host), m_database, m_key, open_limit);
+    if (answer.m_is_complete) {
+        check_end(m_database, answer.m_error, sent);
+    }
+    if (answer.is_success()) {
+        m_world.m_customer_judge.check_accepted({m_entry, m_key, m_database, sent});
     }
     return answer.is_success();
 }
 
+void platform_caller::check_end(const std::string& id, const std::string& error, steady_time sent) {
+    if (error == "NODB") {
+        m_world.m_configuration_judge.check({m_entry, m_boot, id, m_database, std::nullopt, sent});
+    } else if (error == "NOAUTH") {
+        m_world.m_customer_judge.check_refused({m_entry, m_key, id, sent});
+    }
+}
+
 void platform_caller::run_session() {
     const int operations = m_keeps_sessions ? draw(m_random, 30, 400) : draw(m_random, 1, 2);
     for (int done = 0; done < operations && !m_world.m_stopped; ++done) {
@@ -90,6 +102,7 @@
     sent.m_arguments = planned.m_arguments;
     sent.m_database = m_database;
     sent.m_entry = m_entry;
+    sent.m_key = m_key;
     sent.m_values = std::make_shared<session_values>(m_values);
     sent.m_began = transaction.value() == 0 ? steady_clock::now() : m_began;
     m_world.m_judge.add_sent(sent);
@@ -103,9 +116,8 @@
     }
     session_answer answer = m_session.query(sent.m_id, planned.m_text, statement_limit);
     check(sent.m_id, planned, answer);
-    if (answer.m_is_complete && answer.m_error == "NODB") {
-        m_world.m_configuration_judge.check(
-            {m_entry, m_boot, sent.m_id.value(), m_database, std::nullopt, sent.m_began});
+    if (answer.m_is_complete && (answer.m_error == "NODB" || answer.m_error == "NOAUTH")) {
+        check_end(sent.m_id.value(), answer.m_error, sent.m_began);
         m_session.close();
     }
     return answer;
--- a/test/soak/platform_callers.h
+++ b/test/soak/platform_callers.h
@@ -40,6 +40,8 @@
     sent_statement record(const planned_statement& planned, transaction_number transaction);
     session_answer send(const planned_statement& planned, transaction_number transaction);
     void check(const statement_id& id, const planned_statement& planned, const session_answer& answer);
+    // Judges an answer with the code NOAUTH or NODB, which ends the session.
+    void check_end(const std::string& id, const std::string& error, steady_time sent);
     void pause(int low_ms, int high_ms);
 
     soak_world& m_world;
@@ -49,6 +51,7 @@
     platform_session m_session;
     std::string m_database;
     core::entry_host_id m_entry;
+    std::string m_key;
     boot_number m_boot;
     session_values m_values;                                                 // Acknowledged.
     std::map<std::string, std::shared_ptr<const prepared_shape>> m_prepared; // Acknowledged.
--- a/test/soak/platform_database_connection.cpp
+++ b/test/soak/platform_database_connection.cpp
@@ -57,6 +57,8 @@
         (void)m_peer.send("ERROR MISROUTED " + m_database.id() + "\r\n");
         return false;
     }
+    m_customer = fields->at(2);
+    m_service.m_customers.check_startup(m_database.id(), m_customer);
     {
         const lock held(m_service.m_mutex);
         m_counted = m_member.m_connections < m_service.m_limits.m_max_connections;
@@ -73,7 +75,7 @@
 }
 
 bool platform_database_connection::answer(const std::string& line) {
-    observed_run run{m_database.id(), m_service.m_name, m_number};
+    observed_run run{m_database.id(), m_service.m_name, m_number, m_customer};
     auto request = test::read_request_line(line);
     const bool has_readable_position =
         request && (request->m_after.empty() || parse_log_place(request->m_after).has_value());
--- a/test/soak/platform_database_connection.h
+++ b/test/soak/platform_database_connection.h
@@ -53,6 +53,7 @@
     member_state& m_member;
     connection& m_peer;
     connection_number m_number;
+    std::string m_customer; // Name in the start of the connection.
     bool m_counted = false;
     std::uint64_t m_answers = 0;
     char m_state = 'I';
--- a/test/soak/platform_operator.cpp
+++ b/test/soak/platform_operator.cpp
@@ -80,15 +80,18 @@
                             {"tls", false},
                             {"sync-replicas", 0}});
     }
-    const nlohmann::json body{{"version", version.value()},
-                              {"routes", routes},
-                              {"services", services},
-                              {"limits",
-                               {{"max-header-bytes", 16384},
-                                {"max-body-bytes", 262144},
-                                {"header-timeout-ms", 3000},
-                                {"idle-timeout-ms", 15000},
-                                {"tx-idle-ms", 3000}}}};
+    nlohmann::json body{{"version", version.value()},
+                        {"routes", routes},
+                        {"services", services},
+                        {"limits",
+                         {{"max-header-bytes", 16384},
+                          {"max-body-bytes", 262144},
+                          {"header-timeout-ms", 3000},
+                          {"idle-timeout-ms", 15000},
+                          {"tx-idle-ms", 3000}}}};
+    if (m_world.m_customers.enabled()) {
+        body["tenants"] = m_world.m_customers.tenants();
+    }
     return body.dump();
 }
 
@@ -121,12 +124,14 @@
     m_version += static_cast<std::uint64_t>(draw(m_random, 1, 3));
     const document_version version(m_version);
     draw_change();
+    m_world.m_customers.draw_change(m_random);
     const std::string body = next_body(version);
     m_world.m_history.add({version, m_routes, body});
     m_world.m_history.mark_sent(version);
     while (steady_clock::now() < deadline) {
         if (auto host = send(version, body)) {
             m_world.m_history.mark_acknowledged(version);
+            m_world.m_customers.mark_acknowledged();
             m_world.m_record.write("version " + std::to_string(version.value()) + " is acknowledged by " +
                                    to_text(*host));
             repeat_older_change();
--- a/test/soak/platform_probes.cpp
+++ b/test/soak/platform_probes.cpp
@@ -39,12 +39,14 @@
     sent_statement sent{m_world.next_statement_id(), statement_kind::read, "READ i1"};
     sent.m_database = draw_database();
     sent.m_entry = m_host.m_name;
+    sent.m_key = m_world.m_customers.probe_key();
     sent.m_values = std::make_shared<session_values>();
     sent.m_began = steady_clock::now();
     const boot_number boot = m_world.m_disturbances.boot_of(m_host.m_name);
     m_world.m_judge.add_sent(sent);
     platform_session session;
-    auto answer = session.open(m_world.m_fleet.caller_address(m_host), sent.m_database, call_limit);
+    auto answer =
+        session.open(m_world.m_fleet.caller_address(m_host), sent.m_database, sent.m_key, call_limit);
     if (answer.is_success()) {
         answer = session.query(sent.m_id, sent.m_text, call_limit);
     }
@@ -56,6 +58,9 @@
     if (answer.is_success()) {
         m_world.m_judge.check_success(sent.m_id, answer.m_rows + answer.m_signature);
     }
+    if (answer.m_is_complete && answer.m_error == "NOAUTH") {
+        m_world.m_customer_judge.check_refused({sent.m_entry, sent.m_key, sent.m_id.value(), sent.m_began});
+    }
     if (answer.m_is_complete && answer.m_error == "NODB") {
         m_world.m_configuration_judge.check(
             {m_host.m_name, boot, sent.m_id.value(), sent.m_database, std::nullopt, sent.m_began});
--- a/test/soak/platform_service.cpp
+++ b/test/soak/platform_service.cpp
@@ -22,8 +22,9 @@
     return parsed;
 }
 
-platform_service::platform_service(core::service_name name, run_record& record, statement_judge& judge)
-    : m_name(std::move(name)), m_limits(), m_record(record), m_judge(judge) {}
+platform_service::platform_service(core::service_name name, run_record& record, statement_judge& judge,
+                                   const customer_judge& customers)
+    : m_name(std::move(name)), m_limits(), m_record(record), m_judge(judge), m_customers(customers) {}
 
 platform_service::~platform_service() {
     stop();
--- a/test/soak/platform_service.h
+++ b/test/soak/platform_service.h
@@ -53,7 +53,8 @@
 
 class platform_service {
 public:
-    platform_service(core::service_name name, run_record& record, statement_judge& judge);
+    platform_service(core::service_name name, run_record& record, statement_judge& judge,
+                     const customer_judge& customers);
     ~platform_service();
     platform_service(const platform_service&) = delete;
     platform_service& operator=(const platform_service&) = delete;
@@ -82,6 +83,7 @@
     const service_limits m_limits;
     run_record& m_record;
     statement_judge& m_judge;
+    const customer_judge& m_customers;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::uint32_t m_term = 1; // Guarded by m_mutex.
--- a/test/soak/platform_session.cpp
+++ b/test/soak/platform_session.cpp
@@ -20,11 +20,11 @@
 }
 
 session_answer platform_session::open(const ip_endpoint& entry, const std::string& database,
-                                      milliseconds limit) {
+                                      const std::string& key, milliseconds limit) {
     const steady_time deadline = steady_clock::now() + limit;
     m_connection = connection::open(entry, limit);
     session_answer answer;
-    if (m_connection == nullptr || !m_connection->send("STARTUP " + database + " u3f1\r\n")) {
+    if (m_connection == nullptr || !m_connection->send("STARTUP " + database + " " + key + "\r\n")) {
         close();
         return answer;
     }
--- a/test/soak/platform_session.h
+++ b/test/soak/platform_session.h
@@ -23,7 +23,8 @@
     platform_session() = default;
 
     // Returns the answer to the start of the session.
-    session_answer open(const ip_endpoint& entry, const std::string& database, milliseconds limit);
+    session_answer open(const ip_endpoint& entry, const std::string& database, const std::string& key,
+                        milliseconds limit);
     session_answer query(const statement_id& id, const std::string& text, milliseconds limit);
     // Sends without waiting for the answer.
     void send_only(const statement_id& id, const std::string& text);
--- a/test/soak/platform_settings.cpp
+++ b/test/soak/platform_settings.cpp
@@ -32,6 +32,9 @@
                             {"descriptors", is_entry ? entry_descriptors : control_descriptors},
                             {"memory_mb", is_entry ? entry_memory_mb : control_memory_mb},
                             {"lost_hosts", 1},
+                            {"quota_window_s", quota_window_s},
+                            {"quota_overage", quota_overage},
+                            {"quota_slack", quota_slack},
                             {"stop_limit_s", stop_limit_s},
                             {"log_level", "info"}};
     if (is_entry) {
--- a/test/soak/platform_statement_judge.cpp
+++ b/test/soak/platform_statement_judge.cpp
@@ -61,6 +61,7 @@
     check_session(run, sent);
     check_place(run, sent);
     check_route(run, sent);
+    check_customer(run, sent);
 }
 
 void statement_judge::add_malformed(const observed_run& run) {
@@ -141,6 +142,14 @@
                            sent.m_database, run.m_service, sent.m_began});
 }
 
+void statement_judge::check_customer(const observed_run& run, const sent_statement& sent) {
+    const std::string operation = sent.m_transaction.value() == 0
+                                      ? sent.m_id.value()
+                                      : "transaction " + std::to_string(sent.m_transaction.value());
+    m_customers.check_run({sent.m_entry, sent.m_key, sent.m_id.value(), steady_clock::now()}, operation,
+                          run.m_customer);
+}
+
 void statement_judge::check_begin(const observed_run& run) {
     const std::lock_guard lock(m_mutex);
     const known_statement* known = find(run);
@@ -155,6 +164,7 @@
     if (known == nullptr || run.m_transaction == nullptr) {
         return;
     }
+    check_customer(run, known->m_sent);
     if (known->m_sent.m_kind != statement_kind::commit) {
         report(rule::unasked, run, "the caller has not sent the commit");
     }
--- a/test/soak/sent_statement.h
+++ b/test/soak/sent_statement.h
@@ -36,6 +36,7 @@
     std::string m_arguments{};                          // Item and data of such an execution.
     std::string m_database{};                           // The name that the session asked for.
     core::entry_host_id m_entry{};
+    std::string m_key{};                              // That the session presented.
     std::shared_ptr<const session_values> m_values{}; // Acknowledged to the session.
     steady_time m_began{};                            // Of the statement, or of its transaction.
 };
--- a/test/soak/statement_judge.h
+++ b/test/soak/statement_judge.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "soak/configuration_judge.h"
+#include "soak/customer_judge.h"
 #include "soak/sent_statement.h"
 #include "soak/violations.h"
 
@@ -22,6 +23,7 @@
     std::string m_endpoint;
     core::service_name m_service;
     connection_number m_connection;
+    std::string m_customer{}; // The name under which the connection was opened.
     statement_id m_id{};
     std::string m_text{};      // Without the position that the proxy prefixes.
     std::string m_arguments{}; // Item and data of an execution.
@@ -33,9 +35,10 @@
 
 class statement_judge {
 public:
-    statement_judge(configuration_judge& configuration, const disturbance_log& disturbances,
-                    violation_list& violations)
-        : m_configuration(configuration), m_disturbances(disturbances), m_violations(violations) {}
+    statement_judge(configuration_judge& configuration, customer_judge& customers,
+                    const disturbance_log& disturbances, violation_list& violations)
+        : m_configuration(configuration), m_customers(customers), m_disturbances(disturbances),
+          m_violations(violations) {}
 
     // Called before the statement is sent.
     void add_sent(sent_statement statement);
@@ -78,9 +81,11 @@
     void check_wrapped(const observed_run& run, const sent_statement& sent);
     void check_session(const observed_run& run, const sent_statement& sent);
     void check_route(const observed_run& run, const sent_statement& sent);
+    void check_customer(const observed_run& run, const sent_statement& sent);
     void report(rule broken, const observed_run& run, const std::string& what);
 
     configuration_judge& m_configuration;
+    customer_judge& m_customers;
     const disturbance_log& m_disturbances;
     violation_list& m_violations;
     mutable std::mutex m_mutex; // Guards all members below.
--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -28,6 +28,10 @@
         return "CONFIG";
     case rule::stop:
         return "STOP";
+    case rule::customer:
+        return "CUSTOMER";
+    case rule::limit:
+        return "LIMIT";
     case rule::rejected:
         return "REJECTED";
     }
--- a/test/soak/violations.h
+++ b/test/soak/violations.h
@@ -11,8 +11,9 @@
 
 namespace mangoquay::soak {
 
-// The last one is no rule of the bench: a valid statement is rejected.
-enum class rule { unasked, pinned, twice, refused, mixed, configuration, stop, rejected };
+// The last one is no rule of the bench: a valid statement is rejected. `customer` is about keys and names,
+// `limit` about operations in a window.
+enum class rule { unasked, pinned, twice, refused, mixed, configuration, stop, customer, limit, rejected };
 std::string to_text(rule broken);
 
 struct violation {
