Requests for shares name only the customers that need an answer at once

Change: partial requests; confirmations at least 250 ms apart. The number of the answer that gave a share is reported for each customer, because a partial answer leaves the others as they are.

--- a/src/fleet/quota_messages.cpp
+++ b/src/fleet/quota_messages.cpp
@@ -21,6 +21,7 @@
     message.incarnation = request.m_incarnation.value();
     message.number = request.m_number.value();
     message.applied = request.m_applied.value();
+    message.partial = request.m_partial;
     message.applied_term = request.m_applied_term.value();
     for (const quotas::customer_demand& demand : request.m_customers) {
         auto item = std::make_unique<wire::quota_demandT>();
@@ -31,6 +32,7 @@
         item->sessions = demand.m_sessions;
         item->waiting = demand.m_waiting;
         item->returned_tokens = demand.m_returned_tokens;
+        item->applied = demand.m_applied.value_or(request.m_applied).value();
         message.customers.push_back(std::move(item));
     }
     return message;
@@ -41,6 +43,7 @@
     request.m_incarnation = core::incarnation(message.incarnation);
     request.m_number = quotas::request_number(message.number);
     request.m_applied = quotas::request_number(message.applied);
+    request.m_partial = message.partial;
     request.m_applied_term = quotas::granter_term(message.applied_term);
     for (const auto& item : message.customers) {
         quotas::customer_demand demand{core::customer_name(item->customer),
@@ -48,7 +51,8 @@
                                        item->arrivals,
                                        item->sessions,
                                        item->waiting,
-                                       item->returned_tokens};
+                                       item->returned_tokens,
+                                       quotas::request_number(item->applied)};
         if (!is_valid(demand.m_held) || !is_amount(demand.m_returned_tokens) ||
             !is_amount(demand.m_arrivals_per_s)) {
             return std::nullopt;
--- a/src/quotas/quota_granter.cpp
+++ b/src/quotas/quota_granter.cpp
@@ -190,9 +190,9 @@
 
 void quota_granter::record_report(const core::entry_host_id& host, const host_record& record,
                                   const quota_request& request, core::time_point now) {
-    std::map<core::customer_name, share> reported;
+    std::map<core::customer_name, const customer_demand*> reported;
     for (const customer_demand& demand : request.m_customers) {
-        reported[demand.m_customer] = bounded(demand).m_held;
+        reported[demand.m_customer] = &demand;
         if (m_limits.contains(demand.m_customer)) {
             find_customer(demand.m_customer, now).m_holdings.try_emplace(host);
         }
@@ -203,18 +203,24 @@
             continue;
         }
         const auto report = reported.find(customer);
-        const share held = report == reported.end() ? share{} : report->second;
+        if (report == reported.end() && request.m_partial) {
+            continue;
+        }
+        const share held = report == reported.end() ? share{} : bounded(*report->second).m_held;
+        const request_number last_applied = report == reported.end()
+                                                ? request.m_applied
+                                                : report->second->m_applied.value_or(request.m_applied);
         std::vector<outstanding_share>& outstanding = found->second.m_outstanding;
         // The host ignores answers to earlier requests than the one that it applied last.
-        std::erase_if(outstanding, [&request](const outstanding_share& share) {
-            return share.m_number < request.m_applied;
+        std::erase_if(outstanding, [last_applied](const outstanding_share& share) {
+            return share.m_number < last_applied;
         });
-        const auto applied = std::ranges::find(outstanding, request.m_applied, &outstanding_share::m_number);
+        const auto applied = std::ranges::find(outstanding, last_applied, &outstanding_share::m_number);
         if (applied != outstanding.end()) {
             applied->m_reported = smaller(applied->m_reported, held);
         } else if (!record.m_confirmed && held.m_capacity > 0.0) {
             outstanding.push_back(
-                {request.m_applied, held, {}, held, core::deadline_after(now, counted_lifetime)});
+                {last_applied, held, {}, held, core::deadline_after(now, counted_lifetime)});
         }
         if (report == reported.end()) {
             found->second.m_weight = 0.0; // No demand at this host any more.
--- a/src/quotas/quota_holder.cpp
+++ b/src/quotas/quota_holder.cpp
@@ -150,21 +150,32 @@
     }
 }
 
-bool quota_holder::request_is_due(core::time_point now) {
-    bool urgent = m_confirm;
+bool quota_holder::is_urgent(const customer_state& state, core::time_point now) {
+    const bool unneeded = state.m_share.m_rate_per_s > 0.0 && present_demand(state, now) <= 0.0 &&
+                          state.m_reported_demand > 0.0;
+    return !state.m_waits.empty() || unneeded;
+}
+
+std::optional<quota_holder::request_kind> quota_holder::due_request(core::time_point now) {
+    bool urgent = false;
     for (auto& [customer, state] : m_customers) {
         forget_old_waits(state, now);
-        const bool unneeded = state.m_share.m_rate_per_s > 0.0 && present_demand(state, now) <= 0.0 &&
-                              state.m_reported_demand > 0.0;
-        urgent = urgent || ((!state.m_waits.empty() || unneeded) && m_limits.contains(customer));
+        urgent = urgent || (is_urgent(state, now) && m_limits.contains(customer));
+    }
+    const bool confirms = m_confirm && m_last_whole_sent + confirmation_pause <= now;
+    if (confirms || m_last_whole_sent + request_period <= now) {
+        return request_kind::whole;
     }
     const bool answer_due = m_unanswered && m_last_sent + answer_timeout > now;
-    return m_last_sent + request_period <= now ||
-           (urgent && !answer_due && m_last_sent + min_request_pause <= now);
+    if (urgent && !answer_due && m_last_sent + min_request_pause <= now) {
+        return request_kind::partial;
+    }
+    return std::nullopt;
 }
 
 std::optional<quota_request> quota_holder::next_request(core::time_point now) {
-    if (m_limits.empty() || !request_is_due(now)) {
+    const auto kind = m_limits.empty() ? std::nullopt : due_request(now);
+    if (!kind) {
         return std::nullopt;
     }
     quota_request request;
@@ -172,8 +183,14 @@
     request.m_number = request_number(++m_last_number);
     request.m_applied = request_number(m_applied_number);
     request.m_applied_term = m_applied_term;
+    request.m_partial = *kind == request_kind::partial;
+    sent_request sent{now, request.m_partial, {}};
     for (auto entry = m_customers.begin(); entry != m_customers.end();) {
         customer_state& state = entry->second;
+        if (request.m_partial && !is_urgent(state, now)) {
+            ++entry;
+            continue;
+        }
         refill(state, now);
         decay_demand(state, now);
         release_unused_capacity(state);
@@ -186,37 +203,43 @@
         if (m_limits.contains(entry->first)) {
             request.m_customers.push_back({entry->first, state.m_share, state.m_reported_demand,
                                            state.m_sessions, static_cast<std::uint32_t>(state.m_waits.size()),
-                                           std::exchange(state.m_returned_tokens, 0.0)});
+                                           std::exchange(state.m_returned_tokens, 0.0), state.m_applied});
+            if (request.m_partial) {
+                sent.m_customers.insert(entry->first);
+            }
         }
         ++entry;
     }
     m_last_sent = now;
-    m_confirm = false;
+    if (!request.m_partial) {
+        m_last_whole_sent = now;
+        m_confirm = false;
+    }
     m_unanswered = true;
-    m_sent_at[request.m_number] = now;
-    while (m_sent_at.size() > max_remembered_requests) {
-        m_sent_at.erase(m_sent_at.begin());
+    m_sent[request.m_number] = std::move(sent);
+    while (m_sent.size() > max_remembered_requests) {
+        m_sent.erase(m_sent.begin());
     }
     return request;
 }
 
 bool quota_holder::on_grant(const quota_grant& grant, core::time_point now) {
-    const auto sent = m_sent_at.find(grant.m_number);
-    if (grant.m_incarnation != m_incarnation || sent == m_sent_at.end() || grant.m_term < m_applied_term ||
+    const auto sent = m_sent.find(grant.m_number);
+    if (grant.m_incarnation != m_incarnation || sent == m_sent.end() || grant.m_term < m_applied_term ||
         grant.m_number.value() <= m_applied_number) {
         return false;
     }
-    const core::time_point sent_at = sent->second;
+    const sent_request request = sent->second;
     m_applied_number = grant.m_number.value();
     m_applied_term = grant.m_term;
-    m_confirm = grant.m_confirm;
-    m_sent_at.erase(m_sent_at.begin(), std::next(sent));
+    m_confirm = m_confirm || grant.m_confirm;
+    m_sent.erase(m_sent.begin(), std::next(sent));
     m_unanswered = m_unanswered && grant.m_number.value() != m_last_number;
-    apply_grant(grant, sent_at, now);
+    apply_grant(grant, request, now);
     return true;
 }
 
-void quota_holder::apply_grant(const quota_grant& grant, core::time_point sent_at, core::time_point now) {
+void quota_holder::apply_grant(const quota_grant& grant, const sent_request& request, core::time_point now) {
     std::map<core::customer_name, const granted_share*> granted;
     for (const granted_share& one : grant.m_shares) {
         if (m_limits.contains(one.m_customer)) { // Not removed since the request.
@@ -225,15 +248,19 @@
         }
     }
     for (auto& [customer, state] : m_customers) {
+        if (request.m_partial && !request.m_customers.contains(customer)) {
+            continue;
+        }
         refill(state, now);
         const auto found = granted.find(customer);
         const double tokens = found == granted.end() ? 0.0 : std::max(0.0, found->second->m_tokens);
         forget_old_waits(state, now);
-        const auto reported = std::distance(state.m_waits.begin(), state.m_waits.lower_bound(sent_at));
+        const auto reported = std::distance(state.m_waits.begin(), state.m_waits.lower_bound(request.m_at));
         if (tokens < static_cast<double>(reported)) {
-            state.m_denied_request_at = sent_at;
+            state.m_denied_request_at = request.m_at;
             state.m_denied_until = core::deadline_after(now, denial_length);
         }
+        state.m_applied = grant.m_number;
         if (found == granted.end()) {
             set_share(state, {});
             continue;
@@ -241,7 +268,7 @@
         const granted_share& one = *found->second;
         set_share(state, one.m_share);
         state.m_limit = one.m_limit;
-        state.m_share_end = core::deadline{sent_at + share_lifetime};
+        state.m_share_end = core::deadline{request.m_at + share_lifetime};
         add_tokens(state, tokens);
         apply_limit(state, m_limits.at(customer));
     }
--- a/src/quotas/quota_holder.h
+++ b/src/quotas/quota_holder.h
@@ -64,6 +64,7 @@
         operation_limit m_limit; // The limit that the share is a part of.
         core::deadline m_share_end;
         double m_tokens = 0.0;
+        request_number m_applied;       // The request whose answer gave the share.
         double m_returned_tokens = 0.0; // Given up since the last request.
         core::time_point m_refilled_at{};
         double m_arrivals_per_s = 0.0;
@@ -79,6 +80,11 @@
         core::time_point m_denied_request_at{};
         core::deadline m_denied_until;
     };
+    struct sent_request {
+        core::time_point m_at{};
+        bool m_partial = false;
+        std::set<core::customer_name> m_customers; // Named by a partial request.
+    };
     static constexpr std::size_t max_remembered_requests = 16;
 
     // Replaces the share; tokens beyond its capacity are returned to the leader.
@@ -86,8 +92,11 @@
     static void add_tokens(customer_state& state, double tokens);
     static void forget_old_waits(customer_state& state, core::time_point now);
     static void release_unused_capacity(customer_state& state);
-    void apply_grant(const quota_grant& grant, core::time_point sent_at, core::time_point now);
-    [[nodiscard]] bool request_is_due(core::time_point now);
+    void apply_grant(const quota_grant& grant, const sent_request& request, core::time_point now);
+    // Whether the customer needs an answer before the next regular request.
+    [[nodiscard]] static bool is_urgent(const customer_state& state, core::time_point now);
+    enum class request_kind : std::uint8_t { whole, partial };
+    std::optional<request_kind> due_request(core::time_point now);
     static void apply_limit(customer_state& state, const operation_limit& limit);
     void refill(customer_state& state, core::time_point now);
     // The average, or 0 if the demand has moved away.
@@ -97,11 +106,12 @@
     core::incarnation m_incarnation;
     limits_by_customer m_limits;
     std::map<core::customer_name, customer_state> m_customers;
-    std::map<request_number, core::time_point> m_sent_at; // Of the latest requests without an answer.
+    std::map<request_number, sent_request> m_sent; // The latest requests without an answer.
     std::uint64_t m_last_number = 0;
     std::uint64_t m_applied_number = 0; // The latest request whose answer was applied.
     granter_term m_applied_term;        // Of the leader that gave that answer.
     core::time_point m_last_sent = core::time_point::min();
+    core::time_point m_last_whole_sent = core::time_point::min();
     bool m_unanswered = false; // The last request has no answer yet.
     bool m_confirm = false;    // The leader waits for the next request.
     holder_counters m_counters;
--- a/src/quotas/share.h
+++ b/src/quotas/share.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace mangoquay::quotas {
@@ -24,6 +25,8 @@
 inline constexpr core::milliseconds request_period{1'000};
 // Pause between two requests while operations wait for tokens.
 inline constexpr core::milliseconds min_request_pause{20};
+// A request that only confirms an answer is not urgent, and names all customers.
+inline constexpr core::milliseconds confirmation_pause{250};
 // An operation waits this long for an answer of the leader.
 inline constexpr core::milliseconds max_token_wait{100};
 
@@ -76,6 +79,8 @@
     std::uint32_t m_waiting = 0; // Operations that wait for tokens.
     // Tokens that the host gave up when its share shrank, since the last request.
     double m_returned_tokens = 0.0;
+    // The request whose answer gave m_held; if empty, the one that the whole request names.
+    std::optional<request_number> m_applied;
 };
 
 struct quota_request {
@@ -85,6 +90,8 @@
     request_number m_applied;
     granter_term m_applied_term;
     std::vector<customer_demand> m_customers;
+    // Only customers that need an answer at once are named; nothing changes for the others.
+    bool m_partial = false;
 };
 
 struct granted_share {
@@ -94,7 +101,7 @@
     operation_limit m_limit; // The limit that the share is a part of.
 };
 
-// Answers the request of m_number. Customers that it does not name keep no share.
+// Answers the request of m_number. Customers of the request that it does not name keep no share.
 struct quota_grant {
     core::incarnation m_incarnation;
     request_number m_number;
--- a/src/wire/mangoquay_generated.h
+++ b/src/wire/mangoquay_generated.h
@@ -5345,6 +5345,7 @@
   uint32_t sessions = 0;
   uint32_t waiting = 0;
   double returned_tokens = 0.0;
+  uint64_t applied = 0;
 };
 
 struct quota_demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5358,7 +5359,8 @@
     VT_ARRIVALS = 10,
     VT_SESSIONS = 12,
     VT_WAITING = 14,
-    VT_RETURNED_TOKENS = 16
+    VT_RETURNED_TOKENS = 16,
+    VT_APPLIED = 18
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -5381,6 +5383,9 @@
   double returned_tokens() const {
     return GetField<double>(VT_RETURNED_TOKENS, 0.0);
   }
+  uint64_t applied() const {
+    return GetField<uint64_t>(VT_APPLIED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
@@ -5391,6 +5396,7 @@
            VerifyField<uint32_t>(verifier, VT_SESSIONS, 4) &&
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<double>(verifier, VT_RETURNED_TOKENS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_APPLIED, 8) &&
            verifier.EndTable();
   }
   quota_demandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5423,6 +5429,9 @@
   void add_returned_tokens(double returned_tokens) {
     fbb_.AddElement<double>(quota_demand::VT_RETURNED_TOKENS, returned_tokens, 0.0);
   }
+  void add_applied(uint64_t applied) {
+    fbb_.AddElement<uint64_t>(quota_demand::VT_APPLIED, applied, 0);
+  }
   explicit quota_demandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5442,8 +5451,10 @@
     float arrivals = 0.0f,
     uint32_t sessions = 0,
     uint32_t waiting = 0,
-    double returned_tokens = 0.0) {
+    double returned_tokens = 0.0,
+    uint64_t applied = 0) {
   quota_demandBuilder builder_(_fbb);
+  builder_.add_applied(applied);
   builder_.add_returned_tokens(returned_tokens);
   builder_.add_capacity(capacity);
   builder_.add_rate(rate);
@@ -5467,7 +5478,8 @@
     float arrivals = 0.0f,
     uint32_t sessions = 0,
     uint32_t waiting = 0,
-    double returned_tokens = 0.0) {
+    double returned_tokens = 0.0,
+    uint64_t applied = 0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return mangoquay::wire::Createquota_demand(
       _fbb,
@@ -5477,7 +5489,8 @@
       arrivals,
       sessions,
       waiting,
-      returned_tokens);
+      returned_tokens,
+      applied);
 }
 
 flatbuffers::Offset<quota_demand> Createquota_demand(flatbuffers::FlatBufferBuilder &_fbb, const quota_demandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5490,6 +5503,7 @@
   uint64_t applied_term = 0;
   std::vector<std::unique_ptr<mangoquay::wire::quota_demandT>> customers{};
   std::vector<std::string> path{};
+  bool partial = false;
   quota_requestT() = default;
   quota_requestT(const quota_requestT &o);
   quota_requestT(quota_requestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5506,7 +5520,8 @@
     VT_APPLIED = 8,
     VT_APPLIED_TERM = 10,
     VT_CUSTOMERS = 12,
-    VT_PATH = 14
+    VT_PATH = 14,
+    VT_PARTIAL = 16
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -5526,6 +5541,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *path() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PATH);
   }
+  bool partial() const {
+    return GetField<uint8_t>(VT_PARTIAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -5538,6 +5556,7 @@
            VerifyOffset(verifier, VT_PATH) &&
            verifier.VerifyVector(path()) &&
            verifier.VerifyVectorOfStrings(path()) &&
+           VerifyField<uint8_t>(verifier, VT_PARTIAL, 1) &&
            verifier.EndTable();
   }
   quota_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5567,6 +5586,9 @@
   void add_path(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path) {
     fbb_.AddOffset(quota_request::VT_PATH, path);
   }
+  void add_partial(bool partial) {
+    fbb_.AddElement<uint8_t>(quota_request::VT_PARTIAL, static_cast<uint8_t>(partial), 0);
+  }
   explicit quota_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5585,7 +5607,8 @@
     uint64_t applied = 0,
     uint64_t applied_term = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mangoquay::wire::quota_demand>>> customers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> path = 0,
+    bool partial = false) {
   quota_requestBuilder builder_(_fbb);
   builder_.add_applied_term(applied_term);
   builder_.add_applied(applied);
@@ -5593,6 +5616,7 @@
   builder_.add_incarnation(incarnation);
   builder_.add_path(path);
   builder_.add_customers(customers);
+  builder_.add_partial(partial);
   return builder_.Finish();
 }
 
@@ -5608,7 +5632,8 @@
     uint64_t applied = 0,
     uint64_t applied_term = 0,
     const std::vector<flatbuffers::Offset<mangoquay::wire::quota_demand>> *customers = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *path = nullptr,
+    bool partial = false) {
   auto customers__ = customers ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_demand>>(*customers) : 0;
   auto path__ = path ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*path) : 0;
   return mangoquay::wire::Createquota_request(
@@ -5618,7 +5643,8 @@
       applied,
       applied_term,
       customers__,
-      path__);
+      path__,
+      partial);
 }
 
 flatbuffers::Offset<quota_request> Createquota_request(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9086,6 +9112,7 @@
   { auto _e = sessions(); _o->sessions = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = returned_tokens(); _o->returned_tokens = _e; }
+  { auto _e = applied(); _o->applied = _e; }
 }
 
 inline flatbuffers::Offset<quota_demand> quota_demand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_demandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9103,6 +9130,7 @@
   auto _sessions = _o->sessions;
   auto _waiting = _o->waiting;
   auto _returned_tokens = _o->returned_tokens;
+  auto _applied = _o->applied;
   return mangoquay::wire::Createquota_demand(
       _fbb,
       _customer,
@@ -9111,7 +9139,8 @@
       _arrivals,
       _sessions,
       _waiting,
-      _returned_tokens);
+      _returned_tokens,
+      _applied);
 }
 
 inline quota_requestT::quota_requestT(const quota_requestT &o)
@@ -9119,7 +9148,8 @@
         number(o.number),
         applied(o.applied),
         applied_term(o.applied_term),
-        path(o.path) {
+        path(o.path),
+        partial(o.partial) {
   customers.reserve(o.customers.size());
   for (const auto &customers_ : o.customers) { customers.emplace_back((customers_) ? new mangoquay::wire::quota_demandT(*customers_) : nullptr); }
 }
@@ -9131,6 +9161,7 @@
   std::swap(applied_term, o.applied_term);
   std::swap(customers, o.customers);
   std::swap(path, o.path);
+  std::swap(partial, o.partial);
   return *this;
 }
 
@@ -9149,6 +9180,7 @@
   { auto _e = applied_term(); _o->applied_term = _e; }
   { auto _e = customers(); if (_e) { _o->customers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->customers[_i] = std::unique_ptr<mangoquay::wire::quota_demandT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = path(); if (_e) { _o->path.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->path[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = partial(); _o->partial = _e; }
 }
 
 inline flatbuffers::Offset<quota_request> quota_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9165,6 +9197,7 @@
   auto _applied_term = _o->applied_term;
   auto _customers = _o->customers.size() ? _fbb.CreateVector<flatbuffers::Offset<mangoquay::wire::quota_demand>> (_o->customers.size(), [](size_t i, _VectorArgs *__va) { return Createquota_demand(*__va->__fbb, __va->__o->customers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _path = _o->path.size() ? _fbb.CreateVectorOfStrings(_o->path) : 0;
+  auto _partial = _o->partial;
   return mangoquay::wire::Createquota_request(
       _fbb,
       _incarnation,
@@ -9172,7 +9205,8 @@
       _applied,
       _applied_term,
       _customers,
-      _path);
+      _path,
+      _partial);
 }
 
 inline quota_shareT *quota_share::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
