--- a/src/quotas/quota_holder.cpp
+++ b/src/quotas/quota_holder.cpp
@@ -153,7 +153,7 @@
 bool quota_holder::is_urgent(const customer_state& state, core::time_point now) {
     const bool unneeded = state.m_share.m_rate_per_s > 0.0 && present_demand(state, now) <= 0.0 &&
                           state.m_reported_demand > 0.0;
-    return !state.m_waits.empty() || unneeded;
+    return !state.m_waits.empty() || unneeded || state.m_confirm;
 }
 
 std::optional<quota_holder::request_kind> quota_holder::due_request(core::time_point now) {
@@ -162,12 +162,11 @@
         forget_old_waits(state, now);
         urgent = urgent || (is_urgent(state, now) && m_limits.contains(customer));
     }
-    const bool confirms = m_confirm && m_last_whole_sent + confirmation_pause <= now;
-    if (confirms || m_last_whole_sent + request_period <= now) {
+    if (m_last_whole_sent + request_period <= now) {
         return request_kind::whole;
     }
     const bool answer_due = m_unanswered && m_last_sent + answer_timeout > now;
-    if (urgent && !answer_due && m_last_sent + min_request_pause <= now) {
+    if ((urgent || m_confirm) && !answer_due && m_last_sent + min_request_pause <= now) {
         return request_kind::partial;
     }
     return std::nullopt;
@@ -200,6 +199,7 @@
             continue;
         }
         state.m_reported_demand = present_demand(state, now);
+        state.m_confirm = false;
         if (m_limits.contains(entry->first)) {
             request.m_customers.push_back({entry->first, state.m_share, state.m_reported_demand,
                                            state.m_sessions, static_cast<std::uint32_t>(state.m_waits.size()),
@@ -213,8 +213,8 @@
     m_last_sent = now;
     if (!request.m_partial) {
         m_last_whole_sent = now;
-        m_confirm = false;
     }
+    m_confirm = false;
     m_unanswered = true;
     m_sent[request.m_number] = std::move(sent);
     while (m_sent.size() > max_remembered_requests) {
@@ -231,15 +231,17 @@
     }
     const sent_request request = sent->second;
     m_applied_number = grant.m_number.value();
+    const bool new_leader = m_applied_term != grant.m_term;
     m_applied_term = grant.m_term;
     m_confirm = m_confirm || grant.m_confirm;
     m_sent.erase(m_sent.begin(), std::next(sent));
     m_unanswered = m_unanswered && grant.m_number.value() != m_last_number;
-    apply_grant(grant, request, now);
+    apply_grant(grant, request, new_leader, now);
     return true;
 }
 
-void quota_holder::apply_grant(const quota_grant& grant, const sent_request& request, core::time_point now) {
+void quota_holder::apply_grant(const quota_grant& grant, const sent_request& request, bool new_leader,
+                               core::time_point now) {
     std::map<core::customer_name, const granted_share*> granted;
     for (const granted_share& one : grant.m_shares) {
         if (m_limits.contains(one.m_customer)) { // Not removed since the request.
@@ -261,6 +263,9 @@
             state.m_denied_until = core::deadline_after(now, denial_length);
         }
         state.m_applied = grant.m_number;
+        const share next = found == granted.end() ? share{} : found->second->m_share;
+        state.m_confirm = grant.m_confirm && (new_leader || next.m_capacity < state.m_share.m_capacity ||
+                                              next.m_rate_per_s < state.m_share.m_rate_per_s);
         if (found == granted.end()) {
             set_share(state, {});
             continue;
--- a/src/quotas/quota_holder.h
+++ b/src/quotas/quota_holder.h
@@ -64,6 +64,7 @@
         operation_limit m_limit; // The limit that the share is a part of.
         core::deadline m_share_end;
         double m_tokens = 0.0;
+        bool m_confirm = false;         // The leader waits to hear that a smaller share was applied.
         request_number m_applied;       // The request whose answer gave the share.
         double m_returned_tokens = 0.0; // Given up since the last request.
         core::time_point m_refilled_at{};
@@ -92,7 +93,9 @@
     static void add_tokens(customer_state& state, double tokens);
     static void forget_old_waits(customer_state& state, core::time_point now);
     static void release_unused_capacity(customer_state& state);
-    void apply_grant(const quota_grant& grant, const sent_request& request, core::time_point now);
+    // `new_leader`: the answer before was that of another leader.
+    void apply_grant(const quota_grant& grant, const sent_request& request, bool new_leader,
+                     core::time_point now);
     // Whether the customer needs an answer before the next regular request.
     [[nodiscard]] static bool is_urgent(const customer_state& state, core::time_point now);
     enum class request_kind : std::uint8_t { whole, partial };
--- a/src/quotas/share.h
+++ b/src/quotas/share.h
@@ -25,8 +25,6 @@
 inline constexpr core::milliseconds request_period{1'000};
 // Pause between two requests while operations wait for tokens.
 inline constexpr core::milliseconds min_request_pause{20};
-// A request that only confirms an answer is not urgent, and names all customers.
-inline constexpr core::milliseconds confirmation_pause{250};
 // An operation waits this long for an answer of the leader.
 inline constexpr core::milliseconds max_token_wait{100};
 
