--- a/test/error/clients_outside_limits.cpp
+++ b/test/error/clients_outside_limits.cpp
@@ -60,7 +60,16 @@
     }
 
 public:
-    void messages_without_end() { run_crowd("without end", startup + unfinished(large_bytes), 65536); }
+    void messages_without_end() {
+        test::process_fleet fleet(entry_limits, control_limits);
+        test::client_crowd crowd("127.0.0.1", fleet.caller_port(), crowd_size);
+        crowd.send(startup + unfinished(large_bytes));
+        assert_entry_serves("without end", fleet);
+        const std::string page = fleet.entry_metrics();
+        const std::string stopped = "mangoquay_caller_limits_total{measure=\"stopped_reading\"} ";
+        CPPUNIT_ASSERT(page.find(stopped) != std::string::npos);
+        CPPUNIT_ASSERT(page.find(stopped + "0\n") == std::string::npos);
+    }
 
     void messages_without_end_in_small_pieces() {
         run_crowd("small pieces", startup + unfinished(large_bytes), 4096);
