--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -70,7 +70,7 @@
 
     // Returns false if the memory of bodies is used up.
     bool append(request_state& request, const char* data, std::size_t size);
-    MHD_Result answer(MHD_Connection* connection, http_request request);
+    MHD_Result answer(MHD_Connection* connection, const http_request& request);
     static MHD_Result send(MHD_Connection* connection, const http_response& reply);
     void displace_oldest();
     void report(const char* measure);
@@ -120,7 +120,7 @@
     }
 }
 
-MHD_Result http_server::instance::answer(MHD_Connection* connection, http_request request) {
+MHD_Result http_server::instance::answer(MHD_Connection* connection, const http_request& request) {
     {
         const std::lock_guard lock(m_mutex);
         const auto found = m_connections.find(connection);
