--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -273,7 +273,8 @@
         errors.push_back({"", "deeper nesting", "at most 32 levels of nesting"});
     } catch (const nlohmann::json::parse_error& failure) {
         // The text of the exception quotes what was read last, which may be a secret.
-        errors.push_back({"", "a syntax error at byte " + std::to_string(failure.byte), "JSON text in UTF-8"});
+        errors.push_back(
+            {"", "a syntax error at byte " + std::to_string(failure.byte), "JSON text in UTF-8"});
     } catch (const std::exception&) {
         errors.push_back({"", "a value out of range", "JSON text in UTF-8"});
     }
