--- a/test/support/relay_with_customers.cpp
+++ b/test/support/relay_with_customers.cpp
@@ -89,7 +89,9 @@
     if (!request || !m_document.m_customers) {
         return;
     }
-    quotas::quota_grant grant{request->m_incarnation, request->m_number, false, {}};
+    quotas::quota_grant grant;
+    grant.m_incarnation = request->m_incarnation;
+    grant.m_number = request->m_number;
     for (const auto& [name, keys] : *m_document.m_customers) {
         grant.m_shares.push_back(
             {core::customer_name(name), {large_limit, large_limit}, large_limit, {large_limit, large_limit}});
