--- a/test/soak/hosts.cpp
+++ b/test/soak/hosts.cpp
@@ -2,6 +2,7 @@
 #include "soak/hosts.h"
 
 #include "soak/platform_settings.h"
+#include "support/become_host.h"
 
 #include <array>
 #include <csignal>
@@ -21,18 +22,6 @@
 constexpr std::size_t seed_count = 3;
 constexpr milliseconds reap_poll{2};
 
-// Does not return. Only calls that are safe after a fork of a process with threads.
-[[noreturn]] void become_host(const char* program, char* const* environment, const char* log_path) {
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int log = ::open(log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    ::dup2(log, STDOUT_FILENO);
-    ::dup2(log, STDERR_FILENO);
-    std::array<char, 6> command{"serve"};
-    std::array<char*, 3> arguments{const_cast<char*>(program), command.data(), nullptr};
-    ::execve(program, arguments.data(), environment);
-    ::_exit(127);
-}
-
 } // namespace
 
 host_fleet::host_fleet(const fleet_options& options, run_record& record, disturbance_log& disturbances)
@@ -130,7 +119,7 @@
     std::array<char*, 2> environment{variable.data(), nullptr};
     const pid_t child = ::fork();
     if (child == 0) {
-        become_host(m_options.m_program.c_str(), environment.data(), log.c_str());
+        test::become_host(m_options.m_program.c_str(), environment.data(), log.c_str());
     }
     {
         const std::lock_guard lock(m_mutex);
--- a/test/support/host_process.cpp
+++ b/test/support/host_process.cpp
@@ -1,6 +1,8 @@
 // Starts, observes and ends one process.
 #include "support/host_process.h"
 
+#include "support/become_host.h"
+
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -12,21 +14,6 @@
 #include <unistd.h>
 
 namespace mangoquay::test {
-namespace {
-
-// Does not return. Only calls that are safe after a fork of a process with threads.
-[[noreturn]] void become_host(const char* program, char* const* environment, const char* log_path) {
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int log = ::open(log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    ::dup2(log, STDOUT_FILENO);
-    ::dup2(log, STDERR_FILENO);
-    std::array<char, 6> command{"serve"};
-    std::array<char*, 3> arguments{const_cast<char*>(program), command.data(), nullptr};
-    ::execve(program, arguments.data(), environment);
-    ::_exit(127);
-}
-
-} // namespace
 
 host_process::host_process(const std::filesystem::path& settings, const std::filesystem::path& log) {
     const std::string program =
