--- /dev/null
+++ b/review/standin-2/cut_answer.cpp
@@ -0,0 +1,59 @@
+// Case: a machine gets SIGTERM. A requester whose session is open there, behind a slow line, sends a read 1 s
+// later and receives an answer of three rows.
+#include "case.h"
+
+#include <csignal>
+
+namespace review {
+namespace {
+
+constexpr std::size_t rows = 3;                     // "any number of `ROW` messages".
+constexpr std::size_t row_bytes = 1'000'000;        // A message is at most 1 MiB.
+constexpr std::size_t line_bytes_per_s = 1'000'000; // 8 Mbit/s.
+constexpr milliseconds time_limit{5000};          // As of the requests `stock-view`.
+
+} // namespace
+
+int run_cut_answer(record& log, const run_options& options) {
+    world all(log, options, 3, 2, 0);
+    if (!all.is_up) {
+        return could_not_run;
+    }
+    service& group = *all.group;
+    std::atomic<int> passed_on{0};
+    group.on_arrival = [&](database& at, const std::string& id, const std::string& text) {
+        ++passed_on;
+        log.write("database " + at.id + " receives " + id + " " + text);
+    };
+    group.work = milliseconds(200);
+    group.rows = [](const std::string&) { return std::vector<std::string>(rows, std::string(row_bytes, 'x')); };
+    host& entry = all.hosts.entry[0];
+    const auto read = [&](session& open) {
+        const std::string id = new_id();
+        log.write("read " + id + " is sent to " + entry.name);
+        const answer got = open.query(id, "READ 1", time_limit);
+        log.write("read " + id + " -> " + (got.complete ? got.outcome : "no complete answer") + ", bytes received " +
+                  std::to_string(got.received) + (open.ended() ? ", the connection has ended" : ""));
+        return got;
+    };
+    sleep_s(2);
+    session slow(all.hosts.caller_address(entry), reading_route, "u1", milliseconds(2000), line_bytes_per_s);
+    if (!read(slow).success()) {
+        return could_not_run;
+    }
+    const int before = passed_on;
+    if (options.trouble) {
+        all.hosts.signal(entry, SIGTERM);
+    }
+    sleep_s(1);
+    const answer got = read(slow);
+    if (options.trouble && !all.hosts.wait_for_end(entry, milliseconds(7000))) {
+        log.write(entry.name + " still runs after the grace period");
+    }
+    if (passed_on == before) {
+        return could_not_run;
+    }
+    return got.complete ? held : broken;
+}
+
+} // namespace review
