--- a/review/standin-2/case.cpp
+++ b/review/standin-2/case.cpp
@@ -6,8 +6,10 @@
     std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
 }
 
-world::world(record& log_to, const run_options& options, int control_hosts, int entry_hosts, int sync)
-    : log(log_to), hosts(log_to, options.program, options.folder, control_hosts, entry_hosts), sync_replicas(sync) {
+world::world(record& log_to, const run_options& options, int control_hosts, int entry_hosts, int sync,
+             int timeout_ms)
+    : log(log_to), hosts(log_to, options.program, options.folder, control_hosts, entry_hosts), sync_replicas(sync),
+      route_timeout_ms(timeout_ms) {
     group = std::make_unique<service>(log, "harvest", sync, hosts.control_addresses());
     for (int i = 0; i < 3; ++i) {
         const std::string zones[] = {"zone-a", "zone-b", "zone-c"};
@@ -56,7 +58,8 @@
 }
 
 bool world::send_config(int version) {
-    const std::string route = "\"path-prefix\":\"/\",\"timeout-ms\":3000,\"target-latency-ms\":200,\"service\":"
+    const std::string route = "\"path-prefix\":\"/\",\"timeout-ms\":" + std::to_string(route_timeout_ms) +
+                              ",\"target-latency-ms\":200,\"service\":"
                               "\"harvest\",\"max-attempts\":2";
     const std::string body =
         "{\"version\":" + std::to_string(version) + ",\"routes\":[{\"name\":\"r-1\",\"host\":\"" + primary_route +
--- a/review/standin-2/case.h
+++ b/review/standin-2/case.h
@@ -26,7 +26,8 @@
 
 struct world {
     // The databases are d-1 (primary), d-2 and d-3, one in each zone.
-    world(record& log, const run_options& options, int control_hosts, int entry_hosts, int sync_replicas);
+    world(record& log, const run_options& options, int control_hosts, int entry_hosts, int sync_replicas,
+          int route_timeout_ms = 3000);
     ~world();
 
     bool send_config(int version);
@@ -38,6 +39,7 @@
     fleet hosts;
     std::unique_ptr<service> group;
     int sync_replicas;
+    int route_timeout_ms;
     bool is_up = false; // Everything has started, and the first write succeeded.
     std::atomic<std::size_t> acknowledged{0};
     std::atomic<std::size_t> refused{0};
@@ -55,5 +57,6 @@
 int run_lost_reborn(record& log, const run_options& options);
 int run_cut_answer(record& log, const run_options& options);
 int run_large_answer(record& log, const run_options& options);
+int run_large_read(record& log, const run_options& options);
 
 } // namespace review
--- a/review/standin-2/database.cpp
+++ b/review/standin-2/database.cpp
@@ -16,7 +16,7 @@
 
 service::service(record& log_to, std::string service_name, int sync, std::vector<address> control_addresses)
     : log(log_to), name(std::move(service_name)), sync_replicas(sync), control(std::move(control_addresses)) {
-    rows = [](const std::string& item) { return std::vector<std::string>{"row" + item}; };
+    rows = [](const std::string& item) { return row_set{1, "row" + item}; };
     // "Replicas receive the commit over the network": a few milliseconds here.
     m_replication = std::thread([this] {
         while (m_running) {
@@ -332,8 +332,10 @@
                 bool kept = true;
                 if (reads_text) {
                     lock.unlock();
-                    for (const std::string& row : m_service.rows(words.back())) {
-                        answer += "ROW " + row + "\r\n";
+                    const row_set rows = m_service.rows(words.back());
+                    bool sent = true;
+                    for (std::size_t row = 0; sent && row < rows.count; ++row) {
+                        sent = peer.send("ROW " + rows.text + "\r\n");
                     }
                     lock.lock();
                 } else if (word == "COMMIT") {
--- a/review/standin-2/database.h
+++ b/review/standin-2/database.h
@@ -67,8 +67,12 @@
     std::atomic<bool> m_running{false};
 };
 
-// What a read of an item answers: the rows.
-using row_source = std::function<std::vector<std::string>(const std::string& item)>;
+// What a read of an item answers: so many rows of this text.
+struct row_set {
+    std::size_t count = 1;
+    std::string text;
+};
+using row_source = std::function<row_set(const std::string& item)>;
 // Called for each statement that a database received from a requester (id is not "-").
 using arrival_watch = std::function<void(database& at, const std::string& id, const std::string& text)>;
 
--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -108,13 +108,14 @@
     const int log = ::open(log_of(one).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     const std::string variable = "MANGOQUAY_SETTINGS=" + file;
     const std::string path = std::string("PATH=") + (std::getenv("PATH") ? std::getenv("PATH") : "/usr/bin:/bin");
-    const pid_t pid = ::fork();
+    const char* arguments[] = {m_program.c_str(), "serve", nullptr};
+    const char* environment[] = {variable.c_str(), path.c_str(), nullptr};
+    // This process waits until the program runs, so the memory of a child is never that of this process.
+    const pid_t pid = ::vfork();
     if (pid == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // It ends with the script, however that ends.
         ::dup2(log, 1);
         ::dup2(log, 2);
-        const char* arguments[] = {m_program.c_str(), "serve", nullptr};
-        const char* environment[] = {variable.c_str(), path.c_str(), nullptr};
         ::execve(m_program.c_str(), const_cast<char**>(arguments), const_cast<char**>(environment));
         ::_exit(127);
     }
--- a/review/standin-2/large_answer.cpp
+++ b/review/standin-2/large_answer.cpp
@@ -27,7 +27,7 @@
     };
     group.work = milliseconds(800); // A request within the route's timeout of 1000 ms and the grace period.
     group.rows = [](const std::string& item) {
-        return std::vector<std::string>(std::strtoul(item.c_str(), nullptr, 10), std::string(row_bytes, 'x'));
+        return row_set{std::strtoul(item.c_str(), nullptr, 10), std::string(row_bytes, 'x')};
     };
     host& entry = all.hosts.entry[0];
     const auto read = [&](std::size_t rows) {
