--- a/review/standin-2/case.cpp
+++ b/review/standin-2/case.cpp
@@ -67,7 +67,8 @@
         "\",\"kind\":\"bounded_staleness\",\"priority\":2,\"max-staleness-ms\":2500," + route +
         "}],\"services\":[{\"name\":\"harvest\",\"health-path\":\"/health\",\"max-connections\":40,"
         "\"protocol\":\"h1\",\"tls\":false,\"sync-replicas\":" +
-        std::to_string(sync_replicas) +
+        std::to_string(sync_replicas) + "},{\"name\":\"" + second_service +
+        "\",\"health-path\":\"/health\",\"max-connections\":40,\"protocol\":\"h1\",\"tls\":false,\"sync-replicas\":0" +
         "}],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,"
         "\"idle-timeout-ms\":15000,\"tx-idle-ms\":3000}}";
     for (const host& one : hosts.control) {
--- a/review/standin-2/case.h
+++ b/review/standin-2/case.h
@@ -19,7 +19,9 @@
     std::string program; // The program of the deploy file.
     std::string folder;  // A temporary folder.
     bool trouble = true;
-    bool reborn = true; // Only for comparison: a database that starts again keeps its log.
+    // Only for comparison.
+    bool reborn = true; // A database that starts again has lost its log.
+    bool reuse = true;  // The address of a database that is gone is used again.
 };
 
 void sleep_s(double seconds);
@@ -53,8 +55,11 @@
 // The database names of the routes.
 inline const std::string primary_route = "tray";
 inline const std::string reading_route = "stock";
+// A second service in the config, whose databases only one case starts.
+inline const std::string second_service = "booking";
 
 int run_lost_reborn(record& log, const run_options& options);
+int run_lost_reused(record& log, const run_options& options);
 int run_cut_answer(record& log, const run_options& options);
 int run_large_answer(record& log, const run_options& options);
 int run_large_read(record& log, const run_options& options);
--- a/review/standin-2/database.cpp
+++ b/review/standin-2/database.cpp
@@ -71,7 +71,7 @@
         }
         const std::string token = header(request->head, "mangoquay-fencing-token");
         const std::string id = json_text(request->body, "id");
-        const int status = decide(id, std::strtoul(token.c_str(), nullptr, 10));
+        const int status = json_text(request->body, "service") != name ? 409 : decide(id, std::strtoul(token.c_str(), nullptr, 10));
         log.write("POST /failover id=" + id + " holder=" + header(request->head, "mangoquay-lease-holder") +
                   " token=" + token + " -> " + std::to_string(status));
         peer.send("HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -19,9 +19,9 @@
         return value == nullptr || std::strcmp(value, "0") != 0;
     };
     record log(arguments[3]);
-    const run_options options{arguments[2], arguments[4], is_on("TROUBLE"), is_on("REBORN")};
+    const run_options options{arguments[2], arguments[4], is_on("TROUBLE"), is_on("REBORN"), is_on("REUSE")};
     const std::map<std::string, int (*)(record&, const run_options&)> cases{
-        {"lost-reborn", run_lost_reborn}, {"cut-answer", run_cut_answer}, {"large-answer", run_large_answer}, {"large-read", run_large_read}};
+        {"lost-reborn", run_lost_reborn}, {"lost-reused", run_lost_reused}, {"cut-answer", run_cut_answer}, {"large-answer", run_large_answer}, {"large-read", run_large_read}};
     const auto found = cases.find(arguments[1]);
     const int result = found == cases.end() ? could_not_run : found->second(log, options);
     log.write(result == held ? "the rule held" : result == broken ? "the rule was broken" : "the case couldn't run");
